--- /dev/null
+++ b/ctl/src/main/java/org/arbutusstack/ctl/package-info.java
@@ -0,0 +1,2 @@
+/** Holds the ctl package. */
+package org.arbutusstack.ctl;
--- /dev/null
+++ b/daemon/src/main/java/org/arbutusstack/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** Holds the daemon package. */
+package org.arbutusstack.daemon;
--- /dev/null
+++ b/entry/src/main/java/org/arbutusstack/entry/package-info.java
@@ -0,0 +1,2 @@
+/** Holds the entry package. */
+package org.arbutusstack.entry;
--- /dev/null
+++ b/http/src/main/java/org/arbutusstack/http/server/HttpServers.java
@@ -0,0 +1,46 @@
+package org.arbutusstack.http.server;
+
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.server.HttpHandler;
+import org.arbutusstack.kernel.Assert;
+
+/**
+ * Builds HTTP listeners with few threads and a bound on bodies.
+ *
+ * <p>Stateless; safe for use by any thread.
+ */
+public final class HttpServers {
+
+    private static final int BUFFER_BYTES = 8_192;
+
+    private static final int IDLE_MILLIS = 120_000;
+
+    private HttpServers() {}
+
+    /**
+     * Builds a listener; it does not listen before it is started.
+     *
+     * @param address the IP number to listen on
+     * @param port the port
+     * @param ioThreads the number of I/O threads
+     * @param longestBodyBytes the longest body taken
+     * @param handler what answers
+     * @return the listener
+     */
+    public static Undertow build(String address, int port, int ioThreads, long longestBodyBytes, HttpHandler handler) {
+        Assert.hasText(address, "address");
+        Assert.notNull(handler, "handler");
+        return Undertow.builder()
+                .addHttpListener(port, address)
+                .setIoThreads(ioThreads)
+                .setWorkerThreads(2)
+                .setDirectBuffers(false)
+                .setBufferSize(BUFFER_BYTES)
+                .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, longestBodyBytes)
+                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_MILLIS)
+                .setServerOption(UndertowOptions.ENABLE_STATISTICS, false)
+                .setHandler(handler)
+                .build();
+    }
+}
--- /dev/null
+++ b/http/src/main/java/org/arbutusstack/http/server/package-info.java
@@ -0,0 +1,2 @@
+/** Builds HTTP listeners and answers with JSON, metrics and state dumps. */
+package org.arbutusstack.http.server;
--- /dev/null
+++ b/kernel/src/main/java/org/arbutusstack/kernel/digest/package-info.java
@@ -0,0 +1,2 @@
+/** Computes digests of content. */
+package org.arbutusstack.kernel.digest;
--- /dev/null
+++ b/ledger/src/main/java/org/arbutusstack/ledger/package-info.java
@@ -0,0 +1,2 @@
+/** Holds the ledger package. */
+package org.arbutusstack.ledger;
--- /dev/null
+++ b/model/src/main/java/org/arbutusstack/model/host/package-info.java
@@ -0,0 +1,2 @@
+/** Describes hosts and where they stand. */
+package org.arbutusstack.model.host;
--- /dev/null
+++ b/model/src/main/java/org/arbutusstack/model/plan/package-info.java
@@ -0,0 +1,2 @@
+/** Describes which runner is to hold which models. */
+package org.arbutusstack.model.plan;
--- /dev/null
+++ b/model/src/main/java/org/arbutusstack/model/request/Refusal.java
@@ -0,0 +1,54 @@
+package org.arbutusstack.model.request;
+
+import org.arbutusstack.kernel.Assert;
+
+/**
+ * Tells a caller truthfully that its request was not answered.
+ *
+ * @param kind what the caller may conclude
+ * @param reason why
+ * @param detail one sentence for people
+ * @param retryAfterSeconds when another try may succeed, zero where that is not known
+ */
+public record Refusal(RefusalKind kind, RefusalReason reason, String detail, int retryAfterSeconds) {
+
+    /** Checks the refusal. */
+    public Refusal {
+        Assert.notNull(kind, "kind");
+        Assert.notNull(reason, "reason");
+        Assert.notNull(detail, "detail");
+    }
+
+    /**
+     * Refuses a request that never ran.
+     *
+     * @param reason why
+     * @param detail one sentence for people
+     * @return the refusal
+     */
+    public static Refusal notRun(RefusalReason reason, String detail) {
+        return new Refusal(RefusalKind.NOT_RUN, reason, detail, 1);
+    }
+
+    /**
+     * Refuses a request that may have run.
+     *
+     * @param reason why
+     * @param detail one sentence for people
+     * @return the refusal
+     */
+    public static Refusal outcomeUnknown(RefusalReason reason, String detail) {
+        return new Refusal(RefusalKind.OUTCOME_UNKNOWN, reason, detail, 0);
+    }
+
+    /**
+     * Refuses a request that is wrong.
+     *
+     * @param reason why
+     * @param detail one sentence for people
+     * @return the refusal
+     */
+    public static Refusal rejected(RefusalReason reason, String detail) {
+        return new Refusal(RefusalKind.REJECTED, reason, detail, 0);
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/arbutusstack/model/request/RefusalKind.java
@@ -0,0 +1,37 @@
+package org.arbutusstack.model.request;
+
+import java.util.Locale;
+
+/** Tells what a refused caller may conclude; each constant knows its HTTP status. */
+public enum RefusalKind {
+    /** No engine or service ran the request, nor will one. */
+    NOT_RUN(503),
+    /** The request was sent to an engine or service and its outcome is not known. */
+    OUTCOME_UNKNOWN(504),
+    /** The request is wrong and would be refused again. */
+    REJECTED(400);
+
+    private final int status;
+
+    RefusalKind(int status) {
+        this.status = status;
+    }
+
+    /**
+     * Tells the HTTP status where the reason names no other.
+     *
+     * @return the status
+     */
+    public int status() {
+        return status;
+    }
+
+    /**
+     * Names the kind to callers.
+     *
+     * @return the name in lower case
+     */
+    public String label() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/arbutusstack/model/ticket/DesiredState.java
@@ -0,0 +1,107 @@
+package org.arbutusstack.model.ticket;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.arbutusstack.kernel.digest.Digest;
+
+/**
+ * Holds the state that follows from the accepted tickets: for each object, that of the highest-numbered one.
+ *
+ * <p>Immutable; {@link #apply} returns a new state.
+ *
+ * @param sequence the log sequence of the last entry applied, zero before the first
+ * @param chain the chain digest after that entry
+ * @param services the services by name
+ * @param models the models by name
+ * @param adapters the adapters by name
+ * @param ticketNumbers the highest ticket number that touched each object, removed objects included
+ */
+public record DesiredState(
+        long sequence,
+        Digest chain,
+        Map<String, ServiceSpec> services,
+        Map<String, ModelSpec> models,
+        Map<String, AdapterSpec> adapters,
+        Map<ObjectId, Long> ticketNumbers) {
+
+    /** The state before the first ticket. */
+    public static final DesiredState EMPTY = new DesiredState(0, Digest.ZERO, Map.of(), Map.of(), Map.of(), Map.of());
+
+    /** Copies the maps. */
+    public DesiredState {
+        services = Map.copyOf(services);
+        models = Map.copyOf(models);
+        adapters = Map.copyOf(adapters);
+        ticketNumbers = Map.copyOf(ticketNumbers);
+    }
+
+    /**
+     * Applies the next entry of the log.
+     *
+     * @param entry the entry that follows this state's sequence
+     * @return the state after it
+     */
+    public DesiredState apply(TicketEntry entry) {
+        Ticket ticket = entry.ticket();
+        Map<String, ServiceSpec> nextServices = new HashMap<>(services);
+        Map<String, ModelSpec> nextModels = new HashMap<>(models);
+        Map<String, AdapterSpec> nextAdapters = new HashMap<>(adapters);
+        Map<ObjectId, Long> nextNumbers = new HashMap<>(ticketNumbers);
+        ticket.services().forEach(spec -> nextServices.put(spec.name(), spec));
+        ticket.models().forEach(spec -> nextModels.put(spec.name(), spec));
+        ticket.adapters().forEach(spec -> nextAdapters.put(spec.name(), spec));
+        for (ObjectId id : ticket.removed()) {
+            mapOf(id.kind(), nextServices, nextModels, nextAdapters).remove(id.name());
+        }
+        ticket.touched().forEach(id -> nextNumbers.put(id, ticket.number()));
+        Digest nextChain = chain.chain(entry.digest());
+        return new DesiredState(sequence + 1, nextChain, nextServices, nextModels, nextAdapters, nextNumbers);
+    }
+
+    private static Map<String, ?> mapOf(
+            ObjectKind kind, Map<String, ?> services, Map<String, ?> models, Map<String, ?> adapters) {
+        return switch (kind) {
+            case SERVICE -> services;
+            case MODEL -> models;
+            case ADAPTER -> adapters;
+        };
+    }
+
+    /**
+     * Tells the ticket number in force for an object.
+     *
+     * @param id the object
+     * @return the highest accepted number that touched it, zero if none did
+     */
+    public long ticketNumber(ObjectId id) {
+        return ticketNumbers.getOrDefault(id, 0L);
+    }
+
+    /**
+     * Resolves the name by which a caller asks for a model.
+     *
+     * @param name the name of a model or of an adapter
+     * @return the model, or empty if neither exists
+     */
+    public Optional<ModelSpec> resolveModel(String name) {
+        AdapterSpec adapter = adapters.get(name);
+        return Optional.ofNullable(models.get(adapter == null ? name : adapter.model()));
+    }
+
+    /**
+     * Lists the models of a service.
+     *
+     * @param service the service's name
+     * @return its models ordered by name
+     */
+    public List<ModelSpec> modelsOf(String service) {
+        Collection<ModelSpec> all = models.values();
+        return all.stream()
+                .filter(model -> model.service().equals(service))
+                .sorted(java.util.Comparator.comparing(ModelSpec::name))
+                .toList();
+    }
+}
--- /dev/null
+++ b/placement/src/main/java/org/arbutusstack/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Holds the placement package. */
+package org.arbutusstack.placement;
--- /dev/null
+++ b/routing/src/main/java/org/arbutusstack/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Holds the routing package. */
+package org.arbutusstack.routing;
--- /dev/null
+++ b/side/src/main/java/org/arbutusstack/side/package-info.java
@@ -0,0 +1,2 @@
+/** Holds the side package. */
+package org.arbutusstack.side;
--- /dev/null
+++ b/store/src/main/java/org/arbutusstack/store/package-info.java
@@ -0,0 +1,2 @@
+/** Holds the store package. */
+package org.arbutusstack.store;
--- /dev/null
+++ b/testkit/src/main/java/org/arbutusstack/testkit/package-info.java
@@ -0,0 +1,2 @@
+/** Holds the testkit package. */
+package org.arbutusstack.testkit;
--- /dev/null
+++ b/wire/src/main/java/org/arbutusstack/wire/package-info.java
@@ -0,0 +1,2 @@
+/** Holds the wire package. */
+package org.arbutusstack.wire;
