--- /dev/null
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/AnswerPartFrame.java
@@ -0,0 +1,41 @@
+package org.arbutusstack.wire.frame;
+
+import java.io.IOException;
+import org.arbutusstack.model.request.RequestId;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * Carries a part of the answer to a request.
+ *
+ * @param id the request
+ * @param attempt the attempt
+ * @param offset the number of answer bytes before this part
+ * @param bytes the part; not copied
+ * @param last whether the answer is whole with this part
+ */
+public record AnswerPartFrame(RequestId id, int attempt, long offset, byte[] bytes, boolean last) implements Frame {
+
+    static AnswerPartFrame read(MessageUnpacker unpacker) throws IOException {
+        return new AnswerPartFrame(
+                new RequestId(unpacker.unpackString(), unpacker.unpackLong()),
+                unpacker.unpackInt(),
+                unpacker.unpackLong(),
+                unpacker.readPayload(unpacker.unpackBinaryHeader()),
+                unpacker.unpackBoolean());
+    }
+
+    @Override
+    public FrameType type() {
+        return FrameType.ANSWER_PART;
+    }
+
+    @Override
+    public void write(MessagePacker packer) throws IOException {
+        packer.packString(id.incarnation()).packLong(id.number());
+        packer.packInt(attempt);
+        packer.packLong(offset);
+        packer.packBinaryHeader(bytes.length).writePayload(bytes);
+        packer.packBoolean(last);
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/Frame.java
@@ -0,0 +1,42 @@
+package org.arbutusstack.wire.frame;
+
+import java.io.IOException;
+import org.msgpack.core.MessagePacker;
+
+/**
+ * Is one message between two processes of the system.
+ *
+ * <p>Implementations are immutable.
+ *
+ * @see FrameCodec
+ */
+public sealed interface Frame
+        permits HelloFrame,
+                HeartbeatFrame,
+                WorkFrame,
+                ReceiptFrame,
+                AnswerHeadFrame,
+                AnswerPartFrame,
+                RefusalFrame,
+                CancelFrame,
+                LogPullFrame,
+                LogPushFrame,
+                PlanFrame,
+                SideReportFrame,
+                ProtocolErrorFrame {
+
+    /**
+     * Tells the frame's type.
+     *
+     * @return the type
+     */
+    FrameType type();
+
+    /**
+     * Writes the frame's fields in order.
+     *
+     * @param packer where to write
+     * @throws IOException if writing fails
+     */
+    void write(MessagePacker packer) throws IOException;
+}
--- /dev/null
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/FrameType.java
@@ -0,0 +1,78 @@
+package org.arbutusstack.wire.frame;
+
+import java.io.IOException;
+import java.util.Optional;
+import org.msgpack.core.MessageUnpacker;
+
+/** Tells the types of frame; each constant knows its code on the wire and reads its frames. */
+public enum FrameType {
+    /** See {@link HelloFrame}. */
+    HELLO(1, HelloFrame::read),
+    /** See {@link HeartbeatFrame}. */
+    HEARTBEAT(2, HeartbeatFrame::read),
+    /** See {@link WorkFrame}. */
+    WORK(3, WorkFrame::read),
+    /** See {@link ReceiptFrame}. */
+    RECEIPT(4, ReceiptFrame::read),
+    /** See {@link AnswerHeadFrame}. */
+    ANSWER_HEAD(5, AnswerHeadFrame::read),
+    /** See {@link AnswerPartFrame}. */
+    ANSWER_PART(6, AnswerPartFrame::read),
+    /** See {@link RefusalFrame}. */
+    REFUSAL(7, RefusalFrame::read),
+    /** See {@link CancelFrame}. */
+    CANCEL(8, CancelFrame::read),
+    /** See {@link LogPullFrame}. */
+    LOG_PULL(9, LogPullFrame::read),
+    /** See {@link LogPushFrame}. */
+    LOG_PUSH(10, LogPushFrame::read),
+    /** See {@link PlanFrame}. */
+    PLAN(11, PlanFrame::read),
+    /** See {@link SideReportFrame}. */
+    SIDE_REPORT(12, SideReportFrame::read),
+    /** See {@link ProtocolErrorFrame}. */
+    PROTOCOL_ERROR(13, ProtocolErrorFrame::read);
+
+    private final int code;
+
+    private final FrameReader reader;
+
+    FrameType(int code, FrameReader reader) {
+        this.code = code;
+        this.reader = reader;
+    }
+
+    /**
+     * Tells the code on the wire.
+     *
+     * @return the code
+     */
+    public int code() {
+        return code;
+    }
+
+    Frame read(MessageUnpacker unpacker) throws IOException {
+        return reader.read(unpacker);
+    }
+
+    /**
+     * Finds the type of a code.
+     *
+     * @param code the code
+     * @return the type, or empty if there is none
+     */
+    public static Optional<FrameType> ofCode(int code) {
+        for (FrameType type : values()) {
+            if (type.code == code) {
+                return Optional.of(type);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Reads the fields of one type of frame. */
+    private interface FrameReader {
+
+        Frame read(MessageUnpacker unpacker) throws IOException;
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/Frames.java
@@ -0,0 +1,45 @@
+package org.arbutusstack.wire.frame;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/** Writes and reads lists within frames. */
+final class Frames {
+
+    private Frames() {}
+
+    static void packStrings(MessagePacker packer, List<String> values) throws IOException {
+        packer.packArrayHeader(values.size());
+        for (String value : values) {
+            packer.packString(value);
+        }
+    }
+
+    static List<String> unpackStrings(MessageUnpacker unpacker) throws IOException {
+        int count = unpacker.unpackArrayHeader();
+        List<String> values = new ArrayList<>();
+        for (int index = 0; index < count; index++) {
+            values.add(unpacker.unpackString());
+        }
+        return List.copyOf(values);
+    }
+
+    static void packBlobs(MessagePacker packer, List<byte[]> values) throws IOException {
+        packer.packArrayHeader(values.size());
+        for (byte[] value : values) {
+            packer.packBinaryHeader(value.length).writePayload(value);
+        }
+    }
+
+    static List<byte[]> unpackBlobs(MessageUnpacker unpacker) throws IOException {
+        int count = unpacker.unpackArrayHeader();
+        List<byte[]> values = new ArrayList<>();
+        for (int index = 0; index < count; index++) {
+            values.add(unpacker.readPayload(unpacker.unpackBinaryHeader()));
+        }
+        return List.copyOf(values);
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/HeartbeatFrame.java
@@ -0,0 +1,32 @@
+package org.arbutusstack.wire.frame;
+
+import java.io.IOException;
+import org.arbutusstack.kernel.digest.Digest;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * Shows that a process lives and how far its ticket log reaches.
+ *
+ * @param sequence the log sequence of the last entry applied
+ * @param chain the chain digest after that entry
+ * @param leaving whether the process takes no new work
+ */
+public record HeartbeatFrame(long sequence, Digest chain, boolean leaving) implements Frame {
+
+    static HeartbeatFrame read(MessageUnpacker unpacker) throws IOException {
+        return new HeartbeatFrame(unpacker.unpackLong(), new Digest(unpacker.unpackString()), unpacker.unpackBoolean());
+    }
+
+    @Override
+    public FrameType type() {
+        return FrameType.HEARTBEAT;
+    }
+
+    @Override
+    public void write(MessagePacker packer) throws IOException {
+        packer.packLong(sequence);
+        packer.packString(chain.hex());
+        packer.packBoolean(leaving);
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/LogPushFrame.java
@@ -0,0 +1,30 @@
+package org.arbutusstack.wire.frame;
+
+import java.io.IOException;
+import java.util.List;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * Carries entries of the ticket log.
+ *
+ * @param afterSequence the log sequence of the entry before the first one carried
+ * @param entries the entries in JSON, in order
+ */
+public record LogPushFrame(long afterSequence, List<byte[]> entries) implements Frame {
+
+    static LogPushFrame read(MessageUnpacker unpacker) throws IOException {
+        return new LogPushFrame(unpacker.unpackLong(), Frames.unpackBlobs(unpacker));
+    }
+
+    @Override
+    public FrameType type() {
+        return FrameType.LOG_PUSH;
+    }
+
+    @Override
+    public void write(MessagePacker packer) throws IOException {
+        packer.packLong(afterSequence);
+        Frames.packBlobs(packer, entries);
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/arbutusstack/wire/link/NioLink.java
@@ -0,0 +1,240 @@
+package org.arbutusstack.wire.link;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import org.arbutusstack.wire.WireException;
+import org.arbutusstack.wire.frame.Frame;
+import org.arbutusstack.wire.frame.FrameCodec;
+import org.arbutusstack.wire.frame.ProtocolErrorFrame;
+
+/**
+ * Is one connection of a {@link NioLinkTransport}.
+ *
+ * <p>{@link #send(Frame)}, {@link #close()} and the questions may be called by any thread; all else runs on the
+ * transport's thread.
+ */
+final class NioLink implements Link, NioLinkTransport.LinkEvents {
+
+    private static final int FIRST_READ_BYTES = 16 * 1_024;
+
+    private static final long MOST_WAITING_BYTES = 8L * 1_024 * 1_024;
+
+    private final NioLinkTransport transport;
+
+    private final LinkListener listener;
+
+    private final String remote;
+
+    private final Queue<ByteBuffer> outbound = new ConcurrentLinkedQueue<>();
+
+    private final AtomicLong waitingBytes = new AtomicLong();
+
+    private final AtomicBoolean writeScheduled = new AtomicBoolean();
+
+    private final AtomicBoolean closed = new AtomicBoolean();
+
+    private volatile long heardAtNanos = System.nanoTime();
+
+    private SocketChannel channel;
+
+    private SelectionKey key;
+
+    private ByteBuffer inbound = ByteBuffer.allocate(FIRST_READ_BYTES);
+
+    NioLink(NioLinkTransport transport, LinkListener listener, String remote) {
+        this.transport = transport;
+        this.listener = listener;
+        this.remote = remote;
+    }
+
+    void connect(InetSocketAddress address) {
+        if (closed.get()) {
+            return;
+        }
+        try {
+            channel = SocketChannel.open();
+            configure();
+            boolean connected = channel.connect(address);
+            key = transport.register(channel, connected ? SelectionKey.OP_READ : SelectionKey.OP_CONNECT, this);
+            if (connected) {
+                listener.onOpen(this);
+            }
+        } catch (IOException | RuntimeException failure) {
+            onFailure();
+        }
+    }
+
+    void accepted(SocketChannel accepted) throws IOException {
+        channel = accepted;
+        configure();
+        key = transport.register(channel, SelectionKey.OP_READ, this);
+        listener.onOpen(this);
+    }
+
+    private void configure() throws IOException {
+        channel.configureBlocking(false);
+        channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+    }
+
+    @Override
+    public boolean send(Frame frame) {
+        if (closed.get() || waitingBytes.get() > MOST_WAITING_BYTES) {
+            return false;
+        }
+        ByteBuffer bytes = FrameCodec.encode(frame);
+        waitingBytes.addAndGet(bytes.remaining());
+        outbound.add(bytes);
+        if (writeScheduled.compareAndSet(false, true)) {
+            transport.execute(this::writeWaiting);
+        }
+        return true;
+    }
+
+    private void writeWaiting() {
+        writeScheduled.set(false);
+        if (closed.get() || key == null || !channel.isConnected()) {
+            return;
+        }
+        try {
+            write();
+        } catch (IOException | RuntimeException failure) {
+            onFailure();
+        }
+    }
+
+    private void write() throws IOException {
+        ByteBuffer first = outbound.peek();
+        while (first != null) {
+            int count = channel.write(first);
+            waitingBytes.addAndGet(-count);
+            if (first.hasRemaining()) {
+                key.interestOps(SelectionKey.OP_READ | SelectionKey.OP_WRITE);
+                return;
+            }
+            outbound.poll();
+            first = outbound.peek();
+        }
+        key.interestOps(SelectionKey.OP_READ);
+    }
+
+    @Override
+    public void onReady(SelectionKey readyKey) throws IOException {
+        if (readyKey.isConnectable() && channel.finishConnect()) {
+            readyKey.interestOps(SelectionKey.OP_READ);
+            heardAtNanos = System.nanoTime();
+            listener.onOpen(this);
+            write();
+            return;
+        }
+        if (readyKey.isWritable()) {
+            write();
+        }
+        if (readyKey.isReadable()) {
+            read();
+        }
+    }
+
+    private void read() throws IOException {
+        int count = channel.read(inbound);
+        if (count < 0) {
+            onFailure();
+            return;
+        }
+        heardAtNanos = System.nanoTime();
+        inbound.flip();
+        while (takeFrame()) {
+            heardAtNanos = System.nanoTime();
+        }
+        inbound.compact();
+    }
+
+    private boolean takeFrame() {
+        if (inbound.remaining() < FrameCodec.LENGTH_BYTES) {
+            return false;
+        }
+        int length = inbound.getInt(inbound.position());
+        if (length < 1 || length > FrameCodec.LONGEST_FRAME_BYTES) {
+            send(new ProtocolErrorFrame("a frame of " + length + " bytes is not permitted"));
+            throw new WireException("Could not read a frame from " + remote + ": its length is " + length);
+        }
+        if (inbound.remaining() < FrameCodec.LENGTH_BYTES + length) {
+            growTo(FrameCodec.LENGTH_BYTES + length);
+            return false;
+        }
+        inbound.getInt();
+        byte[] payload = new byte[length];
+        inbound.get(payload);
+        handOn(payload);
+        return true;
+    }
+
+    private void growTo(int neededBytes) {
+        if (inbound.capacity() >= neededBytes) {
+            return;
+        }
+        inbound = ByteBuffer.allocate(neededBytes).put(inbound).flip();
+    }
+
+    private void handOn(byte[] payload) {
+        Frame frame;
+        try {
+            frame = FrameCodec.decode(payload);
+        } catch (WireException malformed) {
+            send(new ProtocolErrorFrame(malformed.getMessage()));
+            listener.onMalformed(this, malformed);
+            return;
+        }
+        listener.onFrame(this, frame);
+    }
+
+    @Override
+    public void onFailure() {
+        if (!closed.compareAndSet(false, true)) {
+            return;
+        }
+        closeQuietly(channel);
+        outbound.clear();
+        listener.onClosed(this);
+    }
+
+    @Override
+    public void close() {
+        transport.execute(this::onFailure);
+    }
+
+    static void closeQuietly(Closeable closeable) {
+        if (closeable == null) {
+            return;
+        }
+        try {
+            closeable.close();
+        } catch (IOException ignored) {
+            // Nothing is left to be done for a connection that is given up.
+            return;
+        }
+    }
+
+    @Override
+    public boolean isOpen() {
+        return !closed.get();
+    }
+
+    @Override
+    public long heardAtNanos() {
+        return heardAtNanos;
+    }
+
+    @Override
+    public String remote() {
+        return remote;
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/arbutusstack/wire/link/NioLinkTransport.java
@@ -0,0 +1,165 @@
+package org.arbutusstack.wire.link;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.ClosedSelectorException;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.Iterator;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import org.arbutusstack.kernel.Assert;
+import org.arbutusstack.wire.WireException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Runs all links of a process on one thread that waits on a selector.
+ *
+ * <p>Safe for use by any thread.
+ *
+ * @see Link
+ */
+public final class NioLinkTransport implements LinkTransport {
+
+    private static final Logger logger = LoggerFactory.getLogger(NioLinkTransport.class);
+
+    private final Selector selector;
+
+    private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
+
+    private final Thread thread;
+
+    private volatile boolean running = true;
+
+    /**
+     * Creates a transport and starts its thread.
+     *
+     * @param name the thread's name
+     */
+    public NioLinkTransport(String name) {
+        Assert.hasText(name, "name");
+        try {
+            this.selector = Selector.open();
+        } catch (IOException failure) {
+            throw new WireException("Could not open a selector", failure);
+        }
+        this.thread = new Thread(this::run, name);
+        this.thread.setDaemon(true);
+        this.thread.start();
+    }
+
+    @Override
+    public void listen(InetSocketAddress address, LinkListener listener) {
+        Assert.notNull(listener, "listener");
+        try {
+            ServerSocketChannel server = ServerSocketChannel.open();
+            server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+            server.bind(address);
+            server.configureBlocking(false);
+            execute(() -> register(server, SelectionKey.OP_ACCEPT, (LinkEvents) key -> accept(server, listener)));
+        } catch (IOException failure) {
+            throw new WireException("Could not listen on " + address, failure);
+        }
+    }
+
+    @Override
+    public Link connect(InetSocketAddress address, LinkListener listener) {
+        Assert.notNull(listener, "listener");
+        NioLink link = new NioLink(this, listener, address.toString());
+        execute(() -> link.connect(address));
+        return link;
+    }
+
+    private void accept(ServerSocketChannel server, LinkListener listener) throws IOException {
+        SocketChannel channel = server.accept();
+        if (channel == null) {
+            return;
+        }
+        NioLink link = new NioLink(this, listener, String.valueOf(channel.getRemoteAddress()));
+        link.accepted(channel);
+    }
+
+    SelectionKey register(java.nio.channels.SelectableChannel channel, int operations, LinkEvents events) {
+        try {
+            return channel.register(selector, operations, events);
+        } catch (IOException failure) {
+            throw new WireException("Could not watch a connection", failure);
+        }
+    }
+
+    void execute(Runnable task) {
+        tasks.add(task);
+        if (Thread.currentThread() != thread) {
+            selector.wakeup();
+        }
+    }
+
+    private void run() {
+        while (running) {
+            try {
+                selector.select(tasks.isEmpty() ? 0 : 1);
+                runTasks();
+                handleReadyKeys();
+            } catch (ClosedSelectorException closed) {
+                return;
+            } catch (IOException | RuntimeException failure) {
+                logger.error("event=link-transport-failure", failure);
+            }
+        }
+    }
+
+    private void runTasks() {
+        Runnable task = tasks.poll();
+        while (task != null) {
+            task.run();
+            task = tasks.poll();
+        }
+    }
+
+    private void handleReadyKeys() {
+        Iterator<SelectionKey> ready = selector.selectedKeys().iterator();
+        while (ready.hasNext()) {
+            SelectionKey key = ready.next();
+            ready.remove();
+            handle(key);
+        }
+    }
+
+    private static void handle(SelectionKey key) {
+        LinkEvents events = (LinkEvents) key.attachment();
+        try {
+            events.onReady(key);
+        } catch (IOException | RuntimeException failure) {
+            logger.debug("event=link-failure detail={}", failure.toString());
+            events.onFailure();
+        }
+    }
+
+    @Override
+    public void stop() {
+        execute(() -> {
+            running = false;
+            selector.keys().forEach(key -> org.arbutusstack.wire.link.NioLink.closeQuietly(key.channel()));
+        });
+        try {
+            thread.join(1_000);
+            selector.close();
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        } catch (IOException failure) {
+            logger.debug("event=selector-close-failure", failure);
+        }
+    }
+
+    /** Handles the readiness of one channel. */
+    interface LinkEvents {
+
+        void onReady(SelectionKey key) throws IOException;
+
+        default void onFailure() {}
+    }
+}
--- a/wire/src/main/java/org/arbutusstack/wire/package-info.java
+++ b/wire/src/main/java/org/arbutusstack/wire/package-info.java
@@ -1,2 +1,2 @@
-/** Holds the wire package. */
+/** Joins the system's own processes: MessagePack frames over TCP links. */
 package org.arbutusstack.wire;
