Add stand-ins, the ticket log, placement and routing in their first form

Cause: the thin path needs outside systems to talk to and the decisions between them. Change: stand-ins for key-value service, engine, plain service, host list and weight store with their faults; ticket log accepted by a swap of the head; a planner that spreads copies; a memory ledger; a runner selector.

--- /dev/null
+++ b/ledger/src/main/java/org/arbutusstack/ledger/ReferenceCheck.java
@@ -0,0 +1,39 @@
+package org.arbutusstack.ledger;
+
+import java.util.Optional;
+import org.arbutusstack.model.ticket.DesiredState;
+import org.arbutusstack.model.ticket.ServiceKind;
+import org.arbutusstack.model.ticket.ServiceSpec;
+import org.arbutusstack.model.ticket.Ticket;
+
+/**
+ * Checks that every model names a service of engines and every adapter a model, also after removals.
+ *
+ * <p>Stateless; safe for use by any thread.
+ */
+public final class ReferenceCheck implements TicketCheck {
+
+    @Override
+    public Optional<String> complaint(Ticket ticket, DesiredState before, DesiredState after) {
+        Optional<String> model = after.models().values().stream()
+                .filter(spec -> !isEngineService(after.services().get(spec.service())))
+                .map(spec -> "model '" + spec.name() + "' names no service of engines: '" + spec.service() + "'")
+                .sorted()
+                .findFirst();
+        Optional<String> adapter = after.adapters().values().stream()
+                .filter(spec -> !after.models().containsKey(spec.model()))
+                .map(spec -> "adapter '" + spec.name() + "' names no model: '" + spec.model() + "'")
+                .sorted()
+                .findFirst();
+        Optional<String> name = after.adapters().keySet().stream()
+                .filter(after.models()::containsKey)
+                .map(taken -> "adapter '" + taken + "' has the name of a model")
+                .sorted()
+                .findFirst();
+        return model.or(() -> adapter).or(() -> name);
+    }
+
+    private static boolean isEngineService(ServiceSpec service) {
+        return service != null && service.kind() == ServiceKind.ENGINE;
+    }
+}
--- a/placement/src/main/java/org/arbutusstack/placement/package-info.java
+++ b/placement/src/main/java/org/arbutusstack/placement/package-info.java
@@ -1,2 +1,2 @@
-/** Holds the placement package. */
+/** Decides which runner holds which models and accounts for accelerator memory; does no I/O. */
 package org.arbutusstack.placement;
--- /dev/null
+++ b/routing/src/main/java/org/arbutusstack/routing/LeastOutstandingSelector.java
@@ -0,0 +1,28 @@
+package org.arbutusstack.routing;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.Optional;
+
+/**
+ * Chooses the runner with the least work known, one that holds the adapter first.
+ *
+ * <p>Stateless; safe for use by any thread.
+ *
+ * @see RunnerSelector
+ */
+public final class LeastOutstandingSelector implements RunnerSelector {
+
+    @Override
+    public Optional<RunnerView> select(RoutingRequest request, Collection<RunnerView> runners) {
+        return runners.stream()
+                .filter(request::isServedBy)
+                .min(Comparator.<RunnerView, Boolean>comparing(runner -> lacksAdapter(request, runner))
+                        .thenComparing(runner -> Math.max(runner.reported(), runner.outstanding()))
+                        .thenComparing(RunnerView::name));
+    }
+
+    private static boolean lacksAdapter(RoutingRequest request, RunnerView runner) {
+        return !request.adapterKey().isEmpty() && !runner.adapters().contains(request.adapterKey());
+    }
+}
--- /dev/null
+++ b/routing/src/main/java/org/arbutusstack/routing/RunnerView.java
@@ -0,0 +1,30 @@
+package org.arbutusstack.routing;
+
+import java.util.Set;
+
+/**
+ * Describes a runner as an entry sees it.
+ *
+ * @param name the runner's name
+ * @param service the service that it belongs to
+ * @param zone its availability zone
+ * @param models the models that it reports ready, each as name and version joined by an at sign
+ * @param adapters the adapters that it reports ready
+ * @param reported the requests that it reports to wait or run
+ * @param outstanding the requests that this entry has sent it and that have not ended
+ */
+public record RunnerView(
+        String name,
+        String service,
+        String zone,
+        Set<String> models,
+        Set<String> adapters,
+        int reported,
+        int outstanding) {
+
+    /** Copies the sets. */
+    public RunnerView {
+        models = Set.copyOf(models);
+        adapters = Set.copyOf(adapters);
+    }
+}
--- a/routing/src/main/java/org/arbutusstack/routing/package-info.java
+++ b/routing/src/main/java/org/arbutusstack/routing/package-info.java
@@ -1,2 +1,2 @@
-/** Holds the routing package. */
+/** Decides which runner a request goes to; does no I/O. */
 package org.arbutusstack.routing;
--- /dev/null
+++ b/testkit/src/main/java/org/arbutusstack/testkit/engine/EngineMemory.java
@@ -0,0 +1,102 @@
+package org.arbutusstack.testkit.engine;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.arbutusstack.testkit.Json;
+
+/**
+ * Accounts for the accelerator memory of an engine stand-in.
+ *
+ * <p>A load takes its memory when it begins. Going beyond the size is counted as a violation. Safe for use by any
+ * thread.
+ */
+final class EngineMemory {
+
+    private final long sizeMb;
+
+    private final Map<String, Resident> residents = new LinkedHashMap<>();
+
+    private long peakMb;
+
+    private long violations;
+
+    private long highestFence;
+
+    EngineMemory(long sizeMb) {
+        this.sizeMb = sizeMb;
+    }
+
+    synchronized boolean admitsFence(long fence) {
+        if (fence < highestFence) {
+            return false;
+        }
+        highestFence = fence;
+        return true;
+    }
+
+    synchronized void begin(String key, long memoryMb, boolean adapter) {
+        if (residents.putIfAbsent(key, new Resident(memoryMb, adapter, false)) != null) {
+            return;
+        }
+        long used = usedMb();
+        peakMb = Math.max(peakMb, used);
+        if (used > sizeMb) {
+            violations++;
+        }
+    }
+
+    synchronized void ready(String key) {
+        residents.computeIfPresent(key, (same, old) -> new Resident(old.memoryMb, old.adapter, true));
+    }
+
+    synchronized void unload(String key) {
+        residents.remove(key);
+    }
+
+    synchronized void clear() {
+        residents.clear();
+    }
+
+    synchronized boolean isReady(String key) {
+        Resident resident = residents.get(key);
+        return resident != null && resident.ready;
+    }
+
+    synchronized boolean isReadyModel(String model) {
+        return residents.entrySet().stream()
+                .anyMatch(entry -> entry.getValue().ready
+                        && !entry.getValue().adapter
+                        && entry.getKey().startsWith(model + "@"));
+    }
+
+    synchronized long usedMb() {
+        return residents.values().stream().mapToLong(Resident::memoryMb).sum();
+    }
+
+    synchronized long violations() {
+        return violations;
+    }
+
+    synchronized ObjectNode json() {
+        ObjectNode node = Json.object();
+        node.put("memory_mb", sizeMb);
+        node.put("used_mb", usedMb());
+        node.put("peak_mb", peakMb);
+        node.put("violations", violations);
+        node.put("fence", highestFence);
+        ArrayNode models = node.putArray("models");
+        ArrayNode adapters = node.putArray("adapters");
+        residents.forEach((key, resident) -> {
+            ObjectNode item = (resident.adapter ? adapters : models).addObject();
+            item.put("key", key);
+            item.put("memory_mb", resident.memoryMb);
+            item.put("ready", resident.ready);
+        });
+        return node;
+    }
+
+    /** Holds one model or adapter in memory. */
+    private record Resident(long memoryMb, boolean adapter, boolean ready) {}
+}
--- /dev/null
+++ b/testkit/src/main/java/org/arbutusstack/testkit/engine/package-info.java
@@ -0,0 +1,2 @@
+/** Stands in for model engines. */
+package org.arbutusstack.testkit.engine;
--- /dev/null
+++ b/testkit/src/main/java/org/arbutusstack/testkit/kv/package-info.java
@@ -0,0 +1,2 @@
+/** Stands in for the key-value service. */
+package org.arbutusstack.testkit.kv;
--- /dev/null
+++ b/testkit/src/main/java/org/arbutusstack/testkit/weights/package-info.java
@@ -0,0 +1,2 @@
+/** Stands in for the weight store. */
+package org.arbutusstack.testkit.weights;
--- a/wire/src/main/java/org/arbutusstack/wire/frame/AnswerPartFrame.java
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/AnswerPartFrame.java
@@ -10,17 +10,20 @@
  *
  * @param id the request
  * @param attempt the attempt
- * @param offset the number of answer bytes before this part
+ * @param offset the units before this part: bytes of a plain answer, events of a streamed one
+ * @param units the units in this part
  * @param bytes the part; not copied
  * @param last whether the answer is whole with this part
  */
-public record AnswerPartFrame(RequestId id, int attempt, long offset, byte[] bytes, boolean last) implements Frame {
+public record AnswerPartFrame(RequestId id, int attempt, long offset, int units, byte[] bytes, boolean last)
+        implements Frame {
 
     static AnswerPartFrame read(MessageUnpacker unpacker) throws IOException {
         return new AnswerPartFrame(
                 new RequestId(unpacker.unpackString(), unpacker.unpackLong()),
                 unpacker.unpackInt(),
                 unpacker.unpackLong(),
+                unpacker.unpackInt(),
                 unpacker.readPayload(unpacker.unpackBinaryHeader()),
                 unpacker.unpackBoolean());
     }
@@ -35,6 +38,7 @@
         packer.packString(id.incarnation()).packLong(id.number());
         packer.packInt(attempt);
         packer.packLong(offset);
+        packer.packInt(units);
         packer.packBinaryHeader(bytes.length).writePayload(bytes);
         packer.packBoolean(last);
     }
--- a/wire/src/main/java/org/arbutusstack/wire/frame/WorkFrame.java
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/WorkFrame.java
@@ -21,7 +21,7 @@
  * @param method the HTTP method
  * @param path the path at the backend server
  * @param stream whether the answer is wanted part by part
- * @param resumeOffset the number of answer bytes that the caller has
+ * @param resumeOffset the units that the caller has: events of a streamed answer
  * @param body the body; not copied
  */
 public record WorkFrame(
