Add the side role in its first form

Cause: the path needs a sole issuer of work and orders beside each backend server. Change: one duty owns queue, memory ledger and links; claims wait for the key-value service on a thread of their own.

--- /dev/null
+++ b/side/src/main/java/org/arbutusstack/side/Backend.java
@@ -0,0 +1,134 @@
+package org.arbutusstack.side;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.arbutusstack.http.client.HttpCall;
+import org.arbutusstack.http.client.HttpClient;
+import org.arbutusstack.http.client.HttpException;
+import org.arbutusstack.http.client.HttpListener;
+import org.arbutusstack.http.client.HttpTarget;
+import org.arbutusstack.kernel.Assert;
+import org.arbutusstack.kernel.time.Clock;
+import org.arbutusstack.wire.frame.WorkFrame;
+
+/**
+ * Sends work and orders to the backend server and turns its answers into events. Safe for use by any thread.
+ */
+final class Backend {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private static final long LOAD_CALL_MILLIS = 1_000;
+
+    private static final long ORDER_MILLIS = 120_000;
+
+    private final HttpClient client;
+
+    private final HttpTarget target;
+
+    private final Clock clock;
+
+    private final Consumer<SideEvent> events;
+
+    Backend(HttpClient client, HttpTarget target, Clock clock, Consumer<SideEvent> events) {
+        this.client = Assert.notNull(client, "client");
+        this.target = Assert.notNull(target, "target");
+        this.clock = Assert.notNull(clock, "clock");
+        this.events = Assert.notNull(events, "events");
+    }
+
+    HttpClient.Cancellable send(Work work) {
+        WorkFrame frame = work.frame();
+        Map<String, String> headers = new HashMap<>();
+        headers.put("Content-Type", "application/json");
+        headers.put("X-Request-Id", frame.id().toString());
+        headers.put("Priority", "u=" + frame.priority().urgency());
+        if (!frame.idempotencyKey().isEmpty()) {
+            headers.put("Idempotency-Key", frame.idempotencyKey());
+        }
+        byte[] body = frame.model().isEmpty() ? frame.body() : engineBody(work);
+        HttpCall call = new HttpCall(frame.method(), frame.path(), headers, body);
+        return client.stream(target, call, work.deadlineNanos(), new WorkListener(work, events));
+    }
+
+    private static byte[] engineBody(Work work) {
+        try {
+            ObjectNode body = (ObjectNode) MAPPER.readTree(work.frame().body());
+            body.put("model", work.frame().model());
+            if (!work.adapterKey().isEmpty()) {
+                body.put("adapter", work.adapterKey());
+            }
+            if (work.frame().resumeOffset() > 0) {
+                body.put("resume_from", work.frame().resumeOffset());
+            }
+            return body.toString().getBytes(StandardCharsets.UTF_8);
+        } catch (IOException | ClassCastException malformed) {
+            throw new SideException("Could not read the body of " + work.frame().id(), malformed);
+        }
+    }
+
+    void order(EngineOrder order) {
+        client.call(target, HttpCall.post("/orders", order.json()), clock.deadlineNanos(ORDER_MILLIS))
+                .whenComplete((reply, failure) -> {
+                    String detail = failure == null ? null : String.valueOf(failure.getMessage());
+                    if (failure == null && !reply.isSuccess()) {
+                        detail = "status " + reply.status() + ": " + reply.text();
+                    }
+                    events.accept(new SideEvent.OrderEnded(order, detail));
+                });
+    }
+
+    void cancel(Work work) {
+        ObjectNode body = MAPPER.createObjectNode();
+        body.put("request_id", work.frame().id().toString());
+        byte[] json = body.toString().getBytes(StandardCharsets.UTF_8);
+        client.call(target, HttpCall.post("/cancel", json), clock.deadlineNanos(LOAD_CALL_MILLIS));
+    }
+
+    void askLoad() {
+        client.call(target, HttpCall.get("/load"), clock.deadlineNanos(LOAD_CALL_MILLIS))
+                .whenComplete((reply, failure) -> {
+                    boolean usable = failure == null && reply.isSuccess();
+                    events.accept(new SideEvent.LoadReported(usable ? parse(reply.body()) : null));
+                });
+    }
+
+    private static JsonNode parse(byte[] json) {
+        try {
+            return MAPPER.readTree(json);
+        } catch (IOException malformed) {
+            return null;
+        }
+    }
+
+    /** Turns the parts of an answer into events. */
+    private record WorkListener(Work work, Consumer<SideEvent> events) implements HttpListener {
+
+        @Override
+        public void onHead(int status, Map<String, String> headers) {
+            String contentType = headers.getOrDefault("content-type", "application/octet-stream");
+            events.accept(new SideEvent.BackendHead(work, status, contentType));
+        }
+
+        @Override
+        public void onBytes(byte[] bytes) {
+            events.accept(new SideEvent.BackendBytes(work, bytes));
+        }
+
+        @Override
+        public void onEnd() {
+            events.accept(new SideEvent.BackendEnded(work));
+        }
+
+        @Override
+        public void onFailure(HttpException failure) {
+            events.accept(new SideEvent.BackendFailed(work, failure));
+        }
+    }
+}
--- /dev/null
+++ b/side/src/main/java/org/arbutusstack/side/EventStreams.java
@@ -0,0 +1,35 @@
+package org.arbutusstack.side;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+
+/** Splits a server-sent event stream into whole events. Stateless. */
+final class EventStreams {
+
+    private static final byte[] LAST_EVENT = "data: [DONE]".getBytes(StandardCharsets.US_ASCII);
+
+    private EventStreams() {}
+
+    static Events split(byte[] bytes) {
+        int count = 0;
+        int end = 0;
+        int lastStart = 0;
+        for (int index = 1; index < bytes.length; index++) {
+            if (bytes[index] == '\n' && bytes[index - 1] == '\n' && index - 1 >= end) {
+                lastStart = end;
+                end = index + 1;
+                count++;
+            }
+        }
+        boolean last = count > 0 && startsWithLastEvent(bytes, lastStart);
+        return new Events(count, Arrays.copyOf(bytes, end), Arrays.copyOfRange(bytes, end, bytes.length), last);
+    }
+
+    private static boolean startsWithLastEvent(byte[] bytes, int from) {
+        int to = from + LAST_EVENT.length;
+        return to <= bytes.length && Arrays.equals(bytes, from, to, LAST_EVENT, 0, LAST_EVENT.length);
+    }
+
+    /** Holds the whole events, the rest, and whether the last whole event ends the stream. */
+    record Events(int count, byte[] whole, byte[] rest, boolean isLast) {}
+}
--- /dev/null
+++ b/side/src/main/java/org/arbutusstack/side/OrderKind.java
@@ -0,0 +1,23 @@
+package org.arbutusstack.side;
+
+import java.util.Locale;
+
+/** Tells the kinds of order to an engine. */
+enum OrderKind {
+    /** Loads a model. */
+    LOAD,
+    /** Unloads a model. */
+    UNLOAD,
+    /** Loads an adapter. */
+    LOAD_ADAPTER,
+    /** Unloads an adapter. */
+    UNLOAD_ADAPTER;
+
+    String label() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+
+    boolean isLoad() {
+        return this == LOAD || this == LOAD_ADAPTER;
+    }
+}
--- /dev/null
+++ b/side/src/main/java/org/arbutusstack/side/SideIdentity.java
@@ -0,0 +1,21 @@
+package org.arbutusstack.side;
+
+import org.arbutusstack.http.client.HttpTarget;
+import org.arbutusstack.model.host.HostRole;
+import org.arbutusstack.wire.frame.HelloFrame;
+
+/**
+ * Tells who a side is.
+ *
+ * @param name the host's name, also that of its runner
+ * @param service the service of its backend server
+ * @param zone the availability zone
+ * @param incarnation the name of this run of the process
+ * @param backend the backend server
+ */
+public record SideIdentity(String name, String service, String zone, String incarnation, HttpTarget backend) {
+
+    HelloFrame hello() {
+        return new HelloFrame(name, HostRole.SIDE, service, zone, incarnation);
+    }
+}
--- /dev/null
+++ b/side/src/main/java/org/arbutusstack/side/SidePeers.java
@@ -0,0 +1,55 @@
+package org.arbutusstack.side;
+
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import org.arbutusstack.ledger.LogReplica;
+import org.arbutusstack.model.JsonCodec;
+import org.arbutusstack.model.ticket.TicketEntry;
+import org.arbutusstack.wire.frame.Frame;
+import org.arbutusstack.wire.frame.HeartbeatFrame;
+import org.arbutusstack.wire.frame.HelloFrame;
+import org.arbutusstack.wire.frame.LogPullFrame;
+import org.arbutusstack.wire.frame.LogPushFrame;
+import org.arbutusstack.wire.link.Link;
+
+/** Keeps the links of a side and catches up with the ticket log of the peers behind them. Used by its duty only. */
+final class SidePeers {
+
+    private final LogReplica replica;
+
+    private final Set<Link> links = new LinkedHashSet<>();
+
+    SidePeers(LogReplica replica) {
+        this.replica = replica;
+    }
+
+    void opened(Link link, HelloFrame hello) {
+        links.add(link);
+        link.send(hello);
+    }
+
+    void closed(Link link) {
+        links.remove(link);
+    }
+
+    void heartbeat(Link link, HeartbeatFrame heartbeat) {
+        long have = replica.state().sequence();
+        if (heartbeat.sequence() > have) {
+            link.send(new LogPullFrame(have));
+        }
+    }
+
+    boolean push(LogPushFrame push) {
+        long before = replica.state().sequence();
+        List<TicketEntry> entries = push.entries().stream()
+                .map(json -> JsonCodec.read(json, TicketEntry.class))
+                .toList();
+        replica.append(push.afterSequence(), entries);
+        return replica.state().sequence() > before;
+    }
+
+    void broadcast(Frame frame) {
+        links.forEach(link -> link.send(frame));
+    }
+}
--- /dev/null
+++ b/side/src/main/java/org/arbutusstack/side/SideService.java
@@ -0,0 +1,321 @@
+package org.arbutusstack.side;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.net.InetSocketAddress;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
+import org.arbutusstack.http.client.HttpClient;
+import org.arbutusstack.kernel.Assert;
+import org.arbutusstack.kernel.ring.Duty;
+import org.arbutusstack.kernel.ring.Ticker;
+import org.arbutusstack.kernel.service.Service;
+import org.arbutusstack.kernel.time.Clock;
+import org.arbutusstack.ledger.LogReplica;
+import org.arbutusstack.model.JsonCodec;
+import org.arbutusstack.model.plan.Plan;
+import org.arbutusstack.model.ticket.DesiredState;
+import org.arbutusstack.model.ticket.ServiceKind;
+import org.arbutusstack.model.ticket.ServiceSpec;
+import org.arbutusstack.placement.MemoryLedger;
+import org.arbutusstack.store.KeyValueStore;
+import org.arbutusstack.wire.frame.CancelFrame;
+import org.arbutusstack.wire.frame.Frame;
+import org.arbutusstack.wire.frame.HeartbeatFrame;
+import org.arbutusstack.wire.frame.LogPushFrame;
+import org.arbutusstack.wire.frame.PlanFrame;
+import org.arbutusstack.wire.frame.SideReportFrame;
+import org.arbutusstack.wire.frame.WorkFrame;
+import org.arbutusstack.wire.link.Link;
+import org.arbutusstack.wire.link.LinkListener;
+import org.arbutusstack.wire.link.LinkTransport;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Runs the side's duty: one thread that owns the queue, the memory ledger and the links of one backend server.
+ *
+ * <p>Register it with the kernel after the transport. {@link #stateDump()} may be called by any thread.
+ */
+public final class SideService implements Service {
+
+    /** The name under which the service is registered. */
+    public static final String NAME = "side";
+
+    private static final Logger logger = LoggerFactory.getLogger(SideService.class);
+
+    private static final int RING_SIZE = 8_192;
+
+    private static final long TICK_MILLIS = 50;
+
+    private static final long LOAD_PERIOD_MILLIS = 250;
+
+    private static final long REPORT_PERIOD_MILLIS = 500;
+
+    private static final long DRAIN_POLL_MILLIS = 20;
+
+    private final SideIdentity identity;
+
+    private final InetSocketAddress linkAddress;
+
+    private final LinkTransport transport;
+
+    private final Clock clock;
+
+    private final LogReplica replica;
+
+    private final Duty<SideEvent> duty = new Duty<>("side", RING_SIZE, this::handle);
+
+    private final Ticker ticker = new Ticker("side-ticker");
+
+    private final Backend backend;
+
+    private final ClaimDesk claims;
+
+    private final Residency residency;
+
+    private final WorkDesk desk;
+
+    private final SidePeers peers;
+
+    private final AtomicBoolean loadAsked = new AtomicBoolean();
+
+    private final AtomicReference<SideReportFrame> lastReport = new AtomicReference<>();
+
+    private volatile boolean idle = true;
+
+    private volatile boolean backendAnswers;
+
+    private long loadAskAtNanos;
+
+    private long reportAtNanos;
+
+    /**
+     * Creates the service.
+     *
+     * @param identity who the side is
+     * @param linkAddress where links are taken
+     * @param transport takes the links
+     * @param client reaches the backend server
+     * @param store the key-value service
+     * @param replica this process's copy of the ticket log
+     * @param clock the clock of the process
+     * @param queueLimit the requests that may wait
+     * @param slots the requests handed to the backend server at once
+     */
+    public SideService(
+            SideIdentity identity,
+            InetSocketAddress linkAddress,
+            LinkTransport transport,
+            HttpClient client,
+            KeyValueStore store,
+            LogReplica replica,
+            Clock clock,
+            int queueLimit,
+            int slots) {
+        this.identity = Assert.notNull(identity, "identity");
+        this.linkAddress = Assert.notNull(linkAddress, "linkAddress");
+        this.transport = Assert.notNull(transport, "transport");
+        this.clock = Assert.notNull(clock, "clock");
+        this.replica = Assert.notNull(replica, "replica");
+        this.backend = new Backend(client, identity.backend(), clock, this::offer);
+        this.claims = new ClaimDesk(store, clock, identity, this::offer);
+        this.residency = new Residency(identity.name(), identity.service(), new MemoryLedger(), backend::order);
+        this.desk = new WorkDesk(identity, clock, backend, claims, queueLimit, slots);
+        this.peers = new SidePeers(replica);
+    }
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    private void offer(SideEvent event) {
+        if (!duty.offer(event)) {
+            logger.warn("event=side-ring-full dropped={}", event.getClass().getSimpleName());
+        }
+    }
+
+    @Override
+    public void start() {
+        duty.start();
+        claims.start();
+        transport.listen(linkAddress, new EventListener());
+        ticker.every(TICK_MILLIS, () -> duty.offer(new SideEvent.Tick()));
+    }
+
+    @Override
+    public void drain(long deadlineNanos) {
+        offer(new SideEvent.DrainBegun());
+        idle = false;
+        while (!idle && !clock.isPast(deadlineNanos)) {
+            java.util.concurrent.locks.LockSupport.parkNanos(DRAIN_POLL_MILLIS * Clock.NANOS_PER_MILLI);
+        }
+    }
+
+    @Override
+    public void stop() {
+        ticker.stop();
+        claims.stop();
+        duty.stop();
+    }
+
+    private void handle(SideEvent event) {
+        if (event instanceof SideEvent.FrameArrived arrived) {
+            frame(arrived.link(), arrived.frame());
+        } else if (event instanceof SideEvent.BackendHead head) {
+            desk.head(head.work(), head.status(), head.contentType(), state().sequence());
+        } else if (event instanceof SideEvent.BackendBytes bytes) {
+            desk.bytes(bytes.work(), bytes.bytes());
+        } else if (event instanceof SideEvent.BackendEnded ended) {
+            desk.backendEnded(ended.work());
+        } else if (event instanceof SideEvent.BackendFailed failed) {
+            desk.backendFailed(failed.work(), failed.failure());
+        } else if (event instanceof SideEvent.ClaimSettled settled) {
+            desk.claimSettled(settled.work(), settled.result());
+        } else {
+            handleOther(event);
+        }
+        desk.dispatch(this::isReady);
+    }
+
+    private void handleOther(SideEvent event) {
+        if (event instanceof SideEvent.LinkOpened opened) {
+            peers.opened(opened.link(), identity.hello());
+            report(true);
+        } else if (event instanceof SideEvent.LinkClosed closed) {
+            peers.closed(closed.link());
+            desk.linkClosed(closed.link());
+        } else if (event instanceof SideEvent.OrderEnded ended) {
+            residency.orderEnded(ended.order(), ended.failure());
+            report(true);
+        } else if (event instanceof SideEvent.LoadReported reported) {
+            loadReported(reported.load());
+        } else if (event instanceof SideEvent.FenceGranted granted) {
+            residency.fenceGranted(granted.fence());
+        } else if (event instanceof SideEvent.Tick) {
+            tick();
+        } else if (event instanceof SideEvent.DrainBegun) {
+            desk.drain();
+            report(true);
+        }
+    }
+
+    private void frame(Link link, Frame frame) {
+        if (frame instanceof WorkFrame work) {
+            desk.take(work, link);
+        } else if (frame instanceof CancelFrame cancel) {
+            desk.cancel(cancel.id(), cancel.attempt());
+        } else if (frame instanceof HeartbeatFrame heartbeat) {
+            peers.heartbeat(link, heartbeat);
+        } else if (frame instanceof LogPushFrame push) {
+            if (peers.push(push)) {
+                residency.stateAdvanced(state());
+                report(true);
+            }
+        } else if (frame instanceof PlanFrame plan) {
+            residency.adopt(JsonCodec.read(plan.plan(), Plan.class));
+            report(true);
+        }
+    }
+
+    private DesiredState state() {
+        return replica.state();
+    }
+
+    private boolean isEngine() {
+        ServiceSpec service = state().services().get(identity.service());
+        return service != null && service.kind() == ServiceKind.ENGINE;
+    }
+
+    private boolean isReady(Work work) {
+        return work.frame().model().isEmpty() || residency.isReady(work);
+    }
+
+    private void loadReported(JsonNode load) {
+        loadAsked.set(false);
+        backendAnswers = load != null;
+        if (load != null && isEngine()) {
+            residency.engineReported(load);
+        }
+    }
+
+    private void tick() {
+        desk.expire();
+        idle = desk.isDraining() && desk.isIdle();
+        if (clock.isPast(loadAskAtNanos) && loadAsked.compareAndSet(false, true)) {
+            loadAskAtNanos = clock.deadlineNanos(LOAD_PERIOD_MILLIS);
+            backend.askLoad();
+        }
+        report(clock.isPast(reportAtNanos));
+    }
+
+    private void report(boolean always) {
+        SideReportFrame report = new SideReportFrame(
+                state().sequence(),
+                residency.plan().fence(),
+                residency.plan().sequence(),
+                residency.ledger().sizeMb(),
+                residency.ledger().committedMb(),
+                desk.queued(),
+                desk.running(),
+                residency.readyModels(),
+                residency.readyAdapters(),
+                desk.isDraining() || !backendAnswers);
+        if (!always && report.equals(lastReport.get())) {
+            return;
+        }
+        lastReport.set(report);
+        reportAtNanos = clock.deadlineNanos(REPORT_PERIOD_MILLIS);
+        peers.broadcast(report);
+    }
+
+    /**
+     * Tells whether the side can serve.
+     *
+     * @return whether its backend server answers and its ticket log is not empty
+     */
+    public boolean isReady() {
+        return backendAnswers && state().sequence() > 0;
+    }
+
+    /**
+     * Writes the side's state for people.
+     *
+     * @return the state in JSON
+     */
+    public byte[] stateDump() {
+        Map<String, Object> dump = new LinkedHashMap<>();
+        dump.put("role", "side");
+        dump.put("name", identity.name());
+        dump.put("service", identity.service());
+        dump.put("zone", identity.zone());
+        dump.put("incarnation", identity.incarnation());
+        dump.put("sequence", state().sequence());
+        dump.put("chain", state().chain().hex());
+        dump.put("backendAnswers", backendAnswers);
+        dump.put("report", lastReport.get());
+        dump.put("ring", Map.of("depth", duty.depth(), "capacity", duty.capacity()));
+        return JsonCodec.write(dump);
+    }
+
+    /** Offers what happens on links to the duty. */
+    private final class EventListener implements LinkListener {
+
+        @Override
+        public void onOpen(Link link) {
+            offer(new SideEvent.LinkOpened(link));
+        }
+
+        @Override
+        public void onFrame(Link link, Frame frame) {
+            offer(new SideEvent.FrameArrived(link, frame));
+        }
+
+        @Override
+        public void onClosed(Link link) {
+            offer(new SideEvent.LinkClosed(link));
+        }
+    }
+}
--- /dev/null
+++ b/side/src/main/java/org/arbutusstack/side/WorkDesk.java
@@ -0,0 +1,260 @@
+package org.arbutusstack.side;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.arbutusstack.http.client.HttpException;
+import org.arbutusstack.kernel.Assert;
+import org.arbutusstack.kernel.time.Clock;
+import org.arbutusstack.model.request.Refusal;
+import org.arbutusstack.model.request.RefusalReason;
+import org.arbutusstack.model.request.RequestId;
+import org.arbutusstack.wire.frame.AnswerHeadFrame;
+import org.arbutusstack.wire.frame.AnswerPartFrame;
+import org.arbutusstack.wire.frame.ReceiptFrame;
+import org.arbutusstack.wire.frame.RefusalFrame;
+import org.arbutusstack.wire.frame.WorkFrame;
+import org.arbutusstack.wire.link.Link;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Takes requests from links, runs them on the backend server within its slots and sends the answers back. Used by the
+ * side's duty only.
+ */
+final class WorkDesk {
+
+    private static final Logger logger = LoggerFactory.getLogger(WorkDesk.class);
+
+    private static final String EVENT_STREAM = "text/event-stream";
+
+    private final SideIdentity identity;
+
+    private final Clock clock;
+
+    private final Backend backend;
+
+    private final ClaimDesk claims;
+
+    private final WorkQueue queue;
+
+    private final int slots;
+
+    private final Map<RequestId, Work> open = new HashMap<>();
+
+    private int running;
+
+    private boolean draining;
+
+    WorkDesk(SideIdentity identity, Clock clock, Backend backend, ClaimDesk claims, int queueLimit, int slots) {
+        this.identity = Assert.notNull(identity, "identity");
+        this.clock = Assert.notNull(clock, "clock");
+        this.backend = Assert.notNull(backend, "backend");
+        this.claims = Assert.notNull(claims, "claims");
+        this.queue = new WorkQueue(queueLimit);
+        this.slots = slots;
+    }
+
+    int queued() {
+        return queue.size();
+    }
+
+    int running() {
+        return running;
+    }
+
+    boolean isIdle() {
+        return open.isEmpty();
+    }
+
+    void drain() {
+        draining = true;
+    }
+
+    boolean isDraining() {
+        return draining;
+    }
+
+    void take(WorkFrame frame, Link link) {
+        link.send(new ReceiptFrame(frame.id(), frame.attempt()));
+        Work earlier = open.get(frame.id());
+        if (earlier != null) {
+            giveUp(earlier);
+        }
+        Work work = new Work(frame, link, clock.deadlineNanos(frame.leftMillis()));
+        if (draining) {
+            refuse(work, Refusal.notRun(RefusalReason.LEAVING, "the backend server is leaving"));
+            return;
+        }
+        if (!queue.add(work)) {
+            refuse(work, Refusal.notRun(RefusalReason.QUEUE_FULL, "the queue of " + identity.name() + " is full"));
+            return;
+        }
+        open.put(frame.id(), work);
+    }
+
+    /** Sends waiting work to the backend server while there are slots. */
+    void dispatch(Predicate<Work> ready) {
+        while (running < slots) {
+            Optional<Work> next = queue.takeFirst(ready);
+            if (next.isEmpty()) {
+                return;
+            }
+            Work work = next.get();
+            work.markDispatched();
+            running++;
+            if (work.frame().idempotent()) {
+                send(work);
+            } else if (!claims.claim(work)) {
+                end(work);
+                refuse(work, Refusal.notRun(RefusalReason.CLAIM_UNAVAILABLE, "too many claims wait"));
+            }
+        }
+    }
+
+    void claimSettled(Work work, ClaimResult result) {
+        if (work.isEnded()) {
+            return;
+        }
+        if (result instanceof ClaimResult.Granted) {
+            send(work);
+            return;
+        }
+        end(work);
+        if (result instanceof ClaimResult.Taken taken) {
+            refuse(work, Refusal.outcomeUnknown(RefusalReason.ALREADY_CLAIMED, taken.detail()));
+        } else if (result instanceof ClaimResult.Unavailable unavailable) {
+            refuse(work, Refusal.notRun(RefusalReason.CLAIM_UNAVAILABLE, unavailable.detail()));
+        }
+    }
+
+    private void send(Work work) {
+        work.sent(backend.send(work));
+    }
+
+    void head(Work work, int status, String contentType, long sequence) {
+        if (work.isEnded()) {
+            return;
+        }
+        WorkFrame frame = work.frame();
+        work.link()
+                .send(new AnswerHeadFrame(
+                        frame.id(),
+                        frame.attempt(),
+                        status,
+                        contentType,
+                        identity.name(),
+                        work.modelVersion(),
+                        sequence));
+        if (!contentType.startsWith(EVENT_STREAM)) {
+            work.markWhole();
+        }
+        if (!frame.idempotent()) {
+            claims.recordOutcome(work, status);
+        }
+    }
+
+    void bytes(Work work, byte[] bytes) {
+        if (work.isEnded()) {
+            return;
+        }
+        if (!work.frame().stream()) {
+            sendPart(work, bytes, bytes.length, false);
+            return;
+        }
+        work.partial().writeBytes(bytes);
+        EventStreams.Events events = EventStreams.split(work.partial().toByteArray());
+        if (events.count() == 0) {
+            return;
+        }
+        work.partial().reset();
+        work.partial().writeBytes(events.rest());
+        if (events.isLast()) {
+            work.markWhole();
+        }
+        sendPart(work, events.whole(), events.count(), false);
+    }
+
+    private void sendPart(Work work, byte[] bytes, int units, boolean last) {
+        WorkFrame frame = work.frame();
+        long offset = work.advance(units);
+        boolean sent = work.link().send(new AnswerPartFrame(frame.id(), frame.attempt(), offset, units, bytes, last));
+        if (!sent && work.link().isOpen()) {
+            work.link().close();
+        }
+    }
+
+    void backendEnded(Work work) {
+        if (work.isEnded()) {
+            return;
+        }
+        end(work);
+        if (work.isWhole()) {
+            sendPart(work, work.partial().toByteArray(), 0, true);
+            return;
+        }
+        refuse(work, Refusal.outcomeUnknown(RefusalReason.BACKEND_LOST, "the answer broke off"));
+    }
+
+    void backendFailed(Work work, HttpException failure) {
+        if (work.isEnded()) {
+            return;
+        }
+        end(work);
+        RefusalReason reason =
+                clock.isPast(work.deadlineNanos()) ? RefusalReason.DEADLINE_PASSED : RefusalReason.BACKEND_LOST;
+        logger.info("event=work-failed request={} detail={}", work.frame().id(), failure.getMessage());
+        refuse(
+                work,
+                failure.maybeSent()
+                        ? Refusal.outcomeUnknown(reason, failure.getMessage())
+                        : Refusal.notRun(reason, failure.getMessage()));
+    }
+
+    void cancel(RequestId id, int attempt) {
+        Work work = open.get(id);
+        if (work != null && work.frame().attempt() == attempt) {
+            giveUp(work);
+        }
+    }
+
+    private void giveUp(Work work) {
+        queue.remove(work);
+        if (work.isSent()) {
+            backend.cancel(work);
+        }
+        end(work);
+    }
+
+    private void end(Work work) {
+        if (work.isEnded()) {
+            return;
+        }
+        if (work.isDispatched()) {
+            running--;
+        }
+        work.end();
+        open.remove(work.frame().id(), work);
+    }
+
+    void linkClosed(Link link) {
+        List<Work> lost = new ArrayList<>(open.values());
+        lost.removeIf(work -> work.link() != link || !work.frame().idempotent());
+        lost.forEach(this::giveUp);
+    }
+
+    void expire() {
+        queue.removeIf(work -> clock.isPast(work.deadlineNanos()), work -> {
+            work.end();
+            open.remove(work.frame().id(), work);
+            refuse(work, Refusal.notRun(RefusalReason.DEADLINE_PASSED, "the deadline passed in the queue"));
+        });
+    }
+
+    private void refuse(Work work, Refusal refusal) {
+        work.link().send(new RefusalFrame(work.frame().id(), work.frame().attempt(), refusal));
+    }
+}
--- a/side/src/main/java/org/arbutusstack/side/package-info.java
+++ b/side/src/main/java/org/arbutusstack/side/package-info.java
@@ -1,2 +1,2 @@
-/** Holds the side package. */
+/** Runs beside one backend server: the sole issuer of its work and orders. */
 package org.arbutusstack.side;
