Add the entry role, the daemon, the operators' tool and the demo script

Change: router, ticket service, planner under a lease, host list, callers' and operators' listeners; arbutusd, arbutusctl and launchers with small heaps; bin/demo. Measured: mvn -B -DskipTests verify passed for all modules; the demo was not yet run.

--- a/ctl/src/main/java/org/arbutusstack/ctl/package-info.java
+++ b/ctl/src/main/java/org/arbutusstack/ctl/package-info.java
@@ -1,2 +1,2 @@
-/** Holds the ctl package. */
+/** Holds the arbutusctl binary. */
 package org.arbutusstack.ctl;
--- /dev/null
+++ b/daemon/src/main/java/org/arbutusstack/daemon/ArbutusDaemon.java
@@ -0,0 +1,125 @@
+package org.arbutusstack.daemon;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.CountDownLatch;
+import org.arbutusstack.http.client.HttpTarget;
+import org.arbutusstack.http.client.UndertowHttpClient;
+import org.arbutusstack.kernel.service.DefaultServiceRegistry;
+import org.arbutusstack.kernel.service.Kernel;
+import org.arbutusstack.kernel.service.ServiceException;
+import org.arbutusstack.kernel.service.ServiceRegistry;
+import org.arbutusstack.kernel.setting.Settings;
+import org.arbutusstack.kernel.setting.SettingsParser;
+import org.arbutusstack.kernel.setting.SettingsResult;
+import org.arbutusstack.kernel.time.Clock;
+import org.arbutusstack.kernel.time.SystemClock;
+import org.arbutusstack.store.etcd.EtcdKeyValueStore;
+import org.arbutusstack.wire.link.NioLinkTransport;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Runs one process of the system until it is told to end.
+ *
+ * <p>Exit codes: 0 after a graceful stop, 64 for settings that are not permitted, 70 if a service does not start.
+ */
+public final class ArbutusDaemon {
+
+    private static final Logger logger = LoggerFactory.getLogger(ArbutusDaemon.class);
+
+    private static final int SETTINGS_EXIT_CODE = 64;
+
+    private static final int START_EXIT_CODE = 70;
+
+    private static final int INCARNATION_LENGTH = 12;
+
+    private final CountDownLatch stopped = new CountDownLatch(1);
+
+    private ArbutusDaemon() {}
+
+    /**
+     * Runs the program.
+     *
+     * @param arguments the flags
+     * @throws InterruptedException if the main thread is interrupted
+     */
+    public static void main(String[] arguments) throws InterruptedException {
+        SettingsResult result = new SettingsParser("arbutusd", DaemonSettings.all()).parse(arguments, System.getenv());
+        if (result instanceof SettingsResult.Information information) {
+            System.out.println(information.text());
+        } else if (result instanceof SettingsResult.Invalid invalid) {
+            fail(invalid.mistakes());
+        } else if (result instanceof SettingsResult.Valid valid) {
+            new ArbutusDaemon().run(valid.settings());
+        }
+    }
+
+    private static void fail(List<String> mistakes) {
+        mistakes.forEach(mistake -> System.err.println("arbutusd: " + mistake));
+        System.exit(SETTINGS_EXIT_CODE);
+    }
+
+    private static Optional<Role> roleOf(Settings settings) {
+        try {
+            return Optional.of(Role.valueOf(settings.text(DaemonSettings.ROLE).toUpperCase(Locale.ROOT)));
+        } catch (IllegalArgumentException unknown) {
+            return Optional.empty();
+        }
+    }
+
+    private void run(Settings settings) throws InterruptedException {
+        Optional<Role> role = roleOf(settings);
+        if (role.isEmpty()) {
+            fail(List.of("--role (ARBUTUS_ROLE): value '" + settings.text(DaemonSettings.ROLE)
+                    + "', permitted: entry or side"));
+            return;
+        }
+        List<String> mistakes = role.get().mistakes(settings);
+        if (!mistakes.isEmpty()) {
+            fail(mistakes);
+            return;
+        }
+        start(role.get(), settings);
+        stopped.await();
+    }
+
+    private void start(Role role, Settings settings) {
+        Platform platform = platformOf(settings);
+        ServiceRegistry registry = new DefaultServiceRegistry();
+        Kernel kernel = new Kernel(registry, platform.clock());
+        try {
+            role.register(registry, settings, platform);
+            kernel.start();
+        } catch (ServiceException | IllegalArgumentException failure) {
+            logger.error("event=start-failed role={}", role, failure);
+            System.exit(START_EXIT_CODE);
+        }
+        logger.info(
+                "event=started role={} name={} incarnation={}",
+                role,
+                settings.text(DaemonSettings.NAME),
+                platform.incarnation());
+        Runtime.getRuntime()
+                .addShutdownHook(new Thread(
+                        () -> {
+                            logger.info("event=stopping role={}", role);
+                            kernel.stop(settings.number(DaemonSettings.DRAIN));
+                            platform.close();
+                            logger.info("event=stopped role={}", role);
+                            stopped.countDown();
+                        },
+                        "shutdown"));
+    }
+
+    private static Platform platformOf(Settings settings) {
+        Clock clock = new SystemClock();
+        String incarnation = UUID.randomUUID().toString().replace("-", "").substring(0, INCARNATION_LENGTH);
+        UndertowHttpClient client = new UndertowHttpClient("http-client", 1);
+        EtcdKeyValueStore store = new EtcdKeyValueStore(client, HttpTarget.parse(settings.text(DaemonSettings.STORE)));
+        return new Platform(incarnation, clock, client, store, new NioLinkTransport("links"), new PrometheusRegistry());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/arbutusstack/daemon/DaemonSettings.java
@@ -0,0 +1,59 @@
+package org.arbutusstack.daemon;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.arbutusstack.entry.EntrySettings;
+import org.arbutusstack.kernel.setting.Setting;
+import org.arbutusstack.side.SideSettings;
+
+/** Lists the settings of the daemon that both roles have. */
+public final class DaemonSettings {
+
+    /** The role of the process. */
+    public static final Setting ROLE = Setting.text("role", null, "what this process does: entry or side");
+
+    /** The name of the host. */
+    public static final Setting NAME = Setting.text("name", null, "name of this host in the host list");
+
+    /** The region. */
+    public static final Setting REGION = Setting.text("region", "default", "region of this host");
+
+    /** The availability zone. */
+    public static final Setting ZONE = Setting.text("zone", null, "availability zone of this host");
+
+    /** The IP number to listen on. */
+    public static final Setting ADDRESS = Setting.text("address", "127.0.0.1", "IP number to listen on");
+
+    /** The port for links. */
+    public static final Setting LINK_PORT =
+            Setting.number("link-port", 0, 65_535, 7400, "port for links from other processes");
+
+    /** The port for metrics, health and the state dump. */
+    public static final Setting ADMIN_PORT =
+            Setting.number("admin-port", 0, 65_535, 7401, "port for metrics, health and the state dump");
+
+    /** The address of the key-value service. */
+    public static final Setting STORE = Setting.address("store", null, "address of the key-value service");
+
+    /** The address of the host list. */
+    public static final Setting HOST_LIST = Setting.address("host-list", "", "address of the host list (entry)");
+
+    /** The time that a graceful stop may take. */
+    public static final Setting DRAIN =
+            Setting.number("drain-millis", 0, 3_600_000, 60_000, "time that a graceful stop may take, in ms");
+
+    private DaemonSettings() {}
+
+    /**
+     * Lists the settings of both roles.
+     *
+     * @return the settings
+     */
+    public static List<Setting> all() {
+        List<Setting> all = new ArrayList<>(
+                List.of(ROLE, NAME, REGION, ZONE, ADDRESS, LINK_PORT, ADMIN_PORT, STORE, HOST_LIST, DRAIN));
+        all.addAll(EntrySettings.all());
+        all.addAll(SideSettings.all());
+        return all;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/arbutusstack/daemon/Role.java
@@ -0,0 +1,163 @@
+package org.arbutusstack.daemon;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import org.arbutusstack.entry.EntryIdentity;
+import org.arbutusstack.entry.EntrySettings;
+import org.arbutusstack.entry.caller.CallerListener;
+import org.arbutusstack.entry.member.HostListService;
+import org.arbutusstack.entry.plan.PlanBook;
+import org.arbutusstack.entry.plan.PlannerService;
+import org.arbutusstack.entry.router.RouterService;
+import org.arbutusstack.entry.ticket.OperatorListener;
+import org.arbutusstack.entry.ticket.TicketService;
+import org.arbutusstack.http.client.HttpTarget;
+import org.arbutusstack.kernel.service.ServiceRegistry;
+import org.arbutusstack.kernel.setting.Setting;
+import org.arbutusstack.kernel.setting.Settings;
+import org.arbutusstack.ledger.LogReplica;
+import org.arbutusstack.ledger.ReferenceCheck;
+import org.arbutusstack.ledger.TicketLog;
+import org.arbutusstack.placement.SpreadingPlanner;
+import org.arbutusstack.routing.LeastOutstandingSelector;
+import org.arbutusstack.side.SideIdentity;
+import org.arbutusstack.side.SideService;
+import org.arbutusstack.side.SideSettings;
+
+/** Tells what a process does; each constant registers its services. */
+enum Role {
+
+    /** Stands between callers, operators and the sides. */
+    ENTRY {
+        @Override
+        void register(ServiceRegistry registry, Settings settings, Platform platform) {
+            EntryIdentity identity = new EntryIdentity(
+                    settings.text(DaemonSettings.NAME), settings.text(DaemonSettings.ZONE), platform.incarnation());
+            LogReplica replica = new LogReplica();
+            PlanBook plans = new PlanBook();
+            RouterService router = new RouterService(
+                    identity,
+                    platform.transport(),
+                    replica,
+                    plans,
+                    new LeastOutstandingSelector(),
+                    platform.clock(),
+                    (int) settings.number(EntrySettings.MOST_REQUESTS));
+            TicketLog log = new TicketLog(platform.store(), replica, List.of(new ReferenceCheck()), platform.clock());
+            TicketService tickets = new TicketService(platform.store(), log, platform.clock());
+            registry.register(router);
+            registry.register(tickets);
+            registry.register(new PlannerService(
+                    identity, platform.store(), replica, plans, router, new SpreadingPlanner(), platform.clock()));
+            registry.register(new HostListService(
+                    platform.client(),
+                    HttpTarget.parse(settings.text(DaemonSettings.HOST_LIST)),
+                    platform.clock(),
+                    router::hostsChanged));
+            registerListeners(registry, settings, platform, identity, replica);
+        }
+
+        private void registerListeners(
+                ServiceRegistry registry,
+                Settings settings,
+                Platform platform,
+                EntryIdentity identity,
+                LogReplica replica) {
+            RouterService router = registry.lookup(RouterService.NAME, RouterService.class);
+            TicketService tickets = registry.lookup(TicketService.NAME, TicketService.class);
+            String address = settings.text(DaemonSettings.ADDRESS);
+            registry.register(new AdminListener(
+                    address,
+                    (int) settings.number(DaemonSettings.ADMIN_PORT),
+                    platform.metrics(),
+                    () -> replica.state().sequence() > 0,
+                    router::stateDump));
+            registry.register(new OperatorListener(
+                    address,
+                    (int) settings.number(EntrySettings.OPERATOR_PORT),
+                    identity,
+                    tickets,
+                    router,
+                    replica,
+                    platform.clock()));
+            registry.register(new CallerListener(
+                    address,
+                    (int) settings.number(EntrySettings.CALLER_PORT),
+                    settings.number(EntrySettings.LONGEST_BODY),
+                    settings.number(EntrySettings.DEFAULT_DEADLINE),
+                    identity.incarnation(),
+                    router,
+                    replica,
+                    platform.clock()));
+        }
+
+        @Override
+        List<Setting> required() {
+            return List.of(DaemonSettings.HOST_LIST);
+        }
+    },
+
+    /** Stands beside one backend server. */
+    SIDE {
+        @Override
+        void register(ServiceRegistry registry, Settings settings, Platform platform) {
+            SideIdentity identity = new SideIdentity(
+                    settings.text(DaemonSettings.NAME),
+                    settings.text(SideSettings.SERVICE),
+                    settings.text(DaemonSettings.ZONE),
+                    platform.incarnation(),
+                    HttpTarget.parse(settings.text(SideSettings.BACKEND)));
+            String address = settings.text(DaemonSettings.ADDRESS);
+            SideService side = new SideService(
+                    identity,
+                    new InetSocketAddress(address, (int) settings.number(DaemonSettings.LINK_PORT)),
+                    platform.transport(),
+                    platform.client(),
+                    platform.store(),
+                    new LogReplica(),
+                    platform.clock(),
+                    (int) settings.number(SideSettings.QUEUE_LIMIT),
+                    (int) settings.number(SideSettings.SLOTS));
+            registry.register(side);
+            registry.register(new AdminListener(
+                    address,
+                    (int) settings.number(DaemonSettings.ADMIN_PORT),
+                    platform.metrics(),
+                    side::isReady,
+                    side::stateDump));
+        }
+
+        @Override
+        List<Setting> required() {
+            return List.of(SideSettings.SERVICE, SideSettings.BACKEND);
+        }
+    };
+
+    /**
+     * Registers the role's services in the order of their start.
+     *
+     * @param registry where to register
+     * @param settings the checked settings
+     * @param platform what both roles use
+     */
+    abstract void register(ServiceRegistry registry, Settings settings, Platform platform);
+
+    /**
+     * Lists the settings that the role needs though the other does not.
+     *
+     * @return the settings
+     */
+    abstract List<Setting> required();
+
+    List<String> mistakes(Settings settings) {
+        List<String> mistakes = new ArrayList<>();
+        for (Setting setting : required()) {
+            if (settings.text(setting).isBlank()) {
+                mistakes.add("--" + setting.name() + " (" + setting.variable() + "): value '', permitted: required for "
+                        + name().toLowerCase(java.util.Locale.ROOT));
+            }
+        }
+        return mistakes;
+    }
+}
--- a/daemon/src/main/java/org/arbutusstack/daemon/package-info.java
+++ b/daemon/src/main/java/org/arbutusstack/daemon/package-info.java
@@ -1,2 +1,2 @@
-/** Holds the daemon package. */
+/** Holds the arbutusd binary. */
 package org.arbutusstack.daemon;
--- /dev/null
+++ b/entry/src/main/java/org/arbutusstack/entry/EntrySettings.java
@@ -0,0 +1,39 @@
+package org.arbutusstack.entry;
+
+import java.util.List;
+import org.arbutusstack.kernel.setting.Setting;
+
+/** Lists the settings of an entry. */
+public final class EntrySettings {
+
+    /** The port for callers. */
+    public static final Setting CALLER_PORT =
+            Setting.number("caller-port", 0, 65_535, 8080, "port for callers (entry)");
+
+    /** The port for operators. */
+    public static final Setting OPERATOR_PORT =
+            Setting.number("operator-port", 0, 65_535, 8081, "port for operators (entry)");
+
+    /** The longest body of a request. */
+    public static final Setting LONGEST_BODY = Setting.number(
+            "longest-body-bytes", 1_024, 3L * 1_024 * 1_024, 1_048_576, "longest body of a request, in bytes (entry)");
+
+    /** The deadline of a request that names none. */
+    public static final Setting DEFAULT_DEADLINE = Setting.number(
+            "default-deadline-millis", 100, 600_000, 30_000, "deadline of a request that names none, in ms (entry)");
+
+    /** The number of requests in hand at once. */
+    public static final Setting MOST_REQUESTS =
+            Setting.number("most-requests", 1, 100_000, 2_048, "requests in hand at once (entry)");
+
+    private EntrySettings() {}
+
+    /**
+     * Lists them all.
+     *
+     * @return the settings
+     */
+    public static List<Setting> all() {
+        return List.of(CALLER_PORT, OPERATOR_PORT, LONGEST_BODY, DEFAULT_DEADLINE, MOST_REQUESTS);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/arbutusstack/entry/caller/CallerParser.java
@@ -0,0 +1,208 @@
+package org.arbutusstack.entry.caller;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.undertow.server.HttpServerExchange;
+import java.io.IOException;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
+import org.arbutusstack.entry.router.CallerRequest;
+import org.arbutusstack.http.server.ResponseStream;
+import org.arbutusstack.kernel.Assert;
+import org.arbutusstack.kernel.time.Clock;
+import org.arbutusstack.model.request.Priority;
+import org.arbutusstack.model.request.Refusal;
+import org.arbutusstack.model.request.RefusalReason;
+import org.arbutusstack.model.request.RequestId;
+import org.arbutusstack.model.ticket.AdapterSpec;
+import org.arbutusstack.model.ticket.DesiredState;
+import org.arbutusstack.model.ticket.ModelSpec;
+import org.arbutusstack.model.ticket.ServiceKind;
+import org.arbutusstack.model.ticket.ServiceSpec;
+import org.arbutusstack.routing.RoutingRequest;
+
+/**
+ * Checks what callers send and turns it into requests. Safe for use by any thread.
+ */
+final class CallerParser {
+
+    static final String COMPLETIONS_PATH = "/v1/chat/completions";
+
+    private static final String SERVICES_PREFIX = "/services/";
+
+    private static final String DEADLINE_HEADER = "X-Deadline-Millis";
+
+    private static final String KEY_HEADER = "Idempotency-Key";
+
+    private static final String PRIORITY_HEADER = "Priority";
+
+    private static final long LONGEST_DEADLINE_MILLIS = 600_000;
+
+    private static final int LONGEST_KEY = 256;
+
+    private static final int DEFAULT_URGENCY = 3;
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final String incarnation;
+
+    private final Clock clock;
+
+    private final long defaultDeadlineMillis;
+
+    private final AtomicLong nextNumber = new AtomicLong(1);
+
+    CallerParser(String incarnation, Clock clock, long defaultDeadlineMillis) {
+        this.incarnation = Assert.hasText(incarnation, "incarnation");
+        this.clock = Assert.notNull(clock, "clock");
+        this.defaultDeadlineMillis = defaultDeadlineMillis;
+    }
+
+    ParseResult parse(HttpServerExchange exchange, byte[] body, DesiredState state, ResponseStream response) {
+        String path = exchange.getRequestPath();
+        long deadlineMillis;
+        try {
+            deadlineMillis = deadlineOf(exchange);
+        } catch (NumberFormatException malformed) {
+            return malformed(
+                    DEADLINE_HEADER + " must be a whole number of milliseconds from 1 to " + LONGEST_DEADLINE_MILLIS);
+        }
+        String key = headerOf(exchange, KEY_HEADER);
+        if (key.length() > LONGEST_KEY) {
+            return malformed(KEY_HEADER + " must have at most " + LONGEST_KEY + " characters");
+        }
+        Envelope envelope = new Envelope(
+                new RequestId(incarnation, nextNumber.getAndIncrement()),
+                clock.deadlineNanos(deadlineMillis),
+                priorityOf(headerOf(exchange, PRIORITY_HEADER)),
+                key,
+                exchange.getRequestMethod().toString(),
+                body,
+                response);
+        if (path.equals(COMPLETIONS_PATH)) {
+            return completion(envelope, state);
+        }
+        if (path.startsWith(SERVICES_PREFIX)) {
+            return serviceCall(envelope, path.substring(SERVICES_PREFIX.length()), state);
+        }
+        return rejected(RefusalReason.UNKNOWN_TARGET, "no such path: " + path);
+    }
+
+    private long deadlineOf(HttpServerExchange exchange) {
+        String text = headerOf(exchange, DEADLINE_HEADER);
+        if (text.isEmpty()) {
+            return defaultDeadlineMillis;
+        }
+        long millis = Long.parseLong(text.trim());
+        if (millis < 1 || millis > LONGEST_DEADLINE_MILLIS) {
+            throw new NumberFormatException(text);
+        }
+        return millis;
+    }
+
+    private static String headerOf(HttpServerExchange exchange, String name) {
+        String value = exchange.getRequestHeaders().getFirst(name);
+        return value == null ? "" : value;
+    }
+
+    private static Priority priorityOf(String header) {
+        boolean given = header.matches("u=[0-7]([,;].*)?");
+        return Priority.ofUrgency(given ? header.charAt(2) - '0' : DEFAULT_URGENCY);
+    }
+
+    private static ParseResult malformed(String detail) {
+        return rejected(RefusalReason.MALFORMED, detail);
+    }
+
+    private static ParseResult rejected(RefusalReason reason, String detail) {
+        return new ParseResult.Refused(Refusal.rejected(reason, detail));
+    }
+
+    private ParseResult completion(Envelope envelope, DesiredState state) {
+        JsonNode json;
+        try {
+            json = MAPPER.readTree(envelope.body());
+        } catch (IOException malformed) {
+            return malformed("the body is no JSON");
+        }
+        if (json == null || !json.isObject() || !json.path("messages").isArray()) {
+            return malformed("the body must be an object with 'messages'");
+        }
+        String asked = json.path("model").asText("");
+        Optional<ModelSpec> model = state.resolveModel(asked);
+        if (model.isEmpty()) {
+            return rejected(RefusalReason.UNKNOWN_TARGET, "no such model: '" + asked + "'");
+        }
+        ModelSpec spec = model.get();
+        AdapterSpec adapter = state.adapters().get(asked);
+        String adapterKey = adapter == null ? "" : adapter.name() + "@" + adapter.version();
+        RoutingRequest routing = new RoutingRequest(spec.service(), spec.name() + "@" + spec.version(), adapterKey);
+        long ticket = state.ticketNumber(adapter == null ? spec.id() : adapter.id());
+        boolean stream = json.path("stream").asBoolean(false);
+        return new ParseResult.Parsed(new CallerRequest(
+                envelope.id(),
+                envelope.deadlineNanos(),
+                envelope.priority(),
+                routing,
+                spec.name(),
+                adapter == null ? "" : adapter.name(),
+                ticket,
+                true,
+                envelope.key(),
+                envelope.method(),
+                COMPLETIONS_PATH,
+                stream,
+                envelope.body(),
+                envelope.response()));
+    }
+
+    private ParseResult serviceCall(Envelope envelope, String rest, DesiredState state) {
+        int slash = rest.indexOf('/');
+        String name = slash < 0 ? rest : rest.substring(0, slash);
+        String path = slash < 0 ? "/" : rest.substring(slash);
+        ServiceSpec service = state.services().get(name);
+        if (service == null || service.kind() != ServiceKind.PLAIN) {
+            return rejected(RefusalReason.UNKNOWN_TARGET, "no such service: '" + name + "'");
+        }
+        boolean idempotent = service.idempotent() || envelope.method().equals("GET");
+        if (!idempotent && envelope.key().isEmpty()) {
+            return rejected(
+                    RefusalReason.MISSING_HEADER, "calls of '" + name + "' may not be repeated and need " + KEY_HEADER);
+        }
+        return new ParseResult.Parsed(new CallerRequest(
+                envelope.id(),
+                envelope.deadlineNanos(),
+                envelope.priority(),
+                new RoutingRequest(name, "", ""),
+                "",
+                "",
+                state.ticketNumber(service.id()),
+                idempotent,
+                envelope.key(),
+                envelope.method(),
+                path,
+                false,
+                envelope.body(),
+                envelope.response()));
+    }
+
+    /** Holds what every request has. */
+    private record Envelope(
+            RequestId id,
+            long deadlineNanos,
+            Priority priority,
+            String key,
+            String method,
+            byte[] body,
+            ResponseStream response) {}
+
+    /** Tells what became of checking a request. */
+    sealed interface ParseResult {
+
+        /** The request is well-formed. */
+        record Parsed(CallerRequest request) implements ParseResult {}
+
+        /** The request is refused. */
+        record Refused(Refusal refusal) implements ParseResult {}
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/arbutusstack/entry/caller/package-info.java
@@ -0,0 +1,2 @@
+/** Listens for callers. */
+package org.arbutusstack.entry.caller;
--- /dev/null
+++ b/entry/src/main/java/org/arbutusstack/entry/member/package-info.java
@@ -0,0 +1,2 @@
+/** Follows the host list. */
+package org.arbutusstack.entry.member;
--- a/entry/src/main/java/org/arbutusstack/entry/package-info.java
+++ b/entry/src/main/java/org/arbutusstack/entry/package-info.java
@@ -1,2 +1,2 @@
-/** Holds the entry package. */
+/** Runs an entry: what stands between callers, operators and the sides. */
 package org.arbutusstack.entry;
--- /dev/null
+++ b/entry/src/main/java/org/arbutusstack/entry/plan/package-info.java
@@ -0,0 +1,2 @@
+/** Plans the services whose lease this process holds. */
+package org.arbutusstack.entry.plan;
--- /dev/null
+++ b/entry/src/main/java/org/arbutusstack/entry/router/RouterService.java
@@ -0,0 +1,298 @@
+package org.arbutusstack.entry.router;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import org.arbutusstack.entry.EntryIdentity;
+import org.arbutusstack.entry.plan.PlanBook;
+import org.arbutusstack.entry.plan.RunnerDirectory;
+import org.arbutusstack.kernel.Assert;
+import org.arbutusstack.kernel.ring.Duty;
+import org.arbutusstack.kernel.ring.Ticker;
+import org.arbutusstack.kernel.service.Service;
+import org.arbutusstack.kernel.time.Clock;
+import org.arbutusstack.ledger.LogReplica;
+import org.arbutusstack.model.JsonCodec;
+import org.arbutusstack.model.host.HostList;
+import org.arbutusstack.model.plan.Plan;
+import org.arbutusstack.model.request.RequestId;
+import org.arbutusstack.model.ticket.DesiredState;
+import org.arbutusstack.model.ticket.TicketEntry;
+import org.arbutusstack.placement.RunnerCapacity;
+import org.arbutusstack.routing.RunnerSelector;
+import org.arbutusstack.wire.frame.AnswerHeadFrame;
+import org.arbutusstack.wire.frame.AnswerPartFrame;
+import org.arbutusstack.wire.frame.Frame;
+import org.arbutusstack.wire.frame.HeartbeatFrame;
+import org.arbutusstack.wire.frame.LogPullFrame;
+import org.arbutusstack.wire.frame.LogPushFrame;
+import org.arbutusstack.wire.frame.PlanFrame;
+import org.arbutusstack.wire.frame.ReceiptFrame;
+import org.arbutusstack.wire.frame.RefusalFrame;
+import org.arbutusstack.wire.frame.SideReportFrame;
+import org.arbutusstack.wire.link.LinkTransport;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Runs the router's duty: one thread that owns the links to the sides and the requests in hand.
+ *
+ * <p>{@link #submit}, {@link #callerGone}, {@link #hostsChanged}, {@link #runners}, {@link #runnerStatuses} and {@link
+ * #stateDump} may be called by any thread.
+ */
+public final class RouterService implements Service, RunnerDirectory {
+
+    /** The name under which the service is registered. */
+    public static final String NAME = "router";
+
+    private static final Logger logger = LoggerFactory.getLogger(RouterService.class);
+
+    private static final int RING_SIZE = 16_384;
+
+    private static final long TICK_MILLIS = 20;
+
+    private static final long HEARTBEAT_MILLIS = 500;
+
+    private static final int ENTRIES_PER_PUSH = 64;
+
+    private static final long DRAIN_POLL_MILLIS = 20;
+
+    private final EntryIdentity identity;
+
+    private final LogReplica replica;
+
+    private final PlanBook plans;
+
+    private final Clock clock;
+
+    private final Duty<RouterEvent> duty = new Duty<>("router", RING_SIZE, this::handle);
+
+    private final Ticker ticker = new Ticker("router-ticker");
+
+    private final SideDirectory sides;
+
+    private final RequestTable requests;
+
+    private volatile List<RunnerStatus> statuses = List.of();
+
+    private volatile int inHand;
+
+    private volatile boolean draining;
+
+    private long heartbeatAtNanos;
+
+    /**
+     * Creates the service.
+     *
+     * @param identity who the entry is
+     * @param transport opens the links
+     * @param replica this process's copy of the ticket log
+     * @param plans the plans to spread to the sides
+     * @param selector chooses runners
+     * @param clock the clock of the process
+     * @param mostRequests the requests in hand at once
+     */
+    public RouterService(
+            EntryIdentity identity,
+            LinkTransport transport,
+            LogReplica replica,
+            PlanBook plans,
+            RunnerSelector selector,
+            Clock clock,
+            int mostRequests) {
+        this.identity = Assert.notNull(identity, "identity");
+        this.replica = Assert.notNull(replica, "replica");
+        this.plans = Assert.notNull(plans, "plans");
+        this.clock = Assert.notNull(clock, "clock");
+        this.sides = new SideDirectory(identity, transport, clock, this::offer);
+        this.requests = new RequestTable(sides, selector, clock, mostRequests);
+        replica.addListener(state -> offer(new RouterEvent.StateAdvanced()));
+    }
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    @Override
+    public void start() {
+        duty.start();
+        ticker.every(TICK_MILLIS, () -> duty.offer(new RouterEvent.Tick()));
+    }
+
+    private void offer(RouterEvent event) {
+        if (!duty.offer(event)) {
+            logger.warn("event=router-ring-full dropped={}", event.getClass().getSimpleName());
+        }
+    }
+
+    /**
+     * Hands a request to the router.
+     *
+     * @param request the request
+     * @return {@code false} if the router cannot take it; it is not run then
+     */
+    public boolean submit(CallerRequest request) {
+        return !draining && duty.offer(new RouterEvent.Arrived(request));
+    }
+
+    /**
+     * Tells the router that a caller closed its connection.
+     *
+     * @param id the caller's request
+     */
+    public void callerGone(RequestId id) {
+        offer(new RouterEvent.CallerGone(id));
+    }
+
+    /**
+     * Tells the router that the host list changed.
+     *
+     * @param hosts the list
+     */
+    public void hostsChanged(HostList hosts) {
+        offer(new RouterEvent.HostsChanged(hosts));
+    }
+
+    @Override
+    public void drain(long deadlineNanos) {
+        draining = true;
+        java.util.concurrent.locks.LockSupport.parkNanos(2 * TICK_MILLIS * Clock.NANOS_PER_MILLI);
+        while (inHand > 0 && !clock.isPast(deadlineNanos)) {
+            java.util.concurrent.locks.LockSupport.parkNanos(DRAIN_POLL_MILLIS * Clock.NANOS_PER_MILLI);
+        }
+    }
+
+    @Override
+    public void stop() {
+        ticker.stop();
+        duty.stop();
+    }
+
+    private void handle(RouterEvent event) {
+        if (event instanceof RouterEvent.Arrived arrived) {
+            requests.arrived(arrived.request());
+        } else if (event instanceof RouterEvent.FrameArrived frame) {
+            SideConnection side = sides.find(frame.host(), frame.link());
+            if (side != null) {
+                frame(side, frame.frame());
+            }
+        } else if (event instanceof RouterEvent.CallerGone gone) {
+            requests.callerGone(gone.id());
+        } else if (event instanceof RouterEvent.LinkOpened opened) {
+            if (sides.opened(opened.host(), opened.link()) != null) {
+                opened.link().send(heartbeat());
+            }
+        } else if (event instanceof RouterEvent.LinkClosed closed) {
+            SideConnection side = sides.closed(closed.host(), closed.link());
+            if (side != null) {
+                requests.sideLost(side);
+            }
+        } else if (event instanceof RouterEvent.HostsChanged changed) {
+            sides.hostsChanged(changed.hosts());
+        } else if (event instanceof RouterEvent.StateAdvanced) {
+            sides.broadcast(heartbeat());
+        } else if (event instanceof RouterEvent.Tick) {
+            tick();
+        }
+        inHand = requests.size();
+    }
+
+    private void frame(SideConnection side, Frame frame) {
+        if (frame instanceof AnswerPartFrame part) {
+            requests.part(part, side);
+        } else if (frame instanceof AnswerHeadFrame head) {
+            requests.head(head, side);
+        } else if (frame instanceof ReceiptFrame receipt) {
+            requests.receipt(receipt.id(), receipt.attempt(), side);
+        } else if (frame instanceof RefusalFrame refusal) {
+            requests.refused(refusal, side);
+        } else if (frame instanceof SideReportFrame report) {
+            side.report(report);
+            offerPlan(side, report);
+        } else if (frame instanceof LogPullFrame pull) {
+            push(side, pull);
+        }
+    }
+
+    private void offerPlan(SideConnection side, SideReportFrame report) {
+        Plan plan = plans.plan(side.host().service());
+        boolean newer = plan.fence() > report.planFence()
+                || plan.fence() == report.planFence() && plan.sequence() > report.planSequence();
+        if (newer) {
+            side.link().send(new PlanFrame(JsonCodec.write(plan)));
+        }
+    }
+
+    private void push(SideConnection side, LogPullFrame pull) {
+        List<TicketEntry> entries = replica.entriesAfter(pull.afterSequence(), ENTRIES_PER_PUSH);
+        List<byte[]> blobs = new ArrayList<>();
+        entries.forEach(entry -> blobs.add(JsonCodec.write(entry)));
+        side.link().send(new LogPushFrame(pull.afterSequence(), blobs));
+    }
+
+    private HeartbeatFrame heartbeat() {
+        DesiredState state = replica.state();
+        return new HeartbeatFrame(state.sequence(), state.chain(), draining);
+    }
+
+    private void tick() {
+        requests.tick();
+        sides.connectMissing();
+        sides.closeSilent();
+        if (clock.isPast(heartbeatAtNanos)) {
+            heartbeatAtNanos = clock.deadlineNanos(HEARTBEAT_MILLIS);
+            sides.broadcast(heartbeat());
+            sides.all().stream().filter(side -> side.report() != null).forEach(side -> offerPlan(side, side.report()));
+        }
+        statuses = sides.all().stream()
+                .map(RunnerStatus::of)
+                .sorted(Comparator.comparing(RunnerStatus::name))
+                .toList();
+    }
+
+    @Override
+    public List<RunnerCapacity> runners(String service) {
+        return statuses.stream()
+                .filter(status -> status.service().equals(service) && status.takesWork() && status.memorySizeMb() > 0)
+                .map(RunnerStatus::capacity)
+                .toList();
+    }
+
+    /**
+     * Lists what the router knows of each runner.
+     *
+     * @return the runners, ordered by name
+     */
+    public List<RunnerStatus> runnerStatuses() {
+        return statuses;
+    }
+
+    /**
+     * Writes the entry's state for people.
+     *
+     * @return the state in JSON
+     */
+    public byte[] stateDump() {
+        Map<String, Object> dump = new LinkedHashMap<>();
+        dump.put("role", "entry");
+        dump.put("name", identity.name());
+        dump.put("zone", identity.zone());
+        dump.put("incarnation", identity.incarnation());
+        dump.put("sequence", replica.state().sequence());
+        dump.put("chain", replica.state().chain().hex());
+        dump.put("requestsInHand", inHand);
+        dump.put("draining", draining);
+        dump.put("runners", statuses);
+        dump.put(
+                "plans",
+                plans.plans().values().stream()
+                        .sorted(Comparator.comparing(Plan::service))
+                        .collect(Collectors.toList()));
+        dump.put("ring", Map.of("depth", duty.depth(), "capacity", duty.capacity()));
+        return JsonCodec.write(dump);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/arbutusstack/entry/router/RunnerStatus.java
@@ -0,0 +1,63 @@
+package org.arbutusstack.entry.router;
+
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.arbutusstack.placement.RunnerCapacity;
+import org.arbutusstack.wire.frame.SideReportFrame;
+
+/**
+ * Tells what an entry knows of a runner.
+ *
+ * @param name the runner's name
+ * @param service its service
+ * @param zone its availability zone
+ * @param takesWork whether it takes new work
+ * @param sequence the log sequence in force there
+ * @param memorySizeMb its accelerator memory, in mebibytes
+ * @param memoryCommittedMb the memory committed, in mebibytes
+ * @param queued the requests that wait there
+ * @param running the requests that run there
+ * @param outstanding the requests of this entry that have not ended there
+ * @param models the models ready there
+ * @param adapters the adapters ready there
+ */
+public record RunnerStatus(
+        String name,
+        String service,
+        String zone,
+        boolean takesWork,
+        long sequence,
+        long memorySizeMb,
+        long memoryCommittedMb,
+        int queued,
+        int running,
+        int outstanding,
+        List<String> models,
+        List<String> adapters) {
+
+    static RunnerStatus of(SideConnection side) {
+        SideReportFrame report = side.report();
+        boolean known = report != null;
+        return new RunnerStatus(
+                side.host().name(),
+                side.host().service(),
+                side.host().zone(),
+                side.takesWork(),
+                known ? report.sequence() : 0,
+                known ? report.memorySizeMb() : 0,
+                known ? report.memoryCommittedMb() : 0,
+                known ? report.queued() : 0,
+                known ? report.running() : 0,
+                side.outstanding(),
+                known ? report.models() : List.of(),
+                known ? report.adapters() : List.of());
+    }
+
+    RunnerCapacity capacity() {
+        Set<String> names = models.stream()
+                .map(key -> key.substring(0, key.lastIndexOf('@')))
+                .collect(Collectors.toSet());
+        return new RunnerCapacity(name, zone, memorySizeMb, names);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/arbutusstack/entry/router/SideConnection.java
@@ -0,0 +1,100 @@
+package org.arbutusstack.entry.router;
+
+import java.util.Set;
+import org.arbutusstack.model.host.Host;
+import org.arbutusstack.model.host.HostStatus;
+import org.arbutusstack.routing.RunnerView;
+import org.arbutusstack.wire.frame.SideReportFrame;
+import org.arbutusstack.wire.link.Link;
+
+/** Follows one side: its link, its last report and the requests sent to it. Used by the router's duty only. */
+final class SideConnection {
+
+    private Host host;
+
+    private Link link;
+
+    private boolean open;
+
+    private SideReportFrame report;
+
+    private int outstanding;
+
+    private long reconnectAtNanos;
+
+    SideConnection(Host host) {
+        this.host = host;
+    }
+
+    Host host() {
+        return host;
+    }
+
+    void host(Host changed) {
+        host = changed;
+    }
+
+    Link link() {
+        return link;
+    }
+
+    void connecting(Link opening) {
+        link = opening;
+        open = false;
+        report = null;
+    }
+
+    void opened() {
+        open = true;
+    }
+
+    void closed(long retryAtNanos) {
+        link = null;
+        open = false;
+        report = null;
+        reconnectAtNanos = retryAtNanos;
+    }
+
+    boolean isOpen() {
+        return open;
+    }
+
+    long reconnectAtNanos() {
+        return reconnectAtNanos;
+    }
+
+    SideReportFrame report() {
+        return report;
+    }
+
+    void report(SideReportFrame latest) {
+        report = latest;
+    }
+
+    void sent() {
+        outstanding++;
+    }
+
+    void ended() {
+        outstanding--;
+    }
+
+    int outstanding() {
+        return outstanding;
+    }
+
+    boolean takesWork() {
+        return open && report != null && !report.leaving() && host.status() == HostStatus.LIVE;
+    }
+
+    RunnerView view() {
+        return new RunnerView(
+                host.name(),
+                host.service(),
+                host.zone(),
+                Set.copyOf(report.models()),
+                Set.copyOf(report.adapters()),
+                report.queued() + report.running(),
+                outstanding);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/arbutusstack/entry/ticket/OperatorListener.java
@@ -0,0 +1,196 @@
+package org.arbutusstack.entry.ticket;
+
+import io.undertow.Undertow;
+import io.undertow.server.HttpServerExchange;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.arbutusstack.entry.EntryIdentity;
+import org.arbutusstack.entry.router.RouterService;
+import org.arbutusstack.entry.router.RunnerStatus;
+import org.arbutusstack.http.server.HttpServers;
+import org.arbutusstack.http.server.Responses;
+import org.arbutusstack.kernel.Assert;
+import org.arbutusstack.kernel.service.Service;
+import org.arbutusstack.kernel.time.Clock;
+import org.arbutusstack.ledger.AcceptResult;
+import org.arbutusstack.ledger.AcceptedTicket;
+import org.arbutusstack.ledger.LogReplica;
+import org.arbutusstack.model.JsonCodec;
+import org.arbutusstack.model.ModelException;
+import org.arbutusstack.model.ticket.Ticket;
+import org.arbutusstack.model.ticket.TicketEntry;
+
+/**
+ * Listens for operators: takes tickets and shows which are in force where.
+ *
+ * <p>Register it with the kernel after the ticket service and the router.
+ */
+public final class OperatorListener implements Service {
+
+    private static final int OK = 200;
+
+    private static final int BAD_REQUEST = 400;
+
+    private static final int NOT_FOUND = 404;
+
+    private static final int CONFLICT = 409;
+
+    private static final int UNAVAILABLE = 503;
+
+    private static final int GATEWAY_TIMEOUT = 504;
+
+    private static final int MOST_LISTED = 50;
+
+    private static final long LONGEST_TICKET_BYTES = 900_000;
+
+    private static final String TICKETS = "/tickets";
+
+    private final EntryIdentity identity;
+
+    private final TicketService tickets;
+
+    private final RouterService router;
+
+    private final LogReplica replica;
+
+    private final Clock clock;
+
+    private final Undertow server;
+
+    /**
+     * Creates the listener.
+     *
+     * @param address the IP number to listen on
+     * @param port the port
+     * @param identity who the entry is
+     * @param tickets takes the tickets
+     * @param router tells the runners
+     * @param replica this process's copy of the ticket log
+     * @param clock the clock of the process
+     */
+    public OperatorListener(
+            String address,
+            int port,
+            EntryIdentity identity,
+            TicketService tickets,
+            RouterService router,
+            LogReplica replica,
+            Clock clock) {
+        this.identity = Assert.notNull(identity, "identity");
+        this.tickets = Assert.notNull(tickets, "tickets");
+        this.router = Assert.notNull(router, "router");
+        this.replica = Assert.notNull(replica, "replica");
+        this.clock = Assert.notNull(clock, "clock");
+        this.server =
+                HttpServers.build(address, port, 1, LONGEST_TICKET_BYTES, exchange -> exchange.getRequestReceiver()
+                        .receiveFullBytes(this::receive));
+    }
+
+    @Override
+    public String name() {
+        return "operators";
+    }
+
+    @Override
+    public void start() {
+        server.start();
+    }
+
+    private void receive(HttpServerExchange exchange, byte[] body) {
+        String path = exchange.getRequestPath();
+        boolean isPost = exchange.getRequestMethod().toString().equals("POST");
+        if (path.equals(TICKETS) && isPost) {
+            submit(exchange, body);
+        } else if (path.equals(TICKETS)) {
+            list(exchange);
+        } else if (path.startsWith(TICKETS + "/")) {
+            show(exchange, path.substring(TICKETS.length() + 1));
+        } else if (path.equals("/status")) {
+            Responses.json(exchange, OK, router.stateDump());
+        } else {
+            error(exchange, NOT_FOUND, "unknown_path", "no such path: " + path);
+        }
+    }
+
+    private void submit(HttpServerExchange exchange, byte[] body) {
+        Ticket ticket;
+        try {
+            ticket = JsonCodec.read(body, Ticket.class);
+        } catch (ModelException malformed) {
+            error(exchange, BAD_REQUEST, "malformed", malformed.getMessage());
+            return;
+        }
+        String given = exchange.getRequestHeaders().getFirst("X-Operator");
+        String operator = given == null || given.isBlank() ? "unnamed" : given;
+        TicketEntry entry = new TicketEntry(ticket, operator, clock.wallMillis(), identity.name());
+        exchange.dispatch(io.undertow.util.SameThreadExecutor.INSTANCE, () -> tickets.submit(entry)
+                .thenAccept(result -> exchange.getIoThread().execute(() -> answer(exchange, result))));
+    }
+
+    private void answer(HttpServerExchange exchange, AcceptResult result) {
+        if (result instanceof AcceptResult.Accepted accepted) {
+            Responses.json(exchange, OK, JsonCodec.write(describe(accepted.ticket(), accepted.again())));
+        } else if (result instanceof AcceptResult.Refused refused) {
+            error(exchange, CONFLICT, refused.reason().label(), refused.detail());
+        } else if (result instanceof AcceptResult.NotAccepted notAccepted) {
+            error(exchange, UNAVAILABLE, "not_accepted", notAccepted.detail());
+        } else if (result instanceof AcceptResult.Undecided undecided) {
+            error(exchange, GATEWAY_TIMEOUT, "undecided", undecided.detail());
+        }
+    }
+
+    private static void error(HttpServerExchange exchange, int status, String reason, String detail) {
+        Map<String, Object> error = Map.of("reason", reason, "message", detail);
+        Responses.json(exchange, status, JsonCodec.write(Map.of("error", error)));
+    }
+
+    private Map<String, Object> describe(AcceptedTicket ticket, boolean again) {
+        List<RunnerStatus> runners = router.runnerStatuses();
+        long inForce = runners.stream()
+                .filter(runner -> runner.sequence() >= ticket.sequence())
+                .count();
+        Map<String, Object> description = new LinkedHashMap<>();
+        description.put("number", ticket.entry().ticket().number());
+        description.put("sequence", ticket.sequence());
+        description.put("operator", ticket.entry().operator());
+        description.put("submittedAtMillis", ticket.entry().submittedAtMillis());
+        description.put("acceptedBy", ticket.entry().acceptedBy());
+        description.put("digest", ticket.entry().digest().hex());
+        description.put("chain", ticket.chain().hex());
+        description.put("again", again);
+        description.put("inForceOn", inForce);
+        description.put("runners", runners.size());
+        return description;
+    }
+
+    private void list(HttpServerExchange exchange) {
+        List<Map<String, Object>> all = replica.latest(MOST_LISTED).stream()
+                .map(ticket -> describe(ticket, false))
+                .toList();
+        Responses.json(exchange, OK, JsonCodec.write(Map.of("tickets", all)));
+    }
+
+    private void show(HttpServerExchange exchange, String number) {
+        Optional<AcceptedTicket> found;
+        try {
+            found = replica.ticket(Long.parseLong(number));
+        } catch (NumberFormatException malformed) {
+            error(exchange, BAD_REQUEST, "malformed", "the ticket's number must be a whole number");
+            return;
+        }
+        if (found.isEmpty()) {
+            error(exchange, NOT_FOUND, "unknown_ticket", "no ticket " + number + " is known here");
+            return;
+        }
+        Map<String, Object> description = describe(found.get(), false);
+        description.put("ticket", found.get().entry().ticket());
+        Responses.json(exchange, OK, JsonCodec.write(description));
+    }
+
+    @Override
+    public void stop() {
+        server.stop();
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/arbutusstack/entry/ticket/package-info.java
@@ -0,0 +1,2 @@
+/** Takes tickets from operators and follows the ticket log. */
+package org.arbutusstack.entry.ticket;
