--- /dev/null
+++ b/wire/src/test/java/org/arbutusstack/wire/frame/FrameCodecTests.java
@@ -0,0 +1,63 @@
+package org.arbutusstack.wire.frame;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+
+import java.nio.ByteBuffer;
+import java.util.Arrays;
+import java.util.List;
+import org.arbutusstack.kernel.digest.Digest;
+import org.arbutusstack.model.host.HostRole;
+import org.arbutusstack.model.request.Refusal;
+import org.arbutusstack.model.request.RefusalReason;
+import org.arbutusstack.model.request.RequestId;
+import org.arbutusstack.wire.WireException;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests {@link FrameCodec}. */
+public class FrameCodecTests {
+
+    private static final RequestId ID = new RequestId("abc", 7);
+
+    @DataProvider
+    public Object[][] frames() {
+        return new Object[][] {
+            {new HelloFrame("side-1", HostRole.SIDE, "testi", "milano-fiera", "inc")},
+            {new HeartbeatFrame(3, Digest.of("x"), true)},
+            {new ReceiptFrame(ID, 2)},
+            {new AnswerHeadFrame(ID, 2, 200, "application/json", "side-1", "v1", 9)},
+            {new RefusalFrame(ID, 1, Refusal.notRun(RefusalReason.QUEUE_FULL, "full"))},
+            {new CancelFrame(ID, 1)},
+            {new LogPullFrame(5)},
+            {new SideReportFrame(1, 2, 3, 4, 5, 6, 7, List.of("m@v1"), List.of(), false)},
+            {new ProtocolErrorFrame("bad")}
+        };
+    }
+
+    private static byte[] payloadOf(Frame frame) {
+        ByteBuffer buffer = FrameCodec.encode(frame);
+        byte[] payload = new byte[buffer.getInt()];
+        buffer.get(payload);
+        return payload;
+    }
+
+    @Test(dataProvider = "frames")
+    public void shouldReadWhatWasWritten(Frame frame) {
+        assertEquals(FrameCodec.decode(payloadOf(frame)), frame);
+    }
+
+    @Test(dataProvider = "frames")
+    public void shouldRefuseWhenTruncated(Frame frame) {
+        byte[] payload = payloadOf(frame);
+        for (int length = 0; length < payload.length; length++) {
+            byte[] truncated = Arrays.copyOf(payload, length);
+            assertThrows(WireException.class, () -> FrameCodec.decode(truncated));
+        }
+    }
+
+    @Test
+    public void shouldRefuseWhenTypeIsUnknown() {
+        assertThrows(WireException.class, () -> FrameCodec.decode(new byte[] {99}));
+    }
+}
