--- /dev/null
+++ b/testkit/src/main/java/org/arbutusstack/testkit/process/DaemonProcess.java
@@ -0,0 +1,171 @@
+package org.arbutusstack.testkit.process;
+
+import java.io.File;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Runs one daemon as a child process of a test and can kill, freeze, thaw and end it.
+ *
+ * <p>To be used by one thread.
+ */
+public final class DaemonProcess {
+
+    private static final String MAIN = "org.arbutusstack.daemon.ArbutusDaemon";
+
+    private final String name;
+
+    private final Map<String, String> flags;
+
+    private final File log;
+
+    private Process process;
+
+    DaemonProcess(String name, Map<String, String> flags, File log) {
+        this.name = name;
+        this.flags = new TreeMap<>(flags);
+        this.log = log;
+    }
+
+    /** Starts the process, again with the same flags if it ran before. */
+    public void start() {
+        List<String> command = new ArrayList<>(List.of(
+                ProcessHandle.current().info().command().orElse("java"),
+                "-Xmx48m",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-cp",
+                System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
+                MAIN));
+        flags.forEach((flag, value) -> {
+            command.add("--" + flag);
+            command.add(value);
+        });
+        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
+        builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log));
+        try {
+            process = builder.start();
+        } catch (IOException failure) {
+            throw new UncheckedIOException("Could not start " + name, failure);
+        }
+    }
+
+    /**
+     * Names the host of the process.
+     *
+     * @return the name
+     */
+    public String name() {
+        return name;
+    }
+
+    /**
+     * Reads a flag that the process was started with.
+     *
+     * @param flag the flag without dashes
+     * @return its value
+     */
+    public String flag(String flag) {
+        return flags.get(flag);
+    }
+
+    /**
+     * Changes a flag for the next start.
+     *
+     * @param flag the flag without dashes
+     * @param value its value
+     */
+    public void flag(String flag, String value) {
+        flags.put(flag, value);
+    }
+
+    /**
+     * Reads the port that a flag names.
+     *
+     * @param flag the flag without dashes
+     * @return the port
+     */
+    public int port(String flag) {
+        return Integer.parseInt(flags.get(flag));
+    }
+
+    /**
+     * Tells where the process writes its log.
+     *
+     * @return the file
+     */
+    public File log() {
+        return log;
+    }
+
+    /** Ends the process at once, without a chance to finish anything. */
+    public void kill() {
+        process.destroyForcibly();
+        await(10);
+    }
+
+    /** Asks the process to stop gracefully and does not wait. */
+    public void terminate() {
+        process.destroy();
+    }
+
+    /**
+     * Waits for the end of the process.
+     *
+     * @param seconds how long to wait at the most
+     * @return whether it ended
+     */
+    public boolean await(long seconds) {
+        try {
+            return process.waitFor(seconds, TimeUnit.SECONDS);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    /**
+     * Tells how the process ended.
+     *
+     * @return its exit code
+     */
+    public int exitCode() {
+        return process.exitValue();
+    }
+
+    /** Freezes the process where it stands. */
+    public void freeze() {
+        signal("-STOP");
+    }
+
+    /** Lets a frozen process go on. */
+    public void thaw() {
+        signal("-CONT");
+    }
+
+    private void signal(String signal) {
+        try {
+            new ProcessBuilder("kill", signal, Long.toString(process.pid()))
+                    .start()
+                    .waitFor();
+        } catch (IOException failure) {
+            throw new UncheckedIOException("Could not signal " + name, failure);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /**
+     * Tells whether the process runs.
+     *
+     * @return whether it does
+     */
+    public boolean isAlive() {
+        return process != null && process.isAlive();
+    }
+}
