Admit only members to links; give secrets by variable only

Change: a handshake of nonces and keyed digests before the first frame, in the transport, so that no service sees an unproved peer; a proof covers both nonces and the end that gives it. New kind of setting for secrets: by variable only, hidden in mistakes and dumps. ARBUTUS_LINK_KEY is required. Ruled out: a token in the hello frame (can be recorded and sent again).

--- a/daemon/src/main/java/org/arbutusstack/daemon/ArbutusDaemon.java
+++ b/daemon/src/main/java/org/arbutusstack/daemon/ArbutusDaemon.java
@@ -18,6 +18,7 @@
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.kernel.time.SystemClock;
 import org.arbutusstack.store.etcd.EtcdKeyValueStore;
+import org.arbutusstack.wire.link.LinkKey;
 import org.arbutusstack.wire.link.NioLinkTransport;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -120,6 +121,12 @@
         String incarnation = UUID.randomUUID().toString().replace("-", "").substring(0, INCARNATION_LENGTH);
         UndertowHttpClient client = new UndertowHttpClient("http-client", 1);
         EtcdKeyValueStore store = new EtcdKeyValueStore(client, HttpTarget.parse(settings.text(DaemonSettings.STORE)));
-        return new Platform(incarnation, clock, client, store, new NioLinkTransport("links"), new PrometheusRegistry());
+        return new Platform(
+                incarnation,
+                clock,
+                client,
+                store,
+                new NioLinkTransport("links", new LinkKey(settings.text(DaemonSettings.LINK_KEY))),
+                new PrometheusRegistry());
     }
 }
--- a/daemon/src/main/java/org/arbutusstack/daemon/DaemonSettings.java
+++ b/daemon/src/main/java/org/arbutusstack/daemon/DaemonSettings.java
@@ -9,6 +9,8 @@
 /** Lists the settings of the daemon that both roles have. */
 public final class DaemonSettings {
 
+    private static final int SHORTEST_KEY = 16;
+
     /** The role of the process. */
     public static final Setting ROLE = Setting.text("role", null, "what this process does: entry or side");
 
@@ -38,6 +40,10 @@
     /** The address of the host list. */
     public static final Setting HOST_LIST = Setting.address("host-list", "", "address of the host list (entry)");
 
+    /** The key that the system's processes share. */
+    public static final Setting LINK_KEY =
+            Setting.secret("link-key", SHORTEST_KEY, null, "key that the system's processes share");
+
     /** The time that a graceful stop may take. */
     public static final Setting DRAIN =
             Setting.number("drain-millis", 0, 3_600_000, 60_000, "time that a graceful stop may take, in ms");
@@ -51,7 +57,7 @@
      */
     public static List<Setting> all() {
         List<Setting> all = new ArrayList<>(
-                List.of(ROLE, NAME, REGION, ZONE, ADDRESS, LINK_PORT, ADMIN_PORT, STORE, HOST_LIST, DRAIN));
+                List.of(ROLE, NAME, REGION, ZONE, ADDRESS, LINK_PORT, ADMIN_PORT, STORE, HOST_LIST, LINK_KEY, DRAIN));
         all.addAll(EntrySettings.all());
         all.addAll(SideSettings.all());
         return all;
--- a/kernel/src/main/java/org/arbutusstack/kernel/setting/Setting.java
+++ b/kernel/src/main/java/org/arbutusstack/kernel/setting/Setting.java
@@ -65,6 +65,19 @@
         return new Setting(name, SettingKind.ADDRESS, 0, LONGEST_TEXT, defaultText, description);
     }
 
+    /**
+     * Describes a secret, which is given by its variable only.
+     *
+     * @param name the name from which the variable's follows
+     * @param shortest the least number of characters
+     * @param defaultText the value when none is given; {@code null} if the setting is required
+     * @param description one line for {@code --help}
+     * @return the setting
+     */
+    public static Setting secret(String name, int shortest, String defaultText, String description) {
+        return new Setting(name, SettingKind.SECRET, shortest, LONGEST_TEXT, defaultText, description);
+    }
+
     /**
      * Describes a switch that is {@code true} or {@code false}.
      *
--- a/kernel/src/main/java/org/arbutusstack/kernel/setting/SettingKind.java
+++ b/kernel/src/main/java/org/arbutusstack/kernel/setting/SettingKind.java
@@ -35,6 +35,25 @@
         }
     },
 
+    /** A secret: given by its variable only, since command lines are open to all, and never shown. */
+    SECRET {
+        @Override
+        String complaint(Setting setting, String text) {
+            boolean fits = text.length() >= setting.minimum() && text.length() <= setting.maximum();
+            return fits ? null : "a secret of " + setting.minimum() + " to " + setting.maximum() + " characters";
+        }
+
+        @Override
+        boolean isFlag() {
+            return false;
+        }
+
+        @Override
+        String shown(String text) {
+            return text.isEmpty() ? "" : "(hidden)";
+        }
+    },
+
     /** {@code true} or {@code false}. */
     FLAG {
         @Override
@@ -54,4 +73,23 @@
      * @return what is permitted if the text is not, or {@code null} if it is
      */
     abstract String complaint(Setting setting, String text);
+
+    /**
+     * Tells whether the setting may be given on the command line.
+     *
+     * @return whether it may
+     */
+    boolean isFlag() {
+        return true;
+    }
+
+    /**
+     * Writes a value for people.
+     *
+     * @param text the value
+     * @return what may be shown of it
+     */
+    String shown(String text) {
+        return text;
+    }
 }
--- a/kernel/src/main/java/org/arbutusstack/kernel/setting/Settings.java
+++ b/kernel/src/main/java/org/arbutusstack/kernel/setting/Settings.java
@@ -40,6 +40,16 @@
         return Long.parseLong(text(setting).trim());
     }
 
+    /**
+     * Names the settings without their values, some of which are secret.
+     *
+     * @return the names
+     */
+    @Override
+    public String toString() {
+        return "Settings" + texts.keySet();
+    }
+
     /**
      * Reads a switch.
      *
--- a/kernel/src/main/java/org/arbutusstack/kernel/setting/SettingsParser.java
+++ b/kernel/src/main/java/org/arbutusstack/kernel/setting/SettingsParser.java
@@ -70,8 +70,9 @@
             String text = textOf(setting, options, environment);
             String complaint = text == null ? "required" : setting.kind().complaint(setting, text);
             if (complaint != null) {
-                mistakes.add("--" + setting.name() + " (" + setting.variable() + "): value '"
-                        + (text == null ? "" : text) + "', permitted: " + complaint);
+                String shown = text == null ? "" : setting.kind().shown(text);
+                mistakes.add("--" + setting.name() + " (" + setting.variable() + "): value '" + shown + "', permitted: "
+                        + complaint);
                 continue;
             }
             texts.put(setting.name(), text);
@@ -85,7 +86,7 @@
     }
 
     private static String textOf(Setting setting, OptionSet options, Map<String, String> environment) {
-        if (options.has(setting.name())) {
+        if (setting.kind().isFlag() && options.has(setting.name())) {
             return (String) options.valueOf(setting.name());
         }
         return environment.getOrDefault(setting.variable(), setting.defaultText());
@@ -96,6 +97,9 @@
         parser.accepts(HELP, "prints this text");
         parser.accepts(VERSION, "prints the version");
         for (Setting setting : settings) {
+            if (!setting.kind().isFlag()) {
+                continue;
+            }
             String origin = "; also " + setting.variable();
             String suffix = setting.defaultText() == null ? " (required" : " (default '" + setting.defaultText() + "'";
             parser.accepts(setting.name(), setting.description() + suffix + origin + ")")
@@ -112,6 +116,10 @@
         } catch (IOException impossible) {
             throw new IllegalStateException("Could not print help", impossible);
         }
+        settings.stream()
+                .filter(setting -> !setting.kind().isFlag())
+                .map(setting -> setting.variable() + " (variable only): " + setting.description() + "\n")
+                .forEach(writer::write);
         return writer.toString();
     }
 
--- a/testkit/src/main/java/org/arbutusstack/testkit/process/DaemonProcess.java
+++ b/testkit/src/main/java/org/arbutusstack/testkit/process/DaemonProcess.java
@@ -18,6 +18,8 @@
 
     private static final String MAIN = "org.arbutusstack.daemon.ArbutusDaemon";
 
+    private static final String LINK_KEY = "a key for tests on loopback";
+
     private final String name;
 
     private final Map<String, String> flags;
@@ -48,6 +50,7 @@
         });
         ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
         builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log));
+        builder.environment().put("ARBUTUS_LINK_KEY", LINK_KEY);
         try {
             process = builder.start();
         } catch (IOException failure) {
--- a/wire/src/main/java/org/arbutusstack/wire/frame/Frame.java
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/Frame.java
@@ -11,7 +11,9 @@
  * @see FrameCodec
  */
 public sealed interface Frame
-        permits HelloFrame,
+        permits ChallengeFrame,
+                ProofFrame,
+                HelloFrame,
                 HeartbeatFrame,
                 WorkFrame,
                 ReceiptFrame,
--- a/wire/src/main/java/org/arbutusstack/wire/frame/FrameType.java
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/FrameType.java
@@ -6,6 +6,10 @@
 
 /** Tells the types of frame; each constant knows its code on the wire and reads its frames. */
 public enum FrameType {
+    /** See {@link ChallengeFrame}. */
+    CHALLENGE(40, ChallengeFrame::read),
+    /** See {@link ProofFrame}. */
+    PROOF(41, ProofFrame::read),
     /** See {@link HelloFrame}. */
     HELLO(1, HelloFrame::read),
     /** See {@link HeartbeatFrame}. */
--- a/wire/src/main/java/org/arbutusstack/wire/link/NioLink.java
+++ b/wire/src/main/java/org/arbutusstack/wire/link/NioLink.java
@@ -26,6 +26,8 @@
 
     private static final int FIRST_READ_BYTES = 16 * 1_024;
 
+    private static final long HANDSHAKE_NANOS = 5_000_000_000L;
+
     private static final long MOST_WAITING_BYTES = 8L * 1_024 * 1_024;
 
     private final NioLinkTransport transport;
@@ -50,10 +52,17 @@
 
     private ByteBuffer inbound = ByteBuffer.allocate(FIRST_READ_BYTES);
 
-    NioLink(NioLinkTransport transport, LinkListener listener, String remote) {
+    private final LinkHandshake handshake;
+
+    private final long admitByNanos = System.nanoTime() + HANDSHAKE_NANOS;
+
+    private volatile boolean admitted;
+
+    NioLink(NioLinkTransport transport, LinkListener listener, String remote, LinkHandshake handshake) {
         this.transport = transport;
         this.listener = listener;
         this.remote = remote;
+        this.handshake = handshake;
     }
 
     void connect(InetSocketAddress address) {
@@ -66,7 +75,7 @@
             boolean connected = channel.connect(address);
             key = transport.register(channel, connected ? SelectionKey.OP_READ : SelectionKey.OP_CONNECT, this);
             if (connected) {
-                listener.onOpen(this);
+                enqueue(handshake.challenge());
             }
         } catch (IOException | RuntimeException failure) {
             onFailure();
@@ -77,7 +86,7 @@
         channel = accepted;
         configure();
         key = transport.register(channel, SelectionKey.OP_READ, this);
-        listener.onOpen(this);
+        enqueue(handshake.challenge());
     }
 
     private void configure() throws IOException {
@@ -87,6 +96,10 @@
 
     @Override
     public boolean send(Frame frame) {
+        return admitted && enqueue(frame);
+    }
+
+    private boolean enqueue(Frame frame) {
         if (closed.get() || waitingBytes.get() > MOST_WAITING_BYTES) {
             return false;
         }
@@ -131,7 +144,7 @@
         if (readyKey.isConnectable() && channel.finishConnect()) {
             readyKey.interestOps(SelectionKey.OP_READ);
             heardAtNanos = System.nanoTime();
-            listener.onOpen(this);
+            enqueue(handshake.challenge());
             write();
             return;
         }
@@ -163,7 +176,7 @@
         }
         int length = inbound.getInt(inbound.position());
         if (length < 1 || length > FrameCodec.LONGEST_FRAME_BYTES) {
-            send(new ProtocolErrorFrame("a frame of " + length + " bytes is not permitted"));
+            enqueue(new ProtocolErrorFrame("a frame of " + length + " bytes is not permitted"));
             throw new WireException("Could not read a frame from " + remote + ": its length is " + length);
         }
         if (inbound.remaining() < FrameCodec.LENGTH_BYTES + length) {
@@ -189,11 +202,33 @@
         try {
             frame = FrameCodec.decode(payload);
         } catch (WireException malformed) {
-            send(new ProtocolErrorFrame(malformed.getMessage()));
+            enqueue(new ProtocolErrorFrame(malformed.getMessage()));
             listener.onMalformed(this, malformed);
             return;
         }
-        listener.onFrame(this, frame);
+        if (admitted) {
+            listener.onFrame(this, frame);
+            return;
+        }
+        admit(frame);
+    }
+
+    private void admit(Frame frame) {
+        Frame answer = handshake.take(frame);
+        if (answer != null) {
+            enqueue(answer);
+        }
+        if (handshake.isDone()) {
+            admitted = true;
+            listener.onOpen(this);
+        }
+    }
+
+    /** Closes the connection if its handshake takes too long. */
+    void expire(long nowNanos) {
+        if (!admitted && nowNanos - admitByNanos >= 0) {
+            onFailure();
+        }
     }
 
     @Override
--- a/wire/src/main/java/org/arbutusstack/wire/link/NioLinkTransport.java
+++ b/wire/src/main/java/org/arbutusstack/wire/link/NioLinkTransport.java
@@ -9,8 +9,10 @@
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
 import org.arbutusstack.kernel.Assert;
 import org.arbutusstack.wire.WireException;
 import org.slf4j.Logger;
@@ -27,21 +29,29 @@
 
     private static final Logger logger = LoggerFactory.getLogger(NioLinkTransport.class);
 
+    private static final long EXPIRE_PERIOD_MILLIS = 1_000;
+
     private final Selector selector;
 
     private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
 
     private final Thread thread;
 
+    private final LinkKey linkKey;
+
     private volatile boolean running = true;
 
+    private long expireAtNanos = System.nanoTime();
+
     /**
      * Creates a transport and starts its thread.
      *
      * @param name the thread's name
+     * @param linkKey the key that admits peers
      */
-    public NioLinkTransport(String name) {
+    public NioLinkTransport(String name, LinkKey linkKey) {
         Assert.hasText(name, "name");
+        this.linkKey = Assert.notNull(linkKey, "linkKey");
         try {
             this.selector = Selector.open();
         } catch (IOException failure) {
@@ -69,7 +79,7 @@
     @Override
     public Link connect(InetSocketAddress address, LinkListener listener) {
         Assert.notNull(listener, "listener");
-        NioLink link = new NioLink(this, listener, address.toString());
+        NioLink link = new NioLink(this, listener, address.toString(), handshake(LinkEnd.OPENER));
         execute(() -> link.connect(address));
         return link;
     }
@@ -79,10 +89,15 @@
         if (channel == null) {
             return;
         }
-        NioLink link = new NioLink(this, listener, String.valueOf(channel.getRemoteAddress()));
+        String remote = String.valueOf(channel.getRemoteAddress());
+        NioLink link = new NioLink(this, listener, remote, handshake(LinkEnd.ACCEPTOR));
         link.accepted(channel);
     }
 
+    private LinkHandshake handshake(LinkEnd end) {
+        return new LinkHandshake(linkKey, end);
+    }
+
     SelectionKey register(java.nio.channels.SelectableChannel channel, int operations, LinkEvents events) {
         try {
             return channel.register(selector, operations, events);
@@ -101,9 +116,10 @@
     private void run() {
         while (running) {
             try {
-                selector.select(tasks.isEmpty() ? 0 : 1);
+                selector.select(tasks.isEmpty() ? EXPIRE_PERIOD_MILLIS : 1);
                 runTasks();
                 handleReadyKeys();
+                expireHandshakes();
             } catch (ClosedSelectorException closed) {
                 return;
             } catch (IOException | RuntimeException failure) {
@@ -120,6 +136,19 @@
         }
     }
 
+    private void expireHandshakes() {
+        long now = System.nanoTime();
+        if (now - expireAtNanos < 0) {
+            return;
+        }
+        expireAtNanos = now + TimeUnit.MILLISECONDS.toNanos(EXPIRE_PERIOD_MILLIS);
+        for (SelectionKey key : List.copyOf(selector.keys())) {
+            if (key.attachment() instanceof NioLink link) {
+                link.expire(now);
+            }
+        }
+    }
+
     private void handleReadyKeys() {
         Iterator<SelectionKey> ready = selector.selectedKeys().iterator();
         while (ready.hasNext()) {
