--- a/ctl/src/main/java/org/arbutusstack/ctl/ArbutusControl.java
+++ b/ctl/src/main/java/org/arbutusstack/ctl/ArbutusControl.java
@@ -17,8 +17,8 @@
     static final Setting ENTRIES =
             Setting.text("entries", "127.0.0.1:8081", "operators' addresses of entries, joined by commas");
 
-    /** The name of the operator. */
-    static final Setting OPERATOR = Setting.text("operator", "", "name of the operator");
+    /** The token of the operator. */
+    static final Setting TOKEN = Setting.secret("token", 0, "", "token of the operator");
 
     private static final String USAGE = String.join(
             System.lineSeparator(),
@@ -38,7 +38,7 @@
      */
     public static void main(String[] arguments) {
         SettingsResult result =
-                new SettingsParser("arbutusctl", List.of(ENTRIES, OPERATOR)).parse(arguments, System.getenv());
+                new SettingsParser("arbutusctl", List.of(ENTRIES, TOKEN)).parse(arguments, System.getenv());
         System.exit(run(result).code());
     }
 
--- a/ctl/src/main/java/org/arbutusstack/ctl/Commands.java
+++ b/ctl/src/main/java/org/arbutusstack/ctl/Commands.java
@@ -4,6 +4,7 @@
 import java.io.PrintStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ExecutionException;
@@ -69,9 +70,7 @@
             err.println("arbutusctl: could not read " + file + ": " + failure.getMessage());
             return ExitCode.USAGE;
         }
-        String operator = settings.text(ArbutusControl.OPERATOR);
-        Map<String, String> headers = Map.of("Content-Type", "application/json", "X-Operator", operator);
-        return ask(new HttpCall("POST", "/tickets", headers, body));
+        return ask(new HttpCall("POST", "/tickets", Map.of("Content-Type", "application/json"), body));
     }
 
     /** Asks one entry after the other until one answers; a ticket submitted twice is accepted once. */
@@ -89,7 +88,8 @@
     private ExitCode askOne(HttpTarget target, HttpCall call) {
         try {
             long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(CALL_SECONDS);
-            HttpReply reply = client.call(target, call, deadlineNanos).get();
+            HttpReply reply =
+                    client.call(target, authorized(call), deadlineNanos).get();
             return report(reply);
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
@@ -100,6 +100,12 @@
         }
     }
 
+    private HttpCall authorized(HttpCall call) {
+        Map<String, String> headers = new HashMap<>(call.headers());
+        headers.put("Authorization", "Bearer " + settings.text(ArbutusControl.TOKEN));
+        return new HttpCall(call.method(), call.path(), headers, call.body());
+    }
+
     private ExitCode report(HttpReply reply) {
         if (reply.isSuccess()) {
             out.println(reply.text());
--- a/daemon/src/main/java/org/arbutusstack/daemon/Role.java
+++ b/daemon/src/main/java/org/arbutusstack/daemon/Role.java
@@ -10,6 +10,7 @@
 import org.arbutusstack.entry.plan.PlanBook;
 import org.arbutusstack.entry.plan.PlannerService;
 import org.arbutusstack.entry.router.RouterService;
+import org.arbutusstack.entry.ticket.OperatorDirectory;
 import org.arbutusstack.entry.ticket.OperatorListener;
 import org.arbutusstack.entry.ticket.TicketService;
 import org.arbutusstack.http.client.HttpTarget;
@@ -77,6 +78,7 @@
                     address,
                     (int) settings.number(EntrySettings.OPERATOR_PORT),
                     identity,
+                    OperatorDirectory.parse(settings.text(EntrySettings.OPERATORS)),
                     tickets,
                     router,
                     replica,
@@ -94,7 +96,17 @@
 
         @Override
         List<Setting> required() {
-            return List.of(DaemonSettings.HOST_LIST);
+            return List.of(DaemonSettings.HOST_LIST, EntrySettings.OPERATORS);
+        }
+
+        @Override
+        List<String> malformed(Settings settings) {
+            try {
+                OperatorDirectory.parse(settings.text(EntrySettings.OPERATORS));
+                return List.of();
+            } catch (IllegalArgumentException mistake) {
+                return List.of("--operators (ARBUTUS_OPERATORS): " + mistake.getMessage());
+            }
         }
     },
 
@@ -158,6 +170,19 @@
                         + name().toLowerCase(java.util.Locale.ROOT));
             }
         }
+        if (mistakes.isEmpty()) {
+            mistakes.addAll(malformed(settings));
+        }
         return mistakes;
     }
+
+    /**
+     * Checks what only the role can check.
+     *
+     * @param settings the settings, each permitted by itself
+     * @return one line for each mistake
+     */
+    List<String> malformed(Settings settings) {
+        return List.of();
+    }
 }
--- a/entry/src/main/java/org/arbutusstack/entry/EntrySettings.java
+++ b/entry/src/main/java/org/arbutusstack/entry/EntrySettings.java
@@ -14,6 +14,10 @@
     public static final Setting OPERATOR_PORT =
             Setting.number("operator-port", 0, 65_535, 8081, "port for operators (entry)");
 
+    /** The operators and the digests of their tokens. */
+    public static final Setting OPERATORS =
+            Setting.text("operators", "", "operators as name:SHA-256 of token, joined by commas (entry)");
+
     /** The longest body of a request. */
     public static final Setting LONGEST_BODY = Setting.number(
             "longest-body-bytes", 1_024, 3L * 1_024 * 1_024, 1_048_576, "longest body of a request, in bytes (entry)");
@@ -34,6 +38,6 @@
      * @return the settings
      */
     public static List<Setting> all() {
-        return List.of(CALLER_PORT, OPERATOR_PORT, LONGEST_BODY, DEFAULT_DEADLINE, MOST_REQUESTS);
+        return List.of(CALLER_PORT, OPERATOR_PORT, OPERATORS, LONGEST_BODY, DEFAULT_DEADLINE, MOST_REQUESTS);
     }
 }
--- a/entry/src/main/java/org/arbutusstack/entry/ticket/OperatorListener.java
+++ b/entry/src/main/java/org/arbutusstack/entry/ticket/OperatorListener.java
@@ -2,6 +2,7 @@
 
 import io.undertow.Undertow;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -21,6 +22,8 @@
 import org.arbutusstack.model.ModelException;
 import org.arbutusstack.model.ticket.Ticket;
 import org.arbutusstack.model.ticket.TicketEntry;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Listens for operators: takes tickets and shows which are in force where.
@@ -29,10 +32,14 @@
  */
 public final class OperatorListener implements Service {
 
+    private static final Logger logger = LoggerFactory.getLogger(OperatorListener.class);
+
     private static final int OK = 200;
 
     private static final int BAD_REQUEST = 400;
 
+    private static final int UNAUTHORIZED = 401;
+
     private static final int NOT_FOUND = 404;
 
     private static final int CONFLICT = 409;
@@ -49,6 +56,8 @@
 
     private final EntryIdentity identity;
 
+    private final OperatorDirectory operators;
+
     private final TicketService tickets;
 
     private final RouterService router;
@@ -65,6 +74,7 @@
      * @param address the IP number to listen on
      * @param port the port
      * @param identity who the entry is
+     * @param operators tells who may come in
      * @param tickets takes the tickets
      * @param router tells the runners
      * @param replica this process's copy of the ticket log
@@ -74,11 +84,13 @@
             String address,
             int port,
             EntryIdentity identity,
+            OperatorDirectory operators,
             TicketService tickets,
             RouterService router,
             LogReplica replica,
             Clock clock) {
         this.identity = Assert.notNull(identity, "identity");
+        this.operators = Assert.notNull(operators, "operators");
         this.tickets = Assert.notNull(tickets, "tickets");
         this.router = Assert.notNull(router, "router");
         this.replica = Assert.notNull(replica, "replica");
@@ -99,10 +111,22 @@
     }
 
     private void receive(HttpServerExchange exchange, byte[] body) {
+        Optional<String> operator =
+                operators.operatorOf(exchange.getRequestHeaders().getFirst(Headers.AUTHORIZATION));
+        if (operator.isEmpty()) {
+            logger.warn(
+                    "event=operator-refused path={} from={}", exchange.getRequestPath(), exchange.getSourceAddress());
+            error(exchange, UNAUTHORIZED, "unauthorized", "the operators' port needs an operator's token");
+            return;
+        }
+        answer(exchange, operator.get(), body);
+    }
+
+    private void answer(HttpServerExchange exchange, String operator, byte[] body) {
         String path = exchange.getRequestPath();
         boolean isPost = exchange.getRequestMethod().toString().equals("POST");
         if (path.equals(TICKETS) && isPost) {
-            submit(exchange, body);
+            submit(exchange, operator, body);
         } else if (path.equals(TICKETS)) {
             list(exchange);
         } else if (path.startsWith(TICKETS + "/")) {
@@ -114,7 +138,7 @@
         }
     }
 
-    private void submit(HttpServerExchange exchange, byte[] body) {
+    private void submit(HttpServerExchange exchange, String operator, byte[] body) {
         Ticket ticket;
         try {
             ticket = JsonCodec.read(body, Ticket.class);
@@ -122,8 +146,6 @@
             error(exchange, BAD_REQUEST, "malformed", malformed.getMessage());
             return;
         }
-        String given = exchange.getRequestHeaders().getFirst("X-Operator");
-        String operator = given == null || given.isBlank() ? "unnamed" : given;
         TicketEntry entry = new TicketEntry(ticket, operator, clock.wallMillis(), identity.name());
         exchange.dispatch(io.undertow.util.SameThreadExecutor.INSTANCE, () -> tickets.submit(entry)
                 .thenAccept(result -> exchange.getIoThread().execute(() -> answer(exchange, result))));
--- a/testkit/src/main/java/org/arbutusstack/testkit/process/ProcessCluster.java
+++ b/testkit/src/main/java/org/arbutusstack/testkit/process/ProcessCluster.java
@@ -18,6 +18,7 @@
 import org.arbutusstack.http.client.HttpReply;
 import org.arbutusstack.http.client.HttpTarget;
 import org.arbutusstack.http.client.UndertowHttpClient;
+import org.arbutusstack.kernel.digest.Digest;
 import org.arbutusstack.testkit.AbstractStandIn;
 import org.arbutusstack.testkit.Json;
 import org.arbutusstack.testkit.engine.EngineShape;
@@ -34,6 +35,12 @@
  */
 public final class ProcessCluster implements AutoCloseable {
 
+    /** The name of the cluster's operator. */
+    public static final String OPERATOR = "operator";
+
+    /** The token of the cluster's operator. */
+    public static final String OPERATOR_TOKEN = "a token for tests on loopback";
+
     private static final String LOOPBACK = "127.0.0.1";
 
     private static final long CALL_SECONDS = 60;
@@ -143,6 +150,7 @@
         flags.put("caller-port", Integer.toString(FreePorts.next()));
         flags.put("operator-port", Integer.toString(FreePorts.next()));
         flags.put("host-list", hosts.address());
+        flags.put("operators", OPERATOR + ":" + Digest.of(OPERATOR_TOKEN).hex());
         flags.putAll(more);
         return start(name, "ENTRY", "", zone, flags);
     }
@@ -202,7 +210,19 @@
      */
     public HttpReply submit(DaemonProcess entry, String ticketJson) {
         byte[] body = ticketJson.getBytes(java.nio.charset.StandardCharsets.UTF_8);
-        return await(call(entry.port("operator-port"), HttpCall.post("/tickets", body)));
+        return await(call(entry.port("operator-port"), asOperator("POST", "/tickets", body)));
+    }
+
+    /**
+     * Describes a call with the token of the cluster's operator.
+     *
+     * @param method the method
+     * @param path the path at the operators' port
+     * @param body the body, empty for none
+     * @return the call
+     */
+    public static HttpCall asOperator(String method, String path, byte[] body) {
+        return new HttpCall(method, path, Map.of("Authorization", "Bearer " + OPERATOR_TOKEN), body);
     }
 
     /**
