Wait for a duty's thread before its ring is open

Cause: a duty stopped right after its start lost its messages: the library takes a consumer that does not run yet for one without a backlog. Found by ChainedAuditTrailTests (no record written).

--- a/kernel/src/main/java/org/arbutusstack/kernel/ring/Duty.java
+++ b/kernel/src/main/java/org/arbutusstack/kernel/ring/Duty.java
@@ -7,6 +7,7 @@
 import com.lmax.disruptor.TimeoutException;
 import com.lmax.disruptor.dsl.Disruptor;
 import com.lmax.disruptor.dsl.ProducerType;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.arbutusstack.kernel.Assert;
@@ -34,6 +35,8 @@
 
     private final RingBuffer<Slot<T>> ringBuffer;
 
+    private final CountDownLatch running = new CountDownLatch(1);
+
     private volatile boolean open;
 
     /**
@@ -49,7 +52,7 @@
         Assert.isTrue(Integer.bitCount(capacity) == 1, "'capacity' must be a power of two but is " + capacity);
         this.disruptor =
                 new Disruptor<>(Slot::new, capacity, this::newThread, ProducerType.MULTI, new BlockingWaitStrategy());
-        EventHandler<Slot<T>> eventHandler = (slot, sequence, endOfBatch) -> handler.accept(slot.clear());
+        EventHandler<Slot<T>> eventHandler = new SlotHandler<>(handler, running);
         this.disruptor.setDefaultExceptionHandler(new LoggingExceptionHandler<>(name));
         this.disruptor.handleEventsWith(eventHandler);
         this.ringBuffer = disruptor.getRingBuffer();
@@ -61,9 +64,14 @@
         return thread;
     }
 
-    /** Starts the thread. */
+    /** Starts the thread and waits until it runs, so that {@link #stop()} finds it and lets it finish. */
     public void start() {
         disruptor.start();
+        try {
+            running.await();
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
         open = true;
     }
 
@@ -106,6 +114,29 @@
         }
     }
 
+    /** Hands messages to the duty's handler. */
+    private static final class SlotHandler<T> implements EventHandler<Slot<T>> {
+
+        private final Consumer<T> handler;
+
+        private final CountDownLatch running;
+
+        SlotHandler(Consumer<T> handler, CountDownLatch running) {
+            this.handler = handler;
+            this.running = running;
+        }
+
+        @Override
+        public void onStart() {
+            running.countDown();
+        }
+
+        @Override
+        public void onEvent(Slot<T> slot, long sequence, boolean endOfBatch) {
+            handler.accept(slot.clear());
+        }
+    }
+
     /** Logs errors of the handler and goes on. */
     private record LoggingExceptionHandler<T>(String name) implements ExceptionHandler<Slot<T>> {
 
