Put tickets and operators on record in every daemon; show anchors at the operators' port

Cause: the audit module was not used yet. Change: each daemon starts an audit trail first and stops it last; records of submissions, of each advance of the ticket log and of refused operators; anchors of a host's runs can be read by operators.

--- a/daemon/src/main/java/org/arbutusstack/daemon/ArbutusDaemon.java
+++ b/daemon/src/main/java/org/arbutusstack/daemon/ArbutusDaemon.java
@@ -6,6 +6,8 @@
 import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.arbutusstack.audit.ChainedAuditTrail;
 import org.arbutusstack.http.client.HttpTarget;
 import org.arbutusstack.http.client.UndertowHttpClient;
 import org.arbutusstack.kernel.service.DefaultServiceRegistry;
@@ -93,6 +95,7 @@
         ServiceRegistry registry = new DefaultServiceRegistry();
         Kernel kernel = new Kernel(registry, platform.clock());
         try {
+            registry.register(platform.trail());
             role.register(registry, settings, platform);
             kernel.start();
         } catch (ServiceException | IllegalArgumentException failure) {
@@ -121,12 +124,15 @@
         String incarnation = UUID.randomUUID().toString().replace("-", "").substring(0, INCARNATION_LENGTH);
         UndertowHttpClient client = new UndertowHttpClient("http-client", 1);
         EtcdKeyValueStore store = new EtcdKeyValueStore(client, HttpTarget.parse(settings.text(DaemonSettings.STORE)));
-        return new Platform(
+        ChainedAuditTrail trail = new ChainedAuditTrail(
+                settings.text(DaemonSettings.NAME),
                 incarnation,
-                clock,
-                client,
+                System.out,
                 store,
-                new NioLinkTransport("links", new LinkKey(settings.text(DaemonSettings.LINK_KEY))),
-                new PrometheusRegistry());
+                clock,
+                TimeUnit.SECONDS.toMillis(settings.number(DaemonSettings.ANCHOR_PERIOD)),
+                TimeUnit.DAYS.toSeconds(settings.number(DaemonSettings.RETENTION)));
+        NioLinkTransport transport = new NioLinkTransport("links", new LinkKey(settings.text(DaemonSettings.LINK_KEY)));
+        return new Platform(incarnation, clock, client, store, transport, new PrometheusRegistry(), trail);
     }
 }
--- a/daemon/src/main/java/org/arbutusstack/daemon/DaemonSettings.java
+++ b/daemon/src/main/java/org/arbutusstack/daemon/DaemonSettings.java
@@ -48,6 +48,14 @@
     public static final Setting DRAIN =
             Setting.number("drain-millis", 0, 3_600_000, 60_000, "time that a graceful stop may take, in ms");
 
+    /** The time between two anchors of the audit records. */
+    public static final Setting ANCHOR_PERIOD =
+            Setting.number("audit-anchor-seconds", 1, 3_600, 60, "time between two anchors of audit records, in s");
+
+    /** The time that anchors are kept. */
+    public static final Setting RETENTION =
+            Setting.number("audit-retention-days", 1, 3_650, 90, "time that anchors are kept, in days");
+
     private DaemonSettings() {}
 
     /**
@@ -56,8 +64,20 @@
      * @return the settings
      */
     public static List<Setting> all() {
-        List<Setting> all = new ArrayList<>(
-                List.of(ROLE, NAME, REGION, ZONE, ADDRESS, LINK_PORT, ADMIN_PORT, STORE, HOST_LIST, LINK_KEY, DRAIN));
+        List<Setting> all = new ArrayList<>(List.of(
+                ROLE,
+                NAME,
+                REGION,
+                ZONE,
+                ADDRESS,
+                LINK_PORT,
+                ADMIN_PORT,
+                STORE,
+                HOST_LIST,
+                LINK_KEY,
+                DRAIN,
+                ANCHOR_PERIOD,
+                RETENTION));
         all.addAll(EntrySettings.all());
         all.addAll(SideSettings.all());
         return all;
--- a/daemon/src/main/java/org/arbutusstack/daemon/Role.java
+++ b/daemon/src/main/java/org/arbutusstack/daemon/Role.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import org.arbutusstack.entry.EntryIdentity;
 import org.arbutusstack.entry.EntrySettings;
+import org.arbutusstack.entry.audit.AnchorService;
 import org.arbutusstack.entry.caller.CallerListener;
 import org.arbutusstack.entry.member.HostListService;
 import org.arbutusstack.entry.plan.PlanBook;
@@ -35,7 +36,7 @@
         void register(ServiceRegistry registry, Settings settings, Platform platform) {
             EntryIdentity identity = new EntryIdentity(
                     settings.text(DaemonSettings.NAME), settings.text(DaemonSettings.ZONE), platform.incarnation());
-            LogReplica replica = new LogReplica();
+            LogReplica replica = platform.newReplica();
             PlanBook plans = new PlanBook();
             RouterService router = new RouterService(
                     identity,
@@ -46,7 +47,7 @@
                     platform.clock(),
                     (int) settings.number(EntrySettings.MOST_REQUESTS));
             TicketLog log = new TicketLog(platform.store(), replica, List.of(new ReferenceCheck()), platform.clock());
-            TicketService tickets = new TicketService(platform.store(), log, platform.clock());
+            TicketService tickets = new TicketService(platform.store(), log, platform.clock(), platform.trail());
             registry.register(router);
             registry.register(tickets);
             registry.register(new PlannerService(
@@ -68,6 +69,8 @@
             RouterService router = registry.lookup(RouterService.NAME, RouterService.class);
             TicketService tickets = registry.lookup(TicketService.NAME, TicketService.class);
             String address = settings.text(DaemonSettings.ADDRESS);
+            AnchorService anchors = new AnchorService(platform.store(), platform.clock());
+            registry.register(anchors);
             registry.register(new AdminListener(
                     address,
                     (int) settings.number(DaemonSettings.ADMIN_PORT),
@@ -80,9 +83,11 @@
                     identity,
                     OperatorDirectory.parse(settings.text(EntrySettings.OPERATORS)),
                     tickets,
+                    anchors,
                     router,
                     replica,
-                    platform.clock()));
+                    platform.clock(),
+                    platform.trail()));
             registry.register(new CallerListener(
                     address,
                     (int) settings.number(EntrySettings.CALLER_PORT),
@@ -127,7 +132,7 @@
                     platform.transport(),
                     platform.client(),
                     platform.store(),
-                    new LogReplica(),
+                    platform.newReplica(),
                     platform.clock(),
                     (int) settings.number(SideSettings.QUEUE_LIMIT),
                     (int) settings.number(SideSettings.SLOTS));
--- a/entry/src/main/java/org/arbutusstack/entry/ticket/OperatorListener.java
+++ b/entry/src/main/java/org/arbutusstack/entry/ticket/OperatorListener.java
@@ -3,11 +3,16 @@
 import io.undertow.Undertow;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
+import io.undertow.util.SameThreadExecutor;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.arbutusstack.audit.AuditEvent;
+import org.arbutusstack.audit.AuditTrail;
 import org.arbutusstack.entry.EntryIdentity;
+import org.arbutusstack.entry.audit.AnchorResult;
+import org.arbutusstack.entry.audit.AnchorService;
 import org.arbutusstack.entry.router.RouterService;
 import org.arbutusstack.entry.router.RunnerStatus;
 import org.arbutusstack.http.server.HttpServers;
@@ -54,18 +59,24 @@
 
     private static final String TICKETS = "/tickets";
 
+    private static final String ANCHORS = "/audit/anchors/";
+
     private final EntryIdentity identity;
 
     private final OperatorDirectory operators;
 
     private final TicketService tickets;
 
+    private final AnchorService anchors;
+
     private final RouterService router;
 
     private final LogReplica replica;
 
     private final Clock clock;
 
+    private final AuditTrail trail;
+
     private final Undertow server;
 
     /**
@@ -76,9 +87,11 @@
      * @param identity who the entry is
      * @param operators tells who may come in
      * @param tickets takes the tickets
+     * @param anchors reads the anchors of audit records
      * @param router tells the runners
      * @param replica this process's copy of the ticket log
      * @param clock the clock of the process
+     * @param trail takes what an auditor may ask about
      */
     public OperatorListener(
             String address,
@@ -86,12 +99,16 @@
             EntryIdentity identity,
             OperatorDirectory operators,
             TicketService tickets,
+            AnchorService anchors,
             RouterService router,
             LogReplica replica,
-            Clock clock) {
+            Clock clock,
+            AuditTrail trail) {
         this.identity = Assert.notNull(identity, "identity");
         this.operators = Assert.notNull(operators, "operators");
         this.tickets = Assert.notNull(tickets, "tickets");
+        this.anchors = Assert.notNull(anchors, "anchors");
+        this.trail = Assert.notNull(trail, "trail");
         this.router = Assert.notNull(router, "router");
         this.replica = Assert.notNull(replica, "replica");
         this.clock = Assert.notNull(clock, "clock");
@@ -116,6 +133,8 @@
         if (operator.isEmpty()) {
             logger.warn(
                     "event=operator-refused path={} from={}", exchange.getRequestPath(), exchange.getSourceAddress());
+            trail.record(new AuditEvent.OperatorRefused(
+                    exchange.getRequestPath(), String.valueOf(exchange.getSourceAddress())));
             error(exchange, UNAUTHORIZED, "unauthorized", "the operators' port needs an operator's token");
             return;
         }
@@ -131,6 +150,8 @@
             list(exchange);
         } else if (path.startsWith(TICKETS + "/")) {
             show(exchange, path.substring(TICKETS.length() + 1));
+        } else if (path.startsWith(ANCHORS)) {
+            sendAnchors(exchange, path.substring(ANCHORS.length()));
         } else if (path.equals("/status")) {
             Responses.json(exchange, OK, router.stateDump());
         } else {
@@ -147,7 +168,7 @@
             return;
         }
         TicketEntry entry = new TicketEntry(ticket, operator, clock.wallMillis(), identity.name());
-        exchange.dispatch(io.undertow.util.SameThreadExecutor.INSTANCE, () -> tickets.submit(entry)
+        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> tickets.submit(entry)
                 .thenAccept(result -> exchange.getIoThread().execute(() -> answer(exchange, result))));
     }
 
@@ -211,6 +232,23 @@
         Responses.json(exchange, OK, JsonCodec.write(description));
     }
 
+    private void sendAnchors(HttpServerExchange exchange, String process) {
+        if (process.isBlank() || process.contains("/")) {
+            error(exchange, BAD_REQUEST, "malformed", "the path must end with the name of a host");
+            return;
+        }
+        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> anchors.anchors(process)
+                .thenAccept(result -> exchange.getIoThread().execute(() -> answer(exchange, result))));
+    }
+
+    private static void answer(HttpServerExchange exchange, AnchorResult result) {
+        if (result instanceof AnchorResult.Found found) {
+            Responses.json(exchange, OK, JsonCodec.write(Map.of("anchors", found.anchors())));
+        } else if (result instanceof AnchorResult.Unavailable unavailable) {
+            error(exchange, UNAVAILABLE, "unavailable", unavailable.detail());
+        }
+    }
+
     @Override
     public void stop() {
         server.stop();
--- a/entry/src/main/java/org/arbutusstack/entry/ticket/TicketService.java
+++ b/entry/src/main/java/org/arbutusstack/entry/ticket/TicketService.java
@@ -1,7 +1,10 @@
 package org.arbutusstack.entry.ticket;
 
+import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.arbutusstack.audit.AuditEvent;
+import org.arbutusstack.audit.AuditTrail;
 import org.arbutusstack.kernel.Assert;
 import org.arbutusstack.kernel.ring.Duty;
 import org.arbutusstack.kernel.ring.Ticker;
@@ -44,6 +47,8 @@
 
     private final Clock clock;
 
+    private final AuditTrail trail;
+
     private final Duty<Runnable> duty = new Duty<>("tickets", RING_SIZE, Runnable::run);
 
     private final Ticker ticker = new Ticker("tickets-ticker");
@@ -58,11 +63,13 @@
      * @param store the key-value service
      * @param log the ticket log; used by this service's duty only
      * @param clock the clock of the process
+     * @param trail takes what an auditor may ask about
      */
-    public TicketService(KeyValueStore store, TicketLog log, Clock clock) {
+    public TicketService(KeyValueStore store, TicketLog log, Clock clock, AuditTrail trail) {
         this.store = Assert.notNull(store, "store");
         this.log = Assert.notNull(log, "log");
         this.clock = Assert.notNull(clock, "clock");
+        this.trail = Assert.notNull(trail, "trail");
     }
 
     @Override
@@ -100,6 +107,7 @@
                     entry.ticket().number(),
                     entry.operator(),
                     outcome.getClass().getSimpleName());
+            trail.record(eventOf(entry, outcome));
             result.complete(outcome);
         } catch (RuntimeException failure) {
             logger.error("event=ticket-failure number={}", entry.ticket().number(), failure);
@@ -107,6 +115,18 @@
         }
     }
 
+    private static AuditEvent eventOf(TicketEntry entry, AcceptResult outcome) {
+        long sequence = outcome instanceof AcceptResult.Accepted accepted
+                ? accepted.ticket().sequence()
+                : 0;
+        return new AuditEvent.TicketSubmitted(
+                entry.ticket().number(),
+                entry.operator(),
+                entry.ticket().digest().hex(),
+                outcome.getClass().getSimpleName().toLowerCase(Locale.ROOT),
+                sequence);
+    }
+
     private void refresh() {
         Optional<Long> revision = log.catchUp(clock.deadlineNanos(CALL_MILLIS));
         current = revision.isPresent();
