--- a/ctl/src/main/java/org/arbutusstack/ctl/ArbutusControl.java
+++ b/ctl/src/main/java/org/arbutusstack/ctl/ArbutusControl.java
@@ -1,35 +1,57 @@
 package org.arbutusstack.ctl;
 
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.arbutusstack.http.client.UndertowHttpClient;
-import org.arbutusstack.kernel.setting.Setting;
+import org.arbutusstack.kernel.setting.Settings;
 import org.arbutusstack.kernel.setting.SettingsParser;
 import org.arbutusstack.kernel.setting.SettingsResult;
 
 /**
  * Runs the operators' tool.
  *
- * <p>Exit codes: 0 done, 1 refused, 2 not certain, 3 no entry answered, 64 wrong usage.
+ * <p>Exit codes: see {@link ExitCode}.
  */
 public final class ArbutusControl {
 
-    /** The entries' operator ports. */
-    static final Setting ENTRIES =
-            Setting.text("entries", "127.0.0.1:8081", "operators' addresses of entries, joined by commas");
-
-    /** The token of the operator. */
-    static final Setting TOKEN = Setting.secret("token", 0, "", "token of the operator");
-
     private static final String USAGE = String.join(
             System.lineSeparator(),
             "usage: arbutusctl [flags] COMMAND",
-            "  ticket submit FILE   submits the ticket in FILE",
-            "  ticket show NUMBER   shows a ticket and on how many runners it is in force",
-            "  ticket list          lists the last tickets",
-            "  status               shows runners and what is ready where",
-            "  dump HOST:PORT       shows the state of the process with that admin port");
+            "  ticket submit FILE        submits the ticket in FILE and waits until it is in force",
+            "  ticket show NUMBER        shows a ticket and on how many runners it is in force",
+            "  ticket list               lists the last tickets",
+            "  status                    shows runners and which models are ready where",
+            "  dump HOST:PORT            shows the state of the process with that admin port",
+            "  audit change N [FILE...]  shows who changed what when, and where it came into force",
+            "  audit request ID FILE...  shows what became of a request, from collected records",
+            "  audit verify FILE...      verifies collected records against their anchors",
+            "exit codes: 0 done, 1 refused or fault found, 2 not certain, 3 not reachable, 64 wrong usage");
+
+    private final Output output;
 
-    private ArbutusControl() {}
+    private final TicketCommands tickets;
+
+    private final StatusCommands status;
+
+    private final AuditCommands audit;
+
+    private ArbutusControl(EntryClient entries, Output output, Settings settings) {
+        this.output = output;
+        this.tickets = new TicketCommands(entries, output, settings.number(ControlSettings.WAIT));
+        this.status = new StatusCommands(entries, output);
+        this.audit = new AuditCommands(entries, output, hostsOf(settings));
+    }
+
+    private static Set<String> hostsOf(Settings settings) {
+        return Arrays.stream(settings.text(ControlSettings.HOSTS).split(","))
+                .map(String::trim)
+                .filter(host -> !host.isEmpty())
+                .collect(Collectors.toSet());
+    }
 
     /**
      * Runs the program.
@@ -38,23 +60,74 @@
      */
     public static void main(String[] arguments) {
         SettingsResult result =
-                new SettingsParser("arbutusctl", List.of(ENTRIES, TOKEN)).parse(arguments, System.getenv());
-        System.exit(run(result).code());
+                new SettingsParser("arbutusctl", ControlSettings.all()).parse(arguments, System.getenv());
+        System.exit(run(result, System.out, System.err).code());
     }
 
-    private static ExitCode run(SettingsResult result) {
+    static ExitCode run(SettingsResult result, PrintStream out, PrintStream err) {
         if (result instanceof SettingsResult.Information information) {
-            System.out.println(information.text());
-            System.out.println(USAGE);
+            out.println(information.text());
+            out.println(USAGE);
             return ExitCode.DONE;
         }
         if (result instanceof SettingsResult.Invalid invalid) {
-            invalid.mistakes().forEach(mistake -> System.err.println("arbutusctl: " + mistake));
+            invalid.mistakes().forEach(mistake -> err.println("arbutusctl: " + mistake));
             return ExitCode.USAGE;
         }
         SettingsResult.Valid valid = (SettingsResult.Valid) result;
+        Settings settings = valid.settings();
+        Output output = new Output(out, err, settings.flag(ControlSettings.JSON));
         try (UndertowHttpClient client = new UndertowHttpClient("control", 1)) {
-            return new Commands(client, valid.settings(), System.out, System.err, USAGE).run(valid.arguments());
+            return new ArbutusControl(new EntryClient(client, settings, err), output, settings).run(valid.arguments());
+        } catch (IllegalArgumentException mistake) {
+            output.error(mistake.getMessage());
+            return ExitCode.USAGE;
         }
     }
+
+    private ExitCode run(List<String> words) {
+        String topic = words.isEmpty() ? "" : words.get(0);
+        List<String> rest = words.isEmpty() ? words : words.subList(1, words.size());
+        return switch (topic) {
+            case "ticket" -> ticket(rest);
+            case "audit" -> audit(rest);
+            case "status" -> rest.isEmpty() ? status.status() : usage();
+            case "dump" -> rest.size() == 1 ? status.dump(rest.get(0)) : usage();
+            default -> usage();
+        };
+    }
+
+    private ExitCode ticket(List<String> words) {
+        if (words.equals(List.of("list"))) {
+            return tickets.list();
+        }
+        if (words.size() != 2) {
+            return usage();
+        }
+        return switch (words.get(0)) {
+            case "submit" -> tickets.submit(Path.of(words.get(1)));
+            case "show" -> tickets.show(words.get(1));
+            default -> usage();
+        };
+    }
+
+    private ExitCode audit(List<String> words) {
+        if (words.size() < 2) {
+            return usage();
+        }
+        List<Path> afterFirst = words.stream().skip(1).map(Path::of).toList();
+        List<Path> afterSecond = words.stream().skip(2).map(Path::of).toList();
+        return switch (words.get(0)) {
+            case "verify" -> audit.verify(afterFirst);
+            case "change" -> audit.change(words.get(1), afterSecond);
+            case "request" -> afterSecond.isEmpty() ? usage() : audit.request(words.get(1), afterSecond);
+            default -> usage();
+        };
+    }
+
+    private ExitCode usage() {
+        output.error("no such command");
+        output.line(USAGE);
+        return ExitCode.USAGE;
+    }
 }
--- a/kernel/src/main/java/org/arbutusstack/kernel/setting/SettingsParser.java
+++ b/kernel/src/main/java/org/arbutusstack/kernel/setting/SettingsParser.java
@@ -20,6 +20,8 @@
  */
 public final class SettingsParser {
 
+    private static final String OFF_PREFIX = "no-";
+
     private static final String HELP = "help";
 
     private static final String VERSION = "version";
@@ -86,6 +88,12 @@
     }
 
     private static String textOf(Setting setting, OptionSet options, Map<String, String> environment) {
+        if (setting.kind() == SettingKind.FLAG && options.has(setting.name())) {
+            return Boolean.TRUE.toString();
+        }
+        if (setting.kind() == SettingKind.FLAG && options.has(OFF_PREFIX + setting.name())) {
+            return Boolean.FALSE.toString();
+        }
         if (setting.kind().isFlag() && options.has(setting.name())) {
             return (String) options.valueOf(setting.name());
         }
@@ -101,6 +109,11 @@
                 continue;
             }
             String origin = "; also " + setting.variable();
+            if (setting.kind() == SettingKind.FLAG) {
+                parser.accepts(setting.name(), setting.description() + origin);
+                parser.accepts(OFF_PREFIX + setting.name(), "switches --" + setting.name() + " off");
+                continue;
+            }
             String suffix = setting.defaultText() == null ? " (required" : " (default '" + setting.defaultText() + "'";
             parser.accepts(setting.name(), setting.description() + suffix + origin + ")")
                     .withRequiredArg();
--- a/kernel/src/test/java/org/arbutusstack/kernel/setting/SettingsParserTests.java
+++ b/kernel/src/test/java/org/arbutusstack/kernel/setting/SettingsParserTests.java
@@ -5,6 +5,7 @@
 
 import java.util.List;
 import java.util.Map;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests {@link SettingsParser}. */
@@ -40,6 +41,34 @@
         assertTrue(mistakes.get(1).contains("--store"));
     }
 
+    @DataProvider
+    public Object[][] switches() {
+        return new Object[][] {
+            {new String[] {}, Map.of(), false},
+            {new String[] {"--json"}, Map.of(), true},
+            {new String[] {"--json", "status"}, Map.of(), true},
+            {new String[] {}, Map.of("ARBUTUS_JSON", "true"), true},
+            {new String[] {"--no-json"}, Map.of("ARBUTUS_JSON", "true"), false}
+        };
+    }
+
+    @Test(dataProvider = "switches")
+    public void shouldReadSwitchWithoutArgument(String[] arguments, Map<String, String> variables, boolean on) {
+        Setting json = Setting.flag("json", false, "switch");
+        SettingsResult result = new SettingsParser("tool", List.of(json)).parse(arguments, variables);
+        assertEquals(((SettingsResult.Valid) result).settings().flag(json), on);
+    }
+
+    @Test
+    public void shouldTakeSecretFromVariableOnlyAndHideItWhenWrong() {
+        SettingsParser secrets = new SettingsParser("tool", List.of(Setting.secret("key", 16, null, "key")));
+        assertTrue(
+                secrets.parse(new String[] {"--key", "0123456789abcdef"}, Map.of()) instanceof SettingsResult.Invalid);
+        SettingsResult result = secrets.parse(new String[] {}, Map.of("ARBUTUS_KEY", "too short"));
+        String mistake = ((SettingsResult.Invalid) result).mistakes().get(0);
+        assertTrue(!mistake.contains("too short") && mistake.contains("16"), mistake);
+    }
+
     @Test
     public void shouldReportUnknownFlagWhenOneIsGiven() {
         SettingsResult result = parser.parse(new String[] {"--nonsense"}, Map.of());
