--- /dev/null
+++ b/daemon/src/test/java/org/arbutusstack/daemon/SettingsPageTests.java
@@ -0,0 +1,58 @@
+package org.arbutusstack.daemon;
+
+import static org.testng.Assert.assertEquals;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.arbutusstack.kernel.setting.Setting;
+import org.arbutusstack.kernel.setting.SettingKind;
+import org.testng.annotations.Test;
+
+/** Holds docs/operations/settings.md to the code; run with {@code -Dsettings.write=true} to write it anew. */
+public class SettingsPageTests {
+
+    private static final Path PAGE = Path.of("..", "docs", "operations", "settings.md");
+
+    private static String page() {
+        StringBuilder page = new StringBuilder("# Settings of arbutusd\n\n"
+                + "Each is a flag or a variable; secrets are variables only. Written from the code by\n"
+                + "`mvn -B -pl daemon -am test -Dtest=SettingsPageTests -Dsettings.write=true"
+                + " -Dsurefire.failIfNoSpecifiedTests=false`.\n\n"
+                + "| flag | variable | permitted | default | what it is |\n|---|---|---|---|---|\n");
+        for (Setting setting : DaemonSettings.all()) {
+            boolean secret = setting.kind() == SettingKind.SECRET;
+            page.append("| ").append(secret ? "none" : "`--" + setting.name() + "`");
+            page.append(" | `").append(setting.variable()).append("` | ").append(permitted(setting));
+            page.append(" | ").append(defaultOf(setting)).append(" | ").append(setting.description());
+            page.append(" |\n");
+        }
+        return page.toString();
+    }
+
+    private static String permitted(Setting setting) {
+        return switch (setting.kind()) {
+            case NUMBER -> setting.minimum() + " to " + setting.maximum();
+            case TEXT -> "text";
+            case ADDRESS -> "host:port";
+            case SECRET -> "at least " + setting.minimum() + " characters";
+            case FLAG -> "on or off";
+        };
+    }
+
+    private static String defaultOf(Setting setting) {
+        if (setting.defaultText() == null) {
+            return "required";
+        }
+        return setting.defaultText().isEmpty() ? "none" : setting.defaultText();
+    }
+
+    @Test
+    public void shouldListEverySettingWhenPageIsRead() throws IOException {
+        if (Boolean.getBoolean("settings.write")) {
+            Files.createDirectories(PAGE.getParent());
+            Files.writeString(PAGE, page());
+        }
+        assertEquals(Files.readString(PAGE), page(), "write the page anew: see its head");
+    }
+}
