Record claims and outcomes of calls that may not be repeated in fixed buckets

Cause: each side wrote one key for each call, one at a time; the outcome's status was recorded without its body, so a repeat was always told outcome_unknown, and nothing expired. Now 16 buckets for each service take group commits by a swap on the revision last read: a side that was paused, or that another overtook, fails its swap and reads anew. No lease is needed: entries choose one side for a bucket by rendezvous hashing, and at most one run does not depend on it. Ended claims move to sealed segments (values stay small), claims are kept for claim-retention-hours.

Seen failing first: shouldKeepValuesSmallAndClaimsForRetentionWhenManyCallsEnd (segments past their retention were still indexed: Answered in place of Granted).

--- a/daemon/src/main/java/org/arbutusstack/daemon/Role.java
+++ b/daemon/src/main/java/org/arbutusstack/daemon/Role.java
@@ -118,7 +118,9 @@
                     new LogReplica(),
                     platform.clock(),
                     (int) settings.number(SideSettings.QUEUE_LIMIT),
-                    (int) settings.number(SideSettings.SLOTS));
+                    (int) settings.number(SideSettings.SLOTS),
+                    SideSettings.claimLimits(settings),
+                    platform.metrics());
             registry.register(side);
             registry.register(new AdminListener(
                     address,
--- a/entry/src/main/java/org/arbutusstack/entry/router/RequestTable.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/RequestTable.java
@@ -6,10 +6,12 @@
 import java.util.Map;
 import java.util.Optional;
 import org.arbutusstack.kernel.time.Clock;
+import org.arbutusstack.model.request.ClaimKey;
 import org.arbutusstack.model.request.Refusal;
 import org.arbutusstack.model.request.RefusalKind;
 import org.arbutusstack.model.request.RefusalReason;
 import org.arbutusstack.model.request.RequestId;
+import org.arbutusstack.routing.ClaimOwnerSelector;
 import org.arbutusstack.routing.RunnerSelector;
 import org.arbutusstack.routing.RunnerView;
 import org.arbutusstack.wire.frame.AnswerHeadFrame;
@@ -37,6 +39,8 @@
 
     private final RunnerSelector selector;
 
+    private final ClaimOwnerSelector claimOwners = new ClaimOwnerSelector();
+
     private final Clock clock;
 
     private final int limit;
@@ -67,7 +71,7 @@
 
     private void route(Pending entry) {
         CallerRequest request = entry.request();
-        Optional<RunnerView> chosen = selector.select(request.routing(), sides.views());
+        Optional<RunnerView> chosen = choose(entry);
         if (chosen.isEmpty()) {
             return;
         }
@@ -80,6 +84,15 @@
         }
     }
 
+    private Optional<RunnerView> choose(Pending entry) {
+        CallerRequest request = entry.request();
+        if (request.idempotent()) {
+            return selector.select(request.routing(), sides.views());
+        }
+        ClaimKey key = new ClaimKey(request.routing().service(), request.idempotencyKey());
+        return claimOwners.select(key, entry.attempt(), sides.views());
+    }
+
     private WorkFrame frameOf(Pending entry) {
         CallerRequest request = entry.request();
         return new WorkFrame(
--- a/http/src/main/java/org/arbutusstack/http/client/UndertowExchange.java
+++ b/http/src/main/java/org/arbutusstack/http/client/UndertowExchange.java
@@ -94,6 +94,10 @@
             owner.giveBack(target, open);
             return;
         }
+        if (System.nanoTime() - deadlineNanos >= 0) {
+            expire();
+            return;
+        }
         ClientRequest request =
                 new ClientRequest().setMethod(new HttpString(call.method())).setPath(call.path());
         request.getRequestHeaders().put(Headers.HOST, target.toString());
--- a/model/src/main/java/org/arbutusstack/model/request/RefusalReason.java
+++ b/model/src/main/java/org/arbutusstack/model/request/RefusalReason.java
@@ -32,6 +32,10 @@
     CLAIM_UNAVAILABLE(503),
     /** A call with the same key was claimed before. */
     ALREADY_CLAIMED(409),
+    /** The key was used before for a call with other content. */
+    IDEMPOTENCY_KEY_REUSED(422),
+    /** The call ran and was answered before; the answer was too large to be kept. */
+    ANSWER_NOT_KEPT(409),
     /** The caller went away. */
     CANCELLED(499),
     /** An error inside the system. */
--- a/side/src/main/java/org/arbutusstack/side/ClaimDesk.java
+++ b/side/src/main/java/org/arbutusstack/side/ClaimDesk.java
@@ -1,16 +1,24 @@
 package org.arbutusstack.side;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import org.arbutusstack.kernel.Assert;
 import org.arbutusstack.kernel.digest.Digest;
 import org.arbutusstack.kernel.ring.Duty;
 import org.arbutusstack.kernel.time.Clock;
+import org.arbutusstack.model.request.ClaimKey;
+import org.arbutusstack.side.claim.ClaimChange;
+import org.arbutusstack.side.claim.ClaimCommitter;
+import org.arbutusstack.side.claim.ClaimLimits;
+import org.arbutusstack.side.claim.ClaimMetrics;
+import org.arbutusstack.side.claim.ClaimResult;
+import org.arbutusstack.side.claim.RecordedAnswer;
 import org.arbutusstack.store.KeyValue;
 import org.arbutusstack.store.KeyValueStore;
 import org.arbutusstack.store.StoreResult;
+import org.arbutusstack.wire.frame.WorkFrame;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -24,10 +32,6 @@
 
     private static final Logger logger = LoggerFactory.getLogger(ClaimDesk.class);
 
-    private static final ObjectMapper MAPPER = new ObjectMapper();
-
-    private static final String CLAIMS = "/arbutus/claims/";
-
     private static final String FENCES = "/arbutus/fences/";
 
     private static final int RING_SIZE = 1_024;
@@ -46,11 +50,27 @@
 
     private final Duty<Runnable> duty = new Duty<>("claims", RING_SIZE, Runnable::run);
 
-    ClaimDesk(KeyValueStore store, Clock clock, SideIdentity identity, Consumer<SideEvent> events) {
+    private final ClaimCommitter committer;
+
+    private final int answerBytes;
+
+    private final AtomicLong claimNumber = new AtomicLong();
+
+    private final AtomicBoolean commitAsked = new AtomicBoolean();
+
+    ClaimDesk(
+            KeyValueStore store,
+            Clock clock,
+            SideIdentity identity,
+            ClaimLimits limits,
+            ClaimMetrics metrics,
+            Consumer<SideEvent> events) {
         this.store = Assert.notNull(store, "store");
         this.clock = Assert.notNull(clock, "clock");
         this.identity = Assert.notNull(identity, "identity");
         this.events = Assert.notNull(events, "events");
+        this.committer = new ClaimCommitter(store, clock, limits, identity.incarnation(), metrics);
+        this.answerBytes = limits.answerBytes();
     }
 
     void start() {
@@ -64,70 +84,57 @@
 
     /** Asks for a claim; the answer comes as an event. Returns false if too many wait. */
     boolean claim(Work work) {
-        return duty.offer(() -> events.accept(new SideEvent.ClaimSettled(work, settle(work))));
+        String claimant = work.frame().id() + "/" + work.frame().attempt() + "@" + identity.incarnation() + "#"
+                + claimNumber.getAndIncrement();
+        work.claimedAs(claimant);
+        ClaimChange.Claim claim = new ClaimChange.Claim(keyOf(work).digest(), contentOf(work.frame()), claimant);
+        Consumer<ClaimResult> settled = result -> events.accept(new SideEvent.ClaimSettled(work, result));
+        return offer(() -> committer.claim(keyOf(work), claim, work.deadlineNanos(), settled));
     }
 
     /** Records the outcome of a claimed call. */
-    void recordOutcome(Work work, int status) {
-        boolean taken = duty.offer(() -> writeOutcome(work, status));
-        if (!taken) {
+    void recordOutcome(Work work, int status, String contentType, byte[] body) {
+        boolean kept = body.length <= answerBytes;
+        RecordedAnswer answer = new RecordedAnswer(status, contentType, kept, kept ? body : new byte[0]);
+        change(work, new ClaimChange.Record(keyOf(work).digest(), work.claimant(), answer));
+    }
+
+    /** Takes back the claim of a call that was not sent and never will be. */
+    void release(Work work) {
+        change(work, new ClaimChange.Release(keyOf(work).digest(), work.claimant()));
+    }
+
+    private void change(Work work, ClaimChange change) {
+        if (!offer(() -> committer.change(keyOf(work), change))) {
             logger.warn("event=claim-outcome-dropped request={}", work.frame().id());
         }
     }
 
-    private ClaimResult settle(Work work) {
-        String key = keyOf(work);
-        byte[] claim = claimOf(work, "claimed", 0);
-        long deadlineNanos = Math.min(work.deadlineNanos(), clock.deadlineNanos(CALL_MILLIS));
-        StoreResult<Long> written = store.compareAndSwap(key, 0, claim, KeyValueStore.NO_LEASE, deadlineNanos);
-        if (written.isDone()) {
-            return new ClaimResult.Granted();
-        }
-        if (written instanceof StoreResult.NotDone<Long> notDone) {
-            return new ClaimResult.Unavailable(notDone.detail());
-        }
-        return readBack(key, claim);
+    private boolean offer(Runnable step) {
+        boolean taken = duty.offer(step);
+        commitSoon();
+        return taken;
     }
 
-    private ClaimResult readBack(String key, byte[] claim) {
-        if (!(store.get(key, clock.deadlineNanos(CALL_MILLIS)) instanceof StoreResult.Done<KeyValue> done)) {
-            return new ClaimResult.Unavailable("the claim could not be read back");
-        }
-        if (java.util.Arrays.equals(done.value().value(), claim)) {
-            return new ClaimResult.Granted();
+    /** Commits what is due, once those steps that wait already are taken. */
+    void commitSoon() {
+        if (commitAsked.compareAndSet(false, true) && !duty.offer(this::commit)) {
+            commitAsked.set(false);
         }
-        if (!done.value().exists()) {
-            return new ClaimResult.Unavailable("the claim was not recorded");
-        }
-        return new ClaimResult.Taken(done.value().text());
     }
 
-    private void writeOutcome(Work work, int status) {
-        String key = keyOf(work);
-        if (store.get(key, clock.deadlineNanos(CALL_MILLIS)) instanceof StoreResult.Done<KeyValue> done) {
-            byte[] outcome = claimOf(work, "ended", status);
-            StoreResult<Long> written = store.compareAndSwap(
-                    key, done.value().revision(), outcome, KeyValueStore.NO_LEASE, clock.deadlineNanos(CALL_MILLIS));
-            logger.debug(
-                    "event=claim-outcome request={} result={}", work.frame().id(), written);
-        }
+    private void commit() {
+        commitAsked.set(false);
+        committer.commitDue();
     }
 
-    private byte[] claimOf(Work work, String state, int status) {
-        ObjectNode node = MAPPER.createObjectNode();
-        node.put("request", work.frame().id().toString());
-        node.put("attempt", work.frame().attempt());
-        node.put("runner", identity.name());
-        node.put("incarnation", identity.incarnation());
-        node.put("state", state);
-        node.put("status", status);
-        return node.toString().getBytes(StandardCharsets.UTF_8);
+    private static ClaimKey keyOf(Work work) {
+        return new ClaimKey(work.frame().service(), work.frame().idempotencyKey());
     }
 
-    private static String keyOf(Work work) {
-        String service = work.frame().service();
-        return CLAIMS
-                + Digest.of(service + '\n' + work.frame().idempotencyKey()).hex();
+    private static String contentOf(WorkFrame frame) {
+        String head = frame.method() + '\n' + frame.path() + '\n';
+        return Digest.of(head).chain(Digest.of(frame.body())).shortHex();
     }
 
     private void obtainFence() {
--- a/side/src/main/java/org/arbutusstack/side/SideEvent.java
+++ b/side/src/main/java/org/arbutusstack/side/SideEvent.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.arbutusstack.http.client.HttpException;
+import org.arbutusstack.side.claim.ClaimResult;
 import org.arbutusstack.wire.frame.Frame;
 import org.arbutusstack.wire.link.Link;
 
--- a/side/src/main/java/org/arbutusstack/side/SideService.java
+++ b/side/src/main/java/org/arbutusstack/side/SideService.java
@@ -1,6 +1,7 @@
 package org.arbutusstack.side;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.net.InetSocketAddress;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -19,6 +20,8 @@
 import org.arbutusstack.model.ticket.ServiceKind;
 import org.arbutusstack.model.ticket.ServiceSpec;
 import org.arbutusstack.placement.MemoryLedger;
+import org.arbutusstack.side.claim.ClaimLimits;
+import org.arbutusstack.side.claim.ClaimMetrics;
 import org.arbutusstack.store.KeyValueStore;
 import org.arbutusstack.wire.frame.CancelFrame;
 import org.arbutusstack.wire.frame.Frame;
@@ -103,6 +106,8 @@
      * @param clock the clock of the process
      * @param queueLimit the requests that may wait
      * @param slots the requests handed to the backend server at once
+     * @param claimLimits bounds the claims of calls that may not be repeated
+     * @param metrics the process's metrics
      */
     public SideService(
             SideIdentity identity,
@@ -113,14 +118,16 @@
             LogReplica replica,
             Clock clock,
             int queueLimit,
-            int slots) {
+            int slots,
+            ClaimLimits claimLimits,
+            PrometheusRegistry metrics) {
         this.identity = Assert.notNull(identity, "identity");
         this.linkAddress = Assert.notNull(linkAddress, "linkAddress");
         this.transport = Assert.notNull(transport, "transport");
         this.clock = Assert.notNull(clock, "clock");
         this.replica = Assert.notNull(replica, "replica");
         this.backend = new Backend(client, identity.backend(), clock, this::offer);
-        this.claims = new ClaimDesk(store, clock, identity, this::offer);
+        this.claims = new ClaimDesk(store, clock, identity, claimLimits, new ClaimMetrics(metrics), this::offer);
         this.residency = new Residency(identity.name(), identity.service(), new MemoryLedger(), backend::order);
         this.desk = new WorkDesk(identity, clock, backend, claims, queueLimit, slots);
         this.peers = new SidePeers(replica);
@@ -243,6 +250,7 @@
 
     private void tick() {
         desk.expire();
+        claims.commitSoon();
         idle = desk.isDraining() && desk.isIdle();
         if (clock.isPast(loadAskAtNanos) && loadAsked.compareAndSet(false, true)) {
             loadAskAtNanos = clock.deadlineNanos(LOAD_PERIOD_MILLIS);
--- a/side/src/main/java/org/arbutusstack/side/SideSettings.java
+++ b/side/src/main/java/org/arbutusstack/side/SideSettings.java
@@ -1,7 +1,10 @@
 package org.arbutusstack.side;
 
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.arbutusstack.kernel.setting.Setting;
+import org.arbutusstack.kernel.setting.Settings;
+import org.arbutusstack.side.claim.ClaimLimits;
 
 /** Lists the settings of a side. */
 public final class SideSettings {
@@ -22,14 +25,46 @@
     public static final Setting SLOTS =
             Setting.number("slots", 1, 4_096, 32, "requests handed to the backend server at once");
 
+    /** The time that the claim of a call is kept. */
+    public static final Setting CLAIM_RETENTION = Setting.number(
+            "claim-retention-hours",
+            1,
+            720,
+            48,
+            "time that claims of calls that may not be repeated are kept, in hours");
+
+    /** The least time between two writes of one claim bucket. */
+    public static final Setting CLAIM_COMMIT = Setting.number(
+            "claim-commit-millis", 10, 1_000, 100, "least time between two writes of a claim bucket, in ms");
+
+    /** The longest body recorded with a claim. */
+    public static final Setting CLAIM_ANSWER =
+            Setting.number("claim-answer-bytes", 0, 4_096, 1_024, "longest answer recorded with a claim, in bytes");
+
+    private static final int SEAL_BYTES = 65_536;
+
     private SideSettings() {}
 
+    /**
+     * Reads the limits of claims.
+     *
+     * @param settings the checked settings
+     * @return the limits
+     */
+    public static ClaimLimits claimLimits(Settings settings) {
+        return new ClaimLimits(
+                TimeUnit.HOURS.toMillis(settings.number(CLAIM_RETENTION)),
+                settings.number(CLAIM_COMMIT),
+                (int) settings.number(CLAIM_ANSWER),
+                SEAL_BYTES);
+    }
+
     /**
      * Lists them all.
      *
      * @return the settings
      */
     public static List<Setting> all() {
-        return List.of(SERVICE, BACKEND, QUEUE_LIMIT, SLOTS);
+        return List.of(SERVICE, BACKEND, QUEUE_LIMIT, SLOTS, CLAIM_RETENTION, CLAIM_COMMIT, CLAIM_ANSWER);
     }
 }
--- a/side/src/main/java/org/arbutusstack/side/Work.java
+++ b/side/src/main/java/org/arbutusstack/side/Work.java
@@ -8,9 +8,9 @@
 /** Follows one request through the side. Used by the side's duty only. */
 final class Work {
 
-    private final WorkFrame frame;
+    private WorkFrame frame;
 
-    private final Link link;
+    private Link link;
 
     private final long deadlineNanos;
 
@@ -30,6 +30,14 @@
 
     private boolean ended;
 
+    private volatile boolean broken;
+
+    private String claimant = "";
+
+    private int status;
+
+    private String contentType = "";
+
     private HttpClient.Cancellable exchange;
 
     Work(WorkFrame frame, Link link, long deadlineNanos) {
@@ -39,6 +47,12 @@
         this.offset = frame.resumeOffset();
     }
 
+    /** Lets a later attempt of the same request wait for this run's answer. */
+    void attach(WorkFrame later, Link newLink) {
+        frame = later;
+        link = newLink;
+    }
+
     WorkFrame frame() {
         return frame;
     }
@@ -99,6 +113,37 @@
         whole = true;
     }
 
+    String claimant() {
+        return claimant;
+    }
+
+    void claimedAs(String name) {
+        claimant = name;
+    }
+
+    void opened(int answeredStatus, String answeredType) {
+        status = answeredStatus;
+        contentType = answeredType;
+    }
+
+    int status() {
+        return status;
+    }
+
+    String contentType() {
+        return contentType;
+    }
+
+    /** Tells whether a part of the answer was lost on its way through this process. */
+    boolean isBroken() {
+        return broken;
+    }
+
+    /** Marks the answer as not whole; may be called by any thread. */
+    void markBroken() {
+        broken = true;
+    }
+
     boolean isEnded() {
         return ended;
     }
--- a/side/src/main/java/org/arbutusstack/side/WorkDesk.java
+++ b/side/src/main/java/org/arbutusstack/side/WorkDesk.java
@@ -12,6 +12,8 @@
 import org.arbutusstack.model.request.Refusal;
 import org.arbutusstack.model.request.RefusalReason;
 import org.arbutusstack.model.request.RequestId;
+import org.arbutusstack.side.claim.ClaimResult;
+import org.arbutusstack.side.claim.RecordedAnswer;
 import org.arbutusstack.wire.frame.AnswerHeadFrame;
 import org.arbutusstack.wire.frame.AnswerPartFrame;
 import org.arbutusstack.wire.frame.ReceiptFrame;
@@ -29,6 +31,8 @@
 
     private static final Logger logger = LoggerFactory.getLogger(WorkDesk.class);
 
+    private static final int MOST_COLLECTED_BYTES = 2 * 1_024 * 1_024;
+
     private static final String EVENT_STREAM = "text/event-stream";
 
     private final SideIdentity identity;
@@ -47,6 +51,8 @@
 
     private int running;
 
+    private long logSequence;
+
     private boolean draining;
 
     WorkDesk(SideIdentity identity, Clock clock, Backend backend, ClaimDesk claims, int queueLimit, int slots) {
@@ -80,9 +86,8 @@
 
     void take(WorkFrame frame, Link link) {
         link.send(new ReceiptFrame(frame.id(), frame.attempt()));
-        Work earlier = open.get(frame.id());
-        if (earlier != null) {
-            giveUp(earlier);
+        if (isRepeat(frame, link)) {
+            return;
         }
         Work work = new Work(frame, link, clock.deadlineNanos(frame.leftMillis()));
         if (draining) {
@@ -96,6 +101,26 @@
         open.put(frame.id(), work);
     }
 
+    /** Handles a frame of a request in hand; returns false if the request is to be run. */
+    private boolean isRepeat(WorkFrame frame, Link link) {
+        Work earlier = open.get(frame.id());
+        if (earlier == null) {
+            return false;
+        }
+        boolean late = frame.attempt() < earlier.frame().attempt();
+        boolean same = frame.attempt() == earlier.frame().attempt() && link == earlier.link();
+        if (late || same) {
+            return true;
+        }
+        if (frame.idempotent()) {
+            giveUp(earlier);
+            return false;
+        }
+        logger.info("event=work-attached request={} attempt={}", frame.id(), frame.attempt());
+        earlier.attach(frame, link);
+        return true;
+    }
+
     /** Sends waiting work to the backend server while there are slots. */
     void dispatch(Predicate<Work> ready) {
         while (running < slots) {
@@ -120,17 +145,44 @@
             return;
         }
         if (result instanceof ClaimResult.Granted) {
-            send(work);
+            sendClaimed(work);
             return;
         }
         end(work);
-        if (result instanceof ClaimResult.Taken taken) {
+        if (result instanceof ClaimResult.Answered answered) {
+            answerAgain(work, answered.answer());
+        } else if (result instanceof ClaimResult.Taken taken) {
             refuse(work, Refusal.outcomeUnknown(RefusalReason.ALREADY_CLAIMED, taken.detail()));
+        } else if (result instanceof ClaimResult.KeyReused) {
+            String detail = "the idempotency key was used for a call with other content";
+            refuse(work, Refusal.rejected(RefusalReason.IDEMPOTENCY_KEY_REUSED, detail));
         } else if (result instanceof ClaimResult.Unavailable unavailable) {
             refuse(work, Refusal.notRun(RefusalReason.CLAIM_UNAVAILABLE, unavailable.detail()));
         }
     }
 
+    private void sendClaimed(Work work) {
+        if (!clock.isPast(work.deadlineNanos())) {
+            send(work);
+            return;
+        }
+        end(work);
+        claims.release(work);
+        refuse(work, Refusal.notRun(RefusalReason.DEADLINE_PASSED, "the claim was recorded after the deadline"));
+    }
+
+    private void answerAgain(Work work, RecordedAnswer answer) {
+        if (!answer.bodyKept()) {
+            String detail = "the call ran and was answered with status " + answer.status()
+                    + "; the answer was too large to be kept";
+            refuse(work, Refusal.rejected(RefusalReason.ANSWER_NOT_KEPT, detail));
+            return;
+        }
+        work.opened(answer.status(), answer.contentType());
+        sendHead(work);
+        sendPart(work, answer.body(), answer.body().length, true);
+    }
+
     private void send(Work work) {
         work.sent(backend.send(work));
     }
@@ -139,28 +191,37 @@
         if (work.isEnded()) {
             return;
         }
+        logSequence = sequence;
+        work.opened(status, contentType);
+        if (!contentType.startsWith(EVENT_STREAM)) {
+            work.markWhole();
+        }
+        if (work.frame().idempotent()) {
+            sendHead(work);
+        }
+    }
+
+    private void sendHead(Work work) {
         WorkFrame frame = work.frame();
         work.link()
                 .send(new AnswerHeadFrame(
                         frame.id(),
                         frame.attempt(),
-                        status,
-                        contentType,
+                        work.status(),
+                        work.contentType(),
                         identity.name(),
                         work.modelVersion(),
-                        sequence));
-        if (!contentType.startsWith(EVENT_STREAM)) {
-            work.markWhole();
-        }
-        if (!frame.idempotent()) {
-            claims.recordOutcome(work, status);
-        }
+                        logSequence));
     }
 
     void bytes(Work work, byte[] bytes) {
         if (work.isEnded()) {
             return;
         }
+        if (!work.frame().idempotent()) {
+            collect(work, bytes);
+            return;
+        }
         if (!work.frame().stream()) {
             sendPart(work, bytes, bytes.length, false);
             return;
@@ -178,6 +239,17 @@
         sendPart(work, events.whole(), events.count(), false);
     }
 
+    private void collect(Work work, byte[] bytes) {
+        work.partial().writeBytes(bytes);
+        if (work.partial().size() > MOST_COLLECTED_BYTES) {
+            end(work);
+            claims.recordOutcome(
+                    work, work.status(), work.contentType(), work.partial().toByteArray());
+            String detail = "the call ran; its answer of status " + work.status() + " is too large to be given";
+            refuse(work, Refusal.rejected(RefusalReason.ANSWER_NOT_KEPT, detail));
+        }
+    }
+
     private void sendPart(Work work, byte[] bytes, int units, boolean last) {
         WorkFrame frame = work.frame();
         long offset = work.advance(units);
@@ -192,13 +264,24 @@
             return;
         }
         end(work);
-        if (work.isWhole()) {
-            sendPart(work, work.partial().toByteArray(), 0, true);
+        if (work.isWhole() && !work.isBroken()) {
+            finish(work);
             return;
         }
         refuse(work, Refusal.outcomeUnknown(RefusalReason.BACKEND_LOST, "the answer broke off"));
     }
 
+    private void finish(Work work) {
+        byte[] rest = work.partial().toByteArray();
+        if (work.frame().idempotent()) {
+            sendPart(work, rest, 0, true);
+            return;
+        }
+        claims.recordOutcome(work, work.status(), work.contentType(), rest);
+        sendHead(work);
+        sendPart(work, rest, rest.length, true);
+    }
+
     void backendFailed(Work work, HttpException failure) {
         if (work.isEnded()) {
             return;
@@ -207,16 +290,20 @@
         RefusalReason reason =
                 clock.isPast(work.deadlineNanos()) ? RefusalReason.DEADLINE_PASSED : RefusalReason.BACKEND_LOST;
         logger.info("event=work-failed request={} detail={}", work.frame().id(), failure.getMessage());
-        refuse(
-                work,
-                failure.maybeSent()
-                        ? Refusal.outcomeUnknown(reason, failure.getMessage())
-                        : Refusal.notRun(reason, failure.getMessage()));
+        if (failure.maybeSent()) {
+            refuse(work, Refusal.outcomeUnknown(reason, failure.getMessage()));
+            return;
+        }
+        if (!work.frame().idempotent()) {
+            claims.release(work);
+        }
+        refuse(work, Refusal.notRun(reason, failure.getMessage()));
     }
 
     void cancel(RequestId id, int attempt) {
         Work work = open.get(id);
-        if (work != null && work.frame().attempt() == attempt) {
+        boolean present = work != null && work.frame().attempt() == attempt;
+        if (present && (work.frame().idempotent() || !work.isDispatched())) {
             giveUp(work);
         }
     }
@@ -242,7 +329,8 @@
 
     void linkClosed(Link link) {
         List<Work> lost = new ArrayList<>(open.values());
-        lost.removeIf(work -> work.link() != link || !work.frame().idempotent());
+        lost.removeIf(work ->
+                work.link() != link || work.isDispatched() && !work.frame().idempotent());
         lost.forEach(this::giveUp);
     }
 
--- /dev/null
+++ b/side/src/main/java/org/arbutusstack/side/claim/ClaimBook.java
@@ -0,0 +1,132 @@
+package org.arbutusstack.side.claim;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Decides what changes make of a bucket's value. Does no I/O and keeps no state; safe for use by any thread.
+ */
+final class ClaimBook {
+
+    /** The time after which a claim without an outcome may be sealed as it is, in milliseconds. */
+    static final long OPEN_MILLIS = 900_000;
+
+    private ClaimBook() {}
+
+    /**
+     * Applies changes in their order.
+     *
+     * @param head the value as it is
+     * @param changes the changes
+     * @param writer the incarnation of the side that writes
+     * @param wallMillis the time, in milliseconds since the epoch
+     * @param limits the limits
+     * @return the value that follows, and a result for each change; {@code null} for those that are no claims
+     */
+    static Decision decide(
+            BucketHead head, List<ClaimChange> changes, String writer, long wallMillis, ClaimLimits limits) {
+        Map<String, ClaimRecord> records = new LinkedHashMap<>();
+        for (ClaimRecord record : head.records()) {
+            if (wallMillis - record.claimedWallMillis() < limits.retentionMillis()) {
+                records.put(record.key(), record);
+            }
+        }
+        List<SegmentRef> segments = new ArrayList<>(head.segments());
+        segments.removeIf(segment -> wallMillis - segment.sealedWallMillis() >= limits.retentionMillis());
+        List<ClaimResult> results = new ArrayList<>();
+        boolean changed = false;
+        for (ClaimChange change : changes) {
+            ClaimRecord before = records.get(change.key());
+            results.add(change instanceof ClaimChange.Claim claim ? resultOf(before, claim) : null);
+            ClaimRecord after = after(before, change, wallMillis);
+            changed |= after != before;
+            replace(records, change.key(), after);
+        }
+        return new Decision(new BucketHead(writer, segments, List.copyOf(records.values())), changed, results);
+    }
+
+    private static void replace(Map<String, ClaimRecord> records, String key, ClaimRecord after) {
+        if (after == null) {
+            records.remove(key);
+            return;
+        }
+        records.put(key, after);
+    }
+
+    private static ClaimResult resultOf(ClaimRecord before, ClaimChange.Claim claim) {
+        if (before == null || before.claimant().equals(claim.claimant())) {
+            return new ClaimResult.Granted();
+        }
+        return resultOfRepeat(before, claim);
+    }
+
+    /**
+     * Answers a claim of a call that another claim holds.
+     *
+     * @param before the record of the other claim
+     * @param claim the claim
+     * @return the result
+     */
+    static ClaimResult resultOfRepeat(ClaimRecord before, ClaimChange.Claim claim) {
+        if (!before.content().equals(claim.content())) {
+            return new ClaimResult.KeyReused();
+        }
+        if (before.answer() != null) {
+            return new ClaimResult.Answered(before.answer());
+        }
+        return new ClaimResult.Taken("claimed by " + before.claimant() + "; no outcome is recorded");
+    }
+
+    private static ClaimRecord after(ClaimRecord before, ClaimChange change, long wallMillis) {
+        if (before == null) {
+            return change instanceof ClaimChange.Claim claim
+                    ? new ClaimRecord(claim.key(), claim.content(), claim.claimant(), wallMillis, null)
+                    : null;
+        }
+        boolean own = before.claimant().equals(change.claimant()) && before.answer() == null;
+        if (own && change instanceof ClaimChange.Record record) {
+            return before.withAnswer(record.answer());
+        }
+        return own && change instanceof ClaimChange.Release ? null : before;
+    }
+
+    /**
+     * Chooses the claims that do not change any more.
+     *
+     * @param head the value
+     * @param wallMillis the time, in milliseconds since the epoch
+     * @return those with an outcome and those open for long
+     */
+    static List<ClaimRecord> settled(BucketHead head, long wallMillis) {
+        return head.records().stream()
+                .filter(record -> record.answer() != null || wallMillis - record.claimedWallMillis() >= OPEN_MILLIS)
+                .toList();
+    }
+
+    /**
+     * Moves claims out of a value into a segment.
+     *
+     * @param head the value
+     * @param moved the claims
+     * @param segment the segment that holds them
+     * @return the value without them
+     */
+    static BucketHead seal(BucketHead head, List<ClaimRecord> moved, SegmentRef segment) {
+        List<ClaimRecord> kept = new ArrayList<>(head.records());
+        kept.removeAll(moved);
+        List<SegmentRef> segments = new ArrayList<>(head.segments());
+        segments.add(segment);
+        return new BucketHead(head.writer(), segments, kept);
+    }
+
+    /**
+     * Tells what follows from changes.
+     *
+     * @param next the value that follows
+     * @param changed whether it differs from the value before
+     * @param results a result for each change, {@code null} for those that are no claims
+     */
+    record Decision(BucketHead next, boolean changed, List<ClaimResult> results) {}
+}
--- /dev/null
+++ b/side/src/main/java/org/arbutusstack/side/claim/ClaimBucket.java
@@ -0,0 +1,261 @@
+package org.arbutusstack.side.claim;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.arbutusstack.kernel.digest.Digest;
+import org.arbutusstack.kernel.time.Clock;
+import org.arbutusstack.model.JsonCodec;
+import org.arbutusstack.model.ModelException;
+import org.arbutusstack.store.KeyValue;
+import org.arbutusstack.store.KeyValueStore;
+import org.arbutusstack.store.StoreResult;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Reads and writes one bucket by compare-and-swap on the revision that it last saw.
+ *
+ * <p>A side that wrote since makes the swap fail; the bucket is read anew then and the changes are decided again. To be
+ * used by one thread, which waits for the key-value service.
+ */
+final class ClaimBucket {
+
+    private static final Logger logger = LoggerFactory.getLogger(ClaimBucket.class);
+
+    private static final long CALL_MILLIS = 1_000;
+
+    private static final int MOST_TRIES = 8;
+
+    private static final long MILLIS_PER_SECOND = 1_000;
+
+    private static final long LEASE_SLACK_SECONDS = 3_600;
+
+    private final KeyValueStore store;
+
+    private final Clock clock;
+
+    private final ClaimLimits limits;
+
+    private final String key;
+
+    private final String writer;
+
+    private final ClaimMetrics metrics;
+
+    private final Map<String, String> segmentByKey = new HashMap<>();
+
+    private final Set<String> segmentsRead = new HashSet<>();
+
+    private BucketHead head = BucketHead.EMPTY;
+
+    private long revision;
+
+    private int headBytes;
+
+    private boolean current;
+
+    ClaimBucket(KeyValueStore store, Clock clock, ClaimLimits limits, String key, String writer, ClaimMetrics metrics) {
+        this.store = store;
+        this.clock = clock;
+        this.limits = limits;
+        this.key = key;
+        this.writer = writer;
+        this.metrics = metrics;
+    }
+
+    /**
+     * Makes changes durable in one write.
+     *
+     * @param changes the changes
+     * @return what became of them
+     */
+    Commit commit(List<ClaimChange> changes) {
+        boolean uncertain = false;
+        for (int tries = 0; tries < MOST_TRIES; tries++) {
+            if (!current && !read()) {
+                return failed(changes, uncertain, "the key-value service does not answer");
+            }
+            forgetOldSegments();
+            ClaimBook.Decision decision = ClaimBook.decide(head, changes, writer, clock.wallMillis(), limits);
+            List<ClaimResult> results = withSealed(changes, decision.results());
+            if (results == null) {
+                return failed(changes, uncertain, "a segment of claims could not be read");
+            }
+            if (!decision.changed()) {
+                return done(results);
+            }
+            if (isFull(changes)) {
+                return failed(changes, uncertain, "the bucket is full");
+            }
+            StoreResult<Long> written = write(sealIfLarge(withoutSealed(decision.next())));
+            if (written.isDone()) {
+                return done(results);
+            }
+            if (written instanceof StoreResult.NotDone<Long> notDone) {
+                return failed(changes, uncertain, notDone.detail());
+            }
+            uncertain |= written instanceof StoreResult.Unknown;
+        }
+        return failed(changes, uncertain, "other sides write the same bucket");
+    }
+
+    /** Answers repeats from what was read last, since a claim once seen stays true, and refuses the other claims. */
+    private Commit failed(List<ClaimChange> changes, boolean uncertain, String detail) {
+        List<ClaimResult> known = ClaimBook.decide(head, changes, writer, clock.wallMillis(), limits)
+                .results();
+        List<ClaimResult> results = new ArrayList<>();
+        for (ClaimResult result : known) {
+            results.add(result instanceof ClaimResult.Granted ? new ClaimResult.Unavailable(detail) : result);
+        }
+        return new Commit(false, uncertain, results);
+    }
+
+    private static Commit done(List<ClaimResult> results) {
+        return new Commit(true, false, results);
+    }
+
+    private boolean isFull(List<ClaimChange> changes) {
+        return headBytes > ClaimLimits.MOST_HEAD_BYTES
+                && changes.stream().anyMatch(change -> change instanceof ClaimChange.Claim);
+    }
+
+    private boolean read() {
+        metrics.read();
+        if (!(store.get(key, clock.deadlineNanos(CALL_MILLIS)) instanceof StoreResult.Done<KeyValue> done)) {
+            return false;
+        }
+        KeyValue value = done.value();
+        try {
+            head = value.exists() ? JsonCodec.read(value.value(), BucketHead.class) : BucketHead.EMPTY;
+        } catch (ModelException malformed) {
+            logger.error("event=claim-bucket-malformed key={}", key, malformed);
+            return false;
+        }
+        revision = value.revision();
+        headBytes = value.value().length;
+        current = readSegments();
+        return current;
+    }
+
+    private boolean readSegments() {
+        forgetOldSegments();
+        for (SegmentRef segment : head.segments()) {
+            boolean known = segmentsRead.contains(segment.name()) || isOld(segment);
+            if (!known && readSegment(segment.name()) == null) {
+                logger.warn("event=claim-segment-unread key={} segment={}", key, segment.name());
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private void forgetOldSegments() {
+        Set<String> kept = new HashSet<>();
+        head.segments().stream().filter(segment -> !isOld(segment)).forEach(segment -> kept.add(segment.name()));
+        if (segmentsRead.retainAll(kept)) {
+            segmentByKey.values().retainAll(kept);
+        }
+    }
+
+    private boolean isOld(SegmentRef segment) {
+        return clock.wallMillis() - segment.sealedWallMillis() >= limits.retentionMillis();
+    }
+
+    private ClaimSegment readSegment(String name) {
+        metrics.read();
+        StoreResult<KeyValue> result = store.get(key + '/' + name, clock.deadlineNanos(CALL_MILLIS));
+        if (!(result instanceof StoreResult.Done<KeyValue> done)
+                || !done.value().exists()) {
+            return null;
+        }
+        try {
+            ClaimSegment segment = JsonCodec.read(done.value().value(), ClaimSegment.class);
+            segment.records().forEach(record -> segmentByKey.put(record.key(), name));
+            segmentsRead.add(name);
+            return segment;
+        } catch (ModelException malformed) {
+            logger.error("event=claim-segment-malformed key={} segment={}", key, name, malformed);
+            return null;
+        }
+    }
+
+    /** Replaces the results of claims that a segment holds; returns null if one could not be read. */
+    private List<ClaimResult> withSealed(List<ClaimChange> changes, List<ClaimResult> decided) {
+        List<ClaimResult> results = new ArrayList<>(decided);
+        for (int index = 0; index < changes.size(); index++) {
+            String segment = segmentByKey.get(changes.get(index).key());
+            if (segment != null && changes.get(index) instanceof ClaimChange.Claim claim) {
+                ClaimSegment sealed = readSegment(segment);
+                if (sealed == null) {
+                    return null;
+                }
+                results.set(index, resultOf(sealed, claim));
+            }
+        }
+        return results;
+    }
+
+    private static ClaimResult resultOf(ClaimSegment segment, ClaimChange.Claim claim) {
+        return segment.records().stream()
+                .filter(record -> record.key().equals(claim.key()))
+                .findFirst()
+                .map(record -> ClaimBook.resultOfRepeat(record, claim))
+                .orElseThrow();
+    }
+
+    private BucketHead withoutSealed(BucketHead next) {
+        List<ClaimRecord> kept = next.records().stream()
+                .filter(record -> !segmentByKey.containsKey(record.key()))
+                .toList();
+        return new BucketHead(next.writer(), next.segments(), kept);
+    }
+
+    private BucketHead sealIfLarge(BucketHead next) {
+        List<ClaimRecord> settled = ClaimBook.settled(next, clock.wallMillis());
+        if (headBytes < limits.sealBytes() || settled.isEmpty()) {
+            return next;
+        }
+        long wallMillis = clock.wallMillis();
+        byte[] value = JsonCodec.write(new ClaimSegment(settled));
+        String name = Digest.of(value).shortHex() + '-' + wallMillis;
+        long seconds = limits.retentionMillis() / MILLIS_PER_SECOND + LEASE_SLACK_SECONDS;
+        metrics.write();
+        metrics.write();
+        if (store.grantLease(seconds, clock.deadlineNanos(CALL_MILLIS)) instanceof StoreResult.Done<Long> lease
+                && store.compareAndSwap(key + '/' + name, 0, value, lease.value(), clock.deadlineNanos(CALL_MILLIS))
+                        .isDone()) {
+            settled.forEach(record -> segmentByKey.put(record.key(), name));
+            segmentsRead.add(name);
+            return ClaimBook.seal(next, settled, new SegmentRef(name, wallMillis));
+        }
+        return next;
+    }
+
+    private StoreResult<Long> write(BucketHead next) {
+        byte[] value = JsonCodec.write(next);
+        metrics.write();
+        StoreResult<Long> written =
+                store.compareAndSwap(key, revision, value, KeyValueStore.NO_LEASE, clock.deadlineNanos(CALL_MILLIS));
+        if (written instanceof StoreResult.Done<Long> done) {
+            head = next;
+            revision = done.value();
+            headBytes = value.length;
+        } else {
+            current = false;
+        }
+        return written;
+    }
+
+    /**
+     * Tells what became of changes.
+     *
+     * @param durable whether all are recorded
+     * @param uncertain whether they may be recorded although they are not known to be
+     * @param results a result for each change, {@code null} for those that are no claims
+     */
+    record Commit(boolean durable, boolean uncertain, List<ClaimResult> results) {}
+}
--- a/side/src/main/java/org/arbutusstack/side/ClaimResult.java
+++ b/side/src/main/java/org/arbutusstack/side/claim/ClaimResult.java
@@ -1,4 +1,4 @@
-package org.arbutusstack.side;
+package org.arbutusstack.side.claim;
 
 /** Tells what became of the claim of a call that may not be repeated. */
 public sealed interface ClaimResult {
@@ -7,12 +7,22 @@
     record Granted() implements ClaimResult {}
 
     /**
-     * A call with the same key was claimed before.
+     * The call ran before and its outcome is recorded.
+     *
+     * @param answer the answer that was given
+     */
+    record Answered(RecordedAnswer answer) implements ClaimResult {}
+
+    /**
+     * The call was claimed before and no outcome is recorded.
      *
      * @param detail one sentence for people
      */
     record Taken(String detail) implements ClaimResult {}
 
+    /** The key was used before for a call with other content. */
+    record KeyReused() implements ClaimResult {}
+
     /**
      * The key-value service did not record the claim in time.
      *
