--- a/side/src/main/java/org/arbutusstack/side/claim/ClaimCommitter.java
+++ b/side/src/main/java/org/arbutusstack/side/claim/ClaimCommitter.java
@@ -25,6 +25,8 @@
 
     private static final String CLAIMS = "/arbutus/claims/";
 
+    private static final long DOWN_MILLIS = 1_000;
+
     private static final int MOST_CHANGES_PER_COMMIT = 64;
 
     private static final int MOST_WAITING_PER_BUCKET = 2_048;
@@ -41,6 +43,10 @@
 
     private final Map<String, Queue> queues = new TreeMap<>();
 
+    private boolean down;
+
+    private long downUntilNanos;
+
     /**
      * Creates a committer.
      *
@@ -69,6 +75,10 @@
     public void claim(ClaimKey key, ClaimChange.Claim claim, long deadlineNanos, Consumer<ClaimResult> settled) {
         Queue queue = queueOf(key);
         Waiting waiting = new Waiting(claim, deadlineNanos, settled);
+        if (isDown()) {
+            settle(waiting, new ClaimResult.Unavailable("the key-value service did not take claims just now"));
+            return;
+        }
         if (queue.waiting.size() >= MOST_WAITING_PER_BUCKET) {
             settle(waiting, new ClaimResult.Unavailable("too many claims wait"));
             return;
@@ -102,11 +112,20 @@
                 absent -> new Queue(new ClaimBucket(store, clock, limits, name, writer, metrics), clock.nowNanos()));
     }
 
-    /** Commits the buckets that have changes and were not written just now. */
+    private boolean isDown() {
+        return down && !clock.isPast(downUntilNanos);
+    }
+
+    /** Commits the buckets that have changes and were not written just now, unless the service failed just now. */
     public void commitDue() {
+        if (isDown()) {
+            return;
+        }
         for (Queue queue : queues.values()) {
             expire(queue);
             if (!queue.waiting.isEmpty() && clock.isPast(queue.dueNanos) && !commit(queue)) {
+                down = true;
+                downUntilNanos = clock.deadlineNanos(DOWN_MILLIS);
                 queues.values().forEach(this::failClaims);
                 return;
             }
@@ -124,6 +143,7 @@
         for (int index = 0; index < batch.size(); index++) {
             finish(queue, batch.get(index), commit, commit.results().get(index));
         }
+        down &= !commit.durable();
         return commit.durable();
     }
 
