--- a/daemon/src/main/java/org/arbutusstack/daemon/Role.java
+++ b/daemon/src/main/java/org/arbutusstack/daemon/Role.java
@@ -135,7 +135,9 @@
                     platform.newReplica(),
                     platform.clock(),
                     (int) settings.number(SideSettings.QUEUE_LIMIT),
-                    (int) settings.number(SideSettings.SLOTS));
+                    (int) settings.number(SideSettings.SLOTS),
+                    SideSettings.claimLimits(settings),
+                    platform.metrics());
             registry.register(side);
             registry.register(new AdminListener(
                     address,
