Tell repeats, bound the side's queue, and stop a side gracefully

Repeats: a frame of an old attempt is dropped also after the request ended, a doubled one is ignored, a later attempt of an idempotent request runs after the former is given up, one of a call that may not be repeated waits for the running one; work of a former run of an entry is given up when the entry introduces itself anew. Queue: bound by count and bytes, earliest deadline first, every eighth take begins with the least urgent priority, a request that measured service times leave no time for is refused at once, slots follow the engine's report. A full ring breaks the answer off (outcome_unknown), refuses the request (not_run) or keeps the event; a dropped part can not look whole. A backend server that goes silent is given up after a bound.

--- a/daemon/src/main/java/org/arbutusstack/daemon/ArbutusDaemon.java
+++ b/daemon/src/main/java/org/arbutusstack/daemon/ArbutusDaemon.java
@@ -115,6 +115,7 @@
                             platform.close();
                             logger.info("event=stopped role={}", role);
                             stopped.countDown();
+                            Runtime.getRuntime().halt(0);
                         },
                         "shutdown"));
     }
--- a/daemon/src/main/java/org/arbutusstack/daemon/Role.java
+++ b/daemon/src/main/java/org/arbutusstack/daemon/Role.java
@@ -134,10 +134,10 @@
                     platform.store(),
                     platform.newReplica(),
                     platform.clock(),
-                    (int) settings.number(SideSettings.QUEUE_LIMIT),
-                    (int) settings.number(SideSettings.SLOTS),
+                    SideSettings.workLimits(settings),
                     SideSettings.claimLimits(settings),
-                    platform.metrics());
+                    platform.metrics(),
+                    platform.trail());
             registry.register(side);
             registry.register(new AdminListener(
                     address,
--- a/http/src/main/java/org/arbutusstack/http/client/HttpClient.java
+++ b/http/src/main/java/org/arbutusstack/http/client/HttpClient.java
@@ -37,6 +37,13 @@
         return listener.reply();
     }
 
+    /**
+     * Closes the idle connections to a server; calls under way go on.
+     *
+     * @param target the server
+     */
+    default void forget(HttpTarget target) {}
+
     @Override
     void close();
 
--- a/http/src/main/java/org/arbutusstack/http/client/UndertowHttpClient.java
+++ b/http/src/main/java/org/arbutusstack/http/client/UndertowHttpClient.java
@@ -98,13 +98,23 @@
     }
 
     @Override
-    public void close() {
-        for (Deque<ClientConnection> idle : idleByTarget.values()) {
-            synchronized (idle) {
-                idle.forEach(org.xnio.IoUtils::safeClose);
-                idle.clear();
-            }
+    public void forget(HttpTarget target) {
+        Deque<ClientConnection> idle = idleByTarget.get(target);
+        if (idle != null) {
+            closeAll(idle);
         }
+    }
+
+    private static void closeAll(Deque<ClientConnection> idle) {
+        synchronized (idle) {
+            idle.forEach(org.xnio.IoUtils::safeClose);
+            idle.clear();
+        }
+    }
+
+    @Override
+    public void close() {
+        idleByTarget.values().forEach(UndertowHttpClient::closeAll);
         worker.shutdownNow();
     }
 }
--- a/side/src/main/java/org/arbutusstack/side/Backend.java
+++ b/side/src/main/java/org/arbutusstack/side/Backend.java
@@ -91,6 +91,11 @@
         client.call(target, HttpCall.post("/cancel", json), clock.deadlineNanos(LOAD_CALL_MILLIS));
     }
 
+    /** Closes the idle connections to the backend server, since one that stands has gone silent. */
+    void forgetIdleConnections() {
+        client.forget(target);
+    }
+
     void askLoad() {
         client.call(target, HttpCall.get("/load"), clock.deadlineNanos(LOAD_CALL_MILLIS))
                 .whenComplete((reply, failure) -> {
--- a/side/src/main/java/org/arbutusstack/side/ClaimDesk.java
+++ b/side/src/main/java/org/arbutusstack/side/ClaimDesk.java
@@ -56,6 +56,8 @@
 
     private final AtomicLong claimNumber = new AtomicLong();
 
+    private volatile int waiting;
+
     private final AtomicBoolean commitAsked = new AtomicBoolean();
 
     ClaimDesk(
@@ -126,6 +128,12 @@
     private void commit() {
         commitAsked.set(false);
         committer.commitDue();
+        waiting = committer.waiting();
+    }
+
+    /** Tells whether nothing waits to be recorded; may be called by any thread. */
+    boolean isIdle() {
+        return duty.depth() == 0 && waiting == 0;
     }
 
     private static ClaimKey keyOf(Work work) {
--- /dev/null
+++ b/side/src/main/java/org/arbutusstack/side/EndedWork.java
@@ -0,0 +1,30 @@
+package org.arbutusstack.side;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.arbutusstack.model.request.RequestId;
+
+/** Remembers the last attempt of requests that ended lately, so that late frames are told. Used by the side's duty only. */
+final class EndedWork {
+
+    private static final int MOST_REMEMBERED = 4_096;
+
+    private final Map<RequestId, Integer> lastAttempts = new LinkedHashMap<>() {
+
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<RequestId, Integer> eldest) {
+            return size() > MOST_REMEMBERED;
+        }
+    };
+
+    void add(RequestId id, int attempt) {
+        lastAttempts.merge(id, attempt, Math::max);
+    }
+
+    /** Tells whether a later attempt than the given one was seen. */
+    boolean isLate(RequestId id, int attempt) {
+        return lastAttempts.getOrDefault(id, 0) > attempt;
+    }
+}
--- a/side/src/main/java/org/arbutusstack/side/SideService.java
+++ b/side/src/main/java/org/arbutusstack/side/SideService.java
@@ -5,8 +5,11 @@
 import java.net.InetSocketAddress;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
+import org.arbutusstack.audit.AuditTrail;
 import org.arbutusstack.http.client.HttpClient;
 import org.arbutusstack.kernel.Assert;
 import org.arbutusstack.kernel.ring.Duty;
@@ -16,6 +19,8 @@
 import org.arbutusstack.ledger.LogReplica;
 import org.arbutusstack.model.JsonCodec;
 import org.arbutusstack.model.plan.Plan;
+import org.arbutusstack.model.request.Refusal;
+import org.arbutusstack.model.request.RefusalReason;
 import org.arbutusstack.model.ticket.DesiredState;
 import org.arbutusstack.model.ticket.ServiceKind;
 import org.arbutusstack.model.ticket.ServiceSpec;
@@ -26,8 +31,10 @@
 import org.arbutusstack.wire.frame.CancelFrame;
 import org.arbutusstack.wire.frame.Frame;
 import org.arbutusstack.wire.frame.HeartbeatFrame;
+import org.arbutusstack.wire.frame.HelloFrame;
 import org.arbutusstack.wire.frame.LogPushFrame;
 import org.arbutusstack.wire.frame.PlanFrame;
+import org.arbutusstack.wire.frame.RefusalFrame;
 import org.arbutusstack.wire.frame.SideReportFrame;
 import org.arbutusstack.wire.frame.WorkFrame;
 import org.arbutusstack.wire.link.Link;
@@ -56,6 +63,8 @@
 
     private static final long REPORT_PERIOD_MILLIS = 500;
 
+    private static final long LEAVING_NOTICE_MILLIS = 500;
+
     private static final long DRAIN_POLL_MILLIS = 20;
 
     private final SideIdentity identity;
@@ -82,6 +91,10 @@
 
     private final SidePeers peers;
 
+    private final WorkMetrics workMetrics;
+
+    private final Queue<SideEvent> overflow = new ConcurrentLinkedQueue<>();
+
     private final AtomicBoolean loadAsked = new AtomicBoolean();
 
     private final AtomicReference<SideReportFrame> lastReport = new AtomicReference<>();
@@ -104,10 +117,10 @@
      * @param store the key-value service
      * @param replica this process's copy of the ticket log
      * @param clock the clock of the process
-     * @param queueLimit the requests that may wait
-     * @param slots the requests handed to the backend server at once
+     * @param workLimits bounds the work
      * @param claimLimits bounds the claims of calls that may not be repeated
      * @param metrics the process's metrics
+     * @param trail takes what an auditor may ask about
      */
     public SideService(
             SideIdentity identity,
@@ -117,10 +130,10 @@
             KeyValueStore store,
             LogReplica replica,
             Clock clock,
-            int queueLimit,
-            int slots,
+            WorkLimits workLimits,
             ClaimLimits claimLimits,
-            PrometheusRegistry metrics) {
+            PrometheusRegistry metrics,
+            AuditTrail trail) {
         this.identity = Assert.notNull(identity, "identity");
         this.linkAddress = Assert.notNull(linkAddress, "linkAddress");
         this.transport = Assert.notNull(transport, "transport");
@@ -129,7 +142,10 @@
         this.backend = new Backend(client, identity.backend(), clock, this::offer);
         this.claims = new ClaimDesk(store, clock, identity, claimLimits, new ClaimMetrics(metrics), this::offer);
         this.residency = new Residency(identity.name(), identity.service(), new MemoryLedger(), backend::order);
-        this.desk = new WorkDesk(identity, clock, backend, claims, queueLimit, slots);
+        this.workMetrics = new WorkMetrics(metrics);
+        AnswerSender answers =
+                new AnswerSender(identity.name(), () -> replica.state().sequence(), trail, workMetrics);
+        this.desk = new WorkDesk(clock, backend, claims, answers, workLimits);
         this.peers = new SidePeers(replica);
     }
 
@@ -138,9 +154,53 @@
         return NAME;
     }
 
+    /** Offers an event to the duty; what a full ring cannot take is refused, broken off or kept, never lost unseen. */
     private void offer(SideEvent event) {
-        if (!duty.offer(event)) {
-            logger.warn("event=side-ring-full dropped={}", event.getClass().getSimpleName());
+        if (duty.offer(event)) {
+            return;
+        }
+        if (event instanceof SideEvent.BackendBytes bytes) {
+            breakOff(bytes.work());
+        } else if (event instanceof SideEvent.BackendHead head) {
+            breakOff(head.work());
+        } else if (event instanceof SideEvent.FrameArrived arrived) {
+            refuseAtRing(arrived);
+        } else if (event instanceof SideEvent.LinkOpened opened) {
+            opened.link().close();
+        } else {
+            keep(event);
+        }
+    }
+
+    /** Keeps an event for the next tick; an answer whose end comes so may have lost its order and is broken off. */
+    private void keep(SideEvent event) {
+        if (event instanceof SideEvent.BackendEnded ended) {
+            breakOff(ended.work());
+        }
+        overflow.add(event);
+    }
+
+    private void breakOff(Work work) {
+        if (!work.isBroken()) {
+            logger.warn("event=side-ring-full broken_off={}", work.frame().id());
+            workMetrics.answerBroken();
+            work.markBroken();
+        }
+    }
+
+    private void refuseAtRing(SideEvent.FrameArrived arrived) {
+        if (arrived.frame() instanceof WorkFrame work) {
+            workMetrics.refusedAtRing();
+            Refusal refusal = Refusal.notRun(RefusalReason.QUEUE_FULL, "the runner has too much to do");
+            arrived.link().send(new RefusalFrame(work.id(), work.attempt(), refusal));
+        }
+    }
+
+    private void takeOverflow() {
+        SideEvent event = overflow.poll();
+        while (event != null) {
+            handle(event);
+            event = overflow.poll();
         }
     }
 
@@ -154,13 +214,19 @@
 
     @Override
     public void drain(long deadlineNanos) {
-        offer(new SideEvent.DrainBegun());
         idle = false;
-        while (!idle && !clock.isPast(deadlineNanos)) {
+        offer(new SideEvent.DrainBegun());
+        long noticedAtNanos = clock.deadlineNanos(LEAVING_NOTICE_MILLIS);
+        while (!isDrained(noticedAtNanos) && !clock.isPast(deadlineNanos)) {
             java.util.concurrent.locks.LockSupport.parkNanos(DRAIN_POLL_MILLIS * Clock.NANOS_PER_MILLI);
         }
     }
 
+    /** Waits also for outcomes to be recorded, and until the peers know that the side leaves. */
+    private boolean isDrained(long noticedAtNanos) {
+        return idle && claims.isIdle() && clock.isPast(noticedAtNanos);
+    }
+
     @Override
     public void stop() {
         ticker.stop();
@@ -172,7 +238,7 @@
         if (event instanceof SideEvent.FrameArrived arrived) {
             frame(arrived.link(), arrived.frame());
         } else if (event instanceof SideEvent.BackendHead head) {
-            desk.head(head.work(), head.status(), head.contentType(), state().sequence());
+            desk.head(head.work(), head.status(), head.contentType());
         } else if (event instanceof SideEvent.BackendBytes bytes) {
             desk.bytes(bytes.work(), bytes.bytes());
         } else if (event instanceof SideEvent.BackendEnded ended) {
@@ -184,7 +250,10 @@
         } else {
             handleOther(event);
         }
-        desk.dispatch(this::isReady);
+        boolean freesNothing = event instanceof SideEvent.BackendBytes || event instanceof SideEvent.BackendHead;
+        if (!freesNothing) {
+            desk.dispatch(this::isReady);
+        }
     }
 
     private void handleOther(SideEvent event) {
@@ -214,6 +283,8 @@
             desk.take(work, link);
         } else if (frame instanceof CancelFrame cancel) {
             desk.cancel(cancel.id(), cancel.attempt());
+        } else if (frame instanceof HelloFrame hello) {
+            desk.entryStarted(hello.name(), hello.incarnation());
         } else if (frame instanceof HeartbeatFrame heartbeat) {
             peers.heartbeat(link, heartbeat);
         } else if (frame instanceof LogPushFrame push) {
@@ -245,10 +316,12 @@
         backendAnswers = load != null;
         if (load != null && isEngine()) {
             residency.engineReported(load);
+            desk.slotsReported(load.path("slots").asInt(Integer.MAX_VALUE));
         }
     }
 
     private void tick() {
+        takeOverflow();
         desk.expire();
         claims.commitSoon();
         idle = desk.isDraining() && desk.isIdle();
--- a/side/src/main/java/org/arbutusstack/side/SideSettings.java
+++ b/side/src/main/java/org/arbutusstack/side/SideSettings.java
@@ -25,6 +25,18 @@
     public static final Setting SLOTS =
             Setting.number("slots", 1, 4_096, 32, "requests handed to the backend server at once");
 
+    /** The bytes of the requests that may wait. */
+    public static final Setting QUEUE_BYTES = Setting.number(
+            "queue-bytes", 1_024, 1_073_741_824, 16_777_216, "bytes of requests that may wait at a side");
+
+    /** The time that a streamed answer may go without a part. */
+    public static final Setting STREAM_SILENCE = Setting.number(
+            "stream-silence-millis", 100, 600_000, 10_000, "time a streamed answer may go without a part, in ms");
+
+    /** The time that any other answer may go without a part. */
+    public static final Setting ANSWER_SILENCE = Setting.number(
+            "answer-silence-millis", 100, 600_000, 60_000, "time any other answer may go without a part, in ms");
+
     /** The time that the claim of a call is kept. */
     public static final Setting CLAIM_RETENTION = Setting.number(
             "claim-retention-hours",
@@ -45,6 +57,21 @@
 
     private SideSettings() {}
 
+    /**
+     * Reads the limits of work.
+     *
+     * @param settings the checked settings
+     * @return the limits
+     */
+    public static WorkLimits workLimits(Settings settings) {
+        return new WorkLimits(
+                (int) settings.number(QUEUE_LIMIT),
+                settings.number(QUEUE_BYTES),
+                (int) settings.number(SLOTS),
+                settings.number(STREAM_SILENCE),
+                settings.number(ANSWER_SILENCE));
+    }
+
     /**
      * Reads the limits of claims.
      *
@@ -65,6 +92,16 @@
      * @return the settings
      */
     public static List<Setting> all() {
-        return List.of(SERVICE, BACKEND, QUEUE_LIMIT, SLOTS, CLAIM_RETENTION, CLAIM_COMMIT, CLAIM_ANSWER);
+        return List.of(
+                SERVICE,
+                BACKEND,
+                QUEUE_LIMIT,
+                QUEUE_BYTES,
+                SLOTS,
+                STREAM_SILENCE,
+                ANSWER_SILENCE,
+                CLAIM_RETENTION,
+                CLAIM_COMMIT,
+                CLAIM_ANSWER);
     }
 }
--- a/side/src/main/java/org/arbutusstack/side/Work.java
+++ b/side/src/main/java/org/arbutusstack/side/Work.java
@@ -24,6 +24,10 @@
 
     private boolean dispatched;
 
+    private long dispatchedAtNanos;
+
+    private long progressedAtNanos;
+
     private boolean sent;
 
     private boolean whole;
@@ -38,7 +42,7 @@
 
     private String contentType = "";
 
-    private HttpClient.Cancellable exchange;
+    private volatile HttpClient.Cancellable exchange;
 
     Work(WorkFrame frame, Link link, long deadlineNanos) {
         this.frame = frame;
@@ -92,8 +96,21 @@
         return dispatched;
     }
 
-    void markDispatched() {
+    void dispatchedAt(long nowNanos) {
         dispatched = true;
+        dispatchedAtNanos = nowNanos;
+    }
+
+    long dispatchedAtNanos() {
+        return dispatchedAtNanos;
+    }
+
+    void progressedAt(long nowNanos) {
+        progressedAtNanos = nowNanos;
+    }
+
+    long progressedAtNanos() {
+        return progressedAtNanos;
     }
 
     boolean isSent() {
@@ -103,6 +120,9 @@
     void sent(HttpClient.Cancellable handle) {
         sent = true;
         exchange = handle;
+        if (broken) {
+            handle.cancel();
+        }
     }
 
     boolean isWhole() {
@@ -139,9 +159,13 @@
         return broken;
     }
 
-    /** Marks the answer as not whole; may be called by any thread. */
+    /** Marks the answer as not whole and gives up its exchange; may be called by any thread. */
     void markBroken() {
         broken = true;
+        HttpClient.Cancellable running = exchange;
+        if (running != null) {
+            running.cancel();
+        }
     }
 
     boolean isEnded() {
--- /dev/null
+++ b/side/src/main/java/org/arbutusstack/side/WorkMetrics.java
@@ -0,0 +1,42 @@
+package org.arbutusstack.side;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+
+/** Counts what became of work at a side. Safe for use by any thread. */
+final class WorkMetrics {
+
+    private final Counter ended;
+
+    private final Counter refusedAtRing;
+
+    private final Counter broken;
+
+    WorkMetrics(PrometheusRegistry registry) {
+        this.ended = Counter.builder()
+                .name("arbutus_side_work_total")
+                .help("Requests that ended at the side, by outcome and reason")
+                .labelNames("outcome", "reason")
+                .register(registry);
+        this.refusedAtRing = Counter.builder()
+                .name("arbutus_side_ring_refused_total")
+                .help("Requests refused because the side's ring was full")
+                .register(registry);
+        this.broken = Counter.builder()
+                .name("arbutus_side_answers_broken_total")
+                .help("Answers given up because the side's ring was full or the backend server went silent")
+                .register(registry);
+    }
+
+    void ended(String outcome, String reason) {
+        ended.labelValues(outcome, reason).inc();
+    }
+
+    void refusedAtRing() {
+        refusedAtRing.inc();
+    }
+
+    void answerBroken() {
+        broken.inc();
+    }
+}
--- a/side/src/main/java/org/arbutusstack/side/WorkQueue.java
+++ b/side/src/main/java/org/arbutusstack/side/WorkQueue.java
@@ -1,58 +1,128 @@
 package org.arbutusstack.side;
 
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.TreeSet;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import org.arbutusstack.kernel.Assert;
+import org.arbutusstack.model.request.Priority;
 
 /**
- * Orders waiting work: by priority, then by the earliest deadline. Used by the side's duty only.
+ * Orders waiting work: by priority, then by the earliest deadline, within a bound of requests and bytes.
+ *
+ * <p>Every eighth piece of work is taken from the least urgent priority first, so that bulk work goes on while more
+ * urgent work never ends. Used by the side's duty only.
  */
 final class WorkQueue {
 
-    private static final Comparator<Work> ORDER = Comparator.<Work>comparingInt(
-                    work -> work.frame().priority().urgency())
-            .thenComparingLong(Work::deadlineNanos)
-            .thenComparing(work -> work.frame().id().toString());
+    /** The number of takes of which one begins with the least urgent priority. */
+    static final int TAKES_PER_BULK_TURN = 8;
 
-    private final TreeSet<Work> waiting = new TreeSet<>(ORDER);
+    private static final Comparator<Work> EARLIEST_DEADLINE = (one, other) -> {
+        int byDeadline = Long.signum(one.deadlineNanos() - other.deadlineNanos());
+        return byDeadline != 0
+                ? byDeadline
+                : one.frame().id().toString().compareTo(other.frame().id().toString());
+    };
+
+    private final Map<Priority, TreeSet<Work>> waiting = new EnumMap<>(Priority.class);
+
+    private final List<Priority> urgentFirst = List.of(Priority.values());
+
+    private final List<Priority> bulkFirst = new ArrayList<>(urgentFirst);
 
     private final int limit;
 
-    WorkQueue(int limit) {
-        this.limit = limit;
+    private final long mostBytes;
+
+    private int size;
+
+    private long bytes;
+
+    private long takes;
+
+    WorkQueue(int limit, long mostBytes) {
+        this.limit = (int) Assert.atLeast(limit, 1, "limit");
+        this.mostBytes = Assert.atLeast(mostBytes, 1, "mostBytes");
+        urgentFirst.forEach(priority -> waiting.put(priority, new TreeSet<>(EARLIEST_DEADLINE)));
+        Collections.reverse(bulkFirst);
     }
 
     boolean add(Work work) {
-        return waiting.size() < limit && waiting.add(work);
+        long longer = bytes + work.frame().body().length;
+        if (size >= limit || longer > mostBytes || !queueOf(work).add(work)) {
+            return false;
+        }
+        size++;
+        bytes = longer;
+        return true;
+    }
+
+    private TreeSet<Work> queueOf(Work work) {
+        return waiting.get(work.frame().priority());
     }
 
     int size() {
-        return waiting.size();
+        return size;
+    }
+
+    long bytes() {
+        return bytes;
+    }
+
+    /** Counts the work that goes before a piece of work. */
+    int ahead(Work work) {
+        int ahead = queueOf(work).headSet(work).size();
+        for (Priority priority : urgentFirst) {
+            if (priority.urgency() < work.frame().priority().urgency()) {
+                ahead += waiting.get(priority).size();
+            }
+        }
+        return ahead;
     }
 
     void remove(Work work) {
-        waiting.remove(work);
+        if (queueOf(work).remove(work)) {
+            removed(work);
+        }
     }
 
-    Optional<Work> takeFirst(Predicate<Work> ready) {
-        Optional<Work> first = waiting.stream().filter(ready).findFirst();
-        first.ifPresent(waiting::remove);
-        return first;
+    private void removed(Work work) {
+        size--;
+        bytes -= work.frame().body().length;
     }
 
-    void removeIf(Predicate<Work> condition, Consumer<Work> removed) {
-        waiting.removeIf(work -> {
-            boolean matches = condition.test(work);
-            if (matches) {
-                removed.accept(work);
+    /** Finds the work that is to run next. */
+    Optional<Work> first(Predicate<Work> ready) {
+        boolean bulkTurn = takes % TAKES_PER_BULK_TURN == TAKES_PER_BULK_TURN - 1;
+        for (Priority priority : bulkTurn ? bulkFirst : urgentFirst) {
+            for (Work work : waiting.get(priority)) {
+                if (ready.test(work)) {
+                    return Optional.of(work);
+                }
             }
-            return matches;
-        });
+        }
+        return Optional.empty();
+    }
+
+    /** Removes work that is about to run. */
+    void take(Work work) {
+        takes++;
+        remove(work);
     }
 
-    void forEach(Consumer<Work> consumer) {
-        waiting.forEach(consumer);
+    void removeIf(Predicate<Work> condition, Consumer<Work> consumer) {
+        List<Work> matching = new ArrayList<>();
+        waiting.values().forEach(queue -> queue.stream().filter(condition).forEach(matching::add));
+        matching.forEach(work -> {
+            remove(work);
+            consumer.accept(work);
+        });
     }
 }
--- a/side/src/main/java/org/arbutusstack/side/claim/ClaimCommitter.java
+++ b/side/src/main/java/org/arbutusstack/side/claim/ClaimCommitter.java
@@ -112,6 +112,15 @@
                 absent -> new Queue(new ClaimBucket(store, clock, limits, name, writer, metrics), clock.nowNanos()));
     }
 
+    /**
+     * Counts the changes that are not durable.
+     *
+     * @return the number of changes
+     */
+    public int waiting() {
+        return queues.values().stream().mapToInt(queue -> queue.waiting.size()).sum();
+    }
+
     private boolean isDown() {
         return down && !clock.isPast(downUntilNanos);
     }
--- /dev/null
+++ b/side/src/test/java/org/arbutusstack/side/WorkDeskFixture.java
@@ -0,0 +1,201 @@
+package org.arbutusstack.side;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import org.arbutusstack.audit.AuditEvent;
+import org.arbutusstack.http.client.HttpCall;
+import org.arbutusstack.http.client.HttpClient;
+import org.arbutusstack.http.client.HttpException;
+import org.arbutusstack.http.client.HttpListener;
+import org.arbutusstack.http.client.HttpTarget;
+import org.arbutusstack.kernel.time.ManualClock;
+import org.arbutusstack.model.request.Priority;
+import org.arbutusstack.model.request.RequestId;
+import org.arbutusstack.side.claim.ClaimLimits;
+import org.arbutusstack.side.claim.ClaimMetrics;
+import org.arbutusstack.wire.frame.Frame;
+import org.arbutusstack.wire.frame.RefusalFrame;
+import org.arbutusstack.wire.frame.WorkFrame;
+import org.arbutusstack.wire.link.Link;
+
+/** Joins a work desk to a link and a backend server that do what a test tells them. */
+final class WorkDeskFixture {
+
+    final ManualClock clock = new ManualClock(1_000_000_000L);
+
+    final FakeClient client = new FakeClient();
+
+    final List<AuditEvent> audited = new ArrayList<>();
+
+    final WorkDesk desk;
+
+    private final Deque<SideEvent> events = new ArrayDeque<>();
+
+    WorkDeskFixture(WorkLimits limits) {
+        SideIdentity identity = new SideIdentity("lm-1", "stitch-lm", "regina", "inc", new HttpTarget("127.0.0.1", 1));
+        Backend backend = new Backend(client, identity.backend(), clock, events::add);
+        PrometheusRegistry registry = new PrometheusRegistry();
+        ClaimLimits claimLimits = new ClaimLimits(1_000, 10, 100, 1_000);
+        ClaimDesk claims =
+                new ClaimDesk(new UnusedStore(), clock, identity, claimLimits, new ClaimMetrics(registry), events::add);
+        AnswerSender answers = new AnswerSender("lm-1", () -> 1L, audited::add, new WorkMetrics(registry));
+        desk = new WorkDesk(clock, backend, claims, answers, limits);
+    }
+
+    static WorkLimits limits(int slots) {
+        return new WorkLimits(16, 10_000, slots, 1_000, 5_000);
+    }
+
+    static WorkFrame frame(long number, int attempt, long leftMillis, Priority priority) {
+        return frame(new RequestId("entry", number), attempt, leftMillis, priority, "boot-design");
+    }
+
+    static WorkFrame frame(RequestId id, int attempt, long leftMillis, Priority priority, String model) {
+        byte[] body = "{\"messages\":[]}".getBytes(StandardCharsets.UTF_8);
+        return new WorkFrame(
+                id, attempt, leftMillis, priority, "stitch-lm", model, "", true, "", "POST", "/v1", true, 0, body);
+    }
+
+    /** Takes a frame and sends on what can run. */
+    void take(WorkFrame frame, Link link) {
+        desk.take(frame, link);
+        desk.dispatch(work -> true);
+    }
+
+    /** Handles what the backend server did. */
+    void handle() {
+        while (!events.isEmpty()) {
+            SideEvent event = events.poll();
+            if (event instanceof SideEvent.BackendHead head) {
+                desk.head(head.work(), head.status(), head.contentType());
+            } else if (event instanceof SideEvent.BackendBytes bytes) {
+                desk.bytes(bytes.work(), bytes.bytes());
+            } else if (event instanceof SideEvent.BackendEnded ended) {
+                desk.backendEnded(ended.work());
+            } else if (event instanceof SideEvent.BackendFailed failed) {
+                desk.backendFailed(failed.work(), failed.failure());
+            }
+        }
+        desk.dispatch(work -> true);
+    }
+
+    /** Keeps the frames sent. */
+    static final class FakeLink implements Link {
+
+        final List<Frame> sent = new ArrayList<>();
+
+        private boolean open = true;
+
+        List<String> refusals() {
+            return sent.stream()
+                    .filter(RefusalFrame.class::isInstance)
+                    .map(RefusalFrame.class::cast)
+                    .map(frame -> frame.id().number() + " " + frame.refusal().kind() + " "
+                            + frame.refusal().reason())
+                    .toList();
+        }
+
+        <T extends Frame> List<T> sent(Class<T> type) {
+            return sent.stream().filter(type::isInstance).map(type::cast).toList();
+        }
+
+        @Override
+        public boolean send(Frame frame) {
+            return open && sent.add(frame);
+        }
+
+        @Override
+        public void close() {
+            open = false;
+        }
+
+        @Override
+        public boolean isOpen() {
+            return open;
+        }
+
+        @Override
+        public long heardAtNanos() {
+            return 0;
+        }
+
+        @Override
+        public String remote() {
+            return "test";
+        }
+    }
+
+    /** Keeps the calls sent. */
+    static final class FakeClient implements HttpClient {
+
+        final List<Exchange> exchanges = new ArrayList<>();
+
+        List<String> running() {
+            return exchanges.stream()
+                    .filter(exchange ->
+                            !exchange.cancelled && exchange.call.path().equals("/v1"))
+                    .map(exchange -> exchange.call.headers().get("X-Request-Id"))
+                    .toList();
+        }
+
+        List<String> started() {
+            return exchanges.stream()
+                    .filter(exchange -> exchange.call.path().equals("/v1"))
+                    .map(exchange -> exchange.call.headers().get("X-Request-Id"))
+                    .toList();
+        }
+
+        Exchange last() {
+            return exchanges.get(exchanges.size() - 1);
+        }
+
+        @Override
+        public Cancellable stream(HttpTarget target, HttpCall call, long deadlineNanos, HttpListener listener) {
+            Exchange exchange = new Exchange(call, listener);
+            exchanges.add(exchange);
+            return () -> exchange.cancelled = true;
+        }
+
+        @Override
+        public void close() {}
+    }
+
+    /** Is one call to the backend server. */
+    static final class Exchange {
+
+        final HttpCall call;
+
+        final HttpListener listener;
+
+        boolean cancelled;
+
+        Exchange(HttpCall call, HttpListener listener) {
+            this.call = call;
+            this.listener = listener;
+        }
+
+        void head() {
+            listener.onHead(200, Map.of("content-type", "text/event-stream"));
+        }
+
+        void event(String data) {
+            listener.onBytes(("data: " + data + "\n\n").getBytes(StandardCharsets.UTF_8));
+        }
+
+        void finish() {
+            head();
+            event("word");
+            event("[DONE]");
+            listener.onEnd();
+        }
+
+        void fail() {
+            listener.onFailure(new HttpException("lost", true, null));
+        }
+    }
+}
