--- a/daemon/src/main/java/org/arbutusstack/daemon/ArbutusDaemon.java
+++ b/daemon/src/main/java/org/arbutusstack/daemon/ArbutusDaemon.java
@@ -19,6 +19,8 @@
 import org.arbutusstack.kernel.setting.SettingsResult;
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.kernel.time.SystemClock;
+import org.arbutusstack.store.KeyValueStore;
+import org.arbutusstack.store.MeteredKeyValueStore;
 import org.arbutusstack.store.etcd.EtcdKeyValueStore;
 import org.arbutusstack.wire.link.LinkKey;
 import org.arbutusstack.wire.link.NioLinkTransport;
@@ -123,7 +125,9 @@
         Clock clock = new SystemClock();
         String incarnation = UUID.randomUUID().toString().replace("-", "").substring(0, INCARNATION_LENGTH);
         UndertowHttpClient client = new UndertowHttpClient("http-client", 1);
-        EtcdKeyValueStore store = new EtcdKeyValueStore(client, HttpTarget.parse(settings.text(DaemonSettings.STORE)));
+        PrometheusRegistry metrics = new PrometheusRegistry();
+        KeyValueStore store = new MeteredKeyValueStore(
+                new EtcdKeyValueStore(client, HttpTarget.parse(settings.text(DaemonSettings.STORE))), clock, metrics);
         ChainedAuditTrail trail = new ChainedAuditTrail(
                 settings.text(DaemonSettings.NAME),
                 incarnation,
@@ -132,7 +136,8 @@
                 clock,
                 TimeUnit.SECONDS.toMillis(settings.number(DaemonSettings.ANCHOR_PERIOD)),
                 TimeUnit.DAYS.toSeconds(settings.number(DaemonSettings.RETENTION)));
-        NioLinkTransport transport = new NioLinkTransport("links", new LinkKey(settings.text(DaemonSettings.LINK_KEY)));
-        return new Platform(incarnation, clock, client, store, transport, new PrometheusRegistry(), trail);
+        NioLinkTransport transport =
+                new NioLinkTransport("links", new LinkKey(settings.text(DaemonSettings.LINK_KEY)), metrics);
+        return new Platform(incarnation, clock, client, store, transport, metrics, trail);
     }
 }
--- /dev/null
+++ b/kernel/src/main/java/org/arbutusstack/kernel/log/package-info.java
@@ -0,0 +1,2 @@
+/** Keeps repeated log records from flooding. */
+package org.arbutusstack.kernel.log;
--- a/wire/src/main/java/org/arbutusstack/wire/link/NioLink.java
+++ b/wire/src/main/java/org/arbutusstack/wire/link/NioLink.java
@@ -104,6 +104,7 @@
             return false;
         }
         ByteBuffer bytes = FrameCodec.encode(frame);
+        transport.metrics().sent(frame.type(), bytes.remaining());
         waitingBytes.addAndGet(bytes.remaining());
         outbound.add(bytes);
         if (writeScheduled.compareAndSet(false, true)) {
@@ -203,9 +204,11 @@
             frame = FrameCodec.decode(payload);
         } catch (WireException malformed) {
             enqueue(new ProtocolErrorFrame(malformed.getMessage()));
+            transport.metrics().malformed();
             listener.onMalformed(this, malformed);
             return;
         }
+        transport.metrics().received(frame.type(), FrameCodec.LENGTH_BYTES + payload.length);
         if (admitted) {
             listener.onFrame(this, frame);
             return;
@@ -220,6 +223,7 @@
         }
         if (handshake.isDone()) {
             admitted = true;
+            transport.metrics().opened();
             listener.onOpen(this);
         }
     }
@@ -238,6 +242,7 @@
         }
         closeQuietly(channel);
         outbound.clear();
+        transport.metrics().closed(admitted);
         listener.onClosed(this);
     }
 
--- a/wire/src/main/java/org/arbutusstack/wire/link/NioLinkTransport.java
+++ b/wire/src/main/java/org/arbutusstack/wire/link/NioLinkTransport.java
@@ -1,5 +1,6 @@
 package org.arbutusstack.wire.link;
 
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
@@ -39,19 +40,33 @@
 
     private final LinkKey linkKey;
 
+    private final LinkMetrics metrics;
+
     private volatile boolean running = true;
 
     private long expireAtNanos = System.nanoTime();
 
     /**
-     * Creates a transport and starts its thread.
+     * Creates a transport whose metrics nobody reads, and starts its thread.
      *
      * @param name the thread's name
      * @param linkKey the key that admits peers
      */
     public NioLinkTransport(String name, LinkKey linkKey) {
+        this(name, linkKey, new PrometheusRegistry());
+    }
+
+    /**
+     * Creates a transport and starts its thread.
+     *
+     * @param name the thread's name
+     * @param linkKey the key that admits peers
+     * @param registry the process's metrics
+     */
+    public NioLinkTransport(String name, LinkKey linkKey, PrometheusRegistry registry) {
         Assert.hasText(name, "name");
         this.linkKey = Assert.notNull(linkKey, "linkKey");
+        this.metrics = new LinkMetrics(Assert.notNull(registry, "registry"));
         try {
             this.selector = Selector.open();
         } catch (IOException failure) {
@@ -94,6 +109,10 @@
         link.accepted(channel);
     }
 
+    LinkMetrics metrics() {
+        return metrics;
+    }
+
     private LinkHandshake handshake(LinkEnd end) {
         return new LinkHandshake(linkKey, end);
     }
