Settle unknown swaps and keep damaged or older log values out

Now: each call has its own deadline, appends carry the chain digest expected after them, an older head is STALE and never appended to, checks are not asked again while a swap for the same head may still land. The submission that swapped reports its own place instead of reading the copy, which peers may advance at the same time. Clock gains pause(millis) so that retries run in virtual time.

--- a/entry/src/main/java/org/arbutusstack/entry/router/RouterService.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/RouterService.java
@@ -1,6 +1,5 @@
 package org.arbutusstack.entry.router;
 
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -20,7 +19,6 @@
 import org.arbutusstack.model.plan.Plan;
 import org.arbutusstack.model.request.RequestId;
 import org.arbutusstack.model.ticket.DesiredState;
-import org.arbutusstack.model.ticket.TicketEntry;
 import org.arbutusstack.placement.RunnerCapacity;
 import org.arbutusstack.routing.RunnerSelector;
 import org.arbutusstack.wire.frame.AnswerHeadFrame;
@@ -58,6 +56,8 @@
 
     private static final int ENTRIES_PER_PUSH = 64;
 
+    private static final long BYTES_PER_PUSH = 256L * 1_024;
+
     private static final long DRAIN_POLL_MILLIS = 20;
 
     private final EntryIdentity identity;
@@ -228,10 +228,12 @@
     }
 
     private void push(SideConnection side, LogPullFrame pull) {
-        List<TicketEntry> entries = replica.entriesAfter(pull.afterSequence(), ENTRIES_PER_PUSH);
-        List<byte[]> blobs = new ArrayList<>();
-        entries.forEach(entry -> blobs.add(JsonCodec.write(entry)));
-        side.link().send(new LogPushFrame(pull.afterSequence(), blobs));
+        replica.batchAfter(pull.afterSequence(), ENTRIES_PER_PUSH, BYTES_PER_PUSH)
+                .ifPresent(batch -> {
+                    List<byte[]> blobs =
+                            batch.entries().stream().map(JsonCodec::write).toList();
+                    side.link().send(new LogPushFrame(batch.afterSequence(), blobs, batch.chain()));
+                });
     }
 
     private HeartbeatFrame heartbeat() {
--- a/entry/src/main/java/org/arbutusstack/entry/ticket/TicketService.java
+++ b/entry/src/main/java/org/arbutusstack/entry/ticket/TicketService.java
@@ -34,7 +34,7 @@
 
     private static final long CALL_MILLIS = 1_000;
 
-    private static final long SUBMIT_MILLIS = 5_000;
+    private static final long SUBMIT_MILLIS = 6_000;
 
     private static final long WATCH_MILLIS = 3_600_000;
 
@@ -108,7 +108,7 @@
     }
 
     private void refresh() {
-        Optional<Long> revision = log.catchUp(clock.deadlineNanos(CALL_MILLIS));
+        Optional<Long> revision = log.reader().catchUp(clock.deadlineNanos(CALL_MILLIS));
         current = revision.isPresent();
         if (revision.isPresent() && watch == null) {
             openWatch(revision.get() + 1);
@@ -143,7 +143,7 @@
 
         @Override
         public void onChange(KeyValue keyValue) {
-            duty.offer(TicketService.this::refresh);
+            duty.offer(() -> log.reader().follow(keyValue, clock.deadlineNanos(CALL_MILLIS)));
         }
 
         @Override
--- a/kernel/src/main/java/org/arbutusstack/kernel/time/Clock.java
+++ b/kernel/src/main/java/org/arbutusstack/kernel/time/Clock.java
@@ -1,5 +1,7 @@
 package org.arbutusstack.kernel.time;
 
+import java.util.concurrent.locks.LockSupport;
+
 /**
  * Tells the time of this process.
  *
@@ -57,4 +59,13 @@
     default boolean isPast(long deadlineNanos) {
         return nowNanos() - deadlineNanos >= 0;
     }
+
+    /**
+     * Lets time pass in the calling thread.
+     *
+     * @param millis the milliseconds to wait
+     */
+    default void pause(long millis) {
+        LockSupport.parkNanos(millis * NANOS_PER_MILLI);
+    }
 }
--- a/kernel/src/main/java/org/arbutusstack/kernel/time/ManualClock.java
+++ b/kernel/src/main/java/org/arbutusstack/kernel/time/ManualClock.java
@@ -37,6 +37,12 @@
         return nanos.get() / NANOS_PER_MILLI;
     }
 
+    /** Moves the clock ahead in place of waiting. */
+    @Override
+    public void pause(long millis) {
+        advanceMillis(millis);
+    }
+
     /**
      * Moves the clock ahead.
      *
--- a/ledger/src/main/java/org/arbutusstack/ledger/LogReplica.java
+++ b/ledger/src/main/java/org/arbutusstack/ledger/LogReplica.java
@@ -8,6 +8,8 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
 import org.arbutusstack.kernel.Assert;
+import org.arbutusstack.kernel.digest.Digest;
+import org.arbutusstack.model.JsonCodec;
 import org.arbutusstack.model.ticket.DesiredState;
 import org.arbutusstack.model.ticket.TicketEntry;
 
@@ -47,50 +49,85 @@
     }
 
     /**
-     * Appends entries; those that the copy has already are passed over.
+     * Appends entries if the chain digest after them is the one expected; those that the copy has are passed over.
      *
-     * @param afterSequence the sequence of the entry before the first one given
+     * @param afterSequence the sequence of the entry before the first one offered
      * @param entries the entries in order
-     * @return {@code false} if entries between the copy and the first one given are missing
+     * @param chain the chain digest after the last one offered
+     * @return what became of them
      */
-    public boolean append(long afterSequence, List<TicketEntry> entries) {
+    public AppendOutcome append(long afterSequence, List<TicketEntry> entries, Digest chain) {
         DesiredState advanced;
         synchronized (this) {
             if (afterSequence > state.sequence()) {
-                return false;
+                return AppendOutcome.GAP;
             }
             long known = state.sequence() - afterSequence;
             if (known >= entries.size()) {
-                return true;
+                return isKnownChain(afterSequence + entries.size(), chain)
+                        ? AppendOutcome.KNOWN
+                        : AppendOutcome.DIVERGED;
             }
-            entries.subList((int) known, entries.size()).forEach(this::appendOne);
+            List<AcceptedTicket> following = follow(entries.subList((int) known, entries.size()));
+            if (!following.get(following.size() - 1).chain().equals(chain)) {
+                return AppendOutcome.DIVERGED;
+            }
+            following.forEach(this::take);
+            following.forEach(ticket -> state = state.apply(ticket.entry()));
             advanced = state;
         }
         listeners.forEach(listener -> listener.accept(advanced));
-        return true;
+        return AppendOutcome.ADVANCED;
     }
 
-    private void appendOne(TicketEntry entry) {
-        DesiredState next = state.apply(entry);
-        AcceptedTicket ticket = new AcceptedTicket(next.sequence(), next.chain(), entry);
+    private List<AcceptedTicket> follow(List<TicketEntry> entries) {
+        List<AcceptedTicket> following = new ArrayList<>();
+        long sequence = state.sequence();
+        Digest chain = state.chain();
+        for (TicketEntry entry : entries) {
+            sequence++;
+            chain = chain.chain(entry.digest());
+            following.add(new AcceptedTicket(sequence, chain, entry));
+        }
+        return following;
+    }
+
+    private void take(AcceptedTicket ticket) {
         accepted.add(ticket);
-        byNumber.put(entry.ticket().number(), ticket);
-        state = next;
+        byNumber.put(ticket.entry().ticket().number(), ticket);
+    }
+
+    private boolean isKnownChain(long sequence, Digest chain) {
+        if (sequence == 0) {
+            return chain.equals(Digest.ZERO);
+        }
+        return accepted.get((int) sequence - 1).chain().equals(chain);
     }
 
     /**
-     * Lists entries for a peer that is behind.
+     * Lists entries for a peer that is behind, up to a number of entries and of bytes.
      *
      * @param afterSequence the last sequence that the peer has
      * @param most the largest number of entries to list
-     * @return the entries that follow
+     * @param mostBytes the size in bytes of JSON after which no further entry is listed
+     * @return the entries that follow, or empty if there are none
      */
-    public synchronized List<TicketEntry> entriesAfter(long afterSequence, int most) {
-        long from = Math.min(Math.max(0, afterSequence), accepted.size());
-        long to = Math.min(accepted.size(), from + most);
-        return accepted.subList((int) from, (int) to).stream()
-                .map(AcceptedTicket::entry)
-                .toList();
+    public synchronized Optional<LogBatch> batchAfter(long afterSequence, int most, long mostBytes) {
+        if (afterSequence < 0 || afterSequence >= accepted.size()) {
+            return Optional.empty();
+        }
+        List<TicketEntry> entries = new ArrayList<>();
+        Digest chain = Digest.ZERO;
+        long bytes = 0;
+        for (AcceptedTicket ticket : accepted.subList((int) afterSequence, accepted.size())) {
+            if (entries.size() >= most || bytes >= mostBytes) {
+                break;
+            }
+            entries.add(ticket.entry());
+            chain = ticket.chain();
+            bytes += JsonCodec.write(ticket.entry()).length;
+        }
+        return Optional.of(new LogBatch(afterSequence, entries, chain));
     }
 
     /**
--- a/ledger/src/main/java/org/arbutusstack/ledger/TicketLog.java
+++ b/ledger/src/main/java/org/arbutusstack/ledger/TicketLog.java
@@ -1,18 +1,15 @@
 package org.arbutusstack.ledger;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import org.arbutusstack.kernel.Assert;
 import org.arbutusstack.kernel.digest.Digest;
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.model.JsonCodec;
-import org.arbutusstack.model.ModelException;
 import org.arbutusstack.model.ticket.DesiredState;
 import org.arbutusstack.model.ticket.ObjectId;
 import org.arbutusstack.model.ticket.Ticket;
 import org.arbutusstack.model.ticket.TicketEntry;
-import org.arbutusstack.store.KeyValue;
 import org.arbutusstack.store.KeyValueStore;
 import org.arbutusstack.store.StoreResult;
 
@@ -26,10 +23,17 @@
  */
 public final class TicketLog {
 
+    /** The longest entry that the log takes, in bytes of JSON; the key-value service takes values up to a megabyte. */
+    public static final int LONGEST_ENTRY_BYTES = 900_000;
+
+    private static final int MOST_FAILURES = 6;
+
     private final KeyValueStore store;
 
     private final LogReplica replica;
 
+    private final LogReader reader;
+
     private final List<TicketCheck> checks;
 
     private final Clock clock;
@@ -47,18 +51,16 @@
         this.replica = Assert.notNull(replica, "replica");
         this.checks = List.copyOf(checks);
         this.clock = Assert.notNull(clock, "clock");
+        this.reader = new LogReader(store, replica, clock);
     }
 
     /**
-     * Brings this process's copy up to the head.
+     * Gives access to the reader that keeps this process's copy up to date.
      *
-     * @param deadlineNanos when to give up
-     * @return the revision of the head, or empty if the key-value service could not be read
+     * @return the reader
      */
-    public Optional<Long> catchUp(long deadlineNanos) {
-        return readHead(deadlineNanos)
-                .filter(head -> catchUpTo(head.head, deadlineNanos))
-                .map(Head::revision);
+    public LogReader reader() {
+        return reader;
     }
 
     /**
@@ -70,29 +72,79 @@
      */
     public AcceptResult append(TicketEntry entry, long deadlineNanos) {
         Assert.notNull(entry, "entry");
-        boolean maybeSwapped = false;
-        while (!clock.isPast(deadlineNanos)) {
-            Optional<Head> read = readHead(deadlineNanos).filter(head -> catchUpTo(head.head, deadlineNanos));
-            if (read.isEmpty()) {
-                return maybeSwapped
-                        ? undecided()
-                        : new AcceptResult.NotAccepted("the key-value service is unavailable");
+        byte[] json = JsonCodec.write(entry);
+        if (json.length > LONGEST_ENTRY_BYTES) {
+            String detail = "the ticket has " + json.length + " bytes, permitted are " + LONGEST_ENTRY_BYTES;
+            return new AcceptResult.Refused(TicketRefusal.OVERSIZED, detail);
+        }
+        return append(entry, json, new Retry(clock, deadlineNanos));
+    }
+
+    private AcceptResult append(TicketEntry entry, byte[] json, Retry retry) {
+        SwapState swapState = new SwapState();
+        String obstacle = "time ran out";
+        while (!retry.isOver()) {
+            Step step = attempt(entry, json, swapState, retry);
+            if (step.result != null) {
+                return step.result;
             }
-            Head head = read.get();
-            Optional<AcceptResult> settled = settle(entry);
-            if (settled.isPresent()) {
-                return settled.get();
+            if (step.obstacle == null) {
+                continue;
             }
-            if (!writeEntry(entry, deadlineNanos)) {
-                return maybeSwapped ? undecided() : new AcceptResult.NotAccepted("the entry could not be written");
+            obstacle = step.obstacle;
+            retry.failed();
+            if (!swapState.maybeSwapped && retry.failures() >= MOST_FAILURES) {
+                break;
             }
-            StoreResult<Long> swapped = swapHead(head, entry, deadlineNanos);
-            maybeSwapped |= swapped instanceof StoreResult.Unknown;
-            if (swapped instanceof StoreResult.NotDone<Long> notDone && !maybeSwapped) {
-                return new AcceptResult.NotAccepted(notDone.detail());
+        }
+        return swapState.maybeSwapped ? undecided() : new AcceptResult.NotAccepted(obstacle);
+    }
+
+    private Step attempt(TicketEntry entry, byte[] json, SwapState swapState, Retry retry) {
+        Optional<HeadReading> reading = reader.readHead(retry);
+        if (reading.isEmpty()) {
+            return Step.blocked(CatchUpResult.UNREADABLE.detail());
+        }
+        HeadReading head = reading.get();
+        CatchUpResult caughtUp = reader.catchUp(head.head(), retry);
+        if (caughtUp != CatchUpResult.CURRENT) {
+            return Step.blocked(caughtUp.detail());
+        }
+        if (swapState.revision != head.revision()) {
+            Optional<AcceptResult> settled = settle(entry);
+            if (settled.isPresent()) {
+                return Step.done(settled.get());
             }
         }
-        return maybeSwapped ? undecided() : new AcceptResult.NotAccepted("time ran out");
+        if (!swapState.entryWritten && !writeEntry(entry, json, retry)) {
+            return Step.blocked("the entry could not be written");
+        }
+        swapState.entryWritten = true;
+        return swapHead(head, entry, swapState, retry);
+    }
+
+    private Step swapHead(HeadReading reading, TicketEntry entry, SwapState swapState, Retry retry) {
+        LogHead next = reading.head().append(entry.digest());
+        StoreResult<Long> swapped = store.compareAndSwap(
+                LogKeys.HEAD,
+                reading.revision(),
+                JsonCodec.write(next),
+                KeyValueStore.NO_LEASE,
+                retry.callDeadlineNanos());
+        if (swapped instanceof StoreResult.Done) {
+            Digest chain = new Digest(next.chain());
+            replica.append(reading.head().sequence(), List.of(entry), chain);
+            return Step.done(new AcceptResult.Accepted(new AcceptedTicket(next.sequence(), chain, entry), false));
+        }
+        if (swapped instanceof StoreResult.Unknown<Long> unknown) {
+            swapState.maybeSwapped = true;
+            swapState.revision = reading.revision();
+            return Step.blocked(unknown.detail());
+        }
+        if (swapped instanceof StoreResult.NotDone<Long> notDone) {
+            return Step.blocked(notDone.detail());
+        }
+        return Step.again();
     }
 
     private static AcceptResult undecided() {
@@ -128,70 +180,37 @@
         return new AcceptResult.Accepted(standing, again);
     }
 
-    private boolean writeEntry(TicketEntry entry, long deadlineNanos) {
+    private boolean writeEntry(TicketEntry entry, byte[] json, Retry retry) {
         String key = LogKeys.entry(entry.digest());
-        while (!clock.isPast(deadlineNanos)) {
-            StoreResult<Long> written =
-                    store.compareAndSwap(key, 0, JsonCodec.write(entry), KeyValueStore.NO_LEASE, deadlineNanos);
-            if (written.isDone() || written instanceof StoreResult.Conflict) {
-                return true;
-            }
-            if (written instanceof StoreResult.NotDone) {
-                return false;
-            }
-        }
-        return false;
+        StoreResult<Long> written =
+                store.compareAndSwap(key, 0, json, KeyValueStore.NO_LEASE, retry.callDeadlineNanos());
+        return written.isDone() || written instanceof StoreResult.Conflict;
     }
 
-    private StoreResult<Long> swapHead(Head head, TicketEntry entry, long deadlineNanos) {
-        byte[] next = JsonCodec.write(head.head.append(entry.digest()));
-        return store.compareAndSwap(LogKeys.HEAD, head.revision, next, KeyValueStore.NO_LEASE, deadlineNanos);
-    }
+    /** Remembers what this submission has done in the key-value service. */
+    private static final class SwapState {
 
-    private Optional<Head> readHead(long deadlineNanos) {
-        if (!(store.get(LogKeys.HEAD, deadlineNanos) instanceof StoreResult.Done<KeyValue> done)) {
-            return Optional.empty();
-        }
-        KeyValue value = done.value();
-        LogHead head = value.exists() ? JsonCodec.read(value.value(), LogHead.class) : LogHead.EMPTY;
-        return Optional.of(new Head(head, value.revision()));
-    }
+        private boolean entryWritten;
 
-    private boolean catchUpTo(LogHead head, long deadlineNanos) {
-        long from = replica.state().sequence();
-        if (from >= head.sequence()) {
-            return true;
-        }
-        List<TicketEntry> missing = new ArrayList<>();
-        int skip = (int) Math.max(0, from - head.tailAfterSequence());
-        for (String digest : head.tail().subList(skip, head.tail().size())) {
-            Optional<TicketEntry> entry = readEntry(new Digest(digest), deadlineNanos);
-            if (entry.isEmpty()) {
-                return false;
-            }
-            missing.add(entry.get());
-        }
-        return replica.append(head.tailAfterSequence() + skip, missing);
+        private boolean maybeSwapped;
+
+        /** The head's revision of the last swap whose answer is missing; a check may not refuse while it stands. */
+        private long revision = -1;
     }
 
-    private Optional<TicketEntry> readEntry(Digest digest, long deadlineNanos) {
-        if (!(store.get(LogKeys.entry(digest), deadlineNanos) instanceof StoreResult.Done<KeyValue> done)) {
-            return Optional.empty();
+    /** Tells what one attempt came to: a result, an obstacle, or neither after a lost race. */
+    private record Step(AcceptResult result, String obstacle) {
+
+        static Step done(AcceptResult result) {
+            return new Step(result, null);
         }
-        if (!done.value().exists()) {
-            return Optional.empty();
+
+        static Step blocked(String obstacle) {
+            return new Step(null, obstacle);
         }
-        try {
-            TicketEntry entry = JsonCodec.read(done.value().value(), TicketEntry.class);
-            if (!entry.digest().equals(digest)) {
-                throw new LedgerException("Could not read entry " + digest.hex() + ": its content has another digest");
-            }
-            return Optional.of(entry);
-        } catch (ModelException malformed) {
-            throw new LedgerException("Could not read entry " + digest.hex(), malformed);
+
+        static Step again() {
+            return new Step(null, null);
         }
     }
-
-    /** Holds the head with its revision. */
-    private record Head(LogHead head, long revision) {}
 }
--- a/ledger/src/main/java/org/arbutusstack/ledger/TicketRefusal.java
+++ b/ledger/src/main/java/org/arbutusstack/ledger/TicketRefusal.java
@@ -9,7 +9,9 @@
     /** Its number is that of another ticket with other content. */
     CONFLICT,
     /** It names something that does not exist, or does not fit. */
-    INVALID;
+    INVALID,
+    /** It has more bytes than an entry of the log may have. */
+    OVERSIZED;
 
     /**
      * Names the reason to operators.
--- a/side/src/main/java/org/arbutusstack/side/SidePeers.java
+++ b/side/src/main/java/org/arbutusstack/side/SidePeers.java
@@ -45,7 +45,7 @@
         List<TicketEntry> entries = push.entries().stream()
                 .map(json -> JsonCodec.read(json, TicketEntry.class))
                 .toList();
-        replica.append(push.afterSequence(), entries);
+        replica.append(push.afterSequence(), entries, push.chain());
         return replica.state().sequence() > before;
     }
 
--- a/wire/src/main/java/org/arbutusstack/wire/frame/LogPushFrame.java
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/LogPushFrame.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.List;
+import org.arbutusstack.kernel.digest.Digest;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
 
@@ -10,11 +11,13 @@
  *
  * @param afterSequence the log sequence of the entry before the first one carried
  * @param entries the entries in JSON, in order
+ * @param chain the chain digest after the last one carried
  */
-public record LogPushFrame(long afterSequence, List<byte[]> entries) implements Frame {
+public record LogPushFrame(long afterSequence, List<byte[]> entries, Digest chain) implements Frame {
 
     static LogPushFrame read(MessageUnpacker unpacker) throws IOException {
-        return new LogPushFrame(unpacker.unpackLong(), Frames.unpackBlobs(unpacker));
+        return new LogPushFrame(
+                unpacker.unpackLong(), Frames.unpackBlobs(unpacker), new Digest(unpacker.unpackString()));
     }
 
     @Override
@@ -26,5 +29,6 @@
     public void write(MessagePacker packer) throws IOException {
         packer.packLong(afterSequence);
         Frames.packBlobs(packer, entries);
+        packer.packString(chain.hex());
     }
 }
