Spread the log among all peers, and let only relays read the key-value service

Cause: an entry linked to sides only, took no links, never pulled; a side pulled 64 entries for each heartbeat (500 ms), so 1,000 missing entries took 8 s; every entry held a watch and read the head each second. Now: LogExchange runs at both ends of every link; entries take links and dial the relays of their zone, chosen by rendezvous hashing; relays dial those of other zones; only relays call the key-value service. Submissions and following run on duties of their own, so a hanging read does not hold up a submission. Not seen by the tests: heartbeats only when due; no pull straight after a push (the tick pulls). The router's change is small: its log frames go to LogExchange.

--- a/daemon/src/main/java/org/arbutusstack/daemon/Role.java
+++ b/daemon/src/main/java/org/arbutusstack/daemon/Role.java
@@ -7,9 +7,11 @@
 import org.arbutusstack.entry.EntrySettings;
 import org.arbutusstack.entry.caller.CallerListener;
 import org.arbutusstack.entry.member.HostListService;
+import org.arbutusstack.entry.member.PeerService;
 import org.arbutusstack.entry.plan.PlanBook;
 import org.arbutusstack.entry.plan.PlannerService;
 import org.arbutusstack.entry.router.RouterService;
+import org.arbutusstack.entry.ticket.LogFollowerService;
 import org.arbutusstack.entry.ticket.OperatorDirectory;
 import org.arbutusstack.entry.ticket.OperatorListener;
 import org.arbutusstack.entry.ticket.TicketService;
@@ -46,16 +48,28 @@
                     platform.clock(),
                     (int) settings.number(EntrySettings.MOST_REQUESTS));
             TicketLog log = new TicketLog(platform.store(), replica, List.of(new ReferenceCheck()), platform.clock());
-            TicketService tickets = new TicketService(platform.store(), log, platform.clock());
+            PeerService peers = new PeerService(
+                    identity,
+                    new InetSocketAddress(
+                            settings.text(DaemonSettings.ADDRESS), (int) settings.number(DaemonSettings.LINK_PORT)),
+                    platform.transport(),
+                    replica,
+                    platform.clock(),
+                    (int) settings.number(EntrySettings.RELAYS_PER_ZONE));
             registry.register(router);
-            registry.register(tickets);
+            registry.register(peers);
+            registry.register(new LogFollowerService(platform.store(), replica, platform.clock(), peers::isRelay));
+            registry.register(new TicketService(log, platform.clock()));
             registry.register(new PlannerService(
                     identity, platform.store(), replica, plans, router, new SpreadingPlanner(), platform.clock()));
             registry.register(new HostListService(
                     platform.client(),
                     HttpTarget.parse(settings.text(DaemonSettings.HOST_LIST)),
                     platform.clock(),
-                    router::hostsChanged));
+                    hosts -> {
+                        router.hostsChanged(hosts);
+                        peers.hostsChanged(hosts);
+                    }));
             registerListeners(registry, settings, platform, identity, replica);
         }
 
--- a/entry/src/main/java/org/arbutusstack/entry/EntrySettings.java
+++ b/entry/src/main/java/org/arbutusstack/entry/EntrySettings.java
@@ -30,6 +30,10 @@
     public static final Setting MOST_REQUESTS =
             Setting.number("most-requests", 1, 100_000, 2_048, "requests in hand at once (entry)");
 
+    /** The number of entries of an availability zone that read the ticket log from the key-value service. */
+    public static final Setting RELAYS_PER_ZONE =
+            Setting.number("relays-per-zone", 1, 16, 2, "entries of a zone that follow the key-value service (entry)");
+
     private EntrySettings() {}
 
     /**
@@ -38,6 +42,7 @@
      * @return the settings
      */
     public static List<Setting> all() {
-        return List.of(CALLER_PORT, OPERATOR_PORT, OPERATORS, LONGEST_BODY, DEFAULT_DEADLINE, MOST_REQUESTS);
+        return List.of(
+                CALLER_PORT, OPERATOR_PORT, OPERATORS, LONGEST_BODY, DEFAULT_DEADLINE, MOST_REQUESTS, RELAYS_PER_ZONE);
     }
 }
--- a/entry/src/main/java/org/arbutusstack/entry/router/RouterService.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/RouterService.java
@@ -14,19 +14,16 @@
 import org.arbutusstack.kernel.service.Service;
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.ledger.LogReplica;
+import org.arbutusstack.ledger.peer.LogExchange;
 import org.arbutusstack.model.JsonCodec;
 import org.arbutusstack.model.host.HostList;
 import org.arbutusstack.model.plan.Plan;
 import org.arbutusstack.model.request.RequestId;
-import org.arbutusstack.model.ticket.DesiredState;
 import org.arbutusstack.placement.RunnerCapacity;
 import org.arbutusstack.routing.RunnerSelector;
 import org.arbutusstack.wire.frame.AnswerHeadFrame;
 import org.arbutusstack.wire.frame.AnswerPartFrame;
 import org.arbutusstack.wire.frame.Frame;
-import org.arbutusstack.wire.frame.HeartbeatFrame;
-import org.arbutusstack.wire.frame.LogPullFrame;
-import org.arbutusstack.wire.frame.LogPushFrame;
 import org.arbutusstack.wire.frame.PlanFrame;
 import org.arbutusstack.wire.frame.ReceiptFrame;
 import org.arbutusstack.wire.frame.RefusalFrame;
@@ -52,11 +49,7 @@
 
     private static final long TICK_MILLIS = 20;
 
-    private static final long HEARTBEAT_MILLIS = 500;
-
-    private static final int ENTRIES_PER_PUSH = 64;
-
-    private static final long BYTES_PER_PUSH = 256L * 1_024;
+    private static final long PLAN_MILLIS = 500;
 
     private static final long DRAIN_POLL_MILLIS = 20;
 
@@ -72,6 +65,8 @@
 
     private final Ticker ticker = new Ticker("router-ticker");
 
+    private final LogExchange exchange;
+
     private final SideDirectory sides;
 
     private final RequestTable requests;
@@ -82,7 +77,7 @@
 
     private volatile boolean draining;
 
-    private long heartbeatAtNanos;
+    private long planAtNanos;
 
     /**
      * Creates the service.
@@ -107,6 +102,7 @@
         this.replica = Assert.notNull(replica, "replica");
         this.plans = Assert.notNull(plans, "plans");
         this.clock = Assert.notNull(clock, "clock");
+        this.exchange = new LogExchange(replica, clock, LogExchange.HEARTBEAT_MILLIS);
         this.sides = new SideDirectory(identity, transport, clock, this::offer);
         this.requests = new RequestTable(sides, selector, clock, mostRequests);
         replica.addListener(state -> offer(new RouterEvent.StateAdvanced()));
@@ -184,9 +180,10 @@
             requests.callerGone(gone.id());
         } else if (event instanceof RouterEvent.LinkOpened opened) {
             if (sides.opened(opened.host(), opened.link()) != null) {
-                opened.link().send(heartbeat());
+                exchange.opened(opened.link());
             }
         } else if (event instanceof RouterEvent.LinkClosed closed) {
+            exchange.closed(closed.link());
             SideConnection side = sides.closed(closed.host(), closed.link());
             if (side != null) {
                 requests.sideLost(side);
@@ -194,7 +191,7 @@
         } else if (event instanceof RouterEvent.HostsChanged changed) {
             sides.hostsChanged(changed.hosts());
         } else if (event instanceof RouterEvent.StateAdvanced) {
-            sides.broadcast(heartbeat());
+            exchange.advanced();
         } else if (event instanceof RouterEvent.Tick) {
             tick();
         }
@@ -213,8 +210,8 @@
         } else if (frame instanceof SideReportFrame report) {
             side.report(report);
             offerPlan(side, report);
-        } else if (frame instanceof LogPullFrame pull) {
-            push(side, pull);
+        } else {
+            exchange.take(side.link(), frame);
         }
     }
 
@@ -227,27 +224,14 @@
         }
     }
 
-    private void push(SideConnection side, LogPullFrame pull) {
-        replica.batchAfter(pull.afterSequence(), ENTRIES_PER_PUSH, BYTES_PER_PUSH)
-                .ifPresent(batch -> {
-                    List<byte[]> blobs =
-                            batch.entries().stream().map(JsonCodec::write).toList();
-                    side.link().send(new LogPushFrame(batch.afterSequence(), blobs, batch.chain()));
-                });
-    }
-
-    private HeartbeatFrame heartbeat() {
-        DesiredState state = replica.state();
-        return new HeartbeatFrame(state.sequence(), state.chain(), draining);
-    }
-
     private void tick() {
         requests.tick();
         sides.connectMissing();
         sides.closeSilent();
-        if (clock.isPast(heartbeatAtNanos)) {
-            heartbeatAtNanos = clock.deadlineNanos(HEARTBEAT_MILLIS);
-            sides.broadcast(heartbeat());
+        exchange.leaving(draining);
+        exchange.tick();
+        if (clock.isPast(planAtNanos)) {
+            planAtNanos = clock.deadlineNanos(PLAN_MILLIS);
             sides.all().stream().filter(side -> side.report() != null).forEach(side -> offerPlan(side, side.report()));
         }
         statuses = sides.all().stream()
--- a/entry/src/main/java/org/arbutusstack/entry/ticket/TicketService.java
+++ b/entry/src/main/java/org/arbutusstack/entry/ticket/TicketService.java
@@ -1,23 +1,18 @@
 package org.arbutusstack.entry.ticket;
 
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.arbutusstack.kernel.Assert;
 import org.arbutusstack.kernel.ring.Duty;
-import org.arbutusstack.kernel.ring.Ticker;
 import org.arbutusstack.kernel.service.Service;
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.ledger.AcceptResult;
-import org.arbutusstack.ledger.LogKeys;
 import org.arbutusstack.ledger.TicketLog;
 import org.arbutusstack.model.ticket.TicketEntry;
-import org.arbutusstack.store.KeyValue;
-import org.arbutusstack.store.KeyValueStore;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * Submits tickets and keeps this process's copy of the ticket log up to date, by a watch and by reading now and then.
+ * Submits tickets to the ticket log, one after the other.
  *
  * <p>Runs on a duty of its own, which waits for the key-value service. {@link #submit} may be called by any thread.
  */
@@ -30,37 +25,21 @@
 
     private static final int RING_SIZE = 256;
 
-    private static final long READ_PERIOD_MILLIS = 1_000;
-
-    private static final long CALL_MILLIS = 1_000;
-
     private static final long SUBMIT_MILLIS = 6_000;
 
-    private static final long WATCH_MILLIS = 3_600_000;
-
-    private final KeyValueStore store;
-
     private final TicketLog log;
 
     private final Clock clock;
 
     private final Duty<Runnable> duty = new Duty<>("tickets", RING_SIZE, Runnable::run);
 
-    private final Ticker ticker = new Ticker("tickets-ticker");
-
-    private volatile KeyValueStore.Watch watch;
-
-    private volatile boolean current;
-
     /**
      * Creates the service.
      *
-     * @param store the key-value service
      * @param log the ticket log; used by this service's duty only
      * @param clock the clock of the process
      */
-    public TicketService(KeyValueStore store, TicketLog log, Clock clock) {
-        this.store = Assert.notNull(store, "store");
+    public TicketService(TicketLog log, Clock clock) {
         this.log = Assert.notNull(log, "log");
         this.clock = Assert.notNull(clock, "clock");
     }
@@ -73,8 +52,6 @@
     @Override
     public void start() {
         duty.start();
-        duty.offer(this::refresh);
-        ticker.every(READ_PERIOD_MILLIS, () -> duty.offer(this::refresh));
     }
 
     /**
@@ -107,48 +84,8 @@
         }
     }
 
-    private void refresh() {
-        Optional<Long> revision = log.reader().catchUp(clock.deadlineNanos(CALL_MILLIS));
-        current = revision.isPresent();
-        if (revision.isPresent() && watch == null) {
-            openWatch(revision.get() + 1);
-        }
-    }
-
-    private void openWatch(long fromRevision) {
-        watch = store.watch(LogKeys.HEAD, fromRevision, clock.deadlineNanos(WATCH_MILLIS), new HeadListener());
-    }
-
-    /**
-     * Tells whether the key-value service could be read at the last try.
-     *
-     * @return whether it could
-     */
-    public boolean isCurrent() {
-        return current;
-    }
-
     @Override
     public void stop() {
-        ticker.stop();
         duty.stop();
-        KeyValueStore.Watch open = watch;
-        if (open != null) {
-            open.close();
-        }
-    }
-
-    /** Brings the copy up to date when the head changes. */
-    private final class HeadListener implements KeyValueStore.WatchListener {
-
-        @Override
-        public void onChange(KeyValue keyValue) {
-            duty.offer(() -> log.reader().follow(keyValue, clock.deadlineNanos(CALL_MILLIS)));
-        }
-
-        @Override
-        public void onEnded(String detail) {
-            watch = null;
-        }
     }
 }
--- a/ledger/src/main/java/org/arbutusstack/ledger/LogReader.java
+++ b/ledger/src/main/java/org/arbutusstack/ledger/LogReader.java
@@ -26,6 +26,8 @@
 
     private static final Logger logger = LoggerFactory.getLogger(LogReader.class);
 
+    private static final int MOST_FAILURES = 3;
+
     private final KeyValueStore store;
 
     private final LogReplica replica;
@@ -53,9 +55,20 @@
      */
     public Optional<Long> catchUp(long deadlineNanos) {
         Retry retry = new Retry(clock, deadlineNanos);
-        Optional<HeadReading> reading = readHead(retry);
-        return reading.filter(read -> catchUp(read.head(), retry) == CatchUpResult.CURRENT)
-                .map(HeadReading::revision);
+        while (!retry.isOver() && retry.failures() < MOST_FAILURES) {
+            Optional<HeadReading> reading = readHead(retry);
+            CatchUpResult result = reading.isEmpty()
+                    ? CatchUpResult.UNREADABLE
+                    : catchUp(reading.get().head(), retry);
+            if (result == CatchUpResult.CURRENT) {
+                return reading.map(HeadReading::revision);
+            }
+            if (result != CatchUpResult.UNREADABLE) {
+                return Optional.empty();
+            }
+            retry.failed();
+        }
+        return Optional.empty();
     }
 
     /**
--- a/ledger/src/main/java/org/arbutusstack/ledger/LogReplica.java
+++ b/ledger/src/main/java/org/arbutusstack/ledger/LogReplica.java
@@ -64,9 +64,8 @@
             }
             long known = state.sequence() - afterSequence;
             if (known >= entries.size()) {
-                return isKnownChain(afterSequence + entries.size(), chain)
-                        ? AppendOutcome.KNOWN
-                        : AppendOutcome.DIVERGED;
+                Optional<Digest> own = chainAt(afterSequence + entries.size());
+                return own.isEmpty() || own.get().equals(chain) ? AppendOutcome.KNOWN : AppendOutcome.DIVERGED;
             }
             List<AcceptedTicket> following = follow(entries.subList((int) known, entries.size()));
             if (!following.get(following.size() - 1).chain().equals(chain)) {
@@ -97,13 +96,6 @@
         byNumber.put(ticket.entry().ticket().number(), ticket);
     }
 
-    private boolean isKnownChain(long sequence, Digest chain) {
-        if (sequence == 0) {
-            return chain.equals(Digest.ZERO);
-        }
-        return accepted.get((int) sequence - 1).chain().equals(chain);
-    }
-
     /**
      * Lists entries for a peer that is behind, up to a number of entries and of bytes.
      *
@@ -130,6 +122,22 @@
         return Optional.of(new LogBatch(afterSequence, entries, chain));
     }
 
+    /**
+     * Tells the chain digest after an entry.
+     *
+     * @param sequence the sequence of the entry, zero for the start of the log
+     * @return the chain digest, or empty if the copy does not know it
+     */
+    public synchronized Optional<Digest> chainAt(long sequence) {
+        if (sequence == 0) {
+            return Optional.of(Digest.ZERO);
+        }
+        if (sequence < 0 || sequence > accepted.size()) {
+            return Optional.empty();
+        }
+        return Optional.of(accepted.get((int) sequence - 1).chain());
+    }
+
     /**
      * Finds a ticket by its number.
      *
--- a/ledger/src/test/java/org/arbutusstack/ledger/ScriptedStore.java
+++ b/ledger/src/test/java/org/arbutusstack/ledger/ScriptedStore.java
@@ -42,6 +42,8 @@
 
     private boolean down;
 
+    private boolean silent;
+
     private long readCount;
 
     private long writeCount;
@@ -73,9 +75,14 @@
         down = isDown;
     }
 
+    /** Lets no watch tell anything, as if its connection had gone silent. */
+    public void silenceWatches(boolean isSilent) {
+        silent = isSilent;
+    }
+
     public void put(String key, byte[] value) {
         rows.put(key, new KeyValue(key, value, ++revision));
-        if (key.equals(LogKeys.HEAD)) {
+        if (key.equals(LogKeys.HEAD) && !silent && !down) {
             List.copyOf(watches).forEach(watch -> watch.onChange(rows.get(key)));
         }
     }
--- a/side/src/main/java/org/arbutusstack/side/SidePeers.java
+++ b/side/src/main/java/org/arbutusstack/side/SidePeers.java
@@ -1,52 +1,51 @@
 package org.arbutusstack.side;
 
 import java.util.LinkedHashSet;
-import java.util.List;
 import java.util.Set;
+import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.ledger.LogReplica;
-import org.arbutusstack.model.JsonCodec;
-import org.arbutusstack.model.ticket.TicketEntry;
+import org.arbutusstack.ledger.peer.LogExchange;
 import org.arbutusstack.wire.frame.Frame;
-import org.arbutusstack.wire.frame.HeartbeatFrame;
 import org.arbutusstack.wire.frame.HelloFrame;
-import org.arbutusstack.wire.frame.LogPullFrame;
-import org.arbutusstack.wire.frame.LogPushFrame;
 import org.arbutusstack.wire.link.Link;
 
-/** Keeps the links of a side and catches up with the ticket log of the peers behind them. Used by its duty only. */
+/** Keeps the links of a side and the ticket logs at their ends alike. Used by the side's duty only. */
 final class SidePeers {
 
-    private final LogReplica replica;
+    private final LogExchange exchange;
 
     private final Set<Link> links = new LinkedHashSet<>();
 
-    SidePeers(LogReplica replica) {
-        this.replica = replica;
+    SidePeers(LogReplica replica, Clock clock) {
+        this.exchange = new LogExchange(replica, clock, LogExchange.HEARTBEAT_MILLIS);
     }
 
     void opened(Link link, HelloFrame hello) {
         links.add(link);
         link.send(hello);
+        exchange.opened(link);
     }
 
     void closed(Link link) {
         links.remove(link);
+        exchange.closed(link);
     }
 
-    void heartbeat(Link link, HeartbeatFrame heartbeat) {
-        long have = replica.state().sequence();
-        if (heartbeat.sequence() > have) {
-            link.send(new LogPullFrame(have));
-        }
+    /** Takes a frame of the ticket log; tells whether it was one. */
+    boolean take(Link link, Frame frame) {
+        return exchange.take(link, frame);
     }
 
-    boolean push(LogPushFrame push) {
-        long before = replica.state().sequence();
-        List<TicketEntry> entries = push.entries().stream()
-                .map(json -> JsonCodec.read(json, TicketEntry.class))
-                .toList();
-        replica.append(push.afterSequence(), entries, push.chain());
-        return replica.state().sequence() > before;
+    void advanced() {
+        exchange.advanced();
+    }
+
+    void leaving() {
+        exchange.leaving(true);
+    }
+
+    void tick() {
+        exchange.tick();
     }
 
     void broadcast(Frame frame) {
--- a/side/src/main/java/org/arbutusstack/side/SideService.java
+++ b/side/src/main/java/org/arbutusstack/side/SideService.java
@@ -22,8 +22,6 @@
 import org.arbutusstack.store.KeyValueStore;
 import org.arbutusstack.wire.frame.CancelFrame;
 import org.arbutusstack.wire.frame.Frame;
-import org.arbutusstack.wire.frame.HeartbeatFrame;
-import org.arbutusstack.wire.frame.LogPushFrame;
 import org.arbutusstack.wire.frame.PlanFrame;
 import org.arbutusstack.wire.frame.SideReportFrame;
 import org.arbutusstack.wire.frame.WorkFrame;
@@ -87,6 +85,8 @@
 
     private volatile boolean backendAnswers;
 
+    private long appliedSequence;
+
     private long loadAskAtNanos;
 
     private long reportAtNanos;
@@ -123,7 +123,7 @@
         this.claims = new ClaimDesk(store, clock, identity, this::offer);
         this.residency = new Residency(identity.name(), identity.service(), new MemoryLedger(), backend::order);
         this.desk = new WorkDesk(identity, clock, backend, claims, queueLimit, slots);
-        this.peers = new SidePeers(replica);
+        this.peers = new SidePeers(replica, clock);
     }
 
     @Override
@@ -198,6 +198,7 @@
             tick();
         } else if (event instanceof SideEvent.DrainBegun) {
             desk.drain();
+            peers.leaving();
             report(true);
         }
     }
@@ -207,19 +208,23 @@
             desk.take(work, link);
         } else if (frame instanceof CancelFrame cancel) {
             desk.cancel(cancel.id(), cancel.attempt());
-        } else if (frame instanceof HeartbeatFrame heartbeat) {
-            peers.heartbeat(link, heartbeat);
-        } else if (frame instanceof LogPushFrame push) {
-            if (peers.push(push)) {
-                residency.stateAdvanced(state());
-                report(true);
-            }
+        } else if (peers.take(link, frame)) {
+            logAdvanced();
         } else if (frame instanceof PlanFrame plan) {
             residency.adopt(JsonCodec.read(plan.plan(), Plan.class));
             report(true);
         }
     }
 
+    private void logAdvanced() {
+        if (state().sequence() > appliedSequence) {
+            appliedSequence = state().sequence();
+            residency.stateAdvanced(state());
+            peers.advanced();
+            report(true);
+        }
+    }
+
     private DesiredState state() {
         return replica.state();
     }
@@ -242,6 +247,7 @@
     }
 
     private void tick() {
+        peers.tick();
         desk.expire();
         idle = desk.isDraining() && desk.isIdle();
         if (clock.isPast(loadAskAtNanos) && loadAsked.compareAndSet(false, true)) {
--- a/wire/src/main/java/org/arbutusstack/wire/frame/Frames.java
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/Frames.java
@@ -2,11 +2,13 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.HexFormat;
 import java.util.List;
+import org.arbutusstack.kernel.digest.Digest;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
 
-/** Writes and reads lists within frames. */
+/** Writes and reads lists and digests within frames. */
 final class Frames {
 
     private Frames() {}
@@ -42,4 +44,13 @@
         }
         return List.copyOf(values);
     }
+
+    static void packDigest(MessagePacker packer, Digest digest) throws IOException {
+        byte[] bytes = HexFormat.of().parseHex(digest.hex());
+        packer.packBinaryHeader(bytes.length).writePayload(bytes);
+    }
+
+    static Digest unpackDigest(MessageUnpacker unpacker) throws IOException {
+        return new Digest(HexFormat.of().formatHex(unpacker.readPayload(unpacker.unpackBinaryHeader())));
+    }
 }
--- a/wire/src/main/java/org/arbutusstack/wire/frame/HeartbeatFrame.java
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/HeartbeatFrame.java
@@ -15,7 +15,7 @@
 public record HeartbeatFrame(long sequence, Digest chain, boolean leaving) implements Frame {
 
     static HeartbeatFrame read(MessageUnpacker unpacker) throws IOException {
-        return new HeartbeatFrame(unpacker.unpackLong(), new Digest(unpacker.unpackString()), unpacker.unpackBoolean());
+        return new HeartbeatFrame(unpacker.unpackLong(), Frames.unpackDigest(unpacker), unpacker.unpackBoolean());
     }
 
     @Override
@@ -26,7 +26,7 @@
     @Override
     public void write(MessagePacker packer) throws IOException {
         packer.packLong(sequence);
-        packer.packString(chain.hex());
+        Frames.packDigest(packer, chain);
         packer.packBoolean(leaving);
     }
 }
--- a/wire/src/main/java/org/arbutusstack/wire/frame/LogPushFrame.java
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/LogPushFrame.java
@@ -16,8 +16,7 @@
 public record LogPushFrame(long afterSequence, List<byte[]> entries, Digest chain) implements Frame {
 
     static LogPushFrame read(MessageUnpacker unpacker) throws IOException {
-        return new LogPushFrame(
-                unpacker.unpackLong(), Frames.unpackBlobs(unpacker), new Digest(unpacker.unpackString()));
+        return new LogPushFrame(unpacker.unpackLong(), Frames.unpackBlobs(unpacker), Frames.unpackDigest(unpacker));
     }
 
     @Override
@@ -29,6 +28,6 @@
     public void write(MessagePacker packer) throws IOException {
         packer.packLong(afterSequence);
         Frames.packBlobs(packer, entries);
-        packer.packString(chain.hex());
+        Frames.packDigest(packer, chain);
     }
 }
