--- a/daemon/src/main/java/org/arbutusstack/daemon/Role.java
+++ b/daemon/src/main/java/org/arbutusstack/daemon/Role.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import org.arbutusstack.entry.EntryIdentity;
 import org.arbutusstack.entry.EntrySettings;
+import org.arbutusstack.entry.audit.AnchorService;
 import org.arbutusstack.entry.caller.CallerListener;
 import org.arbutusstack.entry.member.HostListService;
 import org.arbutusstack.entry.member.PeerService;
@@ -37,7 +38,7 @@
         void register(ServiceRegistry registry, Settings settings, Platform platform) {
             EntryIdentity identity = new EntryIdentity(
                     settings.text(DaemonSettings.NAME), settings.text(DaemonSettings.ZONE), platform.incarnation());
-            LogReplica replica = new LogReplica();
+            LogReplica replica = platform.newReplica();
             PlanBook plans = new PlanBook();
             RouterService router = new RouterService(
                     identity,
@@ -59,7 +60,7 @@
             registry.register(router);
             registry.register(peers);
             registry.register(new LogFollowerService(platform.store(), replica, platform.clock(), peers::isRelay));
-            registry.register(new TicketService(log, platform.clock()));
+            registry.register(new TicketService(log, platform.clock(), platform.trail()));
             registry.register(new PlannerService(
                     identity, platform.store(), replica, plans, router, new SpreadingPlanner(), platform.clock()));
             registry.register(new HostListService(
@@ -82,6 +83,8 @@
             RouterService router = registry.lookup(RouterService.NAME, RouterService.class);
             TicketService tickets = registry.lookup(TicketService.NAME, TicketService.class);
             String address = settings.text(DaemonSettings.ADDRESS);
+            AnchorService anchors = new AnchorService(platform.store(), platform.clock());
+            registry.register(anchors);
             registry.register(new AdminListener(
                     address,
                     (int) settings.number(DaemonSettings.ADMIN_PORT),
@@ -94,9 +97,11 @@
                     identity,
                     OperatorDirectory.parse(settings.text(EntrySettings.OPERATORS)),
                     tickets,
+                    anchors,
                     router,
                     replica,
-                    platform.clock()));
+                    platform.clock(),
+                    platform.trail()));
             registry.register(new CallerListener(
                     address,
                     (int) settings.number(EntrySettings.CALLER_PORT),
@@ -141,10 +146,12 @@
                     platform.transport(),
                     platform.client(),
                     platform.store(),
-                    new LogReplica(),
+                    platform.newReplica(),
                     platform.clock(),
                     (int) settings.number(SideSettings.QUEUE_LIMIT),
-                    (int) settings.number(SideSettings.SLOTS));
+                    (int) settings.number(SideSettings.SLOTS),
+                    SideSettings.claimLimits(settings),
+                    platform.metrics());
             registry.register(side);
             registry.register(new AdminListener(
                     address,
