--- a/side/src/main/java/org/arbutusstack/side/EndedWork.java
+++ b/side/src/main/java/org/arbutusstack/side/EndedWork.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 import org.arbutusstack.model.request.RequestId;
 
-/** Remembers the last attempt of requests that ended lately, so that late frames are told. Used by the side's duty only. */
+/** Remembers the last attempt of requests that ended lately, to tell late frames. Used by the side's duty only. */
 final class EndedWork {
 
     private static final int MOST_REMEMBERED = 4_096;
--- a/side/src/main/java/org/arbutusstack/side/SideService.java
+++ b/side/src/main/java/org/arbutusstack/side/SideService.java
@@ -30,9 +30,7 @@
 import org.arbutusstack.store.KeyValueStore;
 import org.arbutusstack.wire.frame.CancelFrame;
 import org.arbutusstack.wire.frame.Frame;
-import org.arbutusstack.wire.frame.HeartbeatFrame;
 import org.arbutusstack.wire.frame.HelloFrame;
-import org.arbutusstack.wire.frame.LogPushFrame;
 import org.arbutusstack.wire.frame.PlanFrame;
 import org.arbutusstack.wire.frame.RefusalFrame;
 import org.arbutusstack.wire.frame.SideReportFrame;
@@ -103,6 +101,8 @@
 
     private volatile boolean backendAnswers;
 
+    private long appliedSequence;
+
     private long loadAskAtNanos;
 
     private long reportAtNanos;
@@ -146,7 +146,7 @@
         AnswerSender answers =
                 new AnswerSender(identity.name(), () -> replica.state().sequence(), trail, workMetrics);
         this.desk = new WorkDesk(clock, backend, claims, answers, workLimits);
-        this.peers = new SidePeers(replica);
+        this.peers = new SidePeers(replica, clock);
     }
 
     @Override
@@ -274,6 +274,7 @@
             tick();
         } else if (event instanceof SideEvent.DrainBegun) {
             desk.drain();
+            peers.leaving();
             report(true);
         }
     }
@@ -285,19 +286,23 @@
             desk.cancel(cancel.id(), cancel.attempt());
         } else if (frame instanceof HelloFrame hello) {
             desk.entryStarted(hello.name(), hello.incarnation());
-        } else if (frame instanceof HeartbeatFrame heartbeat) {
-            peers.heartbeat(link, heartbeat);
-        } else if (frame instanceof LogPushFrame push) {
-            if (peers.push(push)) {
-                residency.stateAdvanced(state());
-                report(true);
-            }
+        } else if (peers.take(link, frame)) {
+            logAdvanced();
         } else if (frame instanceof PlanFrame plan) {
             residency.adopt(JsonCodec.read(plan.plan(), Plan.class));
             report(true);
         }
     }
 
+    private void logAdvanced() {
+        if (state().sequence() > appliedSequence) {
+            appliedSequence = state().sequence();
+            residency.stateAdvanced(state());
+            peers.advanced();
+            report(true);
+        }
+    }
+
     private DesiredState state() {
         return replica.state();
     }
@@ -322,6 +327,7 @@
 
     private void tick() {
         takeOverflow();
+        peers.tick();
         desk.expire();
         claims.commitSoon();
         idle = desk.isDraining() && desk.isIdle();
