Refuse requests that crash engines after two losses, and run suspects alone

Cause: a request that crashes its engine was retried by the entry on the next one, up to four engines for each time the caller sent it. Strikes by content digest go to all entries before the refusal; suspects go to one side and run alone there. Also: three missed load reports in a row, not one, make a side leave; ClaimFaultTests kills the side that its state dump shows to run the call, and waits before each test until both entries see both sides (one of four runs had killed a side that did not run it).

--- a/daemon/src/test/java/org/arbutusstack/daemon/side/ClaimFaultTests.java
+++ b/daemon/src/test/java/org/arbutusstack/daemon/side/ClaimFaultTests.java
@@ -24,6 +24,7 @@
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeClass;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -75,6 +76,11 @@
         return count == SIDES.size();
     }
 
+    @BeforeMethod
+    public void awaitBothSides() {
+        awaitServing();
+    }
+
     @AfterMethod
     public void endFaults() {
         cluster.store().fault(KeyValueFault.NONE);
@@ -220,16 +226,33 @@
         long writes = cluster.store().writeCount();
         CompletableFuture<HttpReply> reply = order(first, key, 5_000, "{}");
         assertTrue(ProcessCluster.awaitTrue(3, () -> cluster.store().writeCount() > writes));
-        killAndExpectUnknown("order-2", key, reply, 0);
+        killAndExpectUnknown(runningSide(), key, reply, 0);
     }
 
     @Test
     public void shouldRunAtMostOnceWhenSideIsKilledBetweenSendAndRecord() {
         String key = keyOf("order-1");
-        delayService(1_500);
+        delayService(4_000);
         CompletableFuture<HttpReply> reply = order(first, key, 5_000, "{}");
         assertTrue(ProcessCluster.awaitTrue(3, () -> service.executions(key) == 1));
-        killAndExpectUnknown("order-1", key, reply, 1);
+        killAndExpectUnknown(runningSide(), key, reply, 1);
+    }
+
+    /** Finds the side that runs the only call in hand. */
+    private String runningSide() {
+        List<String> found = new ArrayList<>();
+        assertTrue(ProcessCluster.awaitTrue(2, () -> {
+            found.clear();
+            SIDES.stream()
+                    .filter(side -> cluster.state(cluster.processes().get(side))
+                                    .path("report")
+                                    .path("running")
+                                    .asInt()
+                            > 0)
+                    .forEach(found::add);
+            return found.size() == 1;
+        }));
+        return found.get(0);
     }
 
     private void killAndExpectUnknown(String side, String key, CompletableFuture<HttpReply> reply, int executions) {
--- /dev/null
+++ b/entry/src/main/java/org/arbutusstack/entry/router/Quarantine.java
@@ -0,0 +1,79 @@
+package org.arbutusstack.entry.router;
+
+import java.util.Collection;
+import java.util.Optional;
+import org.arbutusstack.kernel.Assert;
+import org.arbutusstack.kernel.time.Clock;
+import org.arbutusstack.model.request.Refusal;
+import org.arbutusstack.model.request.RefusalReason;
+import org.arbutusstack.routing.RunnerView;
+import org.arbutusstack.routing.Strike;
+import org.arbutusstack.routing.StrikeBook;
+import org.arbutusstack.routing.SuspectSelector;
+import org.arbutusstack.wire.frame.StrikeFrame;
+import org.arbutusstack.wire.link.Link;
+
+/**
+ * Refuses requests during which two engines were lost, and sends those with one such loss to one runner, which is told
+ * of it before. Used by the router's duty only.
+ */
+final class Quarantine {
+
+    private static final int MOST_DIGESTS = 10_000;
+
+    private final StrikeBook book = new StrikeBook(MOST_DIGESTS);
+
+    private final SuspectSelector selector = new SuspectSelector();
+
+    private final Clock clock;
+
+    Quarantine(Clock clock) {
+        this.clock = Assert.notNull(clock, "clock");
+    }
+
+    private static String digestOf(CallerRequest request) {
+        return StrikeBook.digestOf(request.model(), request.adapter(), request.body());
+    }
+
+    private boolean isTracked(CallerRequest request) {
+        return !book.isEmpty() && !request.model().isEmpty();
+    }
+
+    Optional<Refusal> refusalOf(CallerRequest request) {
+        if (!isTracked(request) || !book.isRefused(digestOf(request), clock.nowNanos())) {
+            return Optional.empty();
+        }
+        String detail = "two engines were lost while they ran a request with this content";
+        return Optional.of(Refusal.rejected(RefusalReason.QUARANTINED, detail));
+    }
+
+    boolean isSuspect(CallerRequest request) {
+        return isTracked(request) && book.isSuspect(digestOf(request), clock.nowNanos());
+    }
+
+    /** Chooses the runner for a suspect. */
+    Optional<RunnerView> choose(CallerRequest request, Collection<RunnerView> views) {
+        return selector.select(request.routing(), digestOf(request), views);
+    }
+
+    /** Tells a side what is known of a request that it is about to get. */
+    void warn(Link link, CallerRequest request) {
+        if (!isTracked(request)) {
+            return;
+        }
+        for (Strike strike : book.strikesOf(digestOf(request), clock.nowNanos())) {
+            long leftMillis = clock.millisUntil(strike.expiresAtNanos());
+            link.send(new StrikeFrame(strike.digest(), strike.incident(), true, leftMillis));
+        }
+    }
+
+    void told(StrikeFrame frame) {
+        if (frame.valid()) {
+            book.add(new Strike(frame.digest(), frame.incident(), clock.deadlineNanos(frame.leftMillis())));
+        } else if (frame.incident().isEmpty()) {
+            book.clear(frame.digest());
+        } else {
+            book.withdraw(frame.digest(), frame.incident());
+        }
+    }
+}
--- a/entry/src/main/java/org/arbutusstack/entry/router/RequestTable.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/RequestTable.java
@@ -18,6 +18,7 @@
 import org.arbutusstack.wire.frame.AnswerPartFrame;
 import org.arbutusstack.wire.frame.CancelFrame;
 import org.arbutusstack.wire.frame.RefusalFrame;
+import org.arbutusstack.wire.frame.StrikeFrame;
 import org.arbutusstack.wire.frame.WorkFrame;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -45,6 +46,8 @@
 
     private final int limit;
 
+    private final Quarantine quarantine;
+
     private final Map<RequestId, Pending> pending = new HashMap<>();
 
     RequestTable(SideDirectory sides, RunnerSelector selector, Clock clock, int limit) {
@@ -52,6 +55,12 @@
         this.selector = selector;
         this.clock = clock;
         this.limit = limit;
+        this.quarantine = new Quarantine(clock);
+    }
+
+    /** Learns of a request that was in flight when an engine was lost. */
+    void told(StrikeFrame frame) {
+        quarantine.told(frame);
     }
 
     int size() {
@@ -64,6 +73,11 @@
             Answers.refuse(request.response(), request.id().toString(), refusal);
             return;
         }
+        Optional<Refusal> quarantined = quarantine.refusalOf(request);
+        if (quarantined.isPresent()) {
+            Answers.refuse(request.response(), request.id().toString(), quarantined.get());
+            return;
+        }
         Pending entry = new Pending(request);
         pending.put(request.id(), entry);
         route(entry);
@@ -77,6 +91,7 @@
         }
         SideConnection side = sides.byName(chosen.get().name());
         entry.assign(side, clock.deadlineNanos(RECEIPT_MILLIS));
+        quarantine.warn(side.link(), request);
         if (side.link().send(frameOf(entry))) {
             side.sent();
         } else {
@@ -86,6 +101,9 @@
 
     private Optional<RunnerView> choose(Pending entry) {
         CallerRequest request = entry.request();
+        if (quarantine.isSuspect(request)) {
+            return quarantine.choose(request, sides.views());
+        }
         if (request.idempotent()) {
             return selector.select(request.routing(), sides.views());
         }
@@ -200,6 +218,11 @@
                 && refusal.kind() != RefusalKind.REJECTED
                 && entry.attempt() < MOST_ATTEMPTS
                 && !clock.isPast(request.deadlineNanos());
+        Optional<Refusal> quarantined = quarantine.refusalOf(request);
+        if (quarantined.isPresent()) {
+            refuse(entry, quarantined.get());
+            return;
+        }
         if (again) {
             logger.debug("event=retry request={} reason={}", request.id(), refusal.reason());
             route(entry);
--- a/entry/src/main/java/org/arbutusstack/entry/router/RouterService.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/RouterService.java
@@ -28,6 +28,7 @@
 import org.arbutusstack.wire.frame.ReceiptFrame;
 import org.arbutusstack.wire.frame.RefusalFrame;
 import org.arbutusstack.wire.frame.SideReportFrame;
+import org.arbutusstack.wire.frame.StrikeFrame;
 import org.arbutusstack.wire.link.LinkTransport;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -207,6 +208,8 @@
             requests.receipt(receipt.id(), receipt.attempt(), side);
         } else if (frame instanceof RefusalFrame refusal) {
             requests.refused(refusal, side);
+        } else if (frame instanceof StrikeFrame strike) {
+            requests.told(strike);
         } else if (frame instanceof SideReportFrame report) {
             side.report(report);
             offerPlan(side, report);
--- a/side/src/main/java/org/arbutusstack/side/SideService.java
+++ b/side/src/main/java/org/arbutusstack/side/SideService.java
@@ -34,6 +34,7 @@
 import org.arbutusstack.wire.frame.PlanFrame;
 import org.arbutusstack.wire.frame.RefusalFrame;
 import org.arbutusstack.wire.frame.SideReportFrame;
+import org.arbutusstack.wire.frame.StrikeFrame;
 import org.arbutusstack.wire.frame.WorkFrame;
 import org.arbutusstack.wire.link.Link;
 import org.arbutusstack.wire.link.LinkListener;
@@ -59,6 +60,8 @@
 
     private static final long LOAD_PERIOD_MILLIS = 250;
 
+    private static final int LOADS_MISSED_TO_LEAVE = 3;
+
     private static final long REPORT_PERIOD_MILLIS = 500;
 
     private static final long LEAVING_NOTICE_MILLIS = 500;
@@ -89,6 +92,8 @@
 
     private final SidePeers peers;
 
+    private final SuspectDesk suspects;
+
     private final WorkMetrics workMetrics;
 
     private final Queue<SideEvent> overflow = new ConcurrentLinkedQueue<>();
@@ -103,6 +108,8 @@
 
     private long appliedSequence;
 
+    private int missedLoads;
+
     private long loadAskAtNanos;
 
     private long reportAtNanos;
@@ -145,8 +152,10 @@
         this.workMetrics = new WorkMetrics(metrics);
         AnswerSender answers =
                 new AnswerSender(identity.name(), () -> replica.state().sequence(), trail, workMetrics);
-        this.desk = new WorkDesk(clock, backend, claims, answers, workLimits);
         this.peers = new SidePeers(replica, clock);
+        this.suspects = new SuspectDesk(
+                identity.incarnation(), clock, workLimits.quarantineMillis(), peers::broadcast, metrics);
+        this.desk = new WorkDesk(clock, backend, claims, suspects, answers, workLimits);
     }
 
     @Override
@@ -259,6 +268,7 @@
     private void handleOther(SideEvent event) {
         if (event instanceof SideEvent.LinkOpened opened) {
             peers.opened(opened.link(), identity.hello());
+            suspects.tell(opened.link());
             report(true);
         } else if (event instanceof SideEvent.LinkClosed closed) {
             peers.closed(closed.link());
@@ -284,6 +294,8 @@
             desk.take(work, link);
         } else if (frame instanceof CancelFrame cancel) {
             desk.cancel(cancel.id(), cancel.attempt());
+        } else if (frame instanceof StrikeFrame strike) {
+            suspects.told(strike);
         } else if (frame instanceof HelloFrame hello) {
             desk.entryStarted(hello.name(), hello.incarnation());
         } else if (peers.take(link, frame)) {
@@ -318,8 +330,15 @@
 
     private void loadReported(JsonNode load) {
         loadAsked.set(false);
-        backendAnswers = load != null;
+        missedLoads = load == null ? missedLoads + 1 : 0;
+        backendAnswers =
+                load != null || backendAnswers && missedLoads < LOADS_MISSED_TO_LEAVE && !suspects.isUncertain();
+        if (load == null && suspects.isUncertain()) {
+            desk.engineAway();
+            report(true);
+        }
         if (load != null && isEngine()) {
+            suspects.loadReported(load);
             residency.engineReported(load);
             desk.slotsReported(load.path("slots").asInt(Integer.MAX_VALUE));
         }
@@ -331,8 +350,10 @@
         desk.expire();
         claims.commitSoon();
         idle = desk.isDraining() && desk.isIdle();
-        if (clock.isPast(loadAskAtNanos) && loadAsked.compareAndSet(false, true)) {
+        boolean askDue = suspects.isUncertain() || clock.isPast(loadAskAtNanos);
+        if (askDue && loadAsked.compareAndSet(false, true)) {
             loadAskAtNanos = clock.deadlineNanos(LOAD_PERIOD_MILLIS);
+            suspects.loadAsked();
             backend.askLoad();
         }
         report(clock.isPast(reportAtNanos));
--- a/side/src/main/java/org/arbutusstack/side/SideSettings.java
+++ b/side/src/main/java/org/arbutusstack/side/SideSettings.java
@@ -37,6 +37,10 @@
     public static final Setting ANSWER_SILENCE = Setting.number(
             "answer-silence-millis", 100, 600_000, 60_000, "time any other answer may go without a part, in ms");
 
+    /** The time that strikes of requests that crash engines are remembered. */
+    public static final Setting QUARANTINE = Setting.number(
+            "quarantine-minutes", 1, 10_080, 60, "time that requests that crash engines are refused, in minutes");
+
     /** The time that the claim of a call is kept. */
     public static final Setting CLAIM_RETENTION = Setting.number(
             "claim-retention-hours",
@@ -69,7 +73,8 @@
                 settings.number(QUEUE_BYTES),
                 (int) settings.number(SLOTS),
                 settings.number(STREAM_SILENCE),
-                settings.number(ANSWER_SILENCE));
+                settings.number(ANSWER_SILENCE),
+                TimeUnit.MINUTES.toMillis(settings.number(QUARANTINE)));
     }
 
     /**
@@ -100,6 +105,7 @@
                 SLOTS,
                 STREAM_SILENCE,
                 ANSWER_SILENCE,
+                QUARANTINE,
                 CLAIM_RETENTION,
                 CLAIM_COMMIT,
                 CLAIM_ANSWER);
--- a/side/src/main/java/org/arbutusstack/side/Work.java
+++ b/side/src/main/java/org/arbutusstack/side/Work.java
@@ -28,6 +28,8 @@
 
     private long progressedAtNanos;
 
+    private boolean alone;
+
     private boolean sent;
 
     private boolean whole;
@@ -113,6 +115,15 @@
         return progressedAtNanos;
     }
 
+    /** Tells whether nothing else runs beside it. */
+    boolean isAlone() {
+        return alone;
+    }
+
+    void runAlone() {
+        alone = true;
+    }
+
     boolean isSent() {
         return sent;
     }
--- a/side/src/main/java/org/arbutusstack/side/WorkDesk.java
+++ b/side/src/main/java/org/arbutusstack/side/WorkDesk.java
@@ -30,8 +30,13 @@
 
     private static final Logger logger = LoggerFactory.getLogger(WorkDesk.class);
 
+    private static final int OK = 200;
+
     private static final int MOST_COLLECTED_BYTES = 2 * 1_024 * 1_024;
 
+    private static final Refusal QUARANTINED = Refusal.rejected(
+            RefusalReason.QUARANTINED, "two engines were lost while they ran a request with this content");
+
     private static final String EVENT_STREAM = "text/event-stream";
 
     private final Clock clock;
@@ -40,6 +45,8 @@
 
     private final ClaimDesk claims;
 
+    private final SuspectDesk suspects;
+
     private final AnswerSender answers;
 
     private final WorkLimits limits;
@@ -58,12 +65,21 @@
 
     private int running;
 
+    private boolean runsAlone;
+
     private boolean draining;
 
-    WorkDesk(Clock clock, Backend backend, ClaimDesk claims, AnswerSender answers, WorkLimits limits) {
+    WorkDesk(
+            Clock clock,
+            Backend backend,
+            ClaimDesk claims,
+            SuspectDesk suspects,
+            AnswerSender answers,
+            WorkLimits limits) {
         this.clock = Assert.notNull(clock, "clock");
         this.backend = Assert.notNull(backend, "backend");
         this.claims = Assert.notNull(claims, "claims");
+        this.suspects = Assert.notNull(suspects, "suspects");
         this.answers = Assert.notNull(answers, "answers");
         this.limits = Assert.notNull(limits, "limits");
         this.queue = new WorkQueue(limits.queueLimit(), limits.queueBytes());
@@ -107,6 +123,8 @@
         Work work = new Work(frame, link, clock.deadlineNanos(frame.leftMillis()));
         if (draining) {
             answers.refuse(work, Refusal.notRun(RefusalReason.LEAVING, "the backend server is leaving"));
+        } else if (suspects.isRefused(work)) {
+            answers.refuse(work, QUARANTINED);
         } else if (!canBeInTime(work)) {
             String detail = "the requests before it take longer than the time left";
             answers.refuse(work, Refusal.notRun(RefusalReason.DEADLINE_UNREACHABLE, detail));
@@ -165,16 +183,23 @@
     /** Sends waiting work to the backend server while there are slots. */
     void dispatch(Predicate<Work> ready) {
         Set<String> notReady = new HashSet<>();
-        while (running < slots) {
+        while (running < slots && !runsAlone) {
             Optional<Work> next = queue.first(work -> isReady(work, ready, notReady));
-            if (next.isEmpty()) {
+            if (next.isEmpty() || mustWaitToRunAlone(next.get())) {
                 return;
             }
             start(next.get());
         }
     }
 
-    private static boolean isReady(Work work, Predicate<Work> ready, Set<String> notReady) {
+    private boolean mustWaitToRunAlone(Work work) {
+        return running > 0 && suspects.isSuspect(work);
+    }
+
+    private boolean isReady(Work work, Predicate<Work> ready, Set<String> notReady) {
+        if (suspects.isUncertain() && !work.frame().model().isEmpty()) {
+            return false;
+        }
         String needs = work.frame().model() + '\n' + work.frame().adapter();
         if (notReady.contains(needs)) {
             return false;
@@ -188,6 +213,15 @@
 
     private void start(Work work) {
         queue.take(work);
+        if (suspects.isRefused(work)) {
+            end(work);
+            answers.refuse(work, QUARANTINED);
+            return;
+        }
+        if (suspects.isSuspect(work)) {
+            work.runAlone();
+            runsAlone = true;
+        }
         work.dispatchedAt(clock.nowNanos());
         running++;
         if (work.frame().idempotent()) {
@@ -303,10 +337,17 @@
             return;
         }
         end(work);
-        if (!work.isWhole() || work.isBroken()) {
+        if (work.isBroken()) {
             answers.refuse(work, Refusal.outcomeUnknown(RefusalReason.BACKEND_LOST, "the answer broke off"));
             return;
         }
+        if (!work.isWhole()) {
+            refuseLost(work, "the answer broke off");
+            return;
+        }
+        if (work.status() == OK) {
+            suspects.completed(work);
+        }
         times.add(work.frame().model(), clock.nowNanos() - work.dispatchedAtNanos());
         byte[] rest = work.partial().toByteArray();
         if (work.frame().idempotent()) {
@@ -323,9 +364,13 @@
             return;
         }
         end(work);
-        RefusalReason reason =
-                clock.isPast(work.deadlineNanos()) ? RefusalReason.DEADLINE_PASSED : RefusalReason.BACKEND_LOST;
+        boolean late = clock.isPast(work.deadlineNanos());
+        RefusalReason reason = late ? RefusalReason.DEADLINE_PASSED : RefusalReason.BACKEND_LOST;
         logger.info("event=work-failed request={} detail={}", work.frame().id(), failure.getMessage());
+        if (failure.maybeSent() && !late && !work.isBroken()) {
+            refuseLost(work, failure.getMessage());
+            return;
+        }
         if (failure.maybeSent()) {
             answers.refuse(work, Refusal.outcomeUnknown(reason, failure.getMessage()));
             return;
@@ -336,6 +381,22 @@
         answers.refuse(work, Refusal.notRun(reason, failure.getMessage()));
     }
 
+    /** Refuses a request during which the connection to the backend server broke. */
+    private void refuseLost(Work work, String detail) {
+        suspects.lost(work);
+        answers.refuse(
+                work,
+                suspects.isRefused(work) ? QUARANTINED : Refusal.outcomeUnknown(RefusalReason.BACKEND_LOST, detail));
+    }
+
+    /** Refuses the requests for an engine that wait, so that other runners can take them. */
+    void engineAway() {
+        queue.removeIf(work -> !work.frame().model().isEmpty(), work -> {
+            end(work);
+            answers.refuse(work, Refusal.notRun(RefusalReason.BACKEND_LOST, "the engine does not answer"));
+        });
+    }
+
     void cancel(RequestId id, int attempt) {
         Work work = open.get(id);
         boolean present = work != null && work.frame().attempt() == attempt;
@@ -360,6 +421,7 @@
         if (work.isDispatched()) {
             running--;
         }
+        runsAlone &= !work.isAlone();
         work.end();
         open.remove(work.frame().id(), work);
         endedWork.add(work.frame().id(), work.frame().attempt());
--- a/side/src/test/java/org/arbutusstack/side/WorkDeskFixture.java
+++ b/side/src/test/java/org/arbutusstack/side/WorkDeskFixture.java
@@ -32,6 +32,10 @@
 
     final List<AuditEvent> audited = new ArrayList<>();
 
+    final List<Frame> told = new ArrayList<>();
+
+    final SuspectDesk suspects;
+
     final WorkDesk desk;
 
     private final Deque<SideEvent> events = new ArrayDeque<>();
@@ -44,11 +48,12 @@
         ClaimDesk claims =
                 new ClaimDesk(new UnusedStore(), clock, identity, claimLimits, new ClaimMetrics(registry), events::add);
         AnswerSender answers = new AnswerSender("lm-1", () -> 1L, audited::add, new WorkMetrics(registry));
-        desk = new WorkDesk(clock, backend, claims, answers, limits);
+        suspects = new SuspectDesk("inc", clock, 60_000, told::add, registry);
+        desk = new WorkDesk(clock, backend, claims, suspects, answers, limits);
     }
 
     static WorkLimits limits(int slots) {
-        return new WorkLimits(16, 10_000, slots, 1_000, 5_000);
+        return new WorkLimits(16, 10_000, slots, 1_000, 5_000, 60_000);
     }
 
     static WorkFrame frame(long number, int attempt, long leftMillis, Priority priority) {
--- a/side/src/test/java/org/arbutusstack/side/WorkDeskTests.java
+++ b/side/src/test/java/org/arbutusstack/side/WorkDeskTests.java
@@ -3,7 +3,10 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
+import org.arbutusstack.model.JsonCodec;
 import org.arbutusstack.model.request.Priority;
 import org.arbutusstack.model.request.RequestId;
 import org.arbutusstack.side.WorkDeskFixture.Exchange;
@@ -109,7 +112,7 @@
 
     @Test
     public void shouldRefuseWhenQueueIsFullByCountOrBytes() {
-        WorkDeskFixture fixture = new WorkDeskFixture(new WorkLimits(2, 20, 1, 1_000, 1_000));
+        WorkDeskFixture fixture = new WorkDeskFixture(new WorkLimits(2, 20, 1, 1_000, 1_000, 60_000));
         FakeLink own = new FakeLink();
         fixture.take(normal(1, 1), own);
         fixture.take(normal(2, 1), own);
@@ -189,4 +192,84 @@
         assertTrue(fixture.desk.isIdle());
         assertTrue(own.sent(AnswerPartFrame.class).stream().anyMatch(AnswerPartFrame::last));
     }
+
+    private static WorkFrame of(long number, String model) {
+        return WorkDeskFixture.frame(new RequestId("entry", number), 1, 60_000, Priority.NORMAL, model);
+    }
+
+    private static JsonNode load(int crashes) {
+        String json = "{\"crashes\":" + crashes + ",\"models\":[1]}";
+        return JsonCodec.read(json.getBytes(StandardCharsets.UTF_8), JsonNode.class);
+    }
+
+    private static void report(WorkDeskFixture fixture, int crashes) {
+        fixture.clock.advanceMillis(10);
+        fixture.suspects.loadAsked();
+        fixture.suspects.loadReported(load(crashes));
+        fixture.handle();
+    }
+
+    @Test
+    public void shouldRunSuspectAloneAndRefuseItWhenItCrashesSecondEngine() {
+        WorkDeskFixture fixture = new WorkDeskFixture(WorkDeskFixture.limits(4));
+        FakeLink own = new FakeLink();
+        report(fixture, 0);
+        fixture.take(of(1, "innocent"), own);
+        fixture.take(of(2, "crasher"), own);
+        fixture.client.exchanges.get(0).fail();
+        fixture.client.exchanges.get(1).fail();
+        fixture.handle();
+        fixture.take(of(3, "other"), own);
+        assertEquals(fixture.client.started().size(), 2, "nothing is sent before the engine reported");
+        report(fixture, 1);
+        assertEquals(fixture.client.started().size(), 3);
+        fixture.client.last().finish();
+        fixture.handle();
+        fixture.take(of(4, "crasher"), own);
+        fixture.take(of(5, "innocent"), own);
+        fixture.take(of(6, "other"), own);
+        assertEquals(fixture.client.started().size(), 4, "the suspect runs alone");
+        fixture.client.last().fail();
+        fixture.handle();
+        report(fixture, 2);
+        assertEquals(own.refusals().get(2), "4 REJECTED QUARANTINED");
+        fixture.take(of(7, "crasher"), own);
+        assertEquals(own.refusals().get(3), "7 REJECTED QUARANTINED");
+        assertEquals(fixture.desk.running(), 1);
+        for (int left = 0; left < 2; left++) {
+            fixture.client.last().finish();
+            fixture.handle();
+        }
+        assertTrue(fixture.desk.isIdle());
+        fixture.take(of(8, "innocent"), own);
+        fixture.take(of(9, "other"), own);
+        assertEquals(fixture.desk.running(), 2, "the innocent is cleared");
+    }
+
+    @Test
+    public void shouldTakeStrikeBackWhenOnlyConnectionWasLost() {
+        WorkDeskFixture fixture = new WorkDeskFixture(WorkDeskFixture.limits(4));
+        report(fixture, 3);
+        for (int time = 0; time < 3; time++) {
+            fixture.take(of(time, "steady"), new FakeLink());
+            fixture.client.last().fail();
+            fixture.handle();
+            report(fixture, 3);
+        }
+        fixture.take(of(7, "steady"), new FakeLink());
+        fixture.take(of(8, "steady"), new FakeLink());
+        assertEquals(fixture.desk.running(), 2);
+    }
+
+    @Test
+    public void shouldLetOtherRunnersTakeOverWhenEngineDoesNotAnswer() {
+        WorkDeskFixture fixture = new WorkDeskFixture(WorkDeskFixture.limits(1));
+        FakeLink own = new FakeLink();
+        fixture.take(of(1, "m"), own);
+        fixture.take(of(2, "n"), own);
+        fixture.client.last().fail();
+        fixture.handle();
+        fixture.desk.engineAway();
+        assertEquals(own.refusals(), List.of("1 OUTCOME_UNKNOWN BACKEND_LOST", "2 NOT_RUN BACKEND_LOST"));
+    }
 }
--- a/wire/src/main/java/org/arbutusstack/wire/frame/Frame.java
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/Frame.java
@@ -25,6 +25,7 @@
                 LogPushFrame,
                 PlanFrame,
                 SideReportFrame,
+                StrikeFrame,
                 ProtocolErrorFrame {
 
     /**
--- a/wire/src/main/java/org/arbutusstack/wire/frame/FrameType.java
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/FrameType.java
@@ -35,7 +35,9 @@
     /** See {@link SideReportFrame}. */
     SIDE_REPORT(12, SideReportFrame::read),
     /** See {@link ProtocolErrorFrame}. */
-    PROTOCOL_ERROR(13, ProtocolErrorFrame::read);
+    PROTOCOL_ERROR(13, ProtocolErrorFrame::read),
+    /** See {@link StrikeFrame}. */
+    STRIKE(42, StrikeFrame::read);
 
     private final int code;
 
