--- /dev/null
+++ b/bench/src/main/java/org/arbutusstack/bench/BenchCommand.java
@@ -0,0 +1,52 @@
+package org.arbutusstack.bench;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import org.arbutusstack.bench.deployment.DeploymentCommand;
+import org.arbutusstack.bench.load.LoadCommand;
+import org.arbutusstack.bench.report.ReportFiles;
+import org.arbutusstack.bench.slopes.SlopesCommand;
+
+/** Lists the commands of the measuring tool; each constant runs its own. */
+enum BenchCommand {
+    /** Runs a deployment under load and faults. */
+    DEPLOYMENT {
+        @Override
+        void run(String[] arguments, ReportFiles files) {
+            new DeploymentCommand().run(arguments, files);
+        }
+    },
+    /** Sends load to entries that stand. */
+    LOAD {
+        @Override
+        void run(String[] arguments, ReportFiles files) {
+            new LoadCommand().run(arguments, files);
+        }
+    },
+    /** Measures how use grows with size. */
+    SLOPES {
+        @Override
+        void run(String[] arguments, ReportFiles files) {
+            new SlopesCommand().run(arguments, files);
+        }
+    };
+
+    static Optional<BenchCommand> named(String name) {
+        return Arrays.stream(values())
+                .filter(command -> command.lowerCaseName().equals(name))
+                .findFirst();
+    }
+
+    static List<String> names() {
+        return Arrays.stream(values()).map(BenchCommand::lowerCaseName).toList();
+    }
+
+    private String lowerCaseName() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+
+    /** Runs the command. */
+    abstract void run(String[] arguments, ReportFiles files);
+}
--- /dev/null
+++ b/bench/src/main/java/org/arbutusstack/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Runs the commands of the measuring tool. */
+package org.arbutusstack.bench;
--- /dev/null
+++ b/bench/src/main/java/org/arbutusstack/bench/process/package-info.java
@@ -0,0 +1,2 @@
+/** Reads what processes use of the machine. */
+package org.arbutusstack.bench.process;
--- /dev/null
+++ b/bench/src/main/java/org/arbutusstack/bench/report/ReportFiles.java
@@ -0,0 +1,46 @@
+package org.arbutusstack.bench.report;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.arbutusstack.testkit.Json;
+
+/**
+ * Writes reports and plots into one directory.
+ *
+ * @param directory the directory, made when it is missing
+ */
+public record ReportFiles(Path directory) {
+
+    /**
+     * Writes a report in JSON.
+     *
+     * @param name the file's name without its suffix
+     * @param report the report
+     */
+    public void json(String name, Object report) {
+        String pretty = Json.read(Json.write(report)).toPrettyString();
+        write(name + ".json", pretty + "\n");
+    }
+
+    /**
+     * Writes a plot.
+     *
+     * @param name the file's name without its suffix
+     * @param plot the plot
+     */
+    public void plot(String name, SvgPlot plot) {
+        write(name + ".svg", plot.svg());
+    }
+
+    private void write(String name, String text) {
+        try {
+            Files.createDirectories(directory);
+            Files.write(directory.resolve(name), text.getBytes(StandardCharsets.UTF_8));
+        } catch (IOException failure) {
+            throw new UncheckedIOException("Could not write " + name, failure);
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/arbutusstack/bench/report/package-info.java
@@ -0,0 +1,2 @@
+/** Fits lines, draws plots and writes reports. */
+package org.arbutusstack.bench.report;
--- /dev/null
+++ b/bench/src/main/java/org/arbutusstack/bench/slopes/FakeSides.java
@@ -0,0 +1,139 @@
+package org.arbutusstack.bench.slopes;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.stream.IntStream;
+import org.arbutusstack.model.JsonCodec;
+import org.arbutusstack.model.host.HostRole;
+import org.arbutusstack.model.plan.Plan;
+import org.arbutusstack.testkit.process.FreePorts;
+import org.arbutusstack.wire.frame.Frame;
+import org.arbutusstack.wire.frame.FrameCodec;
+import org.arbutusstack.wire.frame.HelloFrame;
+import org.arbutusstack.wire.frame.PlanFrame;
+import org.arbutusstack.wire.frame.SideReportFrame;
+import org.arbutusstack.wire.link.Link;
+import org.arbutusstack.wire.link.LinkListener;
+import org.arbutusstack.wire.link.NioLinkTransport;
+
+/** Takes links from entries and reports on them as sides do, with the same content for each. */
+final class FakeSides implements AutoCloseable {
+
+    private static final long MEMORY_MB = 80_000;
+
+    private final int port = FreePorts.next();
+
+    private final NioLinkTransport transport = new NioLinkTransport("fake-sides");
+
+    private final Set<Link> links = ConcurrentHashMap.newKeySet();
+
+    private final AtomicLong bytes = new AtomicLong();
+
+    private final AtomicLong frames = new AtomicLong();
+
+    private final AtomicReference<Plan> adopted = new AtomicReference<>(Plan.none("stitch-lm"));
+
+    private final AtomicLong queueLength = new AtomicLong();
+
+    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(work -> {
+        Thread thread = new Thread(work, "fake-reports");
+        thread.setDaemon(true);
+        return thread;
+    });
+
+    private final List<String> models;
+
+    private final List<String> adapters;
+
+    FakeSides(int modelsEach, int adaptersEach, long reportPeriodMillis) {
+        this.models = names("model-", modelsEach);
+        this.adapters = names("adapter-", adaptersEach);
+        transport.listen(new InetSocketAddress("127.0.0.1", port), new Listener());
+        timer.scheduleAtFixedRate(this::report, 0, reportPeriodMillis, TimeUnit.MILLISECONDS);
+    }
+
+    private static List<String> names(String prefix, int count) {
+        return IntStream.range(0, count)
+                .mapToObj(index -> prefix + index + "@v1")
+                .toList();
+    }
+
+    int port() {
+        return port;
+    }
+
+    int linkCount() {
+        return links.size();
+    }
+
+    long bytes() {
+        return bytes.get();
+    }
+
+    long frames() {
+        return frames.get();
+    }
+
+    private void report() {
+        Plan plan = adopted.get();
+        SideReportFrame report = new SideReportFrame(
+                1,
+                plan.fence(),
+                plan.sequence(),
+                MEMORY_MB,
+                MEMORY_MB / 2,
+                (int) queueLength.incrementAndGet(),
+                4,
+                models,
+                adapters,
+                false);
+        links.forEach(link -> send(link, report));
+    }
+
+    private void send(Link link, Frame frame) {
+        if (link.send(frame)) {
+            count(frame);
+        }
+    }
+
+    private void count(Frame frame) {
+        bytes.addAndGet(FrameCodec.encode(frame).remaining());
+        frames.incrementAndGet();
+    }
+
+    @Override
+    public void close() {
+        timer.shutdownNow();
+        transport.stop();
+    }
+
+    /** Keeps the links and counts what arrives on them. */
+    private final class Listener implements LinkListener {
+
+        @Override
+        public void onOpen(Link link) {
+            send(link, new HelloFrame("fake-side", HostRole.SIDE, "stitch-lm", "regina", "fake-side-1"));
+            links.add(link);
+        }
+
+        @Override
+        public void onFrame(Link link, Frame frame) {
+            count(frame);
+            if (frame instanceof PlanFrame plan) {
+                adopted.set(JsonCodec.read(plan.plan(), Plan.class));
+            }
+        }
+
+        @Override
+        public void onClosed(Link link) {
+            links.remove(link);
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/arbutusstack/bench/slopes/SlopesCommand.java
@@ -0,0 +1,126 @@
+package org.arbutusstack.bench.slopes;
+
+import java.io.File;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.function.ToDoubleFunction;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+import org.arbutusstack.bench.report.LinearFit;
+import org.arbutusstack.bench.report.ReportFiles;
+import org.arbutusstack.bench.report.Series;
+import org.arbutusstack.bench.report.SvgPlot;
+
+/** Measures daemons at three sizes of each case, fits lines and writes them as reports and plots. */
+public final class SlopesCommand {
+
+    private final OptionParser parser = new OptionParser();
+
+    private final OptionSpec<String> cases = parser.accepts("cases", "the cases to measure, joined by commas")
+            .withRequiredArg()
+            .withValuesSeparatedBy(',')
+            .defaultsTo(Arrays.stream(SlopeCase.values()).map(Enum::name).toArray(String[]::new));
+
+    private final OptionSpec<Long> warmUp = parser.accepts("warm-up-seconds", "seconds before each measurement")
+            .withRequiredArg()
+            .ofType(Long.class)
+            .defaultsTo(8L);
+
+    private final OptionSpec<Long> seconds = parser.accepts("seconds", "seconds of each measurement")
+            .withRequiredArg()
+            .ofType(Long.class)
+            .defaultsTo(12L);
+
+    private final OptionSpec<File> logs = parser.accepts("logs", "directory for the daemons' logs")
+            .withRequiredArg()
+            .ofType(File.class)
+            .defaultsTo(new File("run/slopes"));
+
+    /**
+     * Runs the command.
+     *
+     * @param arguments its flags
+     * @param files takes the reports
+     */
+    public void run(String[] arguments, ReportFiles files) {
+        OptionSet options = parser.parse(arguments);
+        SlopeWindow window = new SlopeWindow(options.valueOf(warmUp), options.valueOf(seconds));
+        for (String name : options.valuesOf(cases)) {
+            SlopeCase slopeCase = SlopeCase.valueOf(name);
+            List<Measurement> measured = measure(slopeCase, window, options.valueOf(logs));
+            write(slopeCase, measured, files);
+        }
+    }
+
+    /** Measures the sizes of a case at the same time, each with daemons of its own. */
+    private static List<Measurement> measure(SlopeCase slopeCase, SlopeWindow window, File logs) {
+        ExecutorService executor = Executors.newCachedThreadPool();
+        try {
+            List<CompletableFuture<Measurement>> futures = new ArrayList<>();
+            for (int size : slopeCase.sizes()) {
+                File directory = new File(logs, slopeCase + "-" + size);
+                futures.add(CompletableFuture.supplyAsync(() -> measure(slopeCase, size, window, directory), executor));
+            }
+            return futures.stream().map(CompletableFuture::join).toList();
+        } finally {
+            executor.shutdownNow();
+        }
+    }
+
+    private static Measurement measure(SlopeCase slopeCase, int size, SlopeWindow window, File directory) {
+        try (SlopeBed bed = new SlopeBed(directory, window)) {
+            return slopeCase.measure(size, bed);
+        }
+    }
+
+    private static void write(SlopeCase slopeCase, List<Measurement> measured, ReportFiles files) {
+        Map<String, LinearFit> fits = new TreeMap<>();
+        fits.put("cpuPercentOfCore", fit(measured, one -> one.use().cpuPercentOfCore()));
+        fits.put("residentMb", fit(measured, one -> one.use().residentMb()));
+        fits.put("bytesPerSecond", fit(measured, one -> one.use().bytesPerSecond()));
+        for (String name : measured.get(0).more().keySet()) {
+            fits.put(name, fit(measured, one -> one.more().get(name)));
+        }
+        String name =
+                "slopes-" + slopeCase.name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+        Map<String, Object> report = new TreeMap<>();
+        report.put("unit", slopeCase.unit());
+        report.put("measured", measured);
+        report.put("fits", fits);
+        files.json(name, report);
+        files.plot(name, plot(slopeCase, measured));
+        System.out.println(slopeCase + " per " + slopeCase.unit());
+        measured.forEach(System.out::println);
+        fits.forEach(
+                (what, fit) -> System.out.printf("  %s = %.4f + %.5f a unit%n", what, fit.intercept(), fit.slope()));
+    }
+
+    private static LinearFit fit(List<Measurement> measured, ToDoubleFunction<Measurement> value) {
+        List<Double> sizes = measured.stream().map(one -> (double) one.size()).toList();
+        List<Double> values = measured.stream().map(value::applyAsDouble).toList();
+        return LinearFit.of(sizes, values);
+    }
+
+    private static SvgPlot plot(SlopeCase slopeCase, List<Measurement> measured) {
+        List<Series> lines = List.of(
+                series("processor, % of a core", measured, one -> one.use().cpuPercentOfCore()),
+                series("resident, MB / 10", measured, one -> one.use().residentMb() / 10),
+                series("bytes, KB/s", measured, one -> one.use().bytesPerSecond() / 1_000));
+        return new SvgPlot(slopeCase.name(), slopeCase.unit(), "value", lines);
+    }
+
+    private static Series series(String name, List<Measurement> measured, ToDoubleFunction<Measurement> value) {
+        return new Series(
+                name,
+                measured.stream()
+                        .map(one -> Series.Point.of(one.size(), value.applyAsDouble(one)))
+                        .toList());
+    }
+}
--- /dev/null
+++ b/bench/src/test/java/org/arbutusstack/bench/load/LoadGeneratorTests.java
@@ -0,0 +1,90 @@
+package org.arbutusstack.bench.load;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.undertow.server.HttpServerExchange;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.arbutusstack.http.client.HttpTarget;
+import org.arbutusstack.http.client.UndertowHttpClient;
+import org.arbutusstack.http.server.ResponseStream;
+import org.arbutusstack.testkit.AbstractStandIn;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests that the generator tells the truth about what became of requests. */
+public class LoadGeneratorTests {
+
+    private static final String WHOLE = "data: a\n\ndata: b\n\ndata: [DONE]\n\n";
+
+    @DataProvider
+    Object[][] answers() {
+        return new Object[][] {
+            {200, WHOLE, 0, Outcome.IN_TIME},
+            {200, WHOLE, 700, Outcome.LATE},
+            {200, "data: a\n\ndata: [DONE]\n\n", 0, Outcome.BROKEN},
+            {200, "data: a\n\ndata: b\n\n", 0, Outcome.BROKEN},
+            {200, "data: a\n\ndata: b\n\nevent: error\ndata: {}\n\n", 0, Outcome.BROKEN},
+            {503, "{\"error\":{\"kind\":\"not_run\",\"reason\":\"no_runner\"}}", 0, Outcome.REFUSED},
+            {200, WHOLE, 9_000, Outcome.BROKEN},
+        };
+    }
+
+    @Test(dataProvider = "answers")
+    public void shouldNameOutcomeWhenAnswerIs(int status, String body, long delayMillis, Outcome expected) {
+        LoadResult result = run(new Answering(status, body, delayMillis), List.of(arrival(0)));
+        assertEquals(result.count(expected), 1, result.json().toString());
+        assertEquals(result.ended(), 1);
+    }
+
+    @Test
+    public void shouldSendOnWhenEarlierRequestsHang() {
+        LoadResult result = run(new Answering(200, WHOLE, 400), List.of(arrival(0), arrival(50), arrival(100)));
+        assertEquals(result.count(Outcome.IN_TIME), 3, result.json().toString());
+        assertTrue(result.json().path("first_token_millis").path("p50").asDouble() >= 399);
+        assertTrue(result.json().path("send_lag_millis").path("p99").asDouble() < 400);
+    }
+
+    private static Arrival arrival(long atMillis) {
+        return new Arrival(TimeUnit.MILLISECONDS.toNanos(atMillis), "model-0", 1, "boots", 2, 500);
+    }
+
+    private static LoadResult run(Answering server, List<Arrival> trace) {
+        try (server;
+                UndertowHttpClient client = new UndertowHttpClient("load-test", 1)) {
+            server.start();
+            return new LoadGenerator(client, List.of(HttpTarget.parse(server.address()))).run(trace);
+        }
+    }
+
+    /** Answers every request alike after a delay. */
+    private static final class Answering extends AbstractStandIn {
+
+        private final int status;
+
+        private final byte[] body;
+
+        private final long delayMillis;
+
+        Answering(int status, String body, long delayMillis) {
+            super(0);
+            this.status = status;
+            this.body = body.getBytes(StandardCharsets.UTF_8);
+            this.delayMillis = delayMillis;
+        }
+
+        @Override
+        protected void handle(HttpServerExchange exchange, String path, byte[] request) {
+            ResponseStream.open(exchange, stream -> exchange.getIoThread()
+                    .executeAfter(() -> answer(stream), delayMillis, TimeUnit.MILLISECONDS));
+        }
+
+        private void answer(ResponseStream stream) {
+            stream.head(status, "text/event-stream");
+            stream.write(body);
+            stream.end();
+        }
+    }
+}
--- a/testkit/src/main/java/org/arbutusstack/testkit/engine/EngineMemory.java
+++ b/testkit/src/main/java/org/arbutusstack/testkit/engine/EngineMemory.java
@@ -22,6 +22,10 @@
 
     private long violations;
 
+    private long modelUnloads;
+
+    private long adapterUnloads;
+
     private long highestFence;
 
     EngineMemory(long sizeMb) {
@@ -52,7 +56,15 @@
     }
 
     synchronized void unload(String key) {
-        residents.remove(key);
+        Resident removed = residents.remove(key);
+        if (removed == null) {
+            return;
+        }
+        if (removed.adapter) {
+            adapterUnloads++;
+        } else {
+            modelUnloads++;
+        }
     }
 
     synchronized void clear() {
@@ -86,6 +98,8 @@
         node.put("peak_mb", peakMb);
         node.put("violations", violations);
         node.put("fence", highestFence);
+        node.put("model_unloads", modelUnloads);
+        node.put("adapter_unloads", adapterUnloads);
         ArrayNode models = node.putArray("models");
         ArrayNode adapters = node.putArray("adapters");
         residents.forEach((key, resident) -> {
--- a/testkit/src/main/java/org/arbutusstack/testkit/engine/EngineStandIn.java
+++ b/testkit/src/main/java/org/arbutusstack/testkit/engine/EngineStandIn.java
@@ -73,6 +73,15 @@
         return memory.violations();
     }
 
+    /**
+     * Tells what is in memory, how much of it was ever used, and how many models and adapters were unloaded.
+     *
+     * @return the description that {@code GET /load} gives, without the queue
+     */
+    public com.fasterxml.jackson.databind.JsonNode memoryState() {
+        return memory.json();
+    }
+
     /**
      * Counts the runs of a request.
      *
--- a/testkit/src/main/java/org/arbutusstack/testkit/process/DaemonProcess.java
+++ b/testkit/src/main/java/org/arbutusstack/testkit/process/DaemonProcess.java
@@ -16,6 +16,9 @@
  */
 public final class DaemonProcess {
 
+    /** The system property that names a launcher to run in place of the daemon on the class path. */
+    public static final String LAUNCHER_PROPERTY = "arbutus.daemon.launcher";
+
     private static final String MAIN = "org.arbutusstack.daemon.ArbutusDaemon";
 
     private final String name;
@@ -34,14 +37,7 @@
 
     /** Starts the process, again with the same flags if it ran before. */
     public void start() {
-        List<String> command = new ArrayList<>(List.of(
-                ProcessHandle.current().info().command().orElse("java"),
-                "-Xmx48m",
-                "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1",
-                "-cp",
-                System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
-                MAIN));
+        List<String> command = program();
         flags.forEach((flag, value) -> {
             command.add("--" + flag);
             command.add(value);
@@ -55,6 +51,21 @@
         }
     }
 
+    private static List<String> program() {
+        String launcher = System.getProperty(LAUNCHER_PROPERTY);
+        if (launcher != null) {
+            return new ArrayList<>(List.of(launcher));
+        }
+        return new ArrayList<>(List.of(
+                ProcessHandle.current().info().command().orElse("java"),
+                "-Xmx48m",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-cp",
+                System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
+                MAIN));
+    }
+
     /**
      * Names the host of the process.
      *
@@ -129,6 +140,15 @@
         }
     }
 
+    /**
+     * Tells the id of the process.
+     *
+     * @return the id that the system gave it
+     */
+    public long pid() {
+        return process.pid();
+    }
+
     /**
      * Tells how the process ended.
      *
--- a/testkit/src/main/java/org/arbutusstack/testkit/process/ProcessCluster.java
+++ b/testkit/src/main/java/org/arbutusstack/testkit/process/ProcessCluster.java
@@ -185,6 +185,15 @@
         return hostRows.get(name);
     }
 
+    /**
+     * Adds a host that the cluster did not start; takes effect with {@link #publishHosts()}.
+     *
+     * @param row what the host list says of it
+     */
+    public void addHost(ObjectNode row) {
+        hostRows.put(row.path("name").asText(), row);
+    }
+
     /** Shows the hosts in the host list. */
     public void publishHosts() {
         ObjectNode list = Json.object();
--- a/testkit/src/main/java/org/arbutusstack/testkit/weights/WeightStoreStandIn.java
+++ b/testkit/src/main/java/org/arbutusstack/testkit/weights/WeightStoreStandIn.java
@@ -21,6 +21,10 @@
 
     private final AtomicInteger adaptersInFlight = new AtomicInteger();
 
+    private final AtomicInteger modelFetches = new AtomicInteger();
+
+    private final AtomicInteger adapterFetches = new AtomicInteger();
+
     private volatile double slowdown = 1;
 
     /**
@@ -34,12 +38,44 @@
         this.speed = speed;
     }
 
+    /**
+     * Counts the fetches of models.
+     *
+     * @return the number begun since the start
+     */
+    public int modelFetches() {
+        return modelFetches.get();
+    }
+
+    /**
+     * Counts the fetches of adapters.
+     *
+     * @return the number begun since the start
+     */
+    public int adapterFetches() {
+        return adapterFetches.get();
+    }
+
+    /**
+     * Multiplies the time of every fetch from now on.
+     *
+     * @param factor the factor, one for full speed
+     */
+    public void slowdown(double factor) {
+        slowdown = factor;
+    }
+
     @Override
     protected void handle(HttpServerExchange exchange, String path, byte[] body) {
         switch (path) {
-            case "/fetch/model" -> fetch(exchange, modelsInFlight, speed.modelMillis(), speed.modelsAtFullSpeed());
-            case "/fetch/adapter" ->
+            case "/fetch/model" -> {
+                modelFetches.incrementAndGet();
+                fetch(exchange, modelsInFlight, speed.modelMillis(), speed.modelsAtFullSpeed());
+            }
+            case "/fetch/adapter" -> {
+                adapterFetches.incrementAndGet();
                 fetch(exchange, adaptersInFlight, speed.adapterMillis(), speed.adaptersAtFullSpeed());
+            }
             default -> setFault(exchange, body);
         }
     }
