--- a/daemon/src/main/java/org/arbutusstack/daemon/Role.java
+++ b/daemon/src/main/java/org/arbutusstack/daemon/Role.java
@@ -5,11 +5,13 @@
 import java.util.List;
 import org.arbutusstack.entry.EntryIdentity;
 import org.arbutusstack.entry.EntrySettings;
+import org.arbutusstack.entry.audit.AnchorService;
 import org.arbutusstack.entry.caller.CallerListener;
 import org.arbutusstack.entry.member.HostListService;
 import org.arbutusstack.entry.plan.PlanBook;
 import org.arbutusstack.entry.plan.PlannerService;
 import org.arbutusstack.entry.router.RouterService;
+import org.arbutusstack.entry.ticket.OperatorDirectory;
 import org.arbutusstack.entry.ticket.OperatorListener;
 import org.arbutusstack.entry.ticket.TicketService;
 import org.arbutusstack.http.client.HttpTarget;
@@ -34,7 +36,7 @@
         void register(ServiceRegistry registry, Settings settings, Platform platform) {
             EntryIdentity identity = new EntryIdentity(
                     settings.text(DaemonSettings.NAME), settings.text(DaemonSettings.ZONE), platform.incarnation());
-            LogReplica replica = new LogReplica();
+            LogReplica replica = platform.newReplica();
             PlanBook plans = new PlanBook();
             RouterService router = new RouterService(
                     identity,
@@ -45,7 +47,7 @@
                     platform.clock(),
                     (int) settings.number(EntrySettings.MOST_REQUESTS));
             TicketLog log = new TicketLog(platform.store(), replica, List.of(new ReferenceCheck()), platform.clock());
-            TicketService tickets = new TicketService(platform.store(), log, platform.clock());
+            TicketService tickets = new TicketService(platform.store(), log, platform.clock(), platform.trail());
             registry.register(router);
             registry.register(tickets);
             registry.register(new PlannerService(
@@ -67,6 +69,8 @@
             RouterService router = registry.lookup(RouterService.NAME, RouterService.class);
             TicketService tickets = registry.lookup(TicketService.NAME, TicketService.class);
             String address = settings.text(DaemonSettings.ADDRESS);
+            AnchorService anchors = new AnchorService(platform.store(), platform.clock());
+            registry.register(anchors);
             registry.register(new AdminListener(
                     address,
                     (int) settings.number(DaemonSettings.ADMIN_PORT),
@@ -77,10 +81,13 @@
                     address,
                     (int) settings.number(EntrySettings.OPERATOR_PORT),
                     identity,
+                    OperatorDirectory.parse(settings.text(EntrySettings.OPERATORS)),
                     tickets,
+                    anchors,
                     router,
                     replica,
-                    platform.clock()));
+                    platform.clock(),
+                    platform.trail()));
             registry.register(new CallerListener(
                     address,
                     (int) settings.number(EntrySettings.CALLER_PORT),
@@ -94,7 +101,17 @@
 
         @Override
         List<Setting> required() {
-            return List.of(DaemonSettings.HOST_LIST);
+            return List.of(DaemonSettings.HOST_LIST, EntrySettings.OPERATORS);
+        }
+
+        @Override
+        List<String> malformed(Settings settings) {
+            try {
+                OperatorDirectory.parse(settings.text(EntrySettings.OPERATORS));
+                return List.of();
+            } catch (IllegalArgumentException mistake) {
+                return List.of("--operators (ARBUTUS_OPERATORS): " + mistake.getMessage());
+            }
         }
     },
 
@@ -115,10 +132,12 @@
                     platform.transport(),
                     platform.client(),
                     platform.store(),
-                    new LogReplica(),
+                    platform.newReplica(),
                     platform.clock(),
                     (int) settings.number(SideSettings.QUEUE_LIMIT),
-                    (int) settings.number(SideSettings.SLOTS));
+                    (int) settings.number(SideSettings.SLOTS),
+                    SideSettings.claimLimits(settings),
+                    platform.metrics());
             registry.register(side);
             registry.register(new AdminListener(
                     address,
@@ -158,6 +177,19 @@
                         + name().toLowerCase(java.util.Locale.ROOT));
             }
         }
+        if (mistakes.isEmpty()) {
+            mistakes.addAll(malformed(settings));
+        }
         return mistakes;
     }
+
+    /**
+     * Checks what only the role can check.
+     *
+     * @param settings the settings, each permitted by itself
+     * @return one line for each mistake
+     */
+    List<String> malformed(Settings settings) {
+        return List.of();
+    }
 }
--- a/entry/src/main/java/org/arbutusstack/entry/ticket/OperatorListener.java
+++ b/entry/src/main/java/org/arbutusstack/entry/ticket/OperatorListener.java
@@ -2,11 +2,17 @@
 
 import io.undertow.Undertow;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.SameThreadExecutor;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.arbutusstack.audit.AuditEvent;
+import org.arbutusstack.audit.AuditTrail;
 import org.arbutusstack.entry.EntryIdentity;
+import org.arbutusstack.entry.audit.AnchorResult;
+import org.arbutusstack.entry.audit.AnchorService;
 import org.arbutusstack.entry.router.RouterService;
 import org.arbutusstack.entry.router.RunnerStatus;
 import org.arbutusstack.http.server.HttpServers;
@@ -21,6 +27,8 @@
 import org.arbutusstack.model.ModelException;
 import org.arbutusstack.model.ticket.Ticket;
 import org.arbutusstack.model.ticket.TicketEntry;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Listens for operators: takes tickets and shows which are in force where.
@@ -29,10 +37,14 @@
  */
 public final class OperatorListener implements Service {
 
+    private static final Logger logger = LoggerFactory.getLogger(OperatorListener.class);
+
     private static final int OK = 200;
 
     private static final int BAD_REQUEST = 400;
 
+    private static final int UNAUTHORIZED = 401;
+
     private static final int NOT_FOUND = 404;
 
     private static final int CONFLICT = 409;
@@ -47,16 +59,24 @@
 
     private static final String TICKETS = "/tickets";
 
+    private static final String ANCHORS = "/audit/anchors/";
+
     private final EntryIdentity identity;
 
+    private final OperatorDirectory operators;
+
     private final TicketService tickets;
 
+    private final AnchorService anchors;
+
     private final RouterService router;
 
     private final LogReplica replica;
 
     private final Clock clock;
 
+    private final AuditTrail trail;
+
     private final Undertow server;
 
     /**
@@ -65,21 +85,30 @@
      * @param address the IP number to listen on
      * @param port the port
      * @param identity who the entry is
+     * @param operators tells who may come in
      * @param tickets takes the tickets
+     * @param anchors reads the anchors of audit records
      * @param router tells the runners
      * @param replica this process's copy of the ticket log
      * @param clock the clock of the process
+     * @param trail takes what an auditor may ask about
      */
     public OperatorListener(
             String address,
             int port,
             EntryIdentity identity,
+            OperatorDirectory operators,
             TicketService tickets,
+            AnchorService anchors,
             RouterService router,
             LogReplica replica,
-            Clock clock) {
+            Clock clock,
+            AuditTrail trail) {
         this.identity = Assert.notNull(identity, "identity");
+        this.operators = Assert.notNull(operators, "operators");
         this.tickets = Assert.notNull(tickets, "tickets");
+        this.anchors = Assert.notNull(anchors, "anchors");
+        this.trail = Assert.notNull(trail, "trail");
         this.router = Assert.notNull(router, "router");
         this.replica = Assert.notNull(replica, "replica");
         this.clock = Assert.notNull(clock, "clock");
@@ -99,14 +128,30 @@
     }
 
     private void receive(HttpServerExchange exchange, byte[] body) {
+        Optional<String> operator =
+                operators.operatorOf(exchange.getRequestHeaders().getFirst(Headers.AUTHORIZATION));
+        if (operator.isEmpty()) {
+            logger.warn(
+                    "event=operator-refused path={} from={}", exchange.getRequestPath(), exchange.getSourceAddress());
+            trail.record(new AuditEvent.OperatorRefused(
+                    exchange.getRequestPath(), String.valueOf(exchange.getSourceAddress())));
+            error(exchange, UNAUTHORIZED, "unauthorized", "the operators' port needs an operator's token");
+            return;
+        }
+        answer(exchange, operator.get(), body);
+    }
+
+    private void answer(HttpServerExchange exchange, String operator, byte[] body) {
         String path = exchange.getRequestPath();
         boolean isPost = exchange.getRequestMethod().toString().equals("POST");
         if (path.equals(TICKETS) && isPost) {
-            submit(exchange, body);
+            submit(exchange, operator, body);
         } else if (path.equals(TICKETS)) {
             list(exchange);
         } else if (path.startsWith(TICKETS + "/")) {
             show(exchange, path.substring(TICKETS.length() + 1));
+        } else if (path.startsWith(ANCHORS)) {
+            sendAnchors(exchange, path.substring(ANCHORS.length()));
         } else if (path.equals("/status")) {
             Responses.json(exchange, OK, router.stateDump());
         } else {
@@ -114,7 +159,7 @@
         }
     }
 
-    private void submit(HttpServerExchange exchange, byte[] body) {
+    private void submit(HttpServerExchange exchange, String operator, byte[] body) {
         Ticket ticket;
         try {
             ticket = JsonCodec.read(body, Ticket.class);
@@ -122,10 +167,8 @@
             error(exchange, BAD_REQUEST, "malformed", malformed.getMessage());
             return;
         }
-        String given = exchange.getRequestHeaders().getFirst("X-Operator");
-        String operator = given == null || given.isBlank() ? "unnamed" : given;
         TicketEntry entry = new TicketEntry(ticket, operator, clock.wallMillis(), identity.name());
-        exchange.dispatch(io.undertow.util.SameThreadExecutor.INSTANCE, () -> tickets.submit(entry)
+        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> tickets.submit(entry)
                 .thenAccept(result -> exchange.getIoThread().execute(() -> answer(exchange, result))));
     }
 
@@ -189,6 +232,23 @@
         Responses.json(exchange, OK, JsonCodec.write(description));
     }
 
+    private void sendAnchors(HttpServerExchange exchange, String process) {
+        if (process.isBlank() || process.contains("/")) {
+            error(exchange, BAD_REQUEST, "malformed", "the path must end with the name of a host");
+            return;
+        }
+        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> anchors.anchors(process)
+                .thenAccept(result -> exchange.getIoThread().execute(() -> answer(exchange, result))));
+    }
+
+    private static void answer(HttpServerExchange exchange, AnchorResult result) {
+        if (result instanceof AnchorResult.Found found) {
+            Responses.json(exchange, OK, JsonCodec.write(Map.of("anchors", found.anchors())));
+        } else if (result instanceof AnchorResult.Unavailable unavailable) {
+            error(exchange, UNAVAILABLE, "unavailable", unavailable.detail());
+        }
+    }
+
     @Override
     public void stop() {
         server.stop();
--- a/kernel/src/main/java/org/arbutusstack/kernel/setting/SettingsParser.java
+++ b/kernel/src/main/java/org/arbutusstack/kernel/setting/SettingsParser.java
@@ -20,6 +20,8 @@
  */
 public final class SettingsParser {
 
+    private static final String OFF_PREFIX = "no-";
+
     private static final String HELP = "help";
 
     private static final String VERSION = "version";
@@ -70,8 +72,9 @@
             String text = textOf(setting, options, environment);
             String complaint = text == null ? "required" : setting.kind().complaint(setting, text);
             if (complaint != null) {
-                mistakes.add("--" + setting.name() + " (" + setting.variable() + "): value '"
-                        + (text == null ? "" : text) + "', permitted: " + complaint);
+                String shown = text == null ? "" : setting.kind().shown(text);
+                mistakes.add("--" + setting.name() + " (" + setting.variable() + "): value '" + shown + "', permitted: "
+                        + complaint);
                 continue;
             }
             texts.put(setting.name(), text);
@@ -85,7 +88,13 @@
     }
 
     private static String textOf(Setting setting, OptionSet options, Map<String, String> environment) {
-        if (options.has(setting.name())) {
+        if (setting.kind() == SettingKind.FLAG && options.has(setting.name())) {
+            return Boolean.TRUE.toString();
+        }
+        if (setting.kind() == SettingKind.FLAG && options.has(OFF_PREFIX + setting.name())) {
+            return Boolean.FALSE.toString();
+        }
+        if (setting.kind().isFlag() && options.has(setting.name())) {
             return (String) options.valueOf(setting.name());
         }
         return environment.getOrDefault(setting.variable(), setting.defaultText());
@@ -96,7 +105,15 @@
         parser.accepts(HELP, "prints this text");
         parser.accepts(VERSION, "prints the version");
         for (Setting setting : settings) {
+            if (!setting.kind().isFlag()) {
+                continue;
+            }
             String origin = "; also " + setting.variable();
+            if (setting.kind() == SettingKind.FLAG) {
+                parser.accepts(setting.name(), setting.description() + origin);
+                parser.accepts(OFF_PREFIX + setting.name(), "switches --" + setting.name() + " off");
+                continue;
+            }
             String suffix = setting.defaultText() == null ? " (required" : " (default '" + setting.defaultText() + "'";
             parser.accepts(setting.name(), setting.description() + suffix + origin + ")")
                     .withRequiredArg();
@@ -112,6 +129,10 @@
         } catch (IOException impossible) {
             throw new IllegalStateException("Could not print help", impossible);
         }
+        settings.stream()
+                .filter(setting -> !setting.kind().isFlag())
+                .map(setting -> setting.variable() + " (variable only): " + setting.description() + "\n")
+                .forEach(writer::write);
         return writer.toString();
     }
 
