--- a/bench/src/main/java/org/arbutusstack/bench/slopes/FakeEntries.java
+++ b/bench/src/main/java/org/arbutusstack/bench/slopes/FakeEntries.java
@@ -9,11 +9,13 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.arbutusstack.kernel.digest.Digest;
 import org.arbutusstack.model.host.HostRole;
+import org.arbutusstack.testkit.process.DaemonProcess;
 import org.arbutusstack.wire.frame.Frame;
 import org.arbutusstack.wire.frame.FrameCodec;
 import org.arbutusstack.wire.frame.HeartbeatFrame;
 import org.arbutusstack.wire.frame.HelloFrame;
 import org.arbutusstack.wire.link.Link;
+import org.arbutusstack.wire.link.LinkKey;
 import org.arbutusstack.wire.link.LinkListener;
 import org.arbutusstack.wire.link.NioLinkTransport;
 
@@ -22,7 +24,8 @@
 
     private static final long HEARTBEAT_MILLIS = 500;
 
-    private final NioLinkTransport transport = new NioLinkTransport("fake-entries");
+    private final NioLinkTransport transport =
+            new NioLinkTransport("fake-entries", new LinkKey(DaemonProcess.LINK_KEY));
 
     private final List<Link> links = new CopyOnWriteArrayList<>();
 
--- a/bench/src/main/java/org/arbutusstack/bench/slopes/FakeSides.java
+++ b/bench/src/main/java/org/arbutusstack/bench/slopes/FakeSides.java
@@ -13,6 +13,7 @@
 import org.arbutusstack.model.JsonCodec;
 import org.arbutusstack.model.host.HostRole;
 import org.arbutusstack.model.plan.Plan;
+import org.arbutusstack.testkit.process.DaemonProcess;
 import org.arbutusstack.testkit.process.FreePorts;
 import org.arbutusstack.wire.frame.Frame;
 import org.arbutusstack.wire.frame.FrameCodec;
@@ -20,6 +21,7 @@
 import org.arbutusstack.wire.frame.PlanFrame;
 import org.arbutusstack.wire.frame.SideReportFrame;
 import org.arbutusstack.wire.link.Link;
+import org.arbutusstack.wire.link.LinkKey;
 import org.arbutusstack.wire.link.LinkListener;
 import org.arbutusstack.wire.link.NioLinkTransport;
 
@@ -30,7 +32,7 @@
 
     private final int port = FreePorts.next();
 
-    private final NioLinkTransport transport = new NioLinkTransport("fake-sides");
+    private final NioLinkTransport transport = new NioLinkTransport("fake-sides", new LinkKey(DaemonProcess.LINK_KEY));
 
     private final Set<Link> links = ConcurrentHashMap.newKeySet();
 
--- a/testkit/src/main/java/org/arbutusstack/testkit/process/DaemonProcess.java
+++ b/testkit/src/main/java/org/arbutusstack/testkit/process/DaemonProcess.java
@@ -21,7 +21,8 @@
 
     private static final String MAIN = "org.arbutusstack.daemon.ArbutusDaemon";
 
-    private static final String LINK_KEY = "a key for tests on loopback";
+    /** The key that the links of the processes prove. */
+    public static final String LINK_KEY = "a key for tests on loopback";
 
     private final String name;
 
