--- a/side/src/main/java/org/arbutusstack/side/ClaimDesk.java
+++ b/side/src/main/java/org/arbutusstack/side/ClaimDesk.java
@@ -38,7 +38,7 @@
 
     private static final long CALL_MILLIS = 1_000;
 
-    private static final long RETRY_MILLIS = 200;
+    private static final long RETRY_MILLIS = 1_000;
 
     private final KeyValueStore store;
 
@@ -58,6 +58,10 @@
 
     private volatile int waiting;
 
+    private boolean fenced;
+
+    private long fenceDueNanos;
+
     private final AtomicBoolean commitAsked = new AtomicBoolean();
 
     ClaimDesk(
@@ -76,8 +80,9 @@
     }
 
     void start() {
+        fenceDueNanos = clock.nowNanos();
         duty.start();
-        duty.offer(this::obtainFence);
+        commitSoon();
     }
 
     void stop() {
@@ -127,6 +132,9 @@
 
     private void commit() {
         commitAsked.set(false);
+        if (!fenced && clock.isPast(fenceDueNanos)) {
+            obtainFence();
+        }
         committer.commitDue();
         waiting = committer.waiting();
     }
@@ -153,11 +161,11 @@
                     key, done.value().revision(), value, KeyValueStore.NO_LEASE, clock.deadlineNanos(CALL_MILLIS));
             if (written instanceof StoreResult.Done<Long> fence) {
                 logger.info("event=fence-granted fence={}", fence.value());
+                fenced = true;
                 events.accept(new SideEvent.FenceGranted(fence.value()));
                 return;
             }
         }
-        java.util.concurrent.locks.LockSupport.parkNanos(RETRY_MILLIS * Clock.NANOS_PER_MILLI);
-        duty.offer(this::obtainFence);
+        fenceDueNanos = clock.deadlineNanos(RETRY_MILLIS);
     }
 }
--- a/side/src/main/java/org/arbutusstack/side/claim/ClaimBook.java
+++ b/side/src/main/java/org/arbutusstack/side/claim/ClaimBook.java
@@ -19,6 +19,7 @@
      * Applies changes in their order.
      *
      * @param head the value as it is
+     * @param sealed the sealed claims of the keys of the changes, by key
      * @param changes the changes
      * @param writer the incarnation of the side that writes
      * @param wallMillis the time, in milliseconds since the epoch
@@ -26,7 +27,12 @@
      * @return the value that follows, and a result for each change; {@code null} for those that are no claims
      */
     static Decision decide(
-            BucketHead head, List<ClaimChange> changes, String writer, long wallMillis, ClaimLimits limits) {
+            BucketHead head,
+            Map<String, ClaimRecord> sealed,
+            List<ClaimChange> changes,
+            String writer,
+            long wallMillis,
+            ClaimLimits limits) {
         Map<String, ClaimRecord> records = new LinkedHashMap<>();
         for (ClaimRecord record : head.records()) {
             if (wallMillis - record.claimedWallMillis() < limits.retentionMillis()) {
@@ -38,8 +44,12 @@
         List<ClaimResult> results = new ArrayList<>();
         boolean changed = false;
         for (ClaimChange change : changes) {
-            ClaimRecord before = records.get(change.key());
+            boolean isSealed = sealed.containsKey(change.key());
+            ClaimRecord before = isSealed ? sealed.get(change.key()) : records.get(change.key());
             results.add(change instanceof ClaimChange.Claim claim ? resultOf(before, claim) : null);
+            if (isSealed) {
+                continue;
+            }
             ClaimRecord after = after(before, change, wallMillis);
             changed |= after != before;
             replace(records, change.key(), after);
--- a/side/src/main/java/org/arbutusstack/side/claim/ClaimBucket.java
+++ b/side/src/main/java/org/arbutusstack/side/claim/ClaimBucket.java
@@ -46,9 +46,7 @@
 
     private final ClaimMetrics metrics;
 
-    private final Map<String, String> segmentByKey = new HashMap<>();
-
-    private final Set<String> segmentsRead = new HashSet<>();
+    private final SegmentIndex index = new SegmentIndex();
 
     private BucketHead head = BucketHead.EMPTY;
 
@@ -80,20 +78,20 @@
                 return failed(changes, uncertain, "the key-value service does not answer");
             }
             forgetOldSegments();
-            ClaimBook.Decision decision = ClaimBook.decide(head, changes, writer, clock.wallMillis(), limits);
-            List<ClaimResult> results = withSealed(changes, decision.results());
-            if (results == null) {
+            Map<String, ClaimRecord> sealed = findSealed(changes);
+            if (sealed == null) {
                 return failed(changes, uncertain, "a segment of claims could not be read");
             }
+            ClaimBook.Decision decision = ClaimBook.decide(head, sealed, changes, writer, clock.wallMillis(), limits);
             if (!decision.changed()) {
-                return done(results);
+                return done(decision.results());
             }
             if (isFull(changes)) {
                 return failed(changes, uncertain, "the bucket is full");
             }
-            StoreResult<Long> written = write(sealIfLarge(withoutSealed(decision.next())));
+            StoreResult<Long> written = write(sealIfLarge(decision.next()));
             if (written.isDone()) {
-                return done(results);
+                return done(decision.results());
             }
             if (written instanceof StoreResult.NotDone<Long> notDone) {
                 return failed(changes, uncertain, notDone.detail());
@@ -105,7 +103,7 @@
 
     /** Answers repeats from what was read last, since a claim once seen stays true, and refuses the other claims. */
     private Commit failed(List<ClaimChange> changes, boolean uncertain, String detail) {
-        List<ClaimResult> known = ClaimBook.decide(head, changes, writer, clock.wallMillis(), limits)
+        List<ClaimResult> known = ClaimBook.decide(head, Map.of(), changes, writer, clock.wallMillis(), limits)
                 .results();
         List<ClaimResult> results = new ArrayList<>();
         for (ClaimResult result : known) {
@@ -144,7 +142,7 @@
     private boolean readSegments() {
         forgetOldSegments();
         for (SegmentRef segment : head.segments()) {
-            boolean known = segmentsRead.contains(segment.name()) || isOld(segment);
+            boolean known = index.holds(segment.name()) || isOld(segment);
             if (!known && readSegment(segment.name()) == null) {
                 logger.warn("event=claim-segment-unread key={} segment={}", key, segment.name());
                 return false;
@@ -156,9 +154,7 @@
     private void forgetOldSegments() {
         Set<String> kept = new HashSet<>();
         head.segments().stream().filter(segment -> !isOld(segment)).forEach(segment -> kept.add(segment.name()));
-        if (segmentsRead.retainAll(kept)) {
-            segmentByKey.values().retainAll(kept);
-        }
+        index.retain(kept);
     }
 
     private boolean isOld(SegmentRef segment) {
@@ -174,8 +170,7 @@
         }
         try {
             ClaimSegment segment = JsonCodec.read(done.value().value(), ClaimSegment.class);
-            segment.records().forEach(record -> segmentByKey.put(record.key(), name));
-            segmentsRead.add(name);
+            index.add(name, segment.records());
             return segment;
         } catch (ModelException malformed) {
             logger.error("event=claim-segment-malformed key={} segment={}", key, name, malformed);
@@ -183,35 +178,21 @@
         }
     }
 
-    /** Replaces the results of claims that a segment holds; returns null if one could not be read. */
-    private List<ClaimResult> withSealed(List<ClaimChange> changes, List<ClaimResult> decided) {
-        List<ClaimResult> results = new ArrayList<>(decided);
-        for (int index = 0; index < changes.size(); index++) {
-            String segment = segmentByKey.get(changes.get(index).key());
-            if (segment != null && changes.get(index) instanceof ClaimChange.Claim claim) {
-                ClaimSegment sealed = readSegment(segment);
-                if (sealed == null) {
+    /** Finds the sealed claims of the keys of changes; returns null if a segment could not be read. */
+    private Map<String, ClaimRecord> findSealed(List<ClaimChange> changes) {
+        Map<String, ClaimRecord> found = new HashMap<>();
+        for (ClaimChange change : changes) {
+            for (String name : index.candidates(change.key())) {
+                ClaimSegment segment = readSegment(name);
+                if (segment == null) {
                     return null;
                 }
-                results.set(index, resultOf(sealed, claim));
+                segment.records().stream()
+                        .filter(record -> record.key().equals(change.key()))
+                        .forEach(record -> found.put(record.key(), record));
             }
         }
-        return results;
-    }
-
-    private static ClaimResult resultOf(ClaimSegment segment, ClaimChange.Claim claim) {
-        return segment.records().stream()
-                .filter(record -> record.key().equals(claim.key()))
-                .findFirst()
-                .map(record -> ClaimBook.resultOfRepeat(record, claim))
-                .orElseThrow();
-    }
-
-    private BucketHead withoutSealed(BucketHead next) {
-        List<ClaimRecord> kept = next.records().stream()
-                .filter(record -> !segmentByKey.containsKey(record.key()))
-                .toList();
-        return new BucketHead(next.writer(), next.segments(), kept);
+        return found;
     }
 
     private BucketHead sealIfLarge(BucketHead next) {
@@ -228,8 +209,7 @@
         if (store.grantLease(seconds, clock.deadlineNanos(CALL_MILLIS)) instanceof StoreResult.Done<Long> lease
                 && store.compareAndSwap(key + '/' + name, 0, value, lease.value(), clock.deadlineNanos(CALL_MILLIS))
                         .isDone()) {
-            settled.forEach(record -> segmentByKey.put(record.key(), name));
-            segmentsRead.add(name);
+            index.add(name, settled);
             return ClaimBook.seal(next, settled, new SegmentRef(name, wallMillis));
         }
         return next;
