Test what callers are told, whatever becomes of the attempts (red)

ResponseSink is the interface cut out of ResponseStream so that fakes can take answers. One close listener a connection replaces two listeners a request, which stayed until the connection closed.

--- a/entry/src/main/java/org/arbutusstack/entry/caller/CallerParser.java
+++ b/entry/src/main/java/org/arbutusstack/entry/caller/CallerParser.java
@@ -7,7 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 import org.arbutusstack.entry.router.CallerRequest;
-import org.arbutusstack.http.server.ResponseStream;
+import org.arbutusstack.http.server.ResponseSink;
 import org.arbutusstack.kernel.Assert;
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.model.request.Priority;
@@ -58,7 +58,7 @@
         this.defaultDeadlineMillis = defaultDeadlineMillis;
     }
 
-    ParseResult parse(HttpServerExchange exchange, byte[] body, DesiredState state, ResponseStream response) {
+    ParseResult parse(HttpServerExchange exchange, byte[] body, DesiredState state, ResponseSink response) {
         String path = exchange.getRequestPath();
         long deadlineMillis;
         try {
@@ -194,7 +194,7 @@
             String key,
             String method,
             byte[] body,
-            ResponseStream response) {}
+            ResponseSink response) {}
 
     /** Tells what became of checking a request. */
     sealed interface ParseResult {
--- a/entry/src/main/java/org/arbutusstack/entry/router/Answers.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/Answers.java
@@ -2,7 +2,7 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
-import org.arbutusstack.http.server.ResponseStream;
+import org.arbutusstack.http.server.ResponseSink;
 import org.arbutusstack.model.JsonCodec;
 import org.arbutusstack.model.request.Refusal;
 import org.arbutusstack.wire.frame.AnswerHeadFrame;
@@ -24,7 +24,7 @@
      * @param requestId the request's name; empty if it got none
      * @param refusal what the caller may conclude, and why
      */
-    public static void refuse(ResponseStream response, String requestId, Refusal refusal) {
+    public static void refuse(ResponseSink response, String requestId, Refusal refusal) {
         response.head(refusal.reason().status(), JSON);
         if (!requestId.isEmpty()) {
             response.header(REQUEST_ID, requestId);
@@ -46,7 +46,7 @@
     }
 
     static void open(CallerRequest request, AnswerHeadFrame head) {
-        ResponseStream response = request.response();
+        ResponseSink response = request.response();
         response.head(head.status(), head.contentType());
         response.header(REQUEST_ID, request.id().toString());
         response.header("X-Arbutus-Runner", head.runner());
--- a/entry/src/main/java/org/arbutusstack/entry/router/CallerRequest.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/CallerRequest.java
@@ -1,6 +1,6 @@
 package org.arbutusstack.entry.router;
 
-import org.arbutusstack.http.server.ResponseStream;
+import org.arbutusstack.http.server.ResponseSink;
 import org.arbutusstack.model.request.Priority;
 import org.arbutusstack.model.request.RequestId;
 import org.arbutusstack.routing.RoutingRequest;
@@ -37,4 +37,4 @@
         String path,
         boolean stream,
         byte[] body,
-        ResponseStream response) {}
+        ResponseSink response) {}
--- a/entry/src/main/java/org/arbutusstack/entry/router/RequestTable.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/RequestTable.java
@@ -50,6 +50,11 @@
         this.limit = limit;
     }
 
+    boolean isSent(RequestId id) {
+        Pending entry = pending.get(id);
+        return entry != null && entry.side() != null;
+    }
+
     int size() {
         return pending.size();
     }
--- /dev/null
+++ b/entry/src/test/java/org/arbutusstack/entry/router/FakeSink.java
@@ -0,0 +1,82 @@
+package org.arbutusstack.entry.router;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.TreeMap;
+import org.arbutusstack.http.server.ResponseSink;
+
+/** Keeps an answer and counts its ends. */
+final class FakeSink implements ResponseSink {
+
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+
+    private final Map<String, String> headers = new TreeMap<>();
+
+    private int heads;
+
+    private int status;
+
+    private int ends;
+
+    private boolean closed;
+
+    int status() {
+        return status;
+    }
+
+    int heads() {
+        return heads;
+    }
+
+    int ends() {
+        return ends;
+    }
+
+    String text() {
+        return body.toString(StandardCharsets.UTF_8);
+    }
+
+    String header(String name) {
+        return headers.get(name);
+    }
+
+    void leave() {
+        closed = true;
+    }
+
+    @Override
+    public void head(int answered, String contentType) {
+        heads++;
+        status = answered;
+    }
+
+    @Override
+    public void header(String name, String value) {
+        headers.put(name, value);
+    }
+
+    @Override
+    public boolean write(byte[] bytes) {
+        body.writeBytes(bytes);
+        return true;
+    }
+
+    @Override
+    public void end() {
+        ends++;
+    }
+
+    @Override
+    public void abort() {
+        closed = true;
+    }
+
+    @Override
+    public boolean isClosed() {
+        return closed;
+    }
+
+    @Override
+    public void onClose(Runnable task) {}
+}
--- a/http/src/main/java/org/arbutusstack/http/server/ResponseStream.java
+++ b/http/src/main/java/org/arbutusstack/http/server/ResponseStream.java
@@ -16,7 +16,7 @@
  * <p>Call {@link #open} within the exchange's handler. The other methods may be called by any thread; the bytes go out
  * on the exchange's I/O thread. What waits to go out is bounded: a caller that reads too slowly is cut off.
  */
-public final class ResponseStream {
+public final class ResponseStream implements ResponseSink {
 
     private static final long MOST_WAITING_BYTES = 4L * 1_024 * 1_024;
 
@@ -34,6 +34,8 @@
 
     private StreamSinkChannel channel;
 
+    private Runnable closeTask;
+
     private ResponseStream(HttpServerExchange exchange) {
         this.exchange = exchange;
     }
@@ -47,7 +49,7 @@
     public static void open(HttpServerExchange exchange, java.util.function.Consumer<ResponseStream> opened) {
         Assert.notNull(exchange, "exchange");
         ResponseStream stream = new ResponseStream(exchange);
-        exchange.getConnection().addCloseListener(connection -> stream.markClosed());
+        ConnectionWatch.follow(exchange, stream);
         exchange.dispatch(SameThreadExecutor.INSTANCE, () -> opened.accept(stream));
     }
 
@@ -56,33 +58,29 @@
         waiting.clear();
     }
 
-    /**
-     * Sets the status and a header; to be called before the first {@link #write}.
-     *
-     * @param status the status
-     * @param contentType the content type
-     */
+    void connectionClosed() {
+        Runnable task;
+        synchronized (this) {
+            task = closed ? null : closeTask;
+            markClosed();
+        }
+        if (task != null) {
+            task.run();
+        }
+    }
+
+    @Override
     public void head(int status, String contentType) {
         exchange.setStatusCode(status);
         header("Content-Type", contentType);
     }
 
-    /**
-     * Sets a header; to be called before the first {@link #write}.
-     *
-     * @param name the header's name
-     * @param value its value
-     */
+    @Override
     public void header(String name, String value) {
         exchange.getResponseHeaders().put(new io.undertow.util.HttpString(name), value);
     }
 
-    /**
-     * Sends a part.
-     *
-     * @param bytes the part; not copied
-     * @return {@code false} if the caller is gone or reads too slowly
-     */
+    @Override
     public boolean write(byte[] bytes) {
         synchronized (this) {
             if (closed || ending) {
@@ -99,34 +97,26 @@
         return false;
     }
 
-    /** Ends the answer after the parts sent. */
+    @Override
     public synchronized void end() {
         ending = true;
         schedule();
     }
 
-    /** Closes the connection, so that the caller sees that the answer is not whole. */
+    @Override
     public void abort() {
         markClosed();
         exchange.getIoThread().execute(() -> IoUtils.safeClose(exchange.getConnection()));
     }
 
-    /**
-     * Tells whether the caller's connection is closed.
-     *
-     * @return whether it is
-     */
+    @Override
     public synchronized boolean isClosed() {
         return closed;
     }
 
-    /**
-     * Runs a task when the caller's connection closes.
-     *
-     * @param task the task; must not block
-     */
-    public void onClose(Runnable task) {
-        exchange.getConnection().addCloseListener(connection -> task.run());
+    @Override
+    public synchronized void onClose(Runnable task) {
+        closeTask = task;
     }
 
     private void schedule() {
