Tell callers what the facts of all attempts say, and leave no request hanging when a ring is full

Pending keeps, for each request, whether an attempt that ended may have run: sent and lost, or unknown at the side. A refusal that says not_run after such an attempt becomes outcome_unknown; a frame that no link took is no attempt. Parts are taken only at the offset that follows; a gap fails the attempt, which is resumed. An error that answers a resume, or a 404 or 5xx of an engine, fails the attempt and is tried elsewhere. Plain answers are bounded, each and in all. A frame that finds the router's ring full closes its link, and the tick looks for closed links, callers gone and the latest host list, so nothing depends on an event that was dropped. Hosts that the list drops keep their link until their work has ended; before, their requests hung to the deadline. Retries have a budget and avoid runners that failed the request. Sides answer heartbeats; a link with requests that says nothing is probed after 1 s and given up after 2 s, an idle one after three heartbeats of 2 s.

--- a/daemon/src/main/java/org/arbutusstack/daemon/Role.java
+++ b/daemon/src/main/java/org/arbutusstack/daemon/Role.java
@@ -9,6 +9,8 @@
 import org.arbutusstack.entry.member.HostListService;
 import org.arbutusstack.entry.plan.PlanBook;
 import org.arbutusstack.entry.plan.PlannerService;
+import org.arbutusstack.entry.router.RouterLimits;
+import org.arbutusstack.entry.router.RouterMetrics;
 import org.arbutusstack.entry.router.RouterService;
 import org.arbutusstack.entry.ticket.OperatorListener;
 import org.arbutusstack.entry.ticket.TicketService;
@@ -43,7 +45,8 @@
                     plans,
                     new LeastOutstandingSelector(),
                     platform.clock(),
-                    (int) settings.number(EntrySettings.MOST_REQUESTS));
+                    RouterLimits.of(settings),
+                    new RouterMetrics(platform.metrics()));
             TicketLog log = new TicketLog(platform.store(), replica, List.of(new ReferenceCheck()), platform.clock());
             TicketService tickets = new TicketService(platform.store(), log, platform.clock());
             registry.register(router);
--- a/entry/src/main/java/org/arbutusstack/entry/EntrySettings.java
+++ b/entry/src/main/java/org/arbutusstack/entry/EntrySettings.java
@@ -26,6 +26,50 @@
     public static final Setting MOST_REQUESTS =
             Setting.number("most-requests", 1, 100_000, 2_048, "requests in hand at once (entry)");
 
+    /** The longest deadline that a caller may ask for. */
+    public static final Setting LONGEST_DEADLINE = Setting.number(
+            "longest-deadline-millis", 100, 600_000, 120_000, "longest deadline of a request, in ms (entry)");
+
+    /** The requests that wait for a runner of one model. */
+    public static final Setting MOST_WAITING =
+            Setting.number("most-waiting", 0, 100_000, 512, "requests that wait for a runner of one model (entry)");
+
+    /** The attempts of one request. */
+    public static final Setting MOST_ATTEMPTS =
+            Setting.number("most-attempts", 1, 16, 4, "attempts of one request (entry)");
+
+    /** The retries permitted for a hundred requests. */
+    public static final Setting RETRY_PERCENT =
+            Setting.number("retry-percent", 0, 100, 20, "retries permitted for a hundred requests (entry)");
+
+    /** The retries permitted at once. */
+    public static final Setting RETRY_RESERVE =
+            Setting.number("retry-reserve", 0, 100_000, 512, "retries permitted at once (entry)");
+
+    /** The longest answer that is not a stream. */
+    public static final Setting LONGEST_ANSWER = Setting.number(
+            "longest-answer-bytes", 1_024, 64L * 1_024 * 1_024, 2_097_152, "longest plain answer, in bytes (entry)");
+
+    /** The bytes of answers that are buffered at once. */
+    public static final Setting MOST_BUFFERED = Setting.number(
+            "most-buffered-bytes",
+            65_536,
+            1_024L * 1_024 * 1_024,
+            8_388_608,
+            "answers buffered at once, in bytes (entry)");
+
+    /** How long a side may take to confirm a request. */
+    public static final Setting RECEIPT =
+            Setting.number("receipt-millis", 50, 60_000, 1_000, "time for a side's receipt, in ms (entry)");
+
+    /** The period of heartbeats on a link. */
+    public static final Setting HEARTBEAT =
+            Setting.number("heartbeat-millis", 100, 60_000, 2_000, "period of link heartbeats, in ms (entry)");
+
+    /** How long a link with requests may say nothing before it is probed. */
+    public static final Setting PROBE = Setting.number(
+            "probe-millis", 50, 60_000, 1_000, "silence of a link with requests before a probe, in ms (entry)");
+
     private EntrySettings() {}
 
     /**
@@ -34,6 +78,21 @@
      * @return the settings
      */
     public static List<Setting> all() {
-        return List.of(CALLER_PORT, OPERATOR_PORT, LONGEST_BODY, DEFAULT_DEADLINE, MOST_REQUESTS);
+        return List.of(
+                CALLER_PORT,
+                OPERATOR_PORT,
+                LONGEST_BODY,
+                DEFAULT_DEADLINE,
+                MOST_REQUESTS,
+                LONGEST_DEADLINE,
+                MOST_WAITING,
+                MOST_ATTEMPTS,
+                RETRY_PERCENT,
+                RETRY_RESERVE,
+                LONGEST_ANSWER,
+                MOST_BUFFERED,
+                RECEIPT,
+                HEARTBEAT,
+                PROBE);
     }
 }
--- a/entry/src/main/java/org/arbutusstack/entry/router/Pending.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/Pending.java
@@ -1,37 +1,62 @@
 package org.arbutusstack.entry.router;
 
 import java.io.ByteArrayOutputStream;
+import java.util.HashSet;
+import java.util.Set;
+import org.arbutusstack.model.request.Refusal;
+import org.arbutusstack.model.request.RefusalKind;
+import org.arbutusstack.model.request.RefusalReason;
 import org.arbutusstack.wire.frame.AnswerHeadFrame;
 
-/** Follows one request of a caller through its attempts. Used by the router's duty only. */
+/**
+ * Follows one request of a caller through its attempts and keeps what is known of each. Used by the router's duty only.
+ */
 final class Pending {
 
     private final CallerRequest request;
 
+    private final long arrivedNanos;
+
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
+    private final Set<String> avoided = new HashSet<>();
+
     private int attempt;
 
+    private int failures;
+
     private SideConnection side;
 
     private boolean receipt;
 
     private long receiptDueNanos;
 
+    private long retryAtNanos;
+
     private long delivered;
 
     private boolean streamOpened;
 
+    private boolean maybeRan;
+
+    private Refusal lastRefusal;
+
     private AnswerHeadFrame head;
 
-    Pending(CallerRequest request) {
+    Pending(CallerRequest request, long arrivedNanos) {
         this.request = request;
+        this.arrivedNanos = arrivedNanos;
+        this.retryAtNanos = arrivedNanos;
     }
 
     CallerRequest request() {
         return request;
     }
 
+    long arrivedNanos() {
+        return arrivedNanos;
+    }
+
     ByteArrayOutputStream body() {
         return body;
     }
@@ -40,28 +65,72 @@
         return attempt;
     }
 
-    void assign(SideConnection chosen, long dueNanos) {
+    /** Begins an attempt; its frame is sent next. */
+    void begin(SideConnection chosen, long dueNanos) {
         attempt++;
         side = chosen;
         receipt = false;
         receiptDueNanos = dueNanos;
         head = null;
+        body.reset();
         if (!request.stream()) {
-            body.reset();
             delivered = 0;
         }
     }
 
-    void unassign() {
+    /** Takes back an attempt whose frame the link did not take. */
+    void neverSent() {
         side = null;
     }
 
+    /** Ends the attempt. */
+    void end(Refusal refusal, long waitUntilNanos) {
+        if (side != null) {
+            avoided.add(side.host().name());
+        }
+        side = null;
+        maybeRan |= refusal.kind() == RefusalKind.OUTCOME_UNKNOWN;
+        lastRefusal = refusal;
+        retryAtNanos = waitUntilNanos;
+        if (refusal.reason() != RefusalReason.LEAVING) {
+            failures++;
+        }
+    }
+
+    /** Counts the attempts that failed, without those that a leaving side refused. */
+    int failures() {
+        return failures;
+    }
+
+    boolean avoids(String name) {
+        return avoided.contains(name);
+    }
+
+    /** Lets every runner be tried again. */
+    void forgive() {
+        avoided.clear();
+    }
+
+    long retryAtNanos() {
+        return retryAtNanos;
+    }
+
+    /** Tells whether a backend server may have run an attempt that ended. */
+    boolean maybeRan() {
+        return maybeRan;
+    }
+
+    /** Tells why the last attempt failed; null if none has. */
+    Refusal lastRefusal() {
+        return lastRefusal;
+    }
+
     SideConnection side() {
         return side;
     }
 
-    boolean hasReceipt() {
-        return receipt;
+    boolean lacksReceipt() {
+        return side != null && !receipt;
     }
 
     void receipt() {
@@ -85,14 +154,20 @@
     }
 
     void head(AnswerHeadFrame opened) {
+        receipt = true;
         head = opened;
     }
 
+    boolean isEventStream() {
+        return request.stream() && head.contentType().startsWith("text/event-stream");
+    }
+
     boolean isStreamOpened() {
         return streamOpened;
     }
 
     void openStream() {
         streamOpened = true;
+        maybeRan = true;
     }
 }
--- a/entry/src/main/java/org/arbutusstack/entry/router/RequestTable.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/RequestTable.java
@@ -1,6 +1,7 @@
 package org.arbutusstack.entry.router;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -10,6 +11,7 @@
 import org.arbutusstack.model.request.RefusalKind;
 import org.arbutusstack.model.request.RefusalReason;
 import org.arbutusstack.model.request.RequestId;
+import org.arbutusstack.routing.RetryBudget;
 import org.arbutusstack.routing.RunnerSelector;
 import org.arbutusstack.routing.RunnerView;
 import org.arbutusstack.wire.frame.AnswerHeadFrame;
@@ -23,15 +25,22 @@
 /**
  * Keeps the requests in hand, sends them to sides, tries again where that is safe, and answers each caller once.
  *
- * <p>Used by the router's duty only.
+ * <p>What a refused caller is told follows from the facts of all attempts: one that was never sent, or that the side
+ * refused before it sent it, did not run; one that was sent and lost may have run, whatever later attempts say. A request
+ * that is not idempotent is sent again after a lost link only because the side's durable claim recognises the repeat.
+ * Used by the router's duty only.
  */
 final class RequestTable {
 
     private static final Logger logger = LoggerFactory.getLogger(RequestTable.class);
 
-    private static final int MOST_ATTEMPTS = 4;
+    private static final long RETRY_MILLIS = 50;
 
-    private static final long RECEIPT_MILLIS = 1_000;
+    private static final int NOT_FOUND = 404;
+
+    private static final int SERVER_ERRORS = 500;
+
+    private static final int OK = 200;
 
     private final SideDirectory sides;
 
@@ -39,15 +48,24 @@
 
     private final Clock clock;
 
-    private final int limit;
+    private final RouterLimits limits;
+
+    private final RouterMetrics metrics;
+
+    private final RetryBudget retries;
 
     private final Map<RequestId, Pending> pending = new HashMap<>();
 
-    RequestTable(SideDirectory sides, RunnerSelector selector, Clock clock, int limit) {
+    private long bufferedBytes;
+
+    RequestTable(
+            SideDirectory sides, RunnerSelector selector, Clock clock, RouterLimits limits, RouterMetrics metrics) {
         this.sides = sides;
         this.selector = selector;
         this.clock = clock;
-        this.limit = limit;
+        this.limits = limits;
+        this.metrics = metrics;
+        this.retries = new RetryBudget(limits.retryPercent(), limits.retryReserve());
     }
 
     boolean isSent(RequestId id) {
@@ -60,31 +78,58 @@
     }
 
     void arrived(CallerRequest request) {
-        if (pending.size() >= limit) {
-            Refusal refusal = Refusal.notRun(RefusalReason.QUEUE_FULL, "this entry has too many requests in hand");
-            Answers.refuse(request.response(), request.id().toString(), refusal);
+        retries.requestArrived();
+        Pending entry = new Pending(request, clock.nowNanos());
+        if (pending.size() >= limits.mostRequests()) {
+            refuse(entry, Refusal.notRun(RefusalReason.QUEUE_FULL, "this entry has too many requests in hand"));
             return;
         }
-        Pending entry = new Pending(request);
         pending.put(request.id(), entry);
         route(entry);
+        if (entry.side() == null && waitingLike(request) > limits.mostWaiting()) {
+            refuse(entry, Refusal.notRun(RefusalReason.NO_RUNNER, "too many requests wait for a runner of this model"));
+        }
+    }
+
+    private long waitingLike(CallerRequest request) {
+        return pending.values().stream()
+                .filter(entry -> entry.side() == null
+                        && entry.request()
+                                .routing()
+                                .modelKey()
+                                .equals(request.routing().modelKey()))
+                .count();
     }
 
     private void route(Pending entry) {
         CallerRequest request = entry.request();
-        Optional<RunnerView> chosen = selector.select(request.routing(), sides.views());
+        Optional<RunnerView> chosen = choose(entry);
         if (chosen.isEmpty()) {
             return;
         }
         SideConnection side = sides.byName(chosen.get().name());
-        entry.assign(side, clock.deadlineNanos(RECEIPT_MILLIS));
+        entry.begin(side, clock.deadlineNanos(limits.receiptMillis()));
         if (side.link().send(frameOf(entry))) {
             side.sent();
+            logger.debug("event=sent request={} attempt={}", request.id(), entry.attempt());
         } else {
-            entry.unassign();
+            entry.neverSent();
         }
     }
 
+    /** Chooses a runner that has not failed the request, or any once the time to try again has come. */
+    private Optional<RunnerView> choose(Pending entry) {
+        List<RunnerView> views = sides.views();
+        List<RunnerView> fresh =
+                views.stream().filter(view -> !entry.avoids(view.name())).toList();
+        Optional<RunnerView> chosen = selector.select(entry.request().routing(), fresh);
+        if (chosen.isPresent() || !clock.isPast(entry.retryAtNanos())) {
+            return chosen;
+        }
+        entry.forgive();
+        return selector.select(entry.request().routing(), views);
+    }
+
     private WorkFrame frameOf(Pending entry) {
         CallerRequest request = entry.request();
         return new WorkFrame(
@@ -119,32 +164,47 @@
 
     void head(AnswerHeadFrame frame, SideConnection side) {
         Pending entry = current(frame.id(), frame.attempt(), side);
-        if (entry != null) {
-            entry.head(frame);
+        if (entry == null) {
+            return;
+        }
+        entry.head(frame);
+        boolean continuesStream = !entry.isStreamOpened() || frame.status() == OK && entry.isEventStream();
+        if (!entry.request().model().isEmpty() && frame.status() == NOT_FOUND) {
+            abandon(entry, Refusal.notRun(RefusalReason.BACKEND_ERROR, "the runner does not hold the model"));
+        } else if (!entry.request().model().isEmpty() && frame.status() >= SERVER_ERRORS || !continuesStream) {
+            String detail = "the runner answered with status " + frame.status();
+            abandon(entry, Refusal.outcomeUnknown(RefusalReason.BACKEND_ERROR, detail));
         }
     }
 
+    /** Gives up an attempt that the side still works on. */
+    private void abandon(Pending entry, Refusal refusal) {
+        cancelAtSide(entry);
+        failed(entry, refusal, false);
+    }
+
     void part(AnswerPartFrame frame, SideConnection side) {
         Pending entry = current(frame.id(), frame.attempt(), side);
-        if (entry == null || entry.head() == null || frame.offset() < entry.delivered()) {
+        boolean old = entry != null && frame.offset() + frame.units() <= entry.delivered() && frame.units() > 0;
+        if (entry == null || old) {
+            return;
+        }
+        if (entry.head() == null || frame.offset() != entry.delivered()) {
+            abandon(entry, Refusal.outcomeUnknown(RefusalReason.BACKEND_LOST, "a part of the answer was lost"));
             return;
         }
         entry.deliver(frame.units());
-        if (isStream(entry)) {
+        if (entry.isEventStream()) {
             deliverEvents(entry, frame);
-        } else {
-            entry.body().writeBytes(frame.bytes());
+        } else if (!buffer(entry, frame.bytes())) {
+            return;
         }
         if (frame.last()) {
             finish(entry);
         }
     }
 
-    private static boolean isStream(Pending entry) {
-        return entry.request().stream() && entry.head().contentType().startsWith("text/event-stream");
-    }
-
-    private void deliverEvents(Pending entry, AnswerPartFrame frame) {
+    private static void deliverEvents(Pending entry, AnswerPartFrame frame) {
         CallerRequest request = entry.request();
         if (!entry.isStreamOpened()) {
             entry.openStream();
@@ -155,66 +215,104 @@
         }
     }
 
+    private boolean buffer(Pending entry, byte[] bytes) {
+        boolean tooLong = entry.body().size() + bytes.length > limits.longestAnswerBytes()
+                || bufferedBytes + bytes.length > limits.mostBufferedBytes();
+        if (tooLong) {
+            cancelAtSide(entry);
+            refuse(entry, Refusal.outcomeUnknown(RefusalReason.ANSWER_TOO_LARGE, "the answer is too long to hold"));
+            return false;
+        }
+        bufferedBytes += bytes.length;
+        entry.body().writeBytes(bytes);
+        return true;
+    }
+
     private void finish(Pending entry) {
         CallerRequest request = entry.request();
-        if (!isStream(entry)) {
+        if (!entry.isEventStream()) {
             Answers.open(request, entry.head());
             request.response().write(entry.body().toByteArray());
         }
         request.response().end();
+        metrics.answered(request.priority(), clock.nowNanos() - entry.arrivedNanos());
         remove(entry);
     }
 
     private void remove(Pending entry) {
         pending.remove(entry.request().id());
         release(entry);
+        entry.neverSent();
     }
 
-    private static void release(Pending entry) {
+    /** Frees what an attempt holds. */
+    private void release(Pending entry) {
+        bufferedBytes -= entry.body().size();
+        entry.body().reset();
         if (entry.side() != null) {
             entry.side().ended();
-            entry.unassign();
         }
     }
 
     void refused(RefusalFrame frame, SideConnection side) {
         Pending entry = current(frame.id(), frame.attempt(), side);
         if (entry != null) {
-            failed(entry, frame.refusal());
+            failed(entry, frame.refusal(), false);
         }
     }
 
-    private void failed(Pending entry, Refusal refusal) {
+    private void failed(Pending entry, Refusal refusal, boolean linkLost) {
         release(entry);
-        CallerRequest request = entry.request();
-        boolean safe = refusal.kind() == RefusalKind.NOT_RUN || request.idempotent();
-        boolean again = safe
-                && refusal.kind() != RefusalKind.REJECTED
-                && entry.attempt() < MOST_ATTEMPTS
-                && !clock.isPast(request.deadlineNanos());
-        if (again) {
-            logger.debug("event=retry request={} reason={}", request.id(), refusal.reason());
-            route(entry);
+        entry.end(refusal, clock.deadlineNanos(RETRY_MILLIS << entry.failures()));
+        if (!mayTryAgain(entry, refusal, linkLost)) {
+            refuse(entry, refusal);
             return;
         }
-        refuse(entry, refusal);
+        logger.debug("event=retry request={} reason={}", entry.request().id(), refusal.reason());
+        metrics.retried(refusal.reason());
+        route(entry);
+    }
+
+    private boolean mayTryAgain(Pending entry, Refusal refusal, boolean linkLost) {
+        boolean safe = refusal.kind() == RefusalKind.NOT_RUN
+                || entry.request().idempotent() && refusal.kind() != RefusalKind.REJECTED
+                || linkLost;
+        boolean inTime = !clock.isPast(entry.request().deadlineNanos());
+        if (!safe || !inTime || entry.failures() >= limits.mostAttempts()) {
+            return false;
+        }
+        if (refusal.reason() == RefusalReason.LEAVING || retries.tryTake()) {
+            return true;
+        }
+        metrics.retryDenied();
+        return false;
     }
 
     private void refuse(Pending entry, Refusal refusal) {
         CallerRequest request = entry.request();
+        Refusal truth = truthOf(entry, refusal);
         remove(entry);
-        logger.info("event=refused request={} kind={} reason={}", request.id(), refusal.kind(), refusal.reason());
+        metrics.refused(truth, clock.nowNanos() - entry.arrivedNanos());
+        logger.info("event=refused request={} kind={} reason={}", request.id(), truth.kind(), truth.reason());
         if (entry.isStreamOpened()) {
-            Answers.breakOff(request, refusal);
+            Answers.breakOff(request, truth);
         } else {
-            Answers.refuse(request.response(), request.id().toString(), refusal);
+            Answers.refuse(request.response(), request.id().toString(), truth);
         }
     }
 
+    /** Takes back what the last attempt says if an earlier one may have run. */
+    private static Refusal truthOf(Pending entry, Refusal refusal) {
+        return refusal.kind() == RefusalKind.NOT_RUN && entry.maybeRan()
+                ? Refusal.outcomeUnknown(refusal.reason(), refusal.detail() + "; an earlier attempt may have run")
+                : refusal;
+    }
+
     void sideLost(SideConnection side) {
         for (Pending entry : new ArrayList<>(pending.values())) {
             if (entry.side() == side) {
-                failed(entry, Refusal.outcomeUnknown(RefusalReason.BACKEND_LOST, "the link to the runner was lost"));
+                String detail = "the link to the runner was lost";
+                failed(entry, Refusal.outcomeUnknown(RefusalReason.BACKEND_LOST, detail), true);
             }
         }
     }
@@ -224,36 +322,50 @@
         if (entry == null) {
             return;
         }
+        metrics.callerGone();
         cancelAtSide(entry);
         remove(entry);
     }
 
+    /** Tells the side that nobody waits; a call that is not idempotent goes on, so that its outcome is recorded. */
     private static void cancelAtSide(Pending entry) {
-        if (entry.side() != null && entry.side().isOpen()) {
+        if (entry.side() != null && entry.side().isOpen() && entry.request().idempotent()) {
             entry.side().link().send(new CancelFrame(entry.request().id(), entry.attempt()));
         }
     }
 
     void tick() {
-        List<Pending> all = new ArrayList<>(pending.values());
-        for (Pending entry : all) {
-            if (clock.isPast(entry.request().deadlineNanos())) {
+        metrics.inHand(pending.size());
+        List<Pending> waiting = new ArrayList<>();
+        for (Pending entry : new ArrayList<>(pending.values())) {
+            CallerRequest request = entry.request();
+            if (request.response().isClosed()) {
+                callerGone(request.id());
+            } else if (clock.isPast(request.deadlineNanos())) {
                 expire(entry);
             } else if (entry.side() == null) {
-                route(entry);
-            } else if (!entry.hasReceipt() && clock.isPast(entry.receiptDueNanos())) {
-                logger.warn("event=no-receipt request={}", entry.request().id());
-                entry.side().link().close();
+                waiting.add(entry);
+            } else if (entry.lacksReceipt() && clock.isPast(entry.receiptDueNanos())) {
+                sides.giveUp(entry.side(), "no-receipt");
             }
         }
+        waiting.sort(Comparator.<Pending>comparingInt(
+                        entry -> entry.request().priority().urgency())
+                .thenComparingLong(entry -> entry.request().deadlineNanos() - clock.nowNanos()));
+        waiting.forEach(this::route);
     }
 
     private void expire(Pending entry) {
-        boolean neverSent = entry.attempt() == 0;
+        boolean sent = entry.side() != null;
         cancelAtSide(entry);
-        Refusal refusal = neverSent
-                ? Refusal.notRun(RefusalReason.NO_RUNNER, "no runner that holds the model could be reached in time")
-                : Refusal.outcomeUnknown(RefusalReason.DEADLINE_PASSED, "the deadline passed before the answer");
-        refuse(entry, refusal);
+        if (sent || entry.maybeRan()) {
+            refuse(
+                    entry,
+                    Refusal.outcomeUnknown(RefusalReason.DEADLINE_PASSED, "the deadline passed before the answer"));
+            return;
+        }
+        Refusal last = entry.lastRefusal();
+        RefusalReason reason = last == null ? RefusalReason.NO_RUNNER : last.reason();
+        refuse(entry, Refusal.notRun(reason, "no runner that holds the model could take the request in time"));
     }
 }
--- a/entry/src/main/java/org/arbutusstack/entry/router/RouterEvent.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/RouterEvent.java
@@ -1,7 +1,6 @@
 package org.arbutusstack.entry.router;
 
 import org.arbutusstack.model.host.Host;
-import org.arbutusstack.model.host.HostList;
 import org.arbutusstack.model.request.RequestId;
 import org.arbutusstack.wire.frame.Frame;
 import org.arbutusstack.wire.link.Link;
@@ -25,7 +24,7 @@
     record FrameArrived(Host host, Link link, Frame frame) implements RouterEvent {}
 
     /** The host list changed. */
-    record HostsChanged(HostList hosts) implements RouterEvent {}
+    record HostsChanged() implements RouterEvent {}
 
     /** The ticket log of this process advanced. */
     record StateAdvanced() implements RouterEvent {}
--- a/entry/src/main/java/org/arbutusstack/entry/router/RouterService.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/RouterService.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.Collectors;
 import org.arbutusstack.entry.EntryIdentity;
 import org.arbutusstack.entry.plan.PlanBook;
@@ -16,6 +17,7 @@
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.ledger.LogReplica;
 import org.arbutusstack.model.JsonCodec;
+import org.arbutusstack.model.host.Host;
 import org.arbutusstack.model.host.HostList;
 import org.arbutusstack.model.plan.Plan;
 import org.arbutusstack.model.request.RequestId;
@@ -33,6 +35,7 @@
 import org.arbutusstack.wire.frame.ReceiptFrame;
 import org.arbutusstack.wire.frame.RefusalFrame;
 import org.arbutusstack.wire.frame.SideReportFrame;
+import org.arbutusstack.wire.link.Link;
 import org.arbutusstack.wire.link.LinkTransport;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -54,8 +57,6 @@
 
     private static final long TICK_MILLIS = 20;
 
-    private static final long HEARTBEAT_MILLIS = 500;
-
     private static final int ENTRIES_PER_PUSH = 64;
 
     private static final long DRAIN_POLL_MILLIS = 20;
@@ -68,6 +69,12 @@
 
     private final Clock clock;
 
+    private final RouterLimits limits;
+
+    private final RouterMetrics metrics;
+
+    private final AtomicReference<HostList> changedHosts = new AtomicReference<>();
+
     private final Duty<RouterEvent> duty = new Duty<>("router", RING_SIZE, this::handle);
 
     private final Ticker ticker = new Ticker("router-ticker");
@@ -93,7 +100,8 @@
      * @param plans the plans to spread to the sides
      * @param selector chooses runners
      * @param clock the clock of the process
-     * @param mostRequests the requests in hand at once
+     * @param limits what the router keeps within
+     * @param metrics counts what becomes of requests and links
      */
     public RouterService(
             EntryIdentity identity,
@@ -102,13 +110,16 @@
             PlanBook plans,
             RunnerSelector selector,
             Clock clock,
-            int mostRequests) {
+            RouterLimits limits,
+            RouterMetrics metrics) {
         this.identity = Assert.notNull(identity, "identity");
         this.replica = Assert.notNull(replica, "replica");
         this.plans = Assert.notNull(plans, "plans");
         this.clock = Assert.notNull(clock, "clock");
-        this.sides = new SideDirectory(identity, transport, clock, this::offer);
-        this.requests = new RequestTable(sides, selector, clock, mostRequests);
+        this.limits = Assert.notNull(limits, "limits");
+        this.metrics = Assert.notNull(metrics, "metrics");
+        this.sides = new SideDirectory(identity, transport, clock, limits, metrics, this::offer);
+        this.requests = new RequestTable(sides, selector, clock, limits, metrics);
         replica.addListener(state -> offer(new RouterEvent.StateAdvanced()));
     }
 
@@ -123,10 +134,17 @@
         ticker.every(TICK_MILLIS, () -> duty.offer(new RouterEvent.Tick()));
     }
 
-    private void offer(RouterEvent event) {
-        if (!duty.offer(event)) {
+    /**
+     * Offers an event; one that finds the ring full is made up for: a link whose frame was dropped is closed, and the
+     * next tick looks for closed links, callers gone and the latest host list.
+     */
+    private boolean offer(RouterEvent event) {
+        boolean taken = duty.offer(event);
+        if (!taken) {
+            metrics.ringFull(event.getClass().getSimpleName());
             logger.warn("event=router-ring-full dropped={}", event.getClass().getSimpleName());
         }
+        return taken;
     }
 
     /**
@@ -154,7 +172,8 @@
      * @param hosts the list
      */
     public void hostsChanged(HostList hosts) {
-        offer(new RouterEvent.HostsChanged(hosts));
+        changedHosts.set(hosts);
+        offer(new RouterEvent.HostsChanged());
     }
 
     @Override
@@ -187,12 +206,9 @@
                 opened.link().send(heartbeat());
             }
         } else if (event instanceof RouterEvent.LinkClosed closed) {
-            SideConnection side = sides.closed(closed.host(), closed.link());
-            if (side != null) {
-                requests.sideLost(side);
-            }
-        } else if (event instanceof RouterEvent.HostsChanged changed) {
-            sides.hostsChanged(changed.hosts());
+            linkClosed(closed.host(), closed.link());
+        } else if (event instanceof RouterEvent.HostsChanged) {
+            applyHosts();
         } else if (event instanceof RouterEvent.StateAdvanced) {
             sides.broadcast(heartbeat());
         } else if (event instanceof RouterEvent.Tick) {
@@ -201,6 +217,20 @@
         inHand = requests.size();
     }
 
+    private void linkClosed(Host host, Link link) {
+        SideConnection side = sides.closed(host, link);
+        if (side != null) {
+            requests.sideLost(side);
+        }
+    }
+
+    private void applyHosts() {
+        HostList hosts = changedHosts.getAndSet(null);
+        if (hosts != null) {
+            sides.hostsChanged(hosts);
+        }
+    }
+
     private void frame(SideConnection side, Frame frame) {
         if (frame instanceof AnswerPartFrame part) {
             requests.part(part, side);
@@ -240,11 +270,14 @@
     }
 
     private void tick() {
+        applyHosts();
         requests.tick();
+        sides.closeSilent(heartbeat());
+        sides.closedUnheard().forEach(side -> linkClosed(side.host(), side.link()));
+        sides.dropUnlisted();
         sides.connectMissing();
-        sides.closeSilent();
         if (clock.isPast(heartbeatAtNanos)) {
-            heartbeatAtNanos = clock.deadlineNanos(HEARTBEAT_MILLIS);
+            heartbeatAtNanos = clock.deadlineNanos(limits.heartbeatMillis());
             sides.broadcast(heartbeat());
             sides.all().stream().filter(side -> side.report() != null).forEach(side -> offerPlan(side, side.report()));
         }
--- a/entry/src/main/java/org/arbutusstack/entry/router/SideConnection.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/SideConnection.java
@@ -22,6 +22,12 @@
 
     private long reconnectAtNanos;
 
+    private long probedAtNanos;
+
+    private boolean listed = true;
+
+    private boolean givenUp;
+
     SideConnection(Host host) {
         this.host = host;
     }
@@ -40,12 +46,14 @@
 
     void connecting(Link opening) {
         link = opening;
+        probedAtNanos = opening.heardAtNanos();
         open = false;
+        givenUp = false;
         report = null;
     }
 
     void opened() {
-        open = true;
+        open = !givenUp;
     }
 
     void closed(long retryAtNanos) {
@@ -55,6 +63,33 @@
         reconnectAtNanos = retryAtNanos;
     }
 
+    /** Tells whether the host list names the host. */
+    boolean isListed() {
+        return listed;
+    }
+
+    void listed(boolean isListed) {
+        listed = isListed;
+    }
+
+    boolean isGivenUp() {
+        return givenUp;
+    }
+
+    /** Takes the link out of use before it is closed. */
+    void giveUp() {
+        givenUp = true;
+        open = false;
+    }
+
+    long probedAtNanos() {
+        return probedAtNanos;
+    }
+
+    void probed(long nanos) {
+        probedAtNanos = nanos;
+    }
+
     boolean isOpen() {
         return open;
     }
@@ -84,7 +119,7 @@
     }
 
     boolean takesWork() {
-        return open && report != null && !report.leaving() && host.status() == HostStatus.LIVE;
+        return open && listed && report != null && !report.leaving() && host.status() == HostStatus.LIVE;
     }
 
     RunnerView view() {
--- a/entry/src/main/java/org/arbutusstack/entry/router/SideDirectory.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/SideDirectory.java
@@ -8,7 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.arbutusstack.entry.EntryIdentity;
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.model.host.Host;
@@ -29,22 +29,32 @@
 
     private static final long RECONNECT_MILLIS = 200;
 
-    private static final long SILENCE_MILLIS = 3_000;
-
     private final EntryIdentity identity;
 
     private final LinkTransport transport;
 
     private final Clock clock;
 
-    private final Consumer<RouterEvent> events;
+    private final RouterLimits limits;
+
+    private final RouterMetrics metrics;
+
+    private final Predicate<RouterEvent> events;
 
     private final Map<String, SideConnection> sides = new HashMap<>();
 
-    SideDirectory(EntryIdentity identity, LinkTransport transport, Clock clock, Consumer<RouterEvent> events) {
+    SideDirectory(
+            EntryIdentity identity,
+            LinkTransport transport,
+            Clock clock,
+            RouterLimits limits,
+            RouterMetrics metrics,
+            Predicate<RouterEvent> events) {
         this.identity = identity;
         this.transport = transport;
         this.clock = clock;
+        this.limits = limits;
+        this.metrics = metrics;
         this.events = events;
     }
 
@@ -57,20 +67,26 @@
                         .host(host);
             }
         }
+        sides.values().forEach(side -> side.listed(listed.contains(side.host().name())));
+        dropUnlisted();
+        connectMissing();
+    }
+
+    /** Forgets the hosts that the list names no more, once their work in progress has ended. */
+    void dropUnlisted() {
         List<SideConnection> gone = new ArrayList<>(sides.values());
-        gone.removeIf(side -> listed.contains(side.host().name()));
+        gone.removeIf(side -> side.isListed() || side.outstanding() > 0);
         for (SideConnection side : gone) {
             sides.remove(side.host().name());
             if (side.link() != null) {
                 side.link().close();
             }
         }
-        connectMissing();
     }
 
     void connectMissing() {
         for (SideConnection side : sides.values()) {
-            if (side.link() == null && clock.isPast(side.reconnectAtNanos())) {
+            if (side.link() == null && side.isListed() && clock.isPast(side.reconnectAtNanos())) {
                 Host host = side.host();
                 InetSocketAddress address = new InetSocketAddress(host.address(), host.linkPort());
                 side.connecting(transport.connect(address, new SideListener(host)));
@@ -78,17 +94,48 @@
         }
     }
 
-    void closeSilent() {
+    /**
+     * Gives up links that carry nothing more and probes those that may.
+     *
+     * <p>An idle link is silent after some heartbeats without an answer. A link with requests in flight is probed as
+     * soon as it says nothing for the time of a probe, and is silent if the probe is not answered in the same time.
+     */
+    void closeSilent(Frame probe) {
         for (SideConnection side : sides.values()) {
-            boolean silent = side.link() != null
-                    && clock.isPast(side.link().heardAtNanos() + SILENCE_MILLIS * Clock.NANOS_PER_MILLI);
-            if (silent) {
-                logger.warn("event=link-silent runner={}", side.host().name());
-                side.link().close();
+            if (side.link() == null) {
+                continue;
+            }
+            long quietMillis = (clock.nowNanos() - side.link().heardAtNanos()) / Clock.NANOS_PER_MILLI;
+            boolean busy = side.outstanding() > 0;
+            long boundMillis = busy ? 2 * limits.probeMillis() : limits.silenceMillis();
+            boolean probed = side.probedAtNanos() - side.link().heardAtNanos() > 0;
+            if (quietMillis >= boundMillis && (probed || !busy)) {
+                giveUp(side, "silent");
+            } else if (busy && side.isOpen() && !probed && quietMillis >= limits.probeMillis()) {
+                side.probed(clock.nowNanos());
+                side.link().send(probe);
             }
         }
     }
 
+    /** Closes a link that is of no more use; its requests are lost as soon as it is closed. */
+    void giveUp(SideConnection side, String cause) {
+        if (side.isGivenUp()) {
+            return;
+        }
+        side.giveUp();
+        metrics.linkClosed(cause);
+        logger.warn("event=link-given-up runner={} cause={}", side.host().name(), cause);
+        side.link().close();
+    }
+
+    /** Lists the sides whose link is closed though the event that says so found no room. */
+    List<SideConnection> closedUnheard() {
+        return sides.values().stream()
+                .filter(side -> side.link() != null && !side.link().isOpen())
+                .toList();
+    }
+
     /** Finds the side of a link, or returns null if the link is not its present one. */
     SideConnection find(Host host, Link link) {
         SideConnection side = sides.get(host.name());
@@ -145,17 +192,24 @@
 
         @Override
         public void onOpen(Link link) {
-            events.accept(new RouterEvent.LinkOpened(host, link));
+            closeUnless(link, events.test(new RouterEvent.LinkOpened(host, link)));
         }
 
         @Override
         public void onFrame(Link link, Frame frame) {
-            events.accept(new RouterEvent.FrameArrived(host, link, frame));
+            closeUnless(link, events.test(new RouterEvent.FrameArrived(host, link, frame)));
+        }
+
+        /** Gives up a link of which something was dropped, so that its requests are tried again. */
+        private static void closeUnless(Link link, boolean taken) {
+            if (!taken) {
+                link.close();
+            }
         }
 
         @Override
         public void onClosed(Link link) {
-            events.accept(new RouterEvent.LinkClosed(host, link));
+            events.test(new RouterEvent.LinkClosed(host, link));
         }
     }
 }
--- a/entry/src/test/java/org/arbutusstack/entry/router/TableHarness.java
+++ b/entry/src/test/java/org/arbutusstack/entry/router/TableHarness.java
@@ -1,5 +1,6 @@
 package org.arbutusstack.entry.router;
 
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -33,6 +34,9 @@
 
     static final long DEADLINE_MILLIS = 10_000;
 
+    private static final RouterLimits LIMITS =
+            new RouterLimits(16, 4, 4, 20, 100, 4 * 1_048_576, 16 * 1_048_576, 1_000, 2_000, 1_000);
+
     final ManualClock clock = new ManualClock();
 
     final Map<String, FakeLink> links = new HashMap<>();
@@ -47,8 +51,9 @@
 
     TableHarness(String... names) {
         EntryIdentity identity = new EntryIdentity("entry-1", "regina", "inc1");
-        sides = new SideDirectory(identity, new FakeTransport(), clock, event -> {});
-        table = new RequestTable(sides, new LeastOutstandingSelector(), clock, 16);
+        RouterMetrics metrics = new RouterMetrics(new PrometheusRegistry());
+        sides = new SideDirectory(identity, new FakeTransport(), clock, LIMITS, metrics, event -> true);
+        table = new RequestTable(sides, new LeastOutstandingSelector(), clock, LIMITS, metrics);
         List<Host> hosts = new ArrayList<>();
         for (int index = 0; index < names.length; index++) {
             namesByPort.put(index + 1, names[index]);
--- a/model/src/main/java/org/arbutusstack/model/request/RefusalReason.java
+++ b/model/src/main/java/org/arbutusstack/model/request/RefusalReason.java
@@ -28,6 +28,8 @@
     BACKEND_LOST(502),
     /** The backend server answered with an error. */
     BACKEND_ERROR(502),
+    /** The answer is longer than the entry holds for a caller. */
+    ANSWER_TOO_LARGE(502),
     /** The key-value service did not record the claim of a call that may not be repeated. */
     CLAIM_UNAVAILABLE(503),
     /** A call with the same key was claimed before. */
--- /dev/null
+++ b/routing/src/main/java/org/arbutusstack/routing/RetryBudget.java
@@ -0,0 +1,51 @@
+package org.arbutusstack.routing;
+
+import org.arbutusstack.kernel.Assert;
+
+/**
+ * Bounds the retries to a share of the requests, so that retries cannot amplify an overload.
+ *
+ * <p>Each request adds a share of a retry, up to a reserve that covers the loss of one runner. To be used by one thread.
+ */
+public final class RetryBudget {
+
+    private static final double PERCENT = 100.0;
+
+    private final double shareOfRequests;
+
+    private final int reserve;
+
+    private double available;
+
+    /**
+     * Creates a budget whose reserve is full.
+     *
+     * @param percentOfRequests the retries permitted for a hundred requests
+     * @param reserve the retries permitted at once
+     */
+    public RetryBudget(int percentOfRequests, int reserve) {
+        Assert.atLeast(percentOfRequests, 0, "percentOfRequests");
+        Assert.atLeast(reserve, 0, "reserve");
+        this.shareOfRequests = percentOfRequests / PERCENT;
+        this.reserve = reserve;
+        this.available = reserve;
+    }
+
+    /** Counts a request. */
+    public void requestArrived() {
+        available = Math.min(reserve, available + shareOfRequests);
+    }
+
+    /**
+     * Takes one retry from the budget.
+     *
+     * @return {@code false} if the budget is spent
+     */
+    public boolean tryTake() {
+        if (available < 1) {
+            return false;
+        }
+        available--;
+        return true;
+    }
+}
--- a/side/src/main/java/org/arbutusstack/side/SidePeers.java
+++ b/side/src/main/java/org/arbutusstack/side/SidePeers.java
@@ -33,7 +33,9 @@
         links.remove(link);
     }
 
-    void heartbeat(Link link, HeartbeatFrame heartbeat) {
+    /** Answers a heartbeat, so that the entry hears that the link carries both ways, and asks for what is missing. */
+    void heartbeat(Link link, HeartbeatFrame heartbeat, boolean leaving) {
+        link.send(new HeartbeatFrame(replica.state().sequence(), replica.state().chain(), leaving));
         long have = replica.state().sequence();
         if (heartbeat.sequence() > have) {
             link.send(new LogPullFrame(have));
--- a/side/src/main/java/org/arbutusstack/side/SideService.java
+++ b/side/src/main/java/org/arbutusstack/side/SideService.java
@@ -208,7 +208,7 @@
         } else if (frame instanceof CancelFrame cancel) {
             desk.cancel(cancel.id(), cancel.attempt());
         } else if (frame instanceof HeartbeatFrame heartbeat) {
-            peers.heartbeat(link, heartbeat);
+            peers.heartbeat(link, heartbeat, desk.isDraining());
         } else if (frame instanceof LogPushFrame push) {
             if (peers.push(push)) {
                 residency.stateAdvanced(state());
