--- a/entry/src/main/java/org/arbutusstack/entry/router/RequestTable.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/RequestTable.java
@@ -26,9 +26,9 @@
  * Keeps the requests in hand, sends them to sides, tries again where that is safe, and answers each caller once.
  *
  * <p>What a refused caller is told follows from the facts of all attempts: one that was never sent, or that the side
- * refused before it sent it, did not run; one that was sent and lost may have run, whatever later attempts say. A request
- * that is not idempotent is sent again after a lost link only because the side's durable claim recognises the repeat.
- * Used by the router's duty only.
+ * refused before it sent it, did not run; one that was sent and lost may have run, whatever later attempts say. A
+ * request that is not idempotent is sent again after a lost link only because the side's durable claim recognises the
+ * repeat. Used by the router's duty only.
  */
 final class RequestTable {
 
--- a/entry/src/main/java/org/arbutusstack/entry/router/RouterLimits.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/RouterLimits.java
@@ -1,6 +1,5 @@
 package org.arbutusstack.entry.router;
 
-import org.arbutusstack.entry.EntrySettings;
 import org.arbutusstack.kernel.Assert;
 import org.arbutusstack.kernel.setting.Settings;
 
@@ -47,16 +46,16 @@
      */
     public static RouterLimits of(Settings settings) {
         return new RouterLimits(
-                (int) settings.number(EntrySettings.MOST_REQUESTS),
-                (int) settings.number(EntrySettings.MOST_WAITING),
-                (int) settings.number(EntrySettings.MOST_ATTEMPTS),
-                (int) settings.number(EntrySettings.RETRY_PERCENT),
-                (int) settings.number(EntrySettings.RETRY_RESERVE),
-                (int) settings.number(EntrySettings.LONGEST_ANSWER),
-                settings.number(EntrySettings.MOST_BUFFERED),
-                settings.number(EntrySettings.RECEIPT),
-                settings.number(EntrySettings.HEARTBEAT),
-                settings.number(EntrySettings.PROBE));
+                (int) settings.number(RouterSettings.MOST_REQUESTS),
+                (int) settings.number(RouterSettings.MOST_WAITING),
+                (int) settings.number(RouterSettings.MOST_ATTEMPTS),
+                (int) settings.number(RouterSettings.RETRY_PERCENT),
+                (int) settings.number(RouterSettings.RETRY_RESERVE),
+                (int) settings.number(RouterSettings.LONGEST_ANSWER),
+                settings.number(RouterSettings.MOST_BUFFERED),
+                settings.number(RouterSettings.RECEIPT),
+                settings.number(RouterSettings.HEARTBEAT),
+                settings.number(RouterSettings.PROBE));
     }
 
     /**
--- a/routing/src/main/java/org/arbutusstack/routing/RetryBudget.java
+++ b/routing/src/main/java/org/arbutusstack/routing/RetryBudget.java
@@ -5,7 +5,8 @@
 /**
  * Bounds the retries to a share of the requests, so that retries cannot amplify an overload.
  *
- * <p>Each request adds a share of a retry, up to a reserve that covers the loss of one runner. To be used by one thread.
+ * <p>Each request adds a share of a retry, up to a reserve that covers the loss of one runner. To be used by one
+ * thread.
  */
 public final class RetryBudget {
 
