--- a/daemon/src/main/java/org/arbutusstack/daemon/DaemonSettings.java
+++ b/daemon/src/main/java/org/arbutusstack/daemon/DaemonSettings.java
@@ -48,7 +48,7 @@
 
     /** The time that a graceful stop may take. */
     public static final Setting DRAIN =
-            Setting.number("drain-millis", 0, 3_600_000, 60_000, "time that a graceful stop may take, in ms");
+            Setting.number("drain-millis", 0, 3_600_000, 130_000, "time that a graceful stop may take, in ms");
 
     /** The time between two anchors of the audit records. */
     public static final Setting ANCHOR_PERIOD =
--- a/daemon/src/main/java/org/arbutusstack/daemon/Role.java
+++ b/daemon/src/main/java/org/arbutusstack/daemon/Role.java
@@ -6,6 +6,7 @@
 import org.arbutusstack.entry.EntryIdentity;
 import org.arbutusstack.entry.EntrySettings;
 import org.arbutusstack.entry.audit.AnchorService;
+import org.arbutusstack.entry.caller.CallerLimits;
 import org.arbutusstack.entry.caller.CallerListener;
 import org.arbutusstack.entry.member.HostListService;
 import org.arbutusstack.entry.plan.PlanBook;
@@ -40,6 +41,7 @@
                     settings.text(DaemonSettings.NAME), settings.text(DaemonSettings.ZONE), platform.incarnation());
             LogReplica replica = platform.newReplica();
             PlanBook plans = new PlanBook();
+            RouterMetrics metrics = new RouterMetrics(platform.metrics());
             RouterService router = new RouterService(
                     identity,
                     platform.transport(),
@@ -48,7 +50,8 @@
                     new LeastOutstandingSelector(),
                     platform.clock(),
                     RouterLimits.of(settings),
-                    new RouterMetrics(platform.metrics()));
+                    metrics,
+                    platform.trail());
             TicketLog log = new TicketLog(platform.store(), replica, List.of(new ReferenceCheck()), platform.clock());
             TicketService tickets = new TicketService(platform.store(), log, platform.clock(), platform.trail());
             registry.register(router);
@@ -60,7 +63,7 @@
                     HttpTarget.parse(settings.text(DaemonSettings.HOST_LIST)),
                     platform.clock(),
                     router::hostsChanged));
-            registerListeners(registry, settings, platform, identity, replica);
+            registerListeners(registry, settings, platform, identity, replica, metrics);
         }
 
         private void registerListeners(
@@ -68,17 +71,27 @@
                 Settings settings,
                 Platform platform,
                 EntryIdentity identity,
-                LogReplica replica) {
+                LogReplica replica,
+                RouterMetrics metrics) {
             RouterService router = registry.lookup(RouterService.NAME, RouterService.class);
             TicketService tickets = registry.lookup(TicketService.NAME, TicketService.class);
             String address = settings.text(DaemonSettings.ADDRESS);
+            CallerListener callers = new CallerListener(
+                    address,
+                    (int) settings.number(EntrySettings.CALLER_PORT),
+                    CallerLimits.of(settings),
+                    identity.incarnation(),
+                    router,
+                    replica,
+                    metrics,
+                    platform.clock());
             AnchorService anchors = new AnchorService(platform.store(), platform.clock());
             registry.register(anchors);
             registry.register(new AdminListener(
                     address,
                     (int) settings.number(DaemonSettings.ADMIN_PORT),
                     platform.metrics(),
-                    () -> replica.state().sequence() > 0,
+                    callers::isReady,
                     router::stateDump));
             registry.register(new OperatorListener(
                     address,
@@ -91,15 +104,7 @@
                     replica,
                     platform.clock(),
                     platform.trail()));
-            registry.register(new CallerListener(
-                    address,
-                    (int) settings.number(EntrySettings.CALLER_PORT),
-                    settings.number(EntrySettings.LONGEST_BODY),
-                    settings.number(EntrySettings.DEFAULT_DEADLINE),
-                    identity.incarnation(),
-                    router,
-                    replica,
-                    platform.clock()));
+            registry.register(callers);
         }
 
         @Override
@@ -109,12 +114,18 @@
 
         @Override
         List<String> malformed(Settings settings) {
+            List<String> mistakes = new ArrayList<>();
             try {
                 OperatorDirectory.parse(settings.text(EntrySettings.OPERATORS));
-                return List.of();
             } catch (IllegalArgumentException mistake) {
-                return List.of("--operators (ARBUTUS_OPERATORS): " + mistake.getMessage());
+                mistakes.add("--operators (ARBUTUS_OPERATORS): " + mistake.getMessage());
+            }
+            long neededMillis = CallerLimits.of(settings).longestDrainMillis();
+            if (settings.number(DaemonSettings.DRAIN) < neededMillis) {
+                mistakes.add("--drain-millis (ARBUTUS_DRAIN_MILLIS): value '" + settings.number(DaemonSettings.DRAIN)
+                        + "', permitted: at least longest-deadline-millis and drain-notice-millis, " + neededMillis);
             }
+            return mistakes;
         }
     },
 
--- a/daemon/src/test/java/org/arbutusstack/daemon/request/CompletionCall.java
+++ b/daemon/src/test/java/org/arbutusstack/daemon/request/CompletionCall.java
@@ -28,7 +28,7 @@
 
     private volatile String requestId = "";
 
-    private volatile String connection = "";
+    private volatile String runner = "";
 
     private volatile CallerOutcome outcome = CallerOutcome.UNANSWERED;
 
@@ -49,8 +49,12 @@
         return urgency;
     }
 
-    String connection() {
-        return connection;
+    String runner() {
+        return runner;
+    }
+
+    long sentNanos() {
+        return sentNanos;
     }
 
     CallerOutcome outcome() {
@@ -76,7 +80,7 @@
     @Override
     public void onHead(int status, Map<String, String> headers) {
         requestId = headers.getOrDefault("x-arbutus-request-id", "");
-        connection = headers.getOrDefault("connection", "");
+        runner = headers.getOrDefault("x-arbutus-runner", "");
     }
 
     @Override
--- a/entry/src/main/java/org/arbutusstack/entry/caller/CallerParser.java
+++ b/entry/src/main/java/org/arbutusstack/entry/caller/CallerParser.java
@@ -36,8 +36,6 @@
 
     private static final String PRIORITY_HEADER = "Priority";
 
-    private static final long LONGEST_DEADLINE_MILLIS = 600_000;
-
     private static final int LONGEST_KEY = 256;
 
     private static final int DEFAULT_URGENCY = 3;
@@ -48,14 +46,14 @@
 
     private final Clock clock;
 
-    private final long defaultDeadlineMillis;
+    private final CallerLimits limits;
 
     private final AtomicLong nextNumber = new AtomicLong(1);
 
-    CallerParser(String incarnation, Clock clock, long defaultDeadlineMillis) {
+    CallerParser(String incarnation, Clock clock, CallerLimits limits) {
         this.incarnation = Assert.hasText(incarnation, "incarnation");
         this.clock = Assert.notNull(clock, "clock");
-        this.defaultDeadlineMillis = defaultDeadlineMillis;
+        this.limits = Assert.notNull(limits, "limits");
     }
 
     ParseResult parse(HttpServerExchange exchange, byte[] body, DesiredState state, ResponseSink response) {
@@ -64,8 +62,8 @@
         try {
             deadlineMillis = deadlineOf(exchange);
         } catch (NumberFormatException malformed) {
-            return malformed(
-                    DEADLINE_HEADER + " must be a whole number of milliseconds from 1 to " + LONGEST_DEADLINE_MILLIS);
+            return malformed(DEADLINE_HEADER + " must be a whole number of milliseconds from 1 to "
+                    + limits.longestDeadlineMillis());
         }
         String key = headerOf(exchange, KEY_HEADER);
         if (key.length() > LONGEST_KEY) {
@@ -91,10 +89,10 @@
     private long deadlineOf(HttpServerExchange exchange) {
         String text = headerOf(exchange, DEADLINE_HEADER);
         if (text.isEmpty()) {
-            return defaultDeadlineMillis;
+            return limits.defaultDeadlineMillis();
         }
         long millis = Long.parseLong(text.trim());
-        if (millis < 1 || millis > LONGEST_DEADLINE_MILLIS) {
+        if (millis < 1 || millis > limits.longestDeadlineMillis()) {
             throw new NumberFormatException(text);
         }
         return millis;
--- a/entry/src/main/java/org/arbutusstack/entry/router/Pending.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/Pending.java
@@ -23,6 +23,8 @@
 
     private int attempt;
 
+    private int sends;
+
     private int failures;
 
     private SideConnection side;
@@ -78,6 +80,17 @@
         }
     }
 
+    /** Notes that the link took the attempt's frame. */
+    void sent() {
+        sends++;
+        side.sent();
+    }
+
+    /** Counts the attempts that a link took. */
+    int sends() {
+        return sends;
+    }
+
     /** Takes back an attempt whose frame the link did not take. */
     void neverSent() {
         side = null;
--- a/entry/src/main/java/org/arbutusstack/entry/router/RequestTable.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/RequestTable.java
@@ -36,6 +36,10 @@
 
     private static final long RETRY_MILLIS = 50;
 
+    private static final long LONGEST_MARGIN_MILLIS = 100;
+
+    private static final int MARGIN_DIVISOR = 10;
+
     private static final int NOT_FOUND = 404;
 
     private static final int SERVER_ERRORS = 500;
@@ -52,6 +56,8 @@
 
     private final RouterMetrics metrics;
 
+    private final RequestOutcomes outcomes;
+
     private final RetryBudget retries;
 
     private final Map<RequestId, Pending> pending = new HashMap<>();
@@ -59,12 +65,18 @@
     private long bufferedBytes;
 
     RequestTable(
-            SideDirectory sides, RunnerSelector selector, Clock clock, RouterLimits limits, RouterMetrics metrics) {
+            SideDirectory sides,
+            RunnerSelector selector,
+            Clock clock,
+            RouterLimits limits,
+            RouterMetrics metrics,
+            RequestOutcomes outcomes) {
         this.sides = sides;
         this.selector = selector;
         this.clock = clock;
         this.limits = limits;
         this.metrics = metrics;
+        this.outcomes = outcomes;
         this.retries = new RetryBudget(limits.retryPercent(), limits.retryReserve());
     }
 
@@ -110,7 +122,7 @@
         SideConnection side = sides.byName(chosen.get().name());
         entry.begin(side, clock.deadlineNanos(limits.receiptMillis()));
         if (side.link().send(frameOf(entry))) {
-            side.sent();
+            entry.sent();
             logger.debug("event=sent request={} attempt={}", request.id(), entry.attempt());
         } else {
             entry.neverSent();
@@ -135,7 +147,7 @@
         return new WorkFrame(
                 request.id(),
                 entry.attempt(),
-                clock.millisUntil(request.deadlineNanos()),
+                millisForSide(request),
                 request.priority(),
                 request.routing().service(),
                 request.model(),
@@ -149,6 +161,12 @@
                 request.body());
     }
 
+    /** Leaves the side less time than there is, so that its refusal of a request it never ran arrives in time. */
+    private long millisForSide(CallerRequest request) {
+        long leftMillis = clock.millisUntil(request.deadlineNanos());
+        return leftMillis - Math.min(LONGEST_MARGIN_MILLIS, leftMillis / MARGIN_DIVISOR);
+    }
+
     /** Finds the request of an answer's frame, or returns null if the frame belongs to an old attempt. */
     private Pending current(RequestId id, int attempt, SideConnection side) {
         Pending entry = pending.get(id);
@@ -235,7 +253,7 @@
             request.response().write(entry.body().toByteArray());
         }
         request.response().end();
-        metrics.answered(request.priority(), clock.nowNanos() - entry.arrivedNanos());
+        outcomes.answered(entry);
         remove(entry);
     }
 
@@ -292,7 +310,7 @@
         CallerRequest request = entry.request();
         Refusal truth = truthOf(entry, refusal);
         remove(entry);
-        metrics.refused(truth, clock.nowNanos() - entry.arrivedNanos());
+        outcomes.refused(entry, truth);
         logger.info("event=refused request={} kind={} reason={}", request.id(), truth.kind(), truth.reason());
         if (entry.isStreamOpened()) {
             Answers.breakOff(request, truth);
@@ -322,7 +340,7 @@
         if (entry == null) {
             return;
         }
-        metrics.callerGone();
+        outcomes.cancelled(entry);
         cancelAtSide(entry);
         remove(entry);
     }
--- a/entry/src/main/java/org/arbutusstack/entry/router/RouterService.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/RouterService.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.Collectors;
+import org.arbutusstack.audit.AuditTrail;
 import org.arbutusstack.entry.EntryIdentity;
 import org.arbutusstack.entry.plan.PlanBook;
 import org.arbutusstack.entry.plan.RunnerDirectory;
@@ -102,6 +103,7 @@
      * @param clock the clock of the process
      * @param limits what the router keeps within
      * @param metrics counts what becomes of requests and links
+     * @param trail records the end of each request
      */
     public RouterService(
             EntryIdentity identity,
@@ -111,7 +113,8 @@
             RunnerSelector selector,
             Clock clock,
             RouterLimits limits,
-            RouterMetrics metrics) {
+            RouterMetrics metrics,
+            AuditTrail trail) {
         this.identity = Assert.notNull(identity, "identity");
         this.replica = Assert.notNull(replica, "replica");
         this.plans = Assert.notNull(plans, "plans");
@@ -119,7 +122,9 @@
         this.limits = Assert.notNull(limits, "limits");
         this.metrics = Assert.notNull(metrics, "metrics");
         this.sides = new SideDirectory(identity, transport, clock, limits, metrics, this::offer);
-        this.requests = new RequestTable(sides, selector, clock, limits, metrics);
+        RequestOutcomes outcomes =
+                new RequestOutcomes(metrics, trail, () -> replica.state().sequence(), clock);
+        this.requests = new RequestTable(sides, selector, clock, limits, metrics, outcomes);
         replica.addListener(state -> offer(new RouterEvent.StateAdvanced()));
     }
 
--- a/entry/src/test/java/org/arbutusstack/entry/router/RequestTableTests.java
+++ b/entry/src/test/java/org/arbutusstack/entry/router/RequestTableTests.java
@@ -120,6 +120,7 @@
         }
         FakeSink sink = TableHarness.sink(request);
         assertEquals(sink.ends(), 1, name);
+        assertEquals(run.events.size(), 1, name);
         assertTrue(sink.text().contains("\"kind\":\"" + kind + "\""), name + ": " + sink.text());
         assertEquals(run.table.size(), 0, name);
     }
--- a/entry/src/test/java/org/arbutusstack/entry/router/TableHarness.java
+++ b/entry/src/test/java/org/arbutusstack/entry/router/TableHarness.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.arbutusstack.audit.AuditEvent;
 import org.arbutusstack.entry.EntryIdentity;
 import org.arbutusstack.kernel.time.ManualClock;
 import org.arbutusstack.model.host.Host;
@@ -41,6 +42,8 @@
 
     final Map<String, FakeLink> links = new HashMap<>();
 
+    final List<AuditEvent> events = new ArrayList<>();
+
     final SideDirectory sides;
 
     final RequestTable table;
@@ -53,7 +56,8 @@
         EntryIdentity identity = new EntryIdentity("entry-1", "regina", "inc1");
         RouterMetrics metrics = new RouterMetrics(new PrometheusRegistry());
         sides = new SideDirectory(identity, new FakeTransport(), clock, LIMITS, metrics, event -> true);
-        table = new RequestTable(sides, new LeastOutstandingSelector(), clock, LIMITS, metrics);
+        RequestOutcomes outcomes = new RequestOutcomes(metrics, events::add, () -> 1, clock);
+        table = new RequestTable(sides, new LeastOutstandingSelector(), clock, LIMITS, metrics, outcomes);
         List<Host> hosts = new ArrayList<>();
         for (int index = 0; index < names.length; index++) {
             namesByPort.put(index + 1, names[index]);
--- a/http/src/main/java/org/arbutusstack/http/server/ConnectionWatch.java
+++ b/http/src/main/java/org/arbutusstack/http/server/ConnectionWatch.java
@@ -32,6 +32,7 @@
         followed.set(stream);
         exchange.addExchangeCompleteListener((completed, next) -> {
             followed.compareAndSet(stream, null);
+            stream.finished();
             next.proceed();
         });
     }
@@ -39,6 +40,7 @@
     private static void close(ResponseStream stream) {
         if (stream != null) {
             stream.connectionClosed();
+            stream.finished();
         }
     }
 }
--- a/http/src/main/java/org/arbutusstack/http/server/HttpServers.java
+++ b/http/src/main/java/org/arbutusstack/http/server/HttpServers.java
@@ -16,6 +16,8 @@
 
     private static final int IDLE_MILLIS = 120_000;
 
+    private static final int PARSE_MILLIS = 10_000;
+
     private HttpServers() {}
 
     /**
@@ -29,6 +31,30 @@
      * @return the listener
      */
     public static Undertow build(String address, int port, int ioThreads, long longestBodyBytes, HttpHandler handler) {
+        return builder(address, port, ioThreads, longestBodyBytes, handler).build();
+    }
+
+    /**
+     * Builds a server that closes connections over which nothing passes.
+     *
+     * @param address the IP number to listen on
+     * @param port the port, zero for any free one
+     * @param ioThreads the number of I/O threads
+     * @param longestBodyBytes the longest request body taken
+     * @param idleMillis how long a connection may carry nothing, in milliseconds
+     * @param handler what answers
+     * @return the server, not yet started
+     */
+    public static Undertow build(
+            String address, int port, int ioThreads, long longestBodyBytes, int idleMillis, HttpHandler handler) {
+        return builder(address, port, ioThreads, longestBodyBytes, handler)
+                .setServerOption(UndertowOptions.IDLE_TIMEOUT, idleMillis)
+                .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, PARSE_MILLIS)
+                .build();
+    }
+
+    private static Undertow.Builder builder(
+            String address, int port, int ioThreads, long longestBodyBytes, HttpHandler handler) {
         Assert.hasText(address, "address");
         Assert.notNull(handler, "handler");
         return Undertow.builder()
@@ -40,7 +66,6 @@
                 .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, longestBodyBytes)
                 .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_MILLIS)
                 .setServerOption(UndertowOptions.ENABLE_STATISTICS, false)
-                .setHandler(handler)
-                .build();
+                .setHandler(handler);
     }
 }
--- a/http/src/main/java/org/arbutusstack/http/server/ResponseStream.java
+++ b/http/src/main/java/org/arbutusstack/http/server/ResponseStream.java
@@ -36,6 +36,10 @@
 
     private Runnable closeTask;
 
+    private Runnable finishTask;
+
+    private boolean finished;
+
     private ResponseStream(HttpServerExchange exchange) {
         this.exchange = exchange;
     }
@@ -58,6 +62,32 @@
         waiting.clear();
     }
 
+    /**
+     * Runs a task once the exchange has ended, whether the answer went out whole or the connection closed.
+     *
+     * @param task the task; must not block
+     */
+    public void onFinish(Runnable task) {
+        synchronized (this) {
+            if (!finished) {
+                finishTask = task;
+                return;
+            }
+        }
+        task.run();
+    }
+
+    void finished() {
+        Runnable task;
+        synchronized (this) {
+            task = finished ? null : finishTask;
+            finished = true;
+        }
+        if (task != null) {
+            task.run();
+        }
+    }
+
     void connectionClosed() {
         Runnable task;
         synchronized (this) {
--- a/wire/src/main/java/org/arbutusstack/wire/link/NioLink.java
+++ b/wire/src/main/java/org/arbutusstack/wire/link/NioLink.java
@@ -112,6 +112,11 @@
         return true;
     }
 
+    /** Tells whether nothing waits to be sent. */
+    boolean isFlushed() {
+        return waitingBytes.get() == 0 || !channel.isConnected();
+    }
+
     private void writeWaiting() {
         writeScheduled.set(false);
         if (closed.get() || key == null || !channel.isConnected()) {
--- a/wire/src/main/java/org/arbutusstack/wire/link/NioLinkTransport.java
+++ b/wire/src/main/java/org/arbutusstack/wire/link/NioLinkTransport.java
@@ -11,8 +11,10 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.arbutusstack.kernel.Assert;
 import org.arbutusstack.wire.WireException;
 import org.slf4j.Logger;
@@ -31,6 +33,10 @@
 
     private static final long EXPIRE_PERIOD_MILLIS = 1_000;
 
+    private static final long FLUSH_MILLIS = 1_000;
+
+    private static final long FLUSH_POLL_MILLIS = 5;
+
     private final Selector selector;
 
     private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
@@ -168,8 +174,27 @@
         }
     }
 
+    /** Waits a short time until what was sent has left the process. */
+    private void flush() {
+        long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(FLUSH_MILLIS);
+        while (System.nanoTime() - deadlineNanos < 0) {
+            CompletableFuture<Boolean> flushed = new CompletableFuture<>();
+            execute(() -> flushed.complete(selector.keys().stream().allMatch(NioLinkTransport::isFlushed)));
+            if (flushed.completeOnTimeout(false, FLUSH_MILLIS, TimeUnit.MILLISECONDS)
+                    .join()) {
+                return;
+            }
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(FLUSH_POLL_MILLIS));
+        }
+    }
+
+    private static boolean isFlushed(SelectionKey key) {
+        return !(key.attachment() instanceof NioLink link) || link.isFlushed();
+    }
+
     @Override
     public void stop() {
+        flush();
         execute(() -> {
             running = false;
             selector.keys().forEach(key -> org.arbutusstack.wire.link.NioLink.closeQuietly(key.channel()));
