--- a/daemon/src/main/java/org/arbutusstack/daemon/Role.java
+++ b/daemon/src/main/java/org/arbutusstack/daemon/Role.java
@@ -6,11 +6,14 @@
 import org.arbutusstack.entry.EntryIdentity;
 import org.arbutusstack.entry.EntrySettings;
 import org.arbutusstack.entry.audit.AnchorService;
+import org.arbutusstack.entry.caller.CallerLimits;
 import org.arbutusstack.entry.caller.CallerListener;
 import org.arbutusstack.entry.member.HostListService;
 import org.arbutusstack.entry.member.PeerService;
 import org.arbutusstack.entry.plan.PlanBook;
 import org.arbutusstack.entry.plan.PlannerService;
+import org.arbutusstack.entry.router.RouterLimits;
+import org.arbutusstack.entry.router.RouterMetrics;
 import org.arbutusstack.entry.router.RouterService;
 import org.arbutusstack.entry.ticket.LogFollowerService;
 import org.arbutusstack.entry.ticket.OperatorDirectory;
@@ -40,6 +43,7 @@
                     settings.text(DaemonSettings.NAME), settings.text(DaemonSettings.ZONE), platform.incarnation());
             LogReplica replica = platform.newReplica();
             PlanBook plans = new PlanBook();
+            RouterMetrics metrics = new RouterMetrics(platform.metrics());
             RouterService router = new RouterService(
                     identity,
                     platform.transport(),
@@ -47,7 +51,9 @@
                     plans,
                     new LeastOutstandingSelector(),
                     platform.clock(),
-                    (int) settings.number(EntrySettings.MOST_REQUESTS));
+                    RouterLimits.of(settings),
+                    metrics,
+                    platform.trail());
             TicketLog log = new TicketLog(platform.store(), replica, List.of(new ReferenceCheck()), platform.clock());
             PeerService peers = new PeerService(
                     identity,
@@ -71,7 +77,7 @@
                         router.hostsChanged(hosts);
                         peers.hostsChanged(hosts);
                     }));
-            registerListeners(registry, settings, platform, identity, replica);
+            registerListeners(registry, settings, platform, identity, replica, metrics);
         }
 
         private void registerListeners(
@@ -79,17 +85,27 @@
                 Settings settings,
                 Platform platform,
                 EntryIdentity identity,
-                LogReplica replica) {
+                LogReplica replica,
+                RouterMetrics metrics) {
             RouterService router = registry.lookup(RouterService.NAME, RouterService.class);
             TicketService tickets = registry.lookup(TicketService.NAME, TicketService.class);
             String address = settings.text(DaemonSettings.ADDRESS);
+            CallerListener callers = new CallerListener(
+                    address,
+                    (int) settings.number(EntrySettings.CALLER_PORT),
+                    CallerLimits.of(settings),
+                    identity.incarnation(),
+                    router,
+                    replica,
+                    metrics,
+                    platform.clock());
             AnchorService anchors = new AnchorService(platform.store(), platform.clock());
             registry.register(anchors);
             registry.register(new AdminListener(
                     address,
                     (int) settings.number(DaemonSettings.ADMIN_PORT),
                     platform.metrics(),
-                    () -> replica.state().sequence() > 0,
+                    callers::isReady,
                     router::stateDump));
             registry.register(new OperatorListener(
                     address,
@@ -102,15 +118,7 @@
                     replica,
                     platform.clock(),
                     platform.trail()));
-            registry.register(new CallerListener(
-                    address,
-                    (int) settings.number(EntrySettings.CALLER_PORT),
-                    settings.number(EntrySettings.LONGEST_BODY),
-                    settings.number(EntrySettings.DEFAULT_DEADLINE),
-                    identity.incarnation(),
-                    router,
-                    replica,
-                    platform.clock()));
+            registry.register(callers);
         }
 
         @Override
@@ -120,12 +128,18 @@
 
         @Override
         List<String> malformed(Settings settings) {
+            List<String> mistakes = new ArrayList<>();
             try {
                 OperatorDirectory.parse(settings.text(EntrySettings.OPERATORS));
-                return List.of();
             } catch (IllegalArgumentException mistake) {
-                return List.of("--operators (ARBUTUS_OPERATORS): " + mistake.getMessage());
+                mistakes.add("--operators (ARBUTUS_OPERATORS): " + mistake.getMessage());
+            }
+            long neededMillis = CallerLimits.of(settings).longestDrainMillis();
+            if (settings.number(DaemonSettings.DRAIN) < neededMillis) {
+                mistakes.add("--drain-millis (ARBUTUS_DRAIN_MILLIS): value '" + settings.number(DaemonSettings.DRAIN)
+                        + "', permitted: at least longest-deadline-millis and drain-notice-millis, " + neededMillis);
             }
+            return mistakes;
         }
     },
 
