--- /dev/null
+++ b/entry/src/main/java/org/arbutusstack/entry/router/EventStream.java
@@ -0,0 +1,35 @@
+package org.arbutusstack.entry.router;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import org.arbutusstack.wire.frame.AnswerPartFrame;
+
+/** Hands the events of a streamed answer to its caller. Stateless. */
+final class EventStream {
+
+    private static final byte[] TERMINAL_EVENT = "data: [DONE]\n\n".getBytes(StandardCharsets.UTF_8);
+
+    private EventStream() {}
+
+    static void deliver(Pending entry, AnswerPartFrame frame) {
+        CallerRequest request = entry.request();
+        if (!entry.isStreamOpened()) {
+            entry.openStream();
+            Answers.open(request, entry.head());
+        }
+        if (frame.bytes().length > 0) {
+            request.response().write(frame.bytes());
+        }
+    }
+
+    /**
+     * Tells whether the terminal event is among the bytes; the answer is whole then, though the frame that says so
+     * may be lost.
+     */
+    static boolean ends(Pending entry, byte[] bytes) {
+        int from = bytes.length - TERMINAL_EVENT.length;
+        return entry.isEventStream()
+                && from >= 0
+                && Arrays.equals(bytes, from, bytes.length, TERMINAL_EVENT, 0, TERMINAL_EVENT.length);
+    }
+}
--- a/entry/src/main/java/org/arbutusstack/entry/router/RouterService.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/RouterService.java
@@ -4,7 +4,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.Collectors;
+import org.arbutusstack.audit.AuditTrail;
 import org.arbutusstack.entry.EntryIdentity;
 import org.arbutusstack.entry.plan.PlanBook;
 import org.arbutusstack.entry.plan.RunnerDirectory;
@@ -16,6 +18,7 @@
 import org.arbutusstack.ledger.LogReplica;
 import org.arbutusstack.ledger.peer.LogExchange;
 import org.arbutusstack.model.JsonCodec;
+import org.arbutusstack.model.host.Host;
 import org.arbutusstack.model.host.HostList;
 import org.arbutusstack.model.plan.Plan;
 import org.arbutusstack.model.request.RequestId;
@@ -24,11 +27,13 @@
 import org.arbutusstack.wire.frame.AnswerHeadFrame;
 import org.arbutusstack.wire.frame.AnswerPartFrame;
 import org.arbutusstack.wire.frame.Frame;
+import org.arbutusstack.wire.frame.LoadFrame;
 import org.arbutusstack.wire.frame.PlanFrame;
 import org.arbutusstack.wire.frame.ReceiptFrame;
 import org.arbutusstack.wire.frame.RefusalFrame;
 import org.arbutusstack.wire.frame.SideReportFrame;
 import org.arbutusstack.wire.frame.StrikeFrame;
+import org.arbutusstack.wire.link.Link;
 import org.arbutusstack.wire.link.LinkTransport;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -62,6 +67,12 @@
 
     private final Clock clock;
 
+    private final RouterLimits limits;
+
+    private final RouterMetrics metrics;
+
+    private final AtomicReference<HostList> changedHosts = new AtomicReference<>();
+
     private final Duty<RouterEvent> duty = new Duty<>("router", RING_SIZE, this::handle);
 
     private final Ticker ticker = new Ticker("router-ticker");
@@ -89,7 +100,9 @@
      * @param plans the plans to spread to the sides
      * @param selector chooses runners
      * @param clock the clock of the process
-     * @param mostRequests the requests in hand at once
+     * @param limits what the router keeps within
+     * @param metrics counts what becomes of requests and links
+     * @param trail records the end of each request
      */
     public RouterService(
             EntryIdentity identity,
@@ -98,14 +111,20 @@
             PlanBook plans,
             RunnerSelector selector,
             Clock clock,
-            int mostRequests) {
+            RouterLimits limits,
+            RouterMetrics metrics,
+            AuditTrail trail) {
         this.identity = Assert.notNull(identity, "identity");
         this.replica = Assert.notNull(replica, "replica");
         this.plans = Assert.notNull(plans, "plans");
         this.clock = Assert.notNull(clock, "clock");
-        this.exchange = new LogExchange(replica, clock, LogExchange.HEARTBEAT_MILLIS);
-        this.sides = new SideDirectory(identity, transport, clock, this::offer);
-        this.requests = new RequestTable(sides, selector, clock, mostRequests);
+        this.limits = Assert.notNull(limits, "limits");
+        this.metrics = Assert.notNull(metrics, "metrics");
+        this.exchange = new LogExchange(replica, clock, limits.heartbeatMillis());
+        this.sides = new SideDirectory(identity, transport, clock, limits, metrics, this::offer);
+        RequestOutcomes outcomes =
+                new RequestOutcomes(metrics, trail, () -> replica.state().sequence(), clock);
+        this.requests = new RequestTable(sides, selector, clock, limits, metrics, outcomes);
         replica.addListener(state -> offer(new RouterEvent.StateAdvanced()));
     }
 
@@ -120,10 +139,17 @@
         ticker.every(TICK_MILLIS, () -> duty.offer(new RouterEvent.Tick()));
     }
 
-    private void offer(RouterEvent event) {
-        if (!duty.offer(event)) {
+    /**
+     * Offers an event; one that finds the ring full is made up for: a link whose frame was dropped is closed, and the
+     * next tick looks for closed links, callers gone and the latest host list.
+     */
+    private boolean offer(RouterEvent event) {
+        boolean taken = duty.offer(event);
+        if (!taken) {
+            metrics.ringFull(event.getClass().getSimpleName());
             logger.warn("event=router-ring-full dropped={}", event.getClass().getSimpleName());
         }
+        return taken;
     }
 
     /**
@@ -151,7 +177,8 @@
      * @param hosts the list
      */
     public void hostsChanged(HostList hosts) {
-        offer(new RouterEvent.HostsChanged(hosts));
+        changedHosts.set(hosts);
+        offer(new RouterEvent.HostsChanged());
     }
 
     @Override
@@ -184,13 +211,9 @@
                 exchange.opened(opened.link());
             }
         } else if (event instanceof RouterEvent.LinkClosed closed) {
-            exchange.closed(closed.link());
-            SideConnection side = sides.closed(closed.host(), closed.link());
-            if (side != null) {
-                requests.sideLost(side);
-            }
-        } else if (event instanceof RouterEvent.HostsChanged changed) {
-            sides.hostsChanged(changed.hosts());
+            linkClosed(closed.host(), closed.link());
+        } else if (event instanceof RouterEvent.HostsChanged) {
+            applyHosts();
         } else if (event instanceof RouterEvent.StateAdvanced) {
             exchange.advanced();
         } else if (event instanceof RouterEvent.Tick) {
@@ -199,6 +222,21 @@
         inHand = requests.size();
     }
 
+    private void linkClosed(Host host, Link link) {
+        exchange.closed(link);
+        SideConnection side = sides.closed(host, link);
+        if (side != null) {
+            requests.sideLost(side);
+        }
+    }
+
+    private void applyHosts() {
+        HostList hosts = changedHosts.getAndSet(null);
+        if (hosts != null) {
+            sides.hostsChanged(hosts);
+        }
+    }
+
     private void frame(SideConnection side, Frame frame) {
         if (frame instanceof AnswerPartFrame part) {
             requests.part(part, side);
@@ -210,6 +248,8 @@
             requests.refused(refusal, side);
         } else if (frame instanceof StrikeFrame strike) {
             requests.told(strike);
+        } else if (frame instanceof LoadFrame load) {
+            side.load(load);
         } else if (frame instanceof SideReportFrame report) {
             side.report(report);
             offerPlan(side, report);
@@ -228,9 +268,12 @@
     }
 
     private void tick() {
+        applyHosts();
         requests.tick();
+        sides.closeSilent(exchange.heartbeat());
+        sides.closedUnheard().forEach(side -> linkClosed(side.host(), side.link()));
+        sides.dropUnlisted();
         sides.connectMissing();
-        sides.closeSilent();
         exchange.leaving(draining);
         exchange.tick();
         if (clock.isPast(planAtNanos)) {
--- a/side/src/main/java/org/arbutusstack/side/SidePeers.java
+++ b/side/src/main/java/org/arbutusstack/side/SidePeers.java
@@ -6,18 +6,23 @@
 import org.arbutusstack.ledger.LogReplica;
 import org.arbutusstack.ledger.peer.LogExchange;
 import org.arbutusstack.wire.frame.Frame;
+import org.arbutusstack.wire.frame.HeartbeatFrame;
 import org.arbutusstack.wire.frame.HelloFrame;
 import org.arbutusstack.wire.link.Link;
 
 /** Keeps the links of a side and the ticket logs at their ends alike. Used by the side's duty only. */
 final class SidePeers {
 
+    private static final long SILENCE_MILLIS = 15_000;
+
+    private static final long HEARTBEAT_MILLIS = 60_000;
+
     private final LogExchange exchange;
 
     private final Set<Link> links = new LinkedHashSet<>();
 
     SidePeers(LogReplica replica, Clock clock) {
-        this.exchange = new LogExchange(replica, clock, LogExchange.HEARTBEAT_MILLIS);
+        this.exchange = new LogExchange(replica, clock, HEARTBEAT_MILLIS);
     }
 
     void opened(Link link, HelloFrame hello) {
@@ -26,13 +31,27 @@
         exchange.opened(link);
     }
 
+    /** Closes the links on which no heartbeat came for long; an entry that is there opens a new one. */
+    void closeSilent(Clock clock) {
+        links.stream()
+                .filter(link -> clock.isPast(link.heardAtNanos() + SILENCE_MILLIS * Clock.NANOS_PER_MILLI))
+                .forEach(Link::close);
+    }
+
     void closed(Link link) {
         links.remove(link);
         exchange.closed(link);
     }
 
-    /** Takes a frame of the ticket log; tells whether it was one. */
+    /**
+     * Takes a frame of the ticket log; tells whether it was one.
+     *
+     * <p>Answers a heartbeat, so that the entry hears that the link carries both ways.
+     */
     boolean take(Link link, Frame frame) {
+        if (frame instanceof HeartbeatFrame) {
+            link.send(exchange.heartbeat());
+        }
         return exchange.take(link, frame);
     }
 
--- a/wire/src/main/java/org/arbutusstack/wire/frame/Frame.java
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/Frame.java
@@ -26,6 +26,7 @@
                 PlanFrame,
                 SideReportFrame,
                 StrikeFrame,
+                LoadFrame,
                 ProtocolErrorFrame {
 
     /**
