--- a/daemon/src/test/java/org/arbutusstack/daemon/side/ClaimFaultTests.java
+++ b/daemon/src/test/java/org/arbutusstack/daemon/side/ClaimFaultTests.java
@@ -24,6 +24,7 @@
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeClass;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -75,6 +76,11 @@
         return count == SIDES.size();
     }
 
+    @BeforeMethod
+    public void awaitBothSides() {
+        awaitServing();
+    }
+
     @AfterMethod
     public void endFaults() {
         cluster.store().fault(KeyValueFault.NONE);
@@ -220,16 +226,33 @@
         long writes = cluster.store().writeCount();
         CompletableFuture<HttpReply> reply = order(first, key, 5_000, "{}");
         assertTrue(ProcessCluster.awaitTrue(3, () -> cluster.store().writeCount() > writes));
-        killAndExpectUnknown("order-2", key, reply, 0);
+        killAndExpectUnknown(runningSide(), key, reply, 0);
     }
 
     @Test
     public void shouldRunAtMostOnceWhenSideIsKilledBetweenSendAndRecord() {
         String key = keyOf("order-1");
-        delayService(1_500);
+        delayService(4_000);
         CompletableFuture<HttpReply> reply = order(first, key, 5_000, "{}");
         assertTrue(ProcessCluster.awaitTrue(3, () -> service.executions(key) == 1));
-        killAndExpectUnknown("order-1", key, reply, 1);
+        killAndExpectUnknown(runningSide(), key, reply, 1);
+    }
+
+    /** Finds the side that runs the only call in hand. */
+    private String runningSide() {
+        List<String> found = new ArrayList<>();
+        assertTrue(ProcessCluster.awaitTrue(2, () -> {
+            found.clear();
+            SIDES.stream()
+                    .filter(side -> cluster.state(cluster.processes().get(side))
+                                    .path("report")
+                                    .path("running")
+                                    .asInt()
+                            > 0)
+                    .forEach(found::add);
+            return found.size() == 1;
+        }));
+        return found.get(0);
     }
 
     private void killAndExpectUnknown(String side, String key, CompletableFuture<HttpReply> reply, int executions) {
@@ -244,15 +267,37 @@
         awaitServing();
     }
 
+    /** Freezes the owner while its claim takes effect, lets the deadline pass, and thaws it. */
+    @Test
+    public void shouldNeverSendWhenOwnerIsPausedBetweenClaimAndSend() {
+        String key = keyOf("order-1");
+        DaemonProcess owner = cluster.processes().get("order-1");
+        cluster.store().delay(400);
+        long writes = cluster.store().writeCount();
+        CompletableFuture<HttpReply> one = order(first, key, 2_000, "{}");
+        assertTrue(ProcessCluster.awaitTrue(2, () -> cluster.store().writeCount() > writes));
+        owner.freeze();
+        try {
+            assertEquals(kindOf(ProcessCluster.await(one)), "outcome_unknown");
+            cluster.store().delay(0);
+        } finally {
+            owner.thaw();
+        }
+        awaitServing();
+        String told = kindOf(orderNow(second, key));
+        assertEquals(service.executions(key), told.equals("answered") ? 1 : 0, told);
+    }
+
     @Test
-    public void shouldRunAtMostOnceWhenOwnerIsPausedBetweenClaimAndSend() {
+    public void shouldRunAtMostOnceWhenOwnerIsPausedBeforeClaim() {
         String key = keyOf("order-1");
         DaemonProcess owner = cluster.processes().get("order-1");
         owner.freeze();
         try {
-            CompletableFuture<HttpReply> one = order(first, key, 7_000, "{}");
-            assertTrue(ProcessCluster.awaitTrue(6, () -> one.isDone()));
-            assertTrue(!kindOf(ProcessCluster.await(one)).equals("not_run") || service.executions(key) == 0);
+            CompletableFuture<HttpReply> reply = order(first, key, 4_000, "{}");
+            assertTrue(ProcessCluster.awaitTrue(6, reply::isDone), "unanswered past the deadline");
+            HttpReply one = ProcessCluster.await(reply);
+            assertTrue(!kindOf(one).equals("not_run") || service.executions(key) == 0, one.text());
             HttpReply two = ProcessCluster.await(order(second, key, 7_000, "{}"));
             assertTrue(service.executions(key) <= 1, two.text());
         } finally {
