--- a/daemon/src/test/java/org/arbutusstack/daemon/side/ClaimFaultTests.java
+++ b/daemon/src/test/java/org/arbutusstack/daemon/side/ClaimFaultTests.java
@@ -294,7 +294,9 @@
         DaemonProcess owner = cluster.processes().get("order-1");
         owner.freeze();
         try {
-            HttpReply one = ProcessCluster.await(order(first, key, 4_000, "{}"));
+            CompletableFuture<HttpReply> reply = order(first, key, 4_000, "{}");
+            assertTrue(ProcessCluster.awaitTrue(6, reply::isDone), "unanswered past the deadline");
+            HttpReply one = ProcessCluster.await(reply);
             assertTrue(!kindOf(one).equals("not_run") || service.executions(key) == 0, one.text());
             HttpReply two = ProcessCluster.await(order(second, key, 7_000, "{}"));
             assertTrue(service.executions(key) <= 1, two.text());
--- a/entry/src/main/java/org/arbutusstack/entry/router/RequestTable.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/RequestTable.java
@@ -84,10 +84,10 @@
         this.selector = selector;
         this.clock = clock;
         this.limits = limits;
-        this.quarantine = new Quarantine(clock);
         this.metrics = metrics;
         this.outcomes = outcomes;
         this.retries = new RetryBudget(limits.retryPercent(), limits.retryReserve());
+        this.quarantine = new Quarantine(clock);
     }
 
     /** Learns of a request that was in flight when an engine was lost. */
@@ -140,8 +140,8 @@
             return;
         }
         SideConnection side = sides.byName(chosen.get().name());
-        entry.begin(side, clock.deadlineNanos(limits.receiptMillis()));
         quarantine.warn(side.link(), request);
+        entry.begin(side, clock.deadlineNanos(limits.receiptMillis()));
         if (side.link().send(frameOf(entry))) {
             entry.sent();
             logger.debug("event=sent request={} attempt={}", request.id(), entry.attempt());
--- a/entry/src/main/java/org/arbutusstack/entry/router/RouterService.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/RouterService.java
@@ -246,10 +246,10 @@
             requests.receipt(receipt.id(), receipt.attempt(), side);
         } else if (frame instanceof RefusalFrame refusal) {
             requests.refused(refusal, side);
-        } else if (frame instanceof StrikeFrame strike) {
-            requests.told(strike);
         } else if (frame instanceof LoadFrame load) {
             side.load(load);
+        } else if (frame instanceof StrikeFrame strike) {
+            requests.told(strike);
         } else if (frame instanceof SideReportFrame report) {
             side.report(report);
             offerPlan(side, report);
--- a/side/src/main/java/org/arbutusstack/side/SideService.java
+++ b/side/src/main/java/org/arbutusstack/side/SideService.java
@@ -56,10 +56,10 @@
 
     private static final long LOAD_PERIOD_MILLIS = 250;
 
-    private static final int LOADS_MISSED_TO_LEAVE = 3;
-
     private static final long LOAD_REPORT_MILLIS = 1_000;
 
+    private static final int LOADS_MISSED_TO_LEAVE = 3;
+
     private static final long LEAVING_NOTICE_MILLIS = 500;
 
     private static final long DRAIN_POLL_MILLIS = 20;
--- a/wire/src/main/java/org/arbutusstack/wire/frame/Frame.java
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/Frame.java
@@ -25,8 +25,8 @@
                 LogPushFrame,
                 PlanFrame,
                 SideReportFrame,
-                StrikeFrame,
                 LoadFrame,
+                StrikeFrame,
                 ProtocolErrorFrame {
 
     /**
