--- a/daemon/src/test/java/org/arbutusstack/daemon/side/ClaimFaultTests.java
+++ b/daemon/src/test/java/org/arbutusstack/daemon/side/ClaimFaultTests.java
@@ -307,4 +307,23 @@
         orderNow(second, key);
         assertTrue(service.executions(key) <= 1);
     }
+
+    @Test
+    public void shouldAnswerAndRecordCallInProgressWhenSideIsToldToEnd() {
+        String key = keyOf("order-2");
+        delayService(1_500);
+        CompletableFuture<HttpReply> reply = order(first, key, 8_000, "{}");
+        assertTrue(ProcessCluster.awaitTrue(3, () -> service.executions(key) == 1));
+        DaemonProcess side = cluster.processes().get(runningSide());
+        side.terminate();
+        HttpReply one = ProcessCluster.await(reply);
+        assertEquals(kindOf(one), "answered");
+        assertTrue(side.await(5));
+        assertEquals(side.exitCode(), 0);
+        delayService(0);
+        assertEquals(orderNow(second, key).text(), one.text());
+        assertEquals(service.executions(key), 1);
+        side.start();
+        awaitServing();
+    }
 }
