--- a/side/src/main/java/org/arbutusstack/side/ClaimDesk.java
+++ b/side/src/main/java/org/arbutusstack/side/ClaimDesk.java
@@ -139,6 +139,11 @@
         waiting = committer.waiting();
     }
 
+    /** Counts the changes that are not recorded; may be called by any thread. */
+    int waiting() {
+        return waiting;
+    }
+
     /** Tells whether nothing waits to be recorded; may be called by any thread. */
     boolean isIdle() {
         return duty.depth() == 0 && waiting == 0;
--- a/side/src/main/java/org/arbutusstack/side/SideService.java
+++ b/side/src/main/java/org/arbutusstack/side/SideService.java
@@ -104,6 +104,8 @@
 
     private volatile boolean backendAnswers;
 
+    private volatile WorkStatus workStatus = WorkStatus.EMPTY;
+
     private long appliedSequence;
 
     private int missedLoads;
@@ -304,6 +306,8 @@
         peers.tick();
         desk.expire();
         claims.commitSoon();
+        workStatus = new WorkStatus(
+                desk.queued(), desk.queuedBytes(), desk.running(), desk.slots(), suspects.size(), claims.waiting());
         idle = desk.isDraining() && desk.isIdle();
         boolean askDue = suspects.isUncertain() || clock.isPast(loadAskAtNanos);
         if (askDue && loadAsked.compareAndSet(false, true)) {
@@ -364,6 +368,7 @@
         dump.put("chain", state().chain().hex());
         dump.put("backendAnswers", backendAnswers);
         dump.put("report", present.get());
+        dump.put("work", workStatus);
         dump.put("ring", Map.of("depth", duty.depth(), "capacity", duty.capacity()));
         return JsonCodec.write(dump);
     }
--- a/side/src/main/java/org/arbutusstack/side/WorkDesk.java
+++ b/side/src/main/java/org/arbutusstack/side/WorkDesk.java
@@ -71,6 +71,10 @@
         return queue.size();
     }
 
+    long queuedBytes() {
+        return queue.bytes();
+    }
+
     int running() {
         return open.running();
     }
