Test random schedules of orders, answers, crashes and restarts against a side's residency

The memory ledger leaves a load whose outcome is unknown in LOADING for ever, and releases a key on an unload's answer although a doubled or late copy of its load may still arrive.

--- /dev/null
+++ b/side/src/test/java/org/arbutusstack/side/MemoryScheduleTests.java
@@ -0,0 +1,179 @@
+package org.arbutusstack.side;
+
+import static org.testng.Assert.assertEquals;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.arbutusstack.kernel.digest.Digest;
+import org.arbutusstack.kernel.time.ManualClock;
+import org.arbutusstack.model.plan.Plan;
+import org.arbutusstack.model.ticket.DesiredState;
+import org.arbutusstack.model.ticket.ModelSpec;
+import org.arbutusstack.placement.MemoryLedger;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests that no schedule of orders, answers, crashes and restarts takes more memory than the engine has. */
+public class MemoryScheduleTests {
+
+    private static final int MODELS = 12;
+
+    private static final int STEPS = 400;
+
+    private static final int QUIET_STEPS = 600;
+
+    private static final long TIMEOUT_MILLIS = 2_000;
+
+    @DataProvider
+    public Object[][] engines() {
+        return new Object[][] {{"checks fencing numbers", true, 1_000}, {"ignores fencing numbers", false, 1_000}};
+    }
+
+    @Test(dataProvider = "engines")
+    public void shouldNeverPassMemoryWhenOrdersAreLostLateOrDoubled(String name, boolean checksFence, int schedules) {
+        int violations = 0;
+        int stuck = 0;
+        for (int seed = 0; seed < schedules; seed++) {
+            Schedule schedule = new Schedule(checksFence, seed);
+            schedule.run();
+            violations += schedule.engine.violations();
+            stuck += schedule.isWhole() ? 0 : 1;
+        }
+        System.out.println("engine that " + name + ": schedules=" + schedules + " steps=" + (STEPS + QUIET_STEPS)
+                + " violations=" + violations + " unfinished=" + stuck);
+        assertEquals(violations, 0);
+        assertEquals(stuck, 0);
+    }
+
+    /** Runs one schedule. */
+    private static final class Schedule {
+
+        private final Random random;
+
+        private final ManualClock clock = new ManualClock();
+
+        private final FakeEngine engine;
+
+        private final List<FakeEngine.Answer> answers = new ArrayList<>();
+
+        private final Map<String, ModelSpec> models = new HashMap<>();
+
+        private Residency residency;
+
+        private List<String> wanted = List.of();
+
+        private long nowMillis;
+
+        private long grant = 1;
+
+        private long sequence;
+
+        private JsonNode account;
+
+        private long accountAskedNanos;
+
+        Schedule(boolean checksFence, int seed) {
+            random = new Random(seed);
+            engine = new FakeEngine(checksFence, random, 5 + random.nextInt(40));
+            for (int index = 0; index < MODELS; index++) {
+                models.put("m" + index, spec(index, 1));
+            }
+            restart();
+        }
+
+        private ModelSpec spec(int index, int version) {
+            return new ModelSpec("m" + index, "lm", "v" + version, 100 + random.nextInt(300), 1);
+        }
+
+        private void restart() {
+            answers.clear();
+            account = null;
+            residency = new Residency(
+                    "r1",
+                    "lm",
+                    new MemoryLedger(),
+                    order -> answers.addAll(engine.send(order, nowMillis, TIMEOUT_MILLIS)));
+            residency.stateAdvanced(state());
+            residency.fenceGranted(++grant);
+            plan();
+        }
+
+        private DesiredState state() {
+            return new DesiredState(++sequence, Digest.ZERO, Map.of(), models, Map.of(), Map.of());
+        }
+
+        private void plan() {
+            residency.adopt(new Plan("lm", 1, ++sequence, sequence, Map.of("r1", wanted)));
+        }
+
+        void run() {
+            for (int step = 0; step < STEPS; step++) {
+                disturb();
+                step();
+            }
+            engine.quiet();
+            for (int step = 0; step < QUIET_STEPS; step++) {
+                step();
+            }
+        }
+
+        private void disturb() {
+            int dice = random.nextInt(100);
+            if (dice < 12) {
+                int index = random.nextInt(MODELS);
+                models.put("m" + index, spec(index, 1 + step(index)));
+                residency.stateAdvanced(state());
+            } else if (dice < 20) {
+                chooseWanted();
+                plan();
+            } else if (dice == 20) {
+                engine.crash(nowMillis);
+            } else if (dice == 21) {
+                restart();
+            }
+        }
+
+        private int step(int index) {
+            return Integer.parseInt(models.get("m" + index).version().substring(1));
+        }
+
+        private void chooseWanted() {
+            List<String> names = new ArrayList<>(models.keySet());
+            java.util.Collections.shuffle(names, random);
+            wanted = names.subList(0, 1 + random.nextInt(4));
+        }
+
+        private void step() {
+            long stepMillis = 20 + random.nextInt(200);
+            nowMillis += stepMillis;
+            clock.advanceMillis(stepMillis);
+            engine.advance(nowMillis);
+            for (FakeEngine.Answer answer : List.copyOf(answers)) {
+                if (answer.atMillis <= nowMillis && answers.remove(answer)) {
+                    residency.orderEnded(answer.order, answer.failure);
+                }
+            }
+            if (account != null && random.nextInt(3) > 0) {
+                residency.engineReported(account);
+                account = null;
+            }
+            if (account == null && engine.answers(nowMillis)) {
+                accountAskedNanos = clock.nowNanos();
+                account = engine.account(nowMillis);
+            }
+        }
+
+        boolean isWhole() {
+            long wantedMb = wanted.stream()
+                    .mapToLong(name -> models.get(name).memoryMb())
+                    .sum();
+            return wantedMb > FakeEngine.SIZE_MB
+                    || wanted.stream()
+                            .allMatch(name -> engine.residentsMb().containsKey(Residency.keyOf(models.get(name))));
+        }
+    }
+}
