--- a/placement/src/main/java/org/arbutusstack/placement/ResidencyState.java
+++ b/placement/src/main/java/org/arbutusstack/placement/ResidencyState.java
@@ -6,6 +6,10 @@
     LOADING,
     /** It answers requests. */
     READY,
+    /** The engine does not hold it now, but an order under way may still load it; its memory stays committed. */
+    UNKNOWN,
     /** Its unload was ordered and not yet confirmed. */
-    UNLOADING
+    UNLOADING,
+    /** It holds no memory; an unload under way may still arrive, so that it must not be loaded again yet. */
+    UNLOADED
 }
