--- a/daemon/src/main/java/org/arbutusstack/daemon/Role.java
+++ b/daemon/src/main/java/org/arbutusstack/daemon/Role.java
@@ -22,6 +22,7 @@
 import org.arbutusstack.ledger.TicketLog;
 import org.arbutusstack.placement.SpreadingPlanner;
 import org.arbutusstack.routing.LeastOutstandingSelector;
+import org.arbutusstack.side.EngineContract;
 import org.arbutusstack.side.SideIdentity;
 import org.arbutusstack.side.SideService;
 import org.arbutusstack.side.SideSettings;
@@ -130,7 +131,9 @@
                     new LogReplica(),
                     platform.clock(),
                     (int) settings.number(SideSettings.QUEUE_LIMIT),
-                    (int) settings.number(SideSettings.SLOTS));
+                    (int) settings.number(SideSettings.SLOTS),
+                    EngineContract.of(settings),
+                    platform.metrics());
             registry.register(side);
             registry.register(new AdminListener(
                     address,
--- a/placement/src/main/java/org/arbutusstack/placement/Commitment.java
+++ b/placement/src/main/java/org/arbutusstack/placement/Commitment.java
@@ -95,8 +95,6 @@
     }
 
     boolean isUnloadPast(EffectProof proof, EngineAccount account, long delayLimitNanos) {
-        return unload == null
-                || proof.ordersLateUnloadsBeforeLoads()
-                || proof.isPast(unload, account, delayLimitNanos);
+        return unload == null || proof.ordersLateUnloadsBeforeLoads() || proof.isPast(unload, account, delayLimitNanos);
     }
 }
--- a/placement/src/main/java/org/arbutusstack/placement/MemoryLedger.java
+++ b/placement/src/main/java/org/arbutusstack/placement/MemoryLedger.java
@@ -167,8 +167,8 @@
      */
     public OptionalLong unload(String key, long nowNanos) {
         Commitment commitment = commitments.get(key);
-        boolean permitted = commitment != null
-                && (commitment.state() == ResidencyState.READY || commitment.isUnloadFailed());
+        boolean permitted =
+                commitment != null && (commitment.state() == ResidencyState.READY || commitment.isUnloadFailed());
         if (!permitted || !proven || isExhausted()) {
             return OptionalLong.empty();
         }
@@ -248,8 +248,7 @@
     public List<String> take(EngineAccount account) {
         sizeMb = account.sizeMb();
         checkFence(account);
-        proven |= firstFence > 0
-                && proof.isPredecessorPast(firstFence, startedAtNanos, account, delayLimitNanos);
+        proven |= firstFence > 0 && proof.isPredecessorPast(firstFence, startedAtNanos, account, delayLimitNanos);
         account.residents().forEach((key, resident) -> present(key, resident, account));
         List<String> released = new ArrayList<>();
         raiseWanted = !proven;
@@ -285,8 +284,8 @@
         Commitment commitment = commitments.get(key);
         if (!proof.isPast(commitment.load(), account, delayLimitNanos)) {
             commitment.missing(account, startLimitNanos);
-            raiseWanted |= commitment.state() == ResidencyState.UNKNOWN
-                    || commitment.state() == ResidencyState.UNLOADING;
+            raiseWanted |=
+                    commitment.state() == ResidencyState.UNKNOWN || commitment.state() == ResidencyState.UNLOADING;
             return false;
         }
         if (!commitment.isUnloadPast(proof, account, delayLimitNanos)) {
@@ -316,12 +315,23 @@
      */
     public Set<String> keys(ResidencyState state, boolean adapters) {
         return commitments.entrySet().stream()
-                .filter(entry -> entry.getValue().state() == state
-                        && entry.getValue().isAdapter() == adapters)
+                .filter(entry ->
+                        entry.getValue().state() == state && entry.getValue().isAdapter() == adapters)
                 .map(Map.Entry::getKey)
                 .collect(Collectors.toCollection(TreeSet::new));
     }
 
+    /**
+     * Tells whether a key is an adapter's.
+     *
+     * @param key what is held
+     * @return whether an adapter is committed under it
+     */
+    public boolean isAdapter(String key) {
+        Commitment commitment = commitments.get(key);
+        return commitment != null && commitment.isAdapter();
+    }
+
     /**
      * Tells the memory committed for a key.
      *
--- a/side/src/main/java/org/arbutusstack/side/Backend.java
+++ b/side/src/main/java/org/arbutusstack/side/Backend.java
@@ -26,20 +26,21 @@
 
     private static final long LOAD_CALL_MILLIS = 1_000;
 
-    private static final long ORDER_MILLIS = 120_000;
-
     private final HttpClient client;
 
     private final HttpTarget target;
 
     private final Clock clock;
 
+    private final long orderMillis;
+
     private final Consumer<SideEvent> events;
 
-    Backend(HttpClient client, HttpTarget target, Clock clock, Consumer<SideEvent> events) {
+    Backend(HttpClient client, HttpTarget target, Clock clock, long orderMillis, Consumer<SideEvent> events) {
         this.client = Assert.notNull(client, "client");
         this.target = Assert.notNull(target, "target");
         this.clock = Assert.notNull(clock, "clock");
+        this.orderMillis = Assert.atLeast(orderMillis, 1, "orderMillis");
         this.events = Assert.notNull(events, "events");
     }
 
@@ -61,6 +62,7 @@
         try {
             ObjectNode body = (ObjectNode) MAPPER.readTree(work.frame().body());
             body.put("model", work.frame().model());
+            body.put("version", work.modelVersion());
             if (!work.adapterKey().isEmpty()) {
                 body.put("adapter", work.adapterKey());
             }
@@ -74,7 +76,7 @@
     }
 
     void order(EngineOrder order) {
-        client.call(target, HttpCall.post("/orders", order.json()), clock.deadlineNanos(ORDER_MILLIS))
+        client.call(target, HttpCall.post("/orders", order.json()), clock.deadlineNanos(orderMillis))
                 .whenComplete((reply, failure) -> {
                     String detail = failure == null ? null : String.valueOf(failure.getMessage());
                     if (failure == null && !reply.isSuccess()) {
@@ -92,10 +94,11 @@
     }
 
     void askLoad() {
+        long askedAtNanos = clock.nowNanos();
         client.call(target, HttpCall.get("/load"), clock.deadlineNanos(LOAD_CALL_MILLIS))
                 .whenComplete((reply, failure) -> {
                     boolean usable = failure == null && reply.isSuccess();
-                    events.accept(new SideEvent.LoadReported(usable ? parse(reply.body()) : null));
+                    events.accept(new SideEvent.LoadReported(usable ? parse(reply.body()) : null, askedAtNanos));
                 });
     }
 
--- a/side/src/main/java/org/arbutusstack/side/OrderKind.java
+++ b/side/src/main/java/org/arbutusstack/side/OrderKind.java
@@ -11,7 +11,9 @@
     /** Loads an adapter. */
     LOAD_ADAPTER,
     /** Unloads an adapter. */
-    UNLOAD_ADAPTER;
+    UNLOAD_ADAPTER,
+    /** Confirms the engine's role; raises its fencing number and takes no memory. */
+    ROLE;
 
     String label() {
         return name().toLowerCase(Locale.ROOT);
@@ -20,4 +22,8 @@
     boolean isLoad() {
         return this == LOAD || this == LOAD_ADAPTER;
     }
+
+    boolean isUnload() {
+        return this == UNLOAD || this == UNLOAD_ADAPTER;
+    }
 }
--- a/side/src/main/java/org/arbutusstack/side/SideEvent.java
+++ b/side/src/main/java/org/arbutusstack/side/SideEvent.java
@@ -33,7 +33,7 @@
     record OrderEnded(EngineOrder order, String failure) implements SideEvent {}
 
     /** The backend server told its load; {@code null} if it did not answer. */
-    record LoadReported(JsonNode load) implements SideEvent {}
+    record LoadReported(JsonNode load, long askedAtNanos) implements SideEvent {}
 
     /** The claim of a call that may not be repeated was settled. */
     record ClaimSettled(Work work, ClaimResult result) implements SideEvent {}
--- a/side/src/main/java/org/arbutusstack/side/SideService.java
+++ b/side/src/main/java/org/arbutusstack/side/SideService.java
@@ -1,6 +1,7 @@
 package org.arbutusstack.side;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.net.InetSocketAddress;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -18,7 +19,6 @@
 import org.arbutusstack.model.ticket.DesiredState;
 import org.arbutusstack.model.ticket.ServiceKind;
 import org.arbutusstack.model.ticket.ServiceSpec;
-import org.arbutusstack.placement.MemoryLedger;
 import org.arbutusstack.store.KeyValueStore;
 import org.arbutusstack.wire.frame.CancelFrame;
 import org.arbutusstack.wire.frame.Frame;
@@ -77,6 +77,8 @@
 
     private final WorkDesk desk;
 
+    private final MemoryMetrics memoryMetrics;
+
     private final SidePeers peers;
 
     private final AtomicBoolean loadAsked = new AtomicBoolean();
@@ -103,6 +105,8 @@
      * @param clock the clock of the process
      * @param queueLimit the requests that may wait
      * @param slots the requests handed to the backend server at once
+     * @param engine what the engine promises
+     * @param metrics the process's metrics
      */
     public SideService(
             SideIdentity identity,
@@ -113,16 +117,21 @@
             LogReplica replica,
             Clock clock,
             int queueLimit,
-            int slots) {
+            int slots,
+            EngineContract engine,
+            PrometheusRegistry metrics) {
         this.identity = Assert.notNull(identity, "identity");
         this.linkAddress = Assert.notNull(linkAddress, "linkAddress");
         this.transport = Assert.notNull(transport, "transport");
         this.clock = Assert.notNull(clock, "clock");
         this.replica = Assert.notNull(replica, "replica");
-        this.backend = new Backend(client, identity.backend(), clock, this::offer);
+        this.backend = new Backend(client, identity.backend(), clock, engine.orderMillis(), this::offer);
         this.claims = new ClaimDesk(store, clock, identity, this::offer);
-        this.residency = new Residency(identity.name(), identity.service(), new MemoryLedger(), backend::order);
         this.desk = new WorkDesk(identity, clock, backend, claims, queueLimit, slots);
+        this.memoryMetrics = new MemoryMetrics(metrics);
+        AdapterCache cache = new AdapterCache(clock, engine.adapterLoadsAtOnce(), engine.adapterStickyMillis());
+        this.residency =
+                new Residency(identity, engine.ledger(clock.nowNanos()), cache, clock, this::order, desk::openWork);
         this.peers = new SidePeers(replica);
     }
 
@@ -131,6 +140,11 @@
         return NAME;
     }
 
+    private void order(EngineOrder order) {
+        memoryMetrics.sent(order);
+        backend.order(order);
+    }
+
     private void offer(SideEvent event) {
         if (!duty.offer(event)) {
             logger.warn("event=side-ring-full dropped={}", event.getClass().getSimpleName());
@@ -188,10 +202,12 @@
             peers.closed(closed.link());
             desk.linkClosed(closed.link());
         } else if (event instanceof SideEvent.OrderEnded ended) {
+            memoryMetrics.ended(ended.order(), ended.failure() == null);
             residency.orderEnded(ended.order(), ended.failure());
+            loadAskAtNanos = clock.nowNanos();
             report(true);
         } else if (event instanceof SideEvent.LoadReported reported) {
-            loadReported(reported.load());
+            loadReported(reported.load(), reported.askedAtNanos());
         } else if (event instanceof SideEvent.FenceGranted granted) {
             residency.fenceGranted(granted.fence());
         } else if (event instanceof SideEvent.Tick) {
@@ -233,16 +249,20 @@
         return work.frame().model().isEmpty() || residency.isReady(work);
     }
 
-    private void loadReported(JsonNode load) {
+    private void loadReported(JsonNode load, long askedAtNanos) {
         loadAsked.set(false);
         backendAnswers = load != null;
         if (load != null && isEngine()) {
-            residency.engineReported(load);
+            residency.engineReported(load, askedAtNanos);
+            memoryMetrics.show(residency.ledger());
         }
     }
 
     private void tick() {
         desk.expire();
+        if (isEngine()) {
+            residency.converge();
+        }
         idle = desk.isDraining() && desk.isIdle();
         if (clock.isPast(loadAskAtNanos) && loadAsked.compareAndSet(false, true)) {
             loadAskAtNanos = clock.deadlineNanos(LOAD_PERIOD_MILLIS);
@@ -258,10 +278,13 @@
                 residency.plan().sequence(),
                 residency.ledger().sizeMb(),
                 residency.ledger().committedMb(),
+                residency.ledger().modelsMb(),
                 desk.queued(),
                 desk.running(),
                 residency.readyModels(),
+                residency.otherModels(),
                 residency.readyAdapters(),
+                residency.demand(),
                 desk.isDraining() || !backendAnswers);
         if (!always && report.equals(lastReport.get())) {
             return;
--- a/side/src/main/java/org/arbutusstack/side/SideSettings.java
+++ b/side/src/main/java/org/arbutusstack/side/SideSettings.java
@@ -22,6 +22,40 @@
     public static final Setting SLOTS =
             Setting.number("slots", 1, 4_096, 32, "requests handed to the backend server at once");
 
+    /** Whether the engine refuses an order with an old fencing number. */
+    public static final Setting ENGINE_CHECKS_FENCE = Setting.flag(
+            "engine-checks-fence",
+            true,
+            "whether the engine refuses old fencing numbers and keeps the highest one over its restarts (side)");
+
+    /** How long the answer to an order is waited for. */
+    public static final Setting ORDER_TIMEOUT = Setting.number(
+            "order-timeout-millis", 100, 600_000, 30_000, "wait for the answer to an order, in ms (side)");
+
+    /** The longest that an order may be under way. */
+    public static final Setting ORDER_DELAY_LIMIT = Setting.number(
+            "order-delay-limit-millis",
+            100,
+            600_000,
+            30_000,
+            "longest that an order can be under way to an engine that ignores fencing numbers, in ms (side)");
+
+    /** How long the engine's account may lack a load that was ordered. */
+    public static final Setting ORDER_START_LIMIT = Setting.number(
+            "order-start-limit-millis",
+            100,
+            600_000,
+            3_000,
+            "time after which a load missing in the engine's account is in doubt, in ms (side)");
+
+    /** The number of adapters that may load at once. */
+    public static final Setting ADAPTER_LOADS = Setting.number(
+            "adapter-loads-at-once", 1, 1_000, 2, "adapters that may load at once, share of the weight store (side)");
+
+    /** How long an adapter is kept after its last use. */
+    public static final Setting ADAPTER_STICKY = Setting.number(
+            "adapter-sticky-millis", 0, 3_600_000, 2_000, "time an adapter is kept after its last use, in ms (side)");
+
     private SideSettings() {}
 
     /**
@@ -30,6 +64,16 @@
      * @return the settings
      */
     public static List<Setting> all() {
-        return List.of(SERVICE, BACKEND, QUEUE_LIMIT, SLOTS);
+        return List.of(
+                SERVICE,
+                BACKEND,
+                QUEUE_LIMIT,
+                SLOTS,
+                ENGINE_CHECKS_FENCE,
+                ORDER_TIMEOUT,
+                ORDER_DELAY_LIMIT,
+                ORDER_START_LIMIT,
+                ADAPTER_LOADS,
+                ADAPTER_STICKY);
     }
 }
--- a/side/src/main/java/org/arbutusstack/side/WorkDesk.java
+++ b/side/src/main/java/org/arbutusstack/side/WorkDesk.java
@@ -1,6 +1,7 @@
 package org.arbutusstack.side;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -66,6 +67,11 @@
         return running;
     }
 
+    /** Lists the requests taken and not ended, waiting or running. */
+    Collection<Work> openWork() {
+        return open.values();
+    }
+
     boolean isIdle() {
         return open.isEmpty();
     }
--- a/side/src/test/java/org/arbutusstack/side/MemoryScheduleTests.java
+++ b/side/src/test/java/org/arbutusstack/side/MemoryScheduleTests.java
@@ -13,6 +13,7 @@
 import org.arbutusstack.model.plan.Plan;
 import org.arbutusstack.model.ticket.DesiredState;
 import org.arbutusstack.model.ticket.ModelSpec;
+import org.arbutusstack.placement.EffectProof;
 import org.arbutusstack.placement.MemoryLedger;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -52,6 +53,8 @@
     /** Runs one schedule. */
     private static final class Schedule {
 
+        private final boolean checksFence;
+
         private final Random random;
 
         private final ManualClock clock = new ManualClock();
@@ -77,6 +80,7 @@
         private long accountAskedNanos;
 
         Schedule(boolean checksFence, int seed) {
+            this.checksFence = checksFence;
             random = new Random(seed);
             engine = new FakeEngine(checksFence, random, 5 + random.nextInt(40));
             for (int index = 0; index < MODELS; index++) {
@@ -92,11 +96,14 @@
         private void restart() {
             answers.clear();
             account = null;
+            EffectProof proof = checksFence ? EffectProof.FENCE : EffectProof.DELAY;
             residency = new Residency(
-                    "r1",
-                    "lm",
-                    new MemoryLedger(),
-                    order -> answers.addAll(engine.send(order, nowMillis, TIMEOUT_MILLIS)));
+                    new SideIdentity("r1", "lm", "regina", "i" + grant, null),
+                    new MemoryLedger(proof, clock.nowNanos(), FakeEngine.LONGEST_DELAY_MILLIS, 1_000),
+                    new AdapterCache(clock, 2, 1_000),
+                    clock,
+                    order -> answers.addAll(engine.send(order, nowMillis, TIMEOUT_MILLIS)),
+                    List::of);
             residency.stateAdvanced(state());
             residency.fenceGranted(++grant);
             plan();
@@ -107,7 +114,12 @@
         }
 
         private void plan() {
-            residency.adopt(new Plan("lm", 1, ++sequence, sequence, Map.of("r1", wanted)));
+            List<String> keys = wanted.stream()
+                    .map(name -> Residency.keyOf(models.get(name)))
+                    .toList();
+            List<String> released = new ArrayList<>(residency.readyModels());
+            released.removeAll(keys);
+            residency.adopt(new Plan("lm", 1, ++sequence, sequence, Map.of("r1", keys), Map.of("r1", released)));
         }
 
         void run() {
@@ -118,6 +130,9 @@
             engine.quiet();
             for (int step = 0; step < QUIET_STEPS; step++) {
                 step();
+                if (step % 20 == 0) {
+                    plan();
+                }
             }
         }
 
@@ -158,7 +173,7 @@
                 }
             }
             if (account != null && random.nextInt(3) > 0) {
-                residency.engineReported(account);
+                residency.engineReported(account, accountAskedNanos);
                 account = null;
             }
             if (account == null && engine.answers(nowMillis)) {
--- a/wire/src/main/java/org/arbutusstack/wire/frame/Frames.java
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/Frames.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
 
@@ -42,4 +44,21 @@
         }
         return List.copyOf(values);
     }
+
+    static void packCounts(MessagePacker packer, Map<String, Integer> counts) throws IOException {
+        packer.packMapHeader(counts.size());
+        for (Map.Entry<String, Integer> entry : counts.entrySet()) {
+            packer.packString(entry.getKey());
+            packer.packInt(entry.getValue());
+        }
+    }
+
+    static Map<String, Integer> unpackCounts(MessageUnpacker unpacker) throws IOException {
+        int size = unpacker.unpackMapHeader();
+        Map<String, Integer> counts = new TreeMap<>();
+        for (int index = 0; index < size; index++) {
+            counts.put(unpacker.unpackString(), unpacker.unpackInt());
+        }
+        return counts;
+    }
 }
--- a/wire/src/test/java/org/arbutusstack/wire/frame/FrameCodecTests.java
+++ b/wire/src/test/java/org/arbutusstack/wire/frame/FrameCodecTests.java
@@ -6,6 +6,7 @@
 import java.nio.ByteBuffer;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import org.arbutusstack.kernel.digest.Digest;
 import org.arbutusstack.model.host.HostRole;
 import org.arbutusstack.model.request.Refusal;
@@ -30,7 +31,10 @@
             {new RefusalFrame(ID, 1, Refusal.notRun(RefusalReason.QUEUE_FULL, "full"))},
             {new CancelFrame(ID, 1)},
             {new LogPullFrame(5)},
-            {new SideReportFrame(1, 2, 3, 4, 5, 6, 7, List.of("m@v1"), List.of(), false)},
+            {
+                new SideReportFrame(
+                        1, 2, 3, 4, 5, 4, 6, 7, List.of("m@v1"), List.of("m@v0"), List.of(), Map.of("m", 3), false)
+            },
             {new ProtocolErrorFrame("bad")}
         };
     }
