--- a/entry/src/main/java/org/arbutusstack/entry/router/RunnerStatus.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/RunnerStatus.java
@@ -1,8 +1,8 @@
 package org.arbutusstack.entry.router;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
-import java.util.stream.Collectors;
 import org.arbutusstack.placement.RunnerCapacity;
 import org.arbutusstack.wire.frame.SideReportFrame;
 
@@ -16,11 +16,14 @@
  * @param sequence the log sequence in force there
  * @param memorySizeMb its accelerator memory, in mebibytes
  * @param memoryCommittedMb the memory committed, in mebibytes
+ * @param modelsMb the part of it committed to models, in mebibytes
  * @param queued the requests that wait there
  * @param running the requests that run there
  * @param outstanding the requests of this entry that have not ended there
  * @param models the models ready there
  * @param adapters the adapters ready there
+ * @param otherModels the models that take memory there but are not offered
+ * @param demand the requests waiting or running there by model
  */
 public record RunnerStatus(
         String name,
@@ -30,11 +33,14 @@
         long sequence,
         long memorySizeMb,
         long memoryCommittedMb,
+        long modelsMb,
         int queued,
         int running,
         int outstanding,
         List<String> models,
-        List<String> adapters) {
+        List<String> adapters,
+        List<String> otherModels,
+        Map<String, Integer> demand) {
 
     static RunnerStatus of(SideConnection side) {
         SideReportFrame report = side.report();
@@ -47,17 +53,18 @@
                 known ? report.sequence() : 0,
                 known ? report.memorySizeMb() : 0,
                 known ? report.memoryCommittedMb() : 0,
+                known ? report.modelsMb() : 0,
                 known ? report.queued() : 0,
                 known ? report.running() : 0,
                 side.outstanding(),
                 known ? report.models() : List.of(),
-                known ? report.adapters() : List.of());
+                known ? report.adapters() : List.of(),
+                known ? report.otherModels() : List.of(),
+                known ? report.demand() : Map.of());
     }
 
     RunnerCapacity capacity() {
-        Set<String> names = models.stream()
-                .map(key -> key.substring(0, key.lastIndexOf('@')))
-                .collect(Collectors.toSet());
-        return new RunnerCapacity(name, zone, memorySizeMb, names);
+        return new RunnerCapacity(
+                name, zone, memorySizeMb, modelsMb, Set.copyOf(models), Set.copyOf(otherModels), demand);
     }
 }
--- a/placement/src/main/java/org/arbutusstack/placement/RunnerCapacity.java
+++ b/placement/src/main/java/org/arbutusstack/placement/RunnerCapacity.java
@@ -1,5 +1,6 @@
 package org.arbutusstack.placement;
 
+import java.util.Map;
 import java.util.Set;
 
 /**
@@ -8,12 +9,28 @@
  * @param name the runner's name
  * @param zone its availability zone
  * @param memorySizeMb its accelerator memory, in mebibytes
- * @param readyModels the names of the models that it reports ready
+ * @param modelsMb the part of it committed to models, in mebibytes
+ * @param readyKeys the keys of the models that it offers
+ * @param otherKeys the keys of the models that take memory there but are not offered
+ * @param demand the requests waiting or running there by model
  */
-public record RunnerCapacity(String name, String zone, long memorySizeMb, Set<String> readyModels) {
+public record RunnerCapacity(
+        String name,
+        String zone,
+        long memorySizeMb,
+        long modelsMb,
+        Set<String> readyKeys,
+        Set<String> otherKeys,
+        Map<String, Integer> demand) {
 
-    /** Copies the set. */
+    /** Copies the collections. */
     public RunnerCapacity {
-        readyModels = Set.copyOf(readyModels);
+        readyKeys = Set.copyOf(readyKeys);
+        otherKeys = Set.copyOf(otherKeys);
+        demand = Map.copyOf(demand);
+    }
+
+    boolean holds(String key) {
+        return readyKeys.contains(key) || otherKeys.contains(key);
     }
 }
