--- a/daemon/src/main/java/org/arbutusstack/daemon/Role.java
+++ b/daemon/src/main/java/org/arbutusstack/daemon/Role.java
@@ -5,10 +5,13 @@
 import java.util.List;
 import org.arbutusstack.entry.EntryIdentity;
 import org.arbutusstack.entry.EntrySettings;
+import org.arbutusstack.entry.audit.AnchorService;
 import org.arbutusstack.entry.caller.CallerListener;
 import org.arbutusstack.entry.member.HostListService;
+import org.arbutusstack.entry.plan.EntryRoster;
 import org.arbutusstack.entry.plan.PlanBook;
 import org.arbutusstack.entry.plan.PlannerService;
+import org.arbutusstack.entry.plan.PlannerTiming;
 import org.arbutusstack.entry.router.RouterService;
 import org.arbutusstack.entry.ticket.OperatorDirectory;
 import org.arbutusstack.entry.ticket.OperatorListener;
@@ -20,7 +23,8 @@
 import org.arbutusstack.ledger.LogReplica;
 import org.arbutusstack.ledger.ReferenceCheck;
 import org.arbutusstack.ledger.TicketLog;
-import org.arbutusstack.placement.SpreadingPlanner;
+import org.arbutusstack.placement.CopyPlanner;
+import org.arbutusstack.placement.PlacementPolicy;
 import org.arbutusstack.routing.LeastOutstandingSelector;
 import org.arbutusstack.side.EngineContract;
 import org.arbutusstack.side.SideIdentity;
@@ -36,7 +40,7 @@
         void register(ServiceRegistry registry, Settings settings, Platform platform) {
             EntryIdentity identity = new EntryIdentity(
                     settings.text(DaemonSettings.NAME), settings.text(DaemonSettings.ZONE), platform.incarnation());
-            LogReplica replica = new LogReplica();
+            LogReplica replica = platform.newReplica();
             PlanBook plans = new PlanBook();
             RouterService router = new RouterService(
                     identity,
@@ -47,16 +51,30 @@
                     platform.clock(),
                     (int) settings.number(EntrySettings.MOST_REQUESTS));
             TicketLog log = new TicketLog(platform.store(), replica, List.of(new ReferenceCheck()), platform.clock());
-            TicketService tickets = new TicketService(platform.store(), log, platform.clock());
+            TicketService tickets = new TicketService(platform.store(), log, platform.clock(), platform.trail());
             registry.register(router);
             registry.register(tickets);
+            EntryRoster roster = new EntryRoster();
+            PlacementPolicy policy = PlacementPolicy.valueOf(settings.text(EntrySettings.PLACEMENT_POLICY));
             registry.register(new PlannerService(
-                    identity, platform.store(), replica, plans, router, new SpreadingPlanner(), platform.clock()));
+                    identity,
+                    platform.store(),
+                    replica,
+                    plans,
+                    router,
+                    roster,
+                    new CopyPlanner(policy, EntrySettings.placementWeights(settings)),
+                    PlannerTiming.of(settings),
+                    platform.clock(),
+                    platform.metrics()));
             registry.register(new HostListService(
                     platform.client(),
                     HttpTarget.parse(settings.text(DaemonSettings.HOST_LIST)),
                     platform.clock(),
-                    router::hostsChanged));
+                    hosts -> {
+                        router.hostsChanged(hosts);
+                        roster.hostsChanged(hosts);
+                    }));
             registerListeners(registry, settings, platform, identity, replica);
         }
 
@@ -69,6 +87,8 @@
             RouterService router = registry.lookup(RouterService.NAME, RouterService.class);
             TicketService tickets = registry.lookup(TicketService.NAME, TicketService.class);
             String address = settings.text(DaemonSettings.ADDRESS);
+            AnchorService anchors = new AnchorService(platform.store(), platform.clock());
+            registry.register(anchors);
             registry.register(new AdminListener(
                     address,
                     (int) settings.number(DaemonSettings.ADMIN_PORT),
@@ -81,9 +101,11 @@
                     identity,
                     OperatorDirectory.parse(settings.text(EntrySettings.OPERATORS)),
                     tickets,
+                    anchors,
                     router,
                     replica,
-                    platform.clock()));
+                    platform.clock(),
+                    platform.trail()));
             registry.register(new CallerListener(
                     address,
                     (int) settings.number(EntrySettings.CALLER_PORT),
@@ -102,12 +124,20 @@
 
         @Override
         List<String> malformed(Settings settings) {
+            List<String> mistakes = new ArrayList<>();
             try {
                 OperatorDirectory.parse(settings.text(EntrySettings.OPERATORS));
-                return List.of();
             } catch (IllegalArgumentException mistake) {
-                return List.of("--operators (ARBUTUS_OPERATORS): " + mistake.getMessage());
+                mistakes.add("--operators (ARBUTUS_OPERATORS): " + mistake.getMessage());
+            }
+            try {
+                PlacementPolicy.valueOf(settings.text(EntrySettings.PLACEMENT_POLICY));
+            } catch (IllegalArgumentException unknown) {
+                mistakes.add("--placement-policy (ARBUTUS_PLACEMENT_POLICY): value '"
+                        + settings.text(EntrySettings.PLACEMENT_POLICY) + "', permitted: "
+                        + List.of(PlacementPolicy.values()));
             }
+            return mistakes;
         }
     },
 
@@ -128,11 +158,12 @@
                     platform.transport(),
                     platform.client(),
                     platform.store(),
-                    new LogReplica(),
+                    platform.newReplica(),
                     platform.clock(),
                     (int) settings.number(SideSettings.QUEUE_LIMIT),
                     (int) settings.number(SideSettings.SLOTS),
                     EngineContract.of(settings),
+                    SideSettings.claimLimits(settings),
                     platform.metrics());
             registry.register(side);
             registry.register(new AdminListener(
--- a/placement/src/main/java/org/arbutusstack/placement/CopyPlanner.java
+++ b/placement/src/main/java/org/arbutusstack/placement/CopyPlanner.java
@@ -37,9 +37,9 @@
 
     @Override
     public PlanDecision decide(PlanInput input) {
-        Layout layout = new Layout(input);
+        Layout layout = new Layout(input, !policy.dropsSurplus());
         for (ModelSpec model : input.models()) {
-            retireOutdated(layout, model);
+            retireOutdated(layout, model, needed(input, model));
             if (policy.dropsSurplus()) {
                 dropSurplus(layout, model, needed(input, model));
             }
@@ -72,21 +72,20 @@
     }
 
     private double excess(PlanInput input, Layout layout, ModelSpec model) {
-        return input.demandFor(model).requests()
-                - (double) layout.currentCopies(model) * weights.requestsPerCopy();
+        return input.demandFor(model).requests() - (double) layout.currentCopies(model) * weights.requestsPerCopy();
     }
 
     /** Gives up earlier versions one by one as copies of the version in force are offered. */
-    private static void retireOutdated(Layout layout, ModelSpec model) {
+    private static void retireOutdated(Layout layout, ModelSpec model, int needed) {
         int ready = layout.readyHolders(model).size();
-        int outdated = layout.outdatedHolders(model).size();
-        int mostOutdated = Math.max(0, model.minimumCopies() - ready);
-        for (String runner : layout.outdatedHolders(model)) {
-            if (ready > 0 && outdated > mostOutdated) {
-                layout.dropOutdated(runner, model);
-                outdated--;
-            }
+        List<String> outdated = layout.outdatedHolders(model);
+        if (ready == 0 || outdated.isEmpty()) {
+            return;
         }
+        int given = Math.max(0, outdated.size() + ready - needed);
+        boolean loading = layout.currentCopies(model) > ready;
+        given = Math.min(outdated.size(), loading ? given : Math.max(1, given));
+        outdated.subList(0, given).forEach(runner -> layout.dropOutdated(runner, model));
     }
 
     private static void dropSurplus(Layout layout, ModelSpec model, int needed) {
@@ -116,7 +115,8 @@
         if (!lost && present >= Math.min(wanted, round) || layout.loading() >= weights.modelLoadsAtOnce()) {
             return !lost && present < wanted && round < layout.runnerNames().size();
         }
-        Optional<String> runner = layout.bestRunner(model, name -> layout.fits(name, model));
+        Optional<String> runner =
+                layout.bestRunner(model, name -> layout.fits(name, model, lost ? 0 : reserveMb(input, name)));
         if (runner.isPresent()) {
             layout.want(runner.get(), model);
             return true;
@@ -128,6 +128,13 @@
         return false;
     }
 
+    private long reserveMb(PlanInput input, String name) {
+        return input.runners().stream()
+                .filter(runner -> runner.name().equals(name))
+                .mapToLong(runner -> weights.adapterReserveMb(runner.memorySizeMb()))
+                .sum();
+    }
+
     private static boolean isRoomComing(Layout layout, ModelSpec model) {
         return layout.bestRunner(model, name -> layout.freeMb(name) + layout.leavingMb(name) >= model.memoryMb())
                 .isPresent();
@@ -165,13 +172,17 @@
     private static void moveAway(Layout layout, ModelSpec model) {
         for (String runner : layout.runnerNames()) {
             for (String key : layout.wantedOn(runner)) {
-                Optional<ModelSpec> other = layout.model(key).filter(spec -> Layout.keyOf(spec).equals(key));
+                Optional<ModelSpec> other =
+                        layout.model(key).filter(spec -> Layout.keyOf(spec).equals(key));
                 boolean frees = other.isPresent()
                         && layout.readyHolders(other.get()).size() == 1
                         && layout.currentCopies(other.get()) == 1
-                        && layout.freeMb(runner) + layout.leavingMb(runner) + other.get().memoryMb() >= model.memoryMb();
+                        && layout.freeMb(runner)
+                                        + layout.leavingMb(runner)
+                                        + other.get().memoryMb()
+                                >= model.memoryMb();
                 Optional<String> target = frees
-                        ? layout.bestRunner(other.get(), name -> layout.fits(name, other.get()))
+                        ? layout.bestRunner(other.get(), name -> layout.fits(name, other.get(), 0))
                         : Optional.empty();
                 if (target.isPresent()) {
                     layout.want(target.get(), other.get());
--- a/placement/src/main/java/org/arbutusstack/placement/Layout.java
+++ b/placement/src/main/java/org/arbutusstack/placement/Layout.java
@@ -1,6 +1,7 @@
 package org.arbutusstack.placement;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -26,7 +27,7 @@
 
     private final Set<String> absent;
 
-    Layout(PlanInput input) {
+    Layout(PlanInput input, boolean keepsSurplus) {
         absent = input.absentRunners();
         input.models().forEach(model -> models.put(model.name(), model));
         input.runners().forEach(runner -> runners.put(runner.name(), runner));
@@ -36,19 +37,23 @@
             for (String key : input.current().modelsOf(name)) {
                 RunnerCapacity runner = runners.get(name);
                 boolean outdated = isOutdated(key);
-                if (models.containsKey(WeightsKey.parse(key).name()) && (!outdated || runner == null || runner.holds(key))) {
+                if (models.containsKey(WeightsKey.parse(key).name())
+                        && (!outdated || runner == null || runner.holds(key))) {
                     wanted.get(name).add(key);
                 }
             }
         }
-        runners.values().forEach(this::keepOnlyCopies);
+        for (RunnerCapacity runner : runners.values()) {
+            keepOffered(runner, keepsSurplus ? input.current().releasedOf(runner.name()) : runner.readyKeys());
+        }
     }
 
-    /** Wants what a runner already offers of a model that is wanted nowhere. */
-    private void keepOnlyCopies(RunnerCapacity runner) {
+    /** Wants what a runner already offers, but for given-up copies of models that are wanted elsewhere. */
+    private void keepOffered(RunnerCapacity runner, Collection<String> givenUp) {
         for (String key : new TreeSet<>(runner.readyKeys())) {
             ModelSpec model = models.get(WeightsKey.parse(key).name());
-            if (model != null && copies(model) == 0) {
+            boolean spare = !isOutdated(key) && !givenUp.contains(key);
+            if (model != null && (spare || copies(model) == 0)) {
                 wanted.get(runner.name()).add(key);
             }
         }
@@ -160,16 +165,17 @@
                 .map(RunnerCapacity::name);
     }
 
-    boolean fits(String runner, ModelSpec model) {
-        return runners.get(runner).readyKeys().contains(keyOf(model)) || freeMb(runner) >= model.memoryMb();
+    boolean fits(String runner, ModelSpec model, long reserveMb) {
+        boolean offered = runners.get(runner).readyKeys().contains(keyOf(model));
+        return offered || freeMb(runner) - reserveMb >= model.memoryMb();
     }
 
     /** Tells the number of copies in the runner's availability zone. */
     long copiesInZone(String runner, ModelSpec model) {
         String zone = runners.get(runner).zone();
         return runners.values().stream()
-                .filter(each -> each.zone().equals(zone)
-                        && wanted.get(each.name()).contains(keyOf(model)))
+                .filter(each ->
+                        each.zone().equals(zone) && wanted.get(each.name()).contains(keyOf(model)))
                 .count();
     }
 
--- a/placement/src/main/java/org/arbutusstack/placement/PlacementWeights.java
+++ b/placement/src/main/java/org/arbutusstack/placement/PlacementWeights.java
@@ -9,8 +9,12 @@
  * @param attainment the weight of requests served in time
  * @param move the weight of a load
  * @param modelLoadsAtOnce the models that may load at once over the whole service
+ * @param adapterReservePercent the part of each runner's memory left to adapters, in percent
  */
-public record PlacementWeights(int requestsPerCopy, int attainment, int move, int modelLoadsAtOnce) {
+public record PlacementWeights(
+        int requestsPerCopy, int attainment, int move, int modelLoadsAtOnce, int adapterReservePercent) {
+
+    private static final int PERCENT = 100;
 
     /** Checks the weights. */
     public PlacementWeights {
@@ -18,6 +22,7 @@
         Assert.atLeast(attainment, 1, "attainment");
         Assert.atLeast(move, 0, "move");
         Assert.atLeast(modelLoadsAtOnce, 1, "modelLoadsAtOnce");
+        Assert.atLeast(adapterReservePercent, 0, "adapterReservePercent");
     }
 
     /** Tells whether relieving a number of requests that exceed what the copies serve is worth a load. */
@@ -26,6 +31,10 @@
         return relief > 0 && attainment * relief > move;
     }
 
+    long adapterReserveMb(long memorySizeMb) {
+        return memorySizeMb * adapterReservePercent / PERCENT;
+    }
+
     int copiesFor(double requests) {
         return (int) Math.ceil(requests / requestsPerCopy);
     }
--- a/side/src/main/java/org/arbutusstack/side/SideService.java
+++ b/side/src/main/java/org/arbutusstack/side/SideService.java
@@ -19,6 +19,8 @@
 import org.arbutusstack.model.ticket.DesiredState;
 import org.arbutusstack.model.ticket.ServiceKind;
 import org.arbutusstack.model.ticket.ServiceSpec;
+import org.arbutusstack.side.claim.ClaimLimits;
+import org.arbutusstack.side.claim.ClaimMetrics;
 import org.arbutusstack.store.KeyValueStore;
 import org.arbutusstack.wire.frame.CancelFrame;
 import org.arbutusstack.wire.frame.Frame;
@@ -106,6 +108,7 @@
      * @param queueLimit the requests that may wait
      * @param slots the requests handed to the backend server at once
      * @param engine what the engine promises
+     * @param claimLimits bounds the claims of calls that may not be repeated
      * @param metrics the process's metrics
      */
     public SideService(
@@ -119,6 +122,7 @@
             int queueLimit,
             int slots,
             EngineContract engine,
+            ClaimLimits claimLimits,
             PrometheusRegistry metrics) {
         this.identity = Assert.notNull(identity, "identity");
         this.linkAddress = Assert.notNull(linkAddress, "linkAddress");
@@ -126,7 +130,7 @@
         this.clock = Assert.notNull(clock, "clock");
         this.replica = Assert.notNull(replica, "replica");
         this.backend = new Backend(client, identity.backend(), clock, engine.orderMillis(), this::offer);
-        this.claims = new ClaimDesk(store, clock, identity, this::offer);
+        this.claims = new ClaimDesk(store, clock, identity, claimLimits, new ClaimMetrics(metrics), this::offer);
         this.desk = new WorkDesk(identity, clock, backend, claims, queueLimit, slots);
         this.memoryMetrics = new MemoryMetrics(metrics);
         AdapterCache cache = new AdapterCache(clock, engine.adapterLoadsAtOnce(), engine.adapterStickyMillis());
@@ -263,6 +267,7 @@
         if (isEngine()) {
             residency.converge();
         }
+        claims.commitSoon();
         idle = desk.isDraining() && desk.isIdle();
         if (clock.isPast(loadAskAtNanos) && loadAsked.compareAndSet(false, true)) {
             loadAskAtNanos = clock.deadlineNanos(LOAD_PERIOD_MILLIS);
--- a/side/src/main/java/org/arbutusstack/side/SideSettings.java
+++ b/side/src/main/java/org/arbutusstack/side/SideSettings.java
@@ -1,7 +1,10 @@
 package org.arbutusstack.side;
 
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.arbutusstack.kernel.setting.Setting;
+import org.arbutusstack.kernel.setting.Settings;
+import org.arbutusstack.side.claim.ClaimLimits;
 
 /** Lists the settings of a side. */
 public final class SideSettings {
@@ -55,9 +58,40 @@
     /** How long an adapter is kept after its last use. */
     public static final Setting ADAPTER_STICKY = Setting.number(
             "adapter-sticky-millis", 0, 3_600_000, 2_000, "time an adapter is kept after its last use, in ms (side)");
+    /** The time that the claim of a call is kept. */
+    public static final Setting CLAIM_RETENTION = Setting.number(
+            "claim-retention-hours",
+            1,
+            720,
+            48,
+            "time that claims of calls that may not be repeated are kept, in hours");
+
+    /** The least time between two writes of one claim bucket. */
+    public static final Setting CLAIM_COMMIT = Setting.number(
+            "claim-commit-millis", 10, 1_000, 100, "least time between two writes of a claim bucket, in ms");
+
+    /** The longest body recorded with a claim. */
+    public static final Setting CLAIM_ANSWER =
+            Setting.number("claim-answer-bytes", 0, 4_096, 1_024, "longest answer recorded with a claim, in bytes");
+
+    private static final int SEAL_BYTES = 65_536;
 
     private SideSettings() {}
 
+    /**
+     * Reads the limits of claims.
+     *
+     * @param settings the checked settings
+     * @return the limits
+     */
+    public static ClaimLimits claimLimits(Settings settings) {
+        return new ClaimLimits(
+                TimeUnit.HOURS.toMillis(settings.number(CLAIM_RETENTION)),
+                settings.number(CLAIM_COMMIT),
+                (int) settings.number(CLAIM_ANSWER),
+                SEAL_BYTES);
+    }
+
     /**
      * Lists them all.
      *
@@ -74,6 +108,9 @@
                 ORDER_DELAY_LIMIT,
                 ORDER_START_LIMIT,
                 ADAPTER_LOADS,
-                ADAPTER_STICKY);
+                ADAPTER_STICKY,
+                CLAIM_RETENTION,
+                CLAIM_COMMIT,
+                CLAIM_ANSWER);
     }
 }
--- a/testkit/src/main/java/org/arbutusstack/testkit/engine/EngineStandIn.java
+++ b/testkit/src/main/java/org/arbutusstack/testkit/engine/EngineStandIn.java
@@ -12,6 +12,7 @@
 import org.arbutusstack.testkit.AbstractStandIn;
 import org.arbutusstack.testkit.Json;
 import org.xnio.IoUtils;
+import org.xnio.XnioExecutor;
 
 /**
  * Answers chat completions and orders as a model engine does, from limited memory.
@@ -27,6 +28,8 @@
 
     private static final int CONFLICT = 409;
 
+    private static final int UNAVAILABLE = 503;
+
     private static final int DEFAULT_URGENCY = 3;
 
     private static final long FETCH_SECONDS = 300;
@@ -178,33 +181,50 @@
             IoUtils.safeClose(exchange.getConnection());
             return;
         }
-        ResponseStream.open(exchange, stream -> exchange.getIoThread()
-                .executeAfter(() -> carryOut(exchange, order), faults.lateOrderMillis(), TimeUnit.MILLISECONDS));
+        XnioExecutor thread = exchange.getIoThread();
+        if (faults.doublesOrder()) {
+            thread.executeAfter(
+                    () -> carryOut(status -> {}, order), faults.doubledOrderMillis(), TimeUnit.MILLISECONDS);
+        }
+        if (faults.detachesOrder()) {
+            thread.executeAfter(() -> carryOut(status -> {}, order), faults.lateOrderMillis(), TimeUnit.MILLISECONDS);
+            IoUtils.safeClose(exchange.getConnection());
+            return;
+        }
+        OrderAnswer answer = status -> thread.execute(() -> answerOrder(exchange, status));
+        ResponseStream.open(
+                exchange,
+                stream -> thread.executeAfter(
+                        () -> carryOut(answer, order), faults.lateOrderMillis(), TimeUnit.MILLISECONDS));
     }
 
-    private void carryOut(HttpServerExchange exchange, JsonNode order) {
+    private void carryOut(OrderAnswer answer, JsonNode order) {
+        if (System.nanoTime() - awayUntilNanos < 0) {
+            answer.send(UNAVAILABLE);
+            return;
+        }
         if (shape.checksFence() && !memory.admitsFence(order.path("fence").asLong())) {
-            Responses.json(exchange, CONFLICT, "{\"error\":\"old fencing number\"}");
+            answer.send(CONFLICT);
             return;
         }
         String key = order.path("key").asText();
         long memoryMb = order.path("memory_mb").asLong();
         switch (order.path("order").asText()) {
-            case "load" -> load(exchange, key, memoryMb, false);
-            case "load_adapter" -> load(exchange, key, memoryMb, true);
+            case "load" -> load(answer, key, memoryMb, false);
+            case "load_adapter" -> load(answer, key, memoryMb, true);
             case "unload", "unload_adapter" -> {
                 memory.unload(key);
-                answerOrder(exchange);
+                answer.send(OK);
             }
-            default -> answerOrder(exchange);
+            default -> answer.send(OK);
         }
     }
 
-    private void load(HttpServerExchange exchange, String key, long memoryMb, boolean adapter) {
+    private void load(OrderAnswer answer, String key, long memoryMb, boolean adapter) {
         memory.begin(key, memoryMb, adapter);
         if (weightStore == null) {
             memory.ready(key);
-            answerOrder(exchange);
+            answer.send(OK);
             return;
         }
         HttpCall fetch = HttpCall.post(adapter ? "/fetch/adapter" : "/fetch/model", new byte[0]);
@@ -215,16 +235,23 @@
             } else {
                 memory.unload(key);
             }
-            exchange.getIoThread().execute(() -> answerOrder(exchange));
+            answer.send(failure == null ? OK : UNAVAILABLE);
         });
     }
 
-    private void answerOrder(HttpServerExchange exchange) {
+    private void answerOrder(HttpServerExchange exchange, int status) {
         if (faults.losesOrderAnswer()) {
             IoUtils.safeClose(exchange.getConnection());
             return;
         }
-        Responses.json(exchange, OK, "{\"status\":\"done\"}");
+        String text = status == CONFLICT ? "old fencing number" : "status " + status;
+        Responses.json(exchange, status, "{\"status\":\"" + text + "\"}");
+    }
+
+    /** Takes the status of an order carried out or refused; may be called by any thread. */
+    private interface OrderAnswer {
+
+        void send(int status);
     }
 
     @Override
