--- a/placement/src/main/java/org/arbutusstack/placement/CopyPlanner.java
+++ b/placement/src/main/java/org/arbutusstack/placement/CopyPlanner.java
@@ -44,12 +44,7 @@
                 dropSurplus(layout, model, needed(input, model));
             }
         }
-        List<ModelSpec> order = new ArrayList<>(input.models());
-        order.sort(Comparator.<ModelSpec>comparingInt(model -> urgency(layout, model))
-                .thenComparing(Comparator.comparingDouble((ModelSpec model) -> excess(input, layout, model))
-                        .reversed())
-                .thenComparing(Comparator.comparingLong(ModelSpec::memoryMb).reversed())
-                .thenComparing(ModelSpec::name));
+        List<ModelSpec> order = order(input, layout);
         boolean placed = true;
         for (int round = 1; placed && layout.loading() < weights.modelLoadsAtOnce(); round++) {
             placed = false;
@@ -60,12 +55,22 @@
         return layout.decision();
     }
 
+    private List<ModelSpec> order(PlanInput input, Layout layout) {
+        List<ModelSpec> order = new ArrayList<>(input.models());
+        order.sort(Comparator.<ModelSpec>comparingInt(model -> urgency(layout, model))
+                .thenComparing(Comparator.comparingDouble((ModelSpec model) -> excess(input, layout, model))
+                        .reversed())
+                .thenComparing(Comparator.comparingLong(ModelSpec::memoryMb).reversed())
+                .thenComparing(ModelSpec::name));
+        return order;
+    }
+
     private int needed(PlanInput input, ModelSpec model) {
         return policy.neededCopies(model.minimumCopies(), input.demandFor(model), weights);
     }
 
     private static int urgency(Layout layout, ModelSpec model) {
-        if (layout.reachableCopies(model) == 0) {
+        if (!layout.hasReachableCopy(model)) {
             return layout.outdatedHolders(model).isEmpty() ? 0 : 1;
         }
         return layout.currentCopies(model) < model.minimumCopies() ? 2 : 3;
@@ -108,59 +113,79 @@
                         .thenComparing(Comparator.naturalOrder()));
     }
 
+    /** Adds a copy if one is wanted in this round; returns whether a later round may add more. */
     private boolean addCopy(PlanInput input, Layout layout, ModelSpec model, int round) {
         int present = layout.currentCopies(model);
         int wanted = policy.wantedCopies(model.minimumCopies(), present, input.demandFor(model), weights);
-        boolean lost = layout.reachableCopies(model) == 0;
-        if (!lost && present >= Math.min(wanted, round) || layout.loading() >= weights.modelLoadsAtOnce()) {
-            return !lost && present < wanted && round < layout.runnerNames().size();
+        boolean lost = !layout.hasReachableCopy(model);
+        if (!lost && present >= wanted || layout.loading() >= weights.modelLoadsAtOnce()) {
+            return false;
+        }
+        if (!lost && present >= round) {
+            return round < layout.runnerNames().size();
         }
-        Optional<String> runner =
-                layout.bestRunner(model, name -> layout.fits(name, model, lost ? 0 : reserveMb(input, name)));
+        Optional<String> runner = layout.bestRunner(model, each -> layout.fits(each, model, reserveMb(each, lost)));
         if (runner.isPresent()) {
             layout.want(runner.get(), model);
             return true;
         }
-        boolean needed = lost || present < needed(input, model);
-        if (needed && !isRoomComing(layout, model) && !freeRoom(input, layout, model) && lost) {
+        boolean displaces = lost || policy.displaces(model.minimumCopies(), present, input.demandFor(model), weights);
+        boolean roomComes = layout.bestRunner(
+                        model, each -> layout.roomMb(each.name()) - reserveMb(each, lost) >= model.memoryMb())
+                .isPresent();
+        if (displaces && !roomComes && !freeRoom(input, layout, model, lost) && lost) {
             moveAway(layout, model);
         }
         return false;
     }
 
-    private long reserveMb(PlanInput input, String name) {
-        return input.runners().stream()
-                .filter(runner -> runner.name().equals(name))
-                .mapToLong(runner -> weights.adapterReserveMb(runner.memorySizeMb()))
-                .sum();
+    private long reserveMb(RunnerCapacity runner, boolean lost) {
+        return lost ? 0 : weights.adapterReserveMb(runner.memorySizeMb());
     }
 
-    private static boolean isRoomComing(Layout layout, ModelSpec model) {
-        return layout.bestRunner(model, name -> layout.freeMb(name) + layout.leavingMb(name) >= model.memoryMb())
-                .isPresent();
+    /** Gives up copies beyond those needed on the runner where their demand of late is the least. */
+    private boolean freeRoom(PlanInput input, Layout layout, ModelSpec model, boolean lost) {
+        List<ModelSpec> best = List.of();
+        String bestRunner = null;
+        for (RunnerCapacity each : input.runners()) {
+            String runner = each.name();
+            long missingMb = model.memoryMb() + reserveMb(each, lost) - layout.roomMb(runner);
+            List<ModelSpec> victims = victims(input, layout, model, runner, missingMb);
+            boolean better = bestRunner == null || peak(input, victims) < peak(input, best);
+            if (!victims.isEmpty() && better) {
+                best = victims;
+                bestRunner = runner;
+            }
+        }
+        for (ModelSpec victim : best) {
+            layout.drop(bestRunner, victim);
+        }
+        return bestRunner != null;
     }
 
-    /** Gives up copies beyond those needed on the first runner where that makes enough room. */
-    private boolean freeRoom(PlanInput input, Layout layout, ModelSpec model) {
-        for (String runner : layout.runnerNames()) {
-            if (layout.wantedOn(runner).contains(Layout.keyOf(model))) {
-                continue;
-            }
-            List<ModelSpec> victims = new ArrayList<>();
-            long roomMb = layout.freeMb(runner) + layout.leavingMb(runner);
-            for (String key : layout.wantedOn(runner)) {
-                Optional<ModelSpec> other = layout.model(key);
-                if (roomMb < model.memoryMb() && other.isPresent() && isSurplus(input, layout, other.get(), runner)) {
-                    victims.add(other.get());
-                    roomMb += other.get().memoryMb();
-                }
-            }
-            if (roomMb >= model.memoryMb()) {
-                victims.forEach(victim -> layout.drop(runner, victim));
-                return true;
+    private static double peak(PlanInput input, List<ModelSpec> models) {
+        return models.stream()
+                .mapToDouble(model -> input.demandFor(model).peakRequests())
+                .sum();
+    }
+
+    /** Lists the copies that make enough room on a runner, or none if that cannot be. */
+    private List<ModelSpec> victims(PlanInput input, Layout layout, ModelSpec model, String runner, long wantedMb) {
+        List<ModelSpec> held = new ArrayList<>(layout.modelsOn(runner));
+        if (held.contains(model)) {
+            return List.of();
+        }
+        held.removeIf(other -> !isSurplus(input, layout, other, runner));
+        held.sort(Comparator.comparingDouble(other -> input.demandFor(other).peakRequests()));
+        List<ModelSpec> victims = new ArrayList<>();
+        long missingMb = wantedMb;
+        for (ModelSpec other : held) {
+            if (missingMb > 0) {
+                victims.add(other);
+                missingMb -= other.memoryMb();
             }
         }
-        return false;
+        return missingMb > 0 ? List.of() : victims;
     }
 
     private boolean isSurplus(PlanInput input, Layout layout, ModelSpec model, String runner) {
@@ -171,21 +196,14 @@
     /** Wants a second copy of another model elsewhere, so that its first one can make way for a model without any. */
     private static void moveAway(Layout layout, ModelSpec model) {
         for (String runner : layout.runnerNames()) {
-            for (String key : layout.wantedOn(runner)) {
-                Optional<ModelSpec> other =
-                        layout.model(key).filter(spec -> Layout.keyOf(spec).equals(key));
-                boolean frees = other.isPresent()
-                        && layout.readyHolders(other.get()).size() == 1
-                        && layout.currentCopies(other.get()) == 1
-                        && layout.freeMb(runner)
-                                        + layout.leavingMb(runner)
-                                        + other.get().memoryMb()
-                                >= model.memoryMb();
-                Optional<String> target = frees
-                        ? layout.bestRunner(other.get(), name -> layout.fits(name, other.get(), 0))
-                        : Optional.empty();
+            for (ModelSpec other : layout.modelsOn(runner)) {
+                boolean frees = layout.readyHolders(other).size() == 1
+                        && layout.currentCopies(other) == 1
+                        && layout.roomMb(runner) + other.memoryMb() >= model.memoryMb();
+                Optional<String> target =
+                        frees ? layout.bestRunner(other, each -> layout.fits(each, other, 0)) : Optional.empty();
                 if (target.isPresent()) {
-                    layout.want(target.get(), other.get());
+                    layout.want(target.get(), other);
                     return;
                 }
             }
--- a/placement/src/main/java/org/arbutusstack/placement/Layout.java
+++ b/placement/src/main/java/org/arbutusstack/placement/Layout.java
@@ -12,7 +12,6 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Predicate;
-import java.util.stream.Collectors;
 import org.arbutusstack.model.ticket.ModelSpec;
 import org.arbutusstack.model.ticket.WeightsKey;
 
@@ -23,44 +22,65 @@
 
     private final Map<String, ModelSpec> models = new HashMap<>();
 
+    private final Map<String, String> names = new HashMap<>();
+
     private final Map<String, Set<String>> wanted = new TreeMap<>();
 
-    private final Set<String> absent;
+    private final Map<String, Set<String>> holders = new HashMap<>();
+
+    private final Map<String, Set<String>> offering = new HashMap<>();
+
+    private final Map<String, Set<String>> outdated = new HashMap<>();
+
+    private final Map<String, Long> freeMb = new HashMap<>();
+
+    private int loading;
 
     Layout(PlanInput input, boolean keepsSurplus) {
-        absent = input.absentRunners();
         input.models().forEach(model -> models.put(model.name(), model));
-        input.runners().forEach(runner -> runners.put(runner.name(), runner));
-        runners.keySet().forEach(name -> wanted.put(name, new TreeSet<>()));
-        absent.forEach(name -> wanted.put(name, new TreeSet<>()));
+        for (RunnerCapacity runner : input.runners()) {
+            runners.put(runner.name(), runner);
+            freeMb.put(runner.name(), runner.memorySizeMb() - runner.modelsMb());
+            wanted.put(runner.name(), new TreeSet<>());
+        }
+        input.absentRunners().forEach(name -> wanted.put(name, new TreeSet<>()));
         for (String name : wanted.keySet()) {
-            for (String key : input.current().modelsOf(name)) {
-                RunnerCapacity runner = runners.get(name);
-                boolean outdated = isOutdated(key);
-                if (models.containsKey(WeightsKey.parse(key).name())
-                        && (!outdated || runner == null || runner.holds(key))) {
-                    wanted.get(name).add(key);
-                }
-            }
+            input.current().modelsOf(name).stream()
+                    .filter(key -> stays(name, key))
+                    .forEach(key -> want(name, key));
         }
         for (RunnerCapacity runner : runners.values()) {
             keepOffered(runner, keepsSurplus ? input.current().releasedOf(runner.name()) : runner.readyKeys());
         }
     }
 
+    private boolean stays(String runner, String key) {
+        RunnerCapacity reached = runners.get(runner);
+        boolean loadable = !isOutdated(key) || reached == null || reached.holds(key);
+        return models.containsKey(nameOf(key)) && loadable;
+    }
+
     /** Wants what a runner already offers, but for given-up copies of models that are wanted elsewhere. */
     private void keepOffered(RunnerCapacity runner, Collection<String> givenUp) {
         for (String key : new TreeSet<>(runner.readyKeys())) {
-            ModelSpec model = models.get(WeightsKey.parse(key).name());
+            ModelSpec model = models.get(nameOf(key));
+            if (model == null) {
+                continue;
+            }
             boolean spare = !isOutdated(key) && !givenUp.contains(key);
-            if (model != null && (spare || copies(model) == 0)) {
-                wanted.get(runner.name()).add(key);
+            boolean only = currentCopies(model) == 0 && outdatedHolders(model).isEmpty();
+            if (spare || only) {
+                want(runner.name(), key);
             }
         }
     }
 
+    private String nameOf(String key) {
+        return names.computeIfAbsent(key, text -> WeightsKey.parse(text).name());
+    }
+
     private boolean isOutdated(String key) {
-        ModelSpec model = models.get(WeightsKey.parse(key).name());
+        ModelSpec model = models.get(nameOf(key));
         return model != null && !keyOf(model).equals(key);
     }
 
@@ -68,95 +88,96 @@
         return WeightsKey.of(model).toString();
     }
 
-    /** Counts the copies wanted, of any version, on runners reached or absent for a moment. */
-    int copies(ModelSpec model) {
-        return (int) wanted.values().stream()
-                .filter(keys -> keys.stream().anyMatch(key -> isOf(key, model)))
-                .count();
+    private void want(String runner, String key) {
+        if (!wanted.get(runner).add(key)) {
+            return;
+        }
+        account(runner, key, 1);
+        index(holders, key).add(runner);
+        RunnerCapacity reached = runners.get(runner);
+        if (reached != null && reached.readyKeys().contains(key)) {
+            index(offering, key).add(runner);
+        }
+        if (reached != null && isOutdated(key)) {
+            index(outdated, nameOf(key)).add(runner);
+        }
+    }
+
+    private void unwant(String runner, String key) {
+        if (!wanted.get(runner).remove(key)) {
+            return;
+        }
+        account(runner, key, -1);
+        index(holders, key).remove(runner);
+        index(offering, key).remove(runner);
+    }
+
+    private void account(String runner, String key, int sign) {
+        RunnerCapacity reached = runners.get(runner);
+        if (reached == null) {
+            return;
+        }
+        loading += reached.readyKeys().contains(key) ? 0 : sign;
+        if (!reached.holds(key) && !isOutdated(key)) {
+            freeMb.merge(runner, -sign * models.get(nameOf(key)).memoryMb(), Long::sum);
+        }
     }
 
-    private static boolean isOf(String key, ModelSpec model) {
-        return WeightsKey.parse(key).name().equals(model.name());
+    private static Set<String> index(Map<String, Set<String>> sets, String key) {
+        return sets.computeIfAbsent(key, absent -> new TreeSet<>());
     }
 
-    /** Counts the copies of the version in force that are wanted. */
+    /** Counts the copies of the version in force that are wanted, on runners reached or absent for a moment. */
     int currentCopies(ModelSpec model) {
-        return (int) wanted.values().stream()
-                .filter(keys -> keys.contains(keyOf(model)))
-                .count();
+        return index(holders, keyOf(model)).size();
     }
 
-    /** Counts the copies of the version in force that are wanted on runners that can be reached. */
-    int reachableCopies(ModelSpec model) {
-        return (int) runners.keySet().stream()
-                .filter(name -> wanted.get(name).contains(keyOf(model)))
-                .count();
+    /** Tells whether a copy of the version in force is wanted on a runner that can be reached. */
+    boolean hasReachableCopy(ModelSpec model) {
+        return index(holders, keyOf(model)).stream().anyMatch(runners::containsKey);
     }
 
     /** Lists the runners that offer the version in force and are to go on holding it. */
     Set<String> readyHolders(ModelSpec model) {
-        String key = keyOf(model);
-        return runners.values().stream()
-                .filter(runner -> runner.readyKeys().contains(key)
-                        && wanted.get(runner.name()).contains(key))
-                .map(RunnerCapacity::name)
-                .collect(Collectors.toCollection(TreeSet::new));
+        return Set.copyOf(index(offering, keyOf(model)));
     }
 
-    /** Lists the runners where an earlier version is wanted. */
+    /** Lists the runners that can be reached and where an earlier version is wanted. */
     List<String> outdatedHolders(ModelSpec model) {
-        return runners.keySet().stream()
-                .filter(name -> wanted.get(name).stream().anyMatch(key -> isOf(key, model) && isOutdated(key)))
-                .toList();
-    }
-
-    boolean offers(String runner, ModelSpec model) {
-        return runners.get(runner).readyKeys().stream().anyMatch(key -> isOf(key, model));
+        return List.copyOf(index(outdated, model.name()));
     }
 
     /** Counts the copies wanted that no runner offers yet. */
     int loading() {
-        int loading = 0;
-        for (RunnerCapacity runner : runners.values()) {
-            for (String key : wanted.get(runner.name())) {
-                loading += runner.readyKeys().contains(key) ? 0 : 1;
-            }
-        }
         return loading;
     }
 
-    long freeMb(String name) {
-        RunnerCapacity runner = runners.get(name);
-        long comingMb = wanted.get(name).stream()
-                .filter(key -> !runner.holds(key) && !isOutdated(key))
-                .mapToLong(key -> models.get(WeightsKey.parse(key).name()).memoryMb())
-                .sum();
-        return runner.memorySizeMb() - runner.modelsMb() - comingMb;
+    long freeMb(String runner) {
+        return freeMb.get(runner);
     }
 
-    /** Tells the memory that comes free on a runner as it unloads what is wanted no more. */
-    long leavingMb(String name) {
+    /** Tells the memory free on a runner once it has unloaded what is wanted no more. */
+    long roomMb(String name) {
         RunnerCapacity runner = runners.get(name);
         Set<String> leaving = new HashSet<>(runner.readyKeys());
         leaving.addAll(runner.otherKeys());
         leaving.removeAll(wanted.get(name));
-        return leaving.stream()
-                .map(key -> models.get(WeightsKey.parse(key).name()))
-                .mapToLong(model -> model == null ? 0 : model.memoryMb())
-                .sum();
+        return freeMb(name)
+                + leaving.stream()
+                        .map(key -> models.get(nameOf(key)))
+                        .mapToLong(model -> model == null ? 0 : model.memoryMb())
+                        .sum();
     }
 
-    /** Finds the runner for one more copy: an availability zone without one first, then the most room. */
-    Optional<String> bestRunner(ModelSpec model, Predicate<String> permitted) {
+    /** Finds the runner for one more copy: one that offers it, a new availability zone, then the most room. */
+    Optional<String> bestRunner(ModelSpec model, Predicate<RunnerCapacity> permitted) {
         String key = keyOf(model);
-        Set<String> zones = runners.values().stream()
-                .filter(runner -> wanted.get(runner.name()).contains(key))
-                .map(RunnerCapacity::zone)
-                .collect(Collectors.toSet());
+        Set<String> taken = index(holders, key);
+        Set<String> zones = zonesOf(taken);
         return runners.values().stream()
-                .filter(runner -> !wanted.get(runner.name()).contains(key))
+                .filter(runner -> !taken.contains(runner.name()))
                 .filter(runner -> !runner.otherKeys().contains(key))
-                .filter(runner -> permitted.test(runner.name()))
+                .filter(permitted)
                 .min(Comparator.<RunnerCapacity, Boolean>comparing(
                                 runner -> !runner.readyKeys().contains(key))
                         .thenComparing(runner -> zones.contains(runner.zone()))
@@ -165,42 +186,56 @@
                 .map(RunnerCapacity::name);
     }
 
-    boolean fits(String runner, ModelSpec model, long reserveMb) {
-        boolean offered = runners.get(runner).readyKeys().contains(keyOf(model));
-        return offered || freeMb(runner) - reserveMb >= model.memoryMb();
+    private Set<String> zonesOf(Set<String> names) {
+        Set<String> zones = new HashSet<>();
+        for (String name : names) {
+            if (runners.containsKey(name)) {
+                zones.add(runners.get(name).zone());
+            }
+        }
+        return zones;
+    }
+
+    boolean fits(RunnerCapacity runner, ModelSpec model, long reserveMb) {
+        return runner.readyKeys().contains(keyOf(model)) || freeMb(runner.name()) - reserveMb >= model.memoryMb();
     }
 
-    /** Tells the number of copies in the runner's availability zone. */
+    /** Counts the copies in the runner's availability zone. */
     long copiesInZone(String runner, ModelSpec model) {
         String zone = runners.get(runner).zone();
-        return runners.values().stream()
-                .filter(each ->
-                        each.zone().equals(zone) && wanted.get(each.name()).contains(keyOf(model)))
+        return index(holders, keyOf(model)).stream()
+                .filter(name ->
+                        runners.containsKey(name) && runners.get(name).zone().equals(zone))
                 .count();
     }
 
     void want(String runner, ModelSpec model) {
-        wanted.get(runner).add(keyOf(model));
+        want(runner, keyOf(model));
     }
 
     void drop(String runner, ModelSpec model) {
-        wanted.get(runner).remove(keyOf(model));
+        unwant(runner, keyOf(model));
     }
 
     void dropOutdated(String runner, ModelSpec model) {
-        wanted.get(runner).removeIf(key -> isOf(key, model) && isOutdated(key));
+        for (String key : List.copyOf(wanted.get(runner))) {
+            if (nameOf(key).equals(model.name()) && isOutdated(key)) {
+                unwant(runner, key);
+            }
+        }
+        index(outdated, model.name()).remove(runner);
     }
 
     Set<String> runnerNames() {
         return runners.keySet();
     }
 
-    Set<String> wantedOn(String runner) {
-        return wanted.get(runner);
-    }
-
-    Optional<ModelSpec> model(String key) {
-        return Optional.ofNullable(models.get(WeightsKey.parse(key).name()));
+    /** Lists the models of which a runner is to hold the version in force. */
+    List<ModelSpec> modelsOn(String runner) {
+        return wanted.get(runner).stream()
+                .filter(key -> !isOutdated(key))
+                .map(key -> models.get(nameOf(key)))
+                .toList();
     }
 
     PlanDecision decision() {
@@ -208,27 +243,21 @@
         Map<String, List<String>> released = new TreeMap<>();
         wanted.forEach((name, keys) -> assigned.put(name, List.copyOf(keys)));
         for (RunnerCapacity runner : runners.values()) {
-            List<String> keys = new ArrayList<>(runner.readyKeys());
-            keys.addAll(runner.otherKeys());
-            keys.removeAll(wanted.get(runner.name()));
-            keys.removeIf(key -> !isReplaced(runner.name(), key));
+            Set<String> given = new TreeSet<>(runner.readyKeys());
+            given.addAll(runner.otherKeys());
+            given.removeAll(wanted.get(runner.name()));
+            List<String> keys = new ArrayList<>(given);
+            keys.removeIf(key -> !isReplaced(key));
             if (!keys.isEmpty()) {
-                released.put(runner.name(), keys.stream().sorted().distinct().toList());
+                released.put(runner.name(), keys);
             }
         }
         return new PlanDecision(assigned, released);
     }
 
-    /** Tells whether a copy may go: its model was removed, or another copy in force is offered and stays. */
-    private boolean isReplaced(String runner, String key) {
-        ModelSpec model = models.get(WeightsKey.parse(key).name());
-        if (model == null) {
-            return true;
-        }
-        Set<String> holders = readyHolders(model);
-        if (keyOf(model).equals(key)) {
-            holders.remove(runner);
-        }
-        return !holders.isEmpty();
+    /** Tells whether an unwanted copy may go: its model was removed, or a copy in force is offered and stays. */
+    private boolean isReplaced(String key) {
+        ModelSpec model = models.get(nameOf(key));
+        return model == null || !index(offering, keyOf(model)).isEmpty();
     }
 }
--- a/placement/src/main/java/org/arbutusstack/placement/PlacementPolicy.java
+++ b/placement/src/main/java/org/arbutusstack/placement/PlacementPolicy.java
@@ -49,7 +49,12 @@
 
         @Override
         int neededCopies(int minimum, Demand demand, PlacementWeights weights) {
-            return Math.max(minimum, weights.copiesFor(demand.peakRequests()));
+            return Math.max(minimum, weights.copiesFor(demand.requests()));
+        }
+
+        @Override
+        boolean displaces(int minimum, int present, Demand demand, PlacementWeights weights) {
+            return present < wantedCopies(minimum, present, demand, weights);
         }
     };
 
@@ -74,6 +79,19 @@
      */
     abstract int neededCopies(int minimum, Demand demand, PlacementWeights weights);
 
+    /**
+     * Tells whether a model may take the room of another's copies beyond those needed.
+     *
+     * @param minimum the number that the model's ticket asks for
+     * @param present the number planned now
+     * @param demand the demand for the model
+     * @param weights how to weigh
+     * @return whether it may
+     */
+    boolean displaces(int minimum, int present, Demand demand, PlacementWeights weights) {
+        return present < neededCopies(minimum, demand, weights);
+    }
+
     /**
      * Tells whether copies beyond those needed are given up at once.
      *
