--- a/entry/src/main/java/org/arbutusstack/entry/plan/EntryRoster.java
+++ b/entry/src/main/java/org/arbutusstack/entry/plan/EntryRoster.java
@@ -1,7 +1,9 @@
 package org.arbutusstack.entry.plan;
 
-import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import org.arbutusstack.kernel.digest.Digest;
 import org.arbutusstack.model.host.Host;
 import org.arbutusstack.model.host.HostList;
@@ -18,7 +20,7 @@
 
     private static final int CANDIDATES = 3;
 
-    private volatile List<String> entries = List.of();
+    private volatile Ranking ranking = new Ranking(List.of(), new ConcurrentHashMap<>());
 
     /**
      * Takes the host list.
@@ -26,10 +28,14 @@
      * @param hosts the list
      */
     public void hostsChanged(HostList hosts) {
-        entries = hosts.hosts().stream()
+        List<String> entries = hosts.hosts().stream()
                 .filter(host -> host.role() == HostRole.ENTRY && host.status() == HostStatus.LIVE)
                 .map(Host::name)
+                .sorted()
                 .toList();
+        if (!entries.equals(ranking.entries)) {
+            ranking = new Ranking(entries, new ConcurrentHashMap<>());
+        }
     }
 
     /**
@@ -40,14 +46,19 @@
      * @return whether it may; also before the host list is known
      */
     public boolean isCandidate(String entry, String service) {
-        List<String> known = entries;
-        if (known.isEmpty()) {
-            return true;
-        }
-        return known.stream()
-                .sorted(Comparator.comparing(
-                        name -> Digest.of(service + '\n' + name).hex()))
-                .limit(CANDIDATES)
-                .anyMatch(entry::equals);
+        Ranking known = ranking;
+        return known.entries.isEmpty()
+                || known.candidates
+                        .computeIfAbsent(service, name -> rank(name, known.entries))
+                        .contains(entry);
     }
+
+    private static List<String> rank(String service, List<String> entries) {
+        Map<String, String> byDigest = new TreeMap<>();
+        entries.forEach(name -> byDigest.put(Digest.of(service + '\n' + name).hex(), name));
+        return byDigest.values().stream().limit(CANDIDATES).toList();
+    }
+
+    /** Holds the live entries and those that may plan each service. */
+    private record Ranking(List<String> entries, Map<String, List<String>> candidates) {}
 }
