--- a/daemon/src/main/java/org/arbutusstack/daemon/DaemonSettings.java
+++ b/daemon/src/main/java/org/arbutusstack/daemon/DaemonSettings.java
@@ -3,7 +3,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.arbutusstack.entry.EntrySettings;
+import org.arbutusstack.entry.plan.PlannerSettings;
 import org.arbutusstack.kernel.setting.Setting;
+import org.arbutusstack.side.EngineSettings;
 import org.arbutusstack.side.SideSettings;
 
 /** Lists the settings of the daemon that both roles have. */
@@ -79,7 +81,9 @@
                 ANCHOR_PERIOD,
                 RETENTION));
         all.addAll(EntrySettings.all());
+        all.addAll(PlannerSettings.all());
         all.addAll(SideSettings.all());
+        all.addAll(EngineSettings.all());
         return all;
     }
 }
--- a/daemon/src/main/java/org/arbutusstack/daemon/Role.java
+++ b/daemon/src/main/java/org/arbutusstack/daemon/Role.java
@@ -8,11 +8,14 @@
 import org.arbutusstack.entry.audit.AnchorService;
 import org.arbutusstack.entry.caller.CallerListener;
 import org.arbutusstack.entry.member.HostListService;
+import org.arbutusstack.entry.member.PeerService;
 import org.arbutusstack.entry.plan.EntryRoster;
 import org.arbutusstack.entry.plan.PlanBook;
 import org.arbutusstack.entry.plan.PlannerService;
+import org.arbutusstack.entry.plan.PlannerSettings;
 import org.arbutusstack.entry.plan.PlannerTiming;
 import org.arbutusstack.entry.router.RouterService;
+import org.arbutusstack.entry.ticket.LogFollowerService;
 import org.arbutusstack.entry.ticket.OperatorDirectory;
 import org.arbutusstack.entry.ticket.OperatorListener;
 import org.arbutusstack.entry.ticket.TicketService;
@@ -51,11 +54,20 @@
                     platform.clock(),
                     (int) settings.number(EntrySettings.MOST_REQUESTS));
             TicketLog log = new TicketLog(platform.store(), replica, List.of(new ReferenceCheck()), platform.clock());
-            TicketService tickets = new TicketService(platform.store(), log, platform.clock(), platform.trail());
+            PeerService peers = new PeerService(
+                    identity,
+                    new InetSocketAddress(
+                            settings.text(DaemonSettings.ADDRESS), (int) settings.number(DaemonSettings.LINK_PORT)),
+                    platform.transport(),
+                    replica,
+                    platform.clock(),
+                    (int) settings.number(EntrySettings.RELAYS_PER_ZONE));
             registry.register(router);
-            registry.register(tickets);
             EntryRoster roster = new EntryRoster();
-            PlacementPolicy policy = PlacementPolicy.valueOf(settings.text(EntrySettings.PLACEMENT_POLICY));
+            PlacementPolicy policy = PlacementPolicy.valueOf(settings.text(PlannerSettings.PLACEMENT_POLICY));
+            registry.register(peers);
+            registry.register(new LogFollowerService(platform.store(), replica, platform.clock(), peers::isRelay));
+            registry.register(new TicketService(log, platform.clock(), platform.trail()));
             registry.register(new PlannerService(
                     identity,
                     platform.store(),
@@ -63,7 +75,7 @@
                     plans,
                     router,
                     roster,
-                    new CopyPlanner(policy, EntrySettings.placementWeights(settings)),
+                    new CopyPlanner(policy, PlannerSettings.placementWeights(settings)),
                     PlannerTiming.of(settings),
                     platform.clock(),
                     platform.metrics()));
@@ -74,6 +86,7 @@
                     hosts -> {
                         router.hostsChanged(hosts);
                         roster.hostsChanged(hosts);
+                        peers.hostsChanged(hosts);
                     }));
             registerListeners(registry, settings, platform, identity, replica);
         }
@@ -131,10 +144,10 @@
                 mistakes.add("--operators (ARBUTUS_OPERATORS): " + mistake.getMessage());
             }
             try {
-                PlacementPolicy.valueOf(settings.text(EntrySettings.PLACEMENT_POLICY));
+                PlacementPolicy.valueOf(settings.text(PlannerSettings.PLACEMENT_POLICY));
             } catch (IllegalArgumentException unknown) {
                 mistakes.add("--placement-policy (ARBUTUS_PLACEMENT_POLICY): value '"
-                        + settings.text(EntrySettings.PLACEMENT_POLICY) + "', permitted: "
+                        + settings.text(PlannerSettings.PLACEMENT_POLICY) + "', permitted: "
                         + List.of(PlacementPolicy.values()));
             }
             return mistakes;
@@ -160,11 +173,11 @@
                     platform.store(),
                     platform.newReplica(),
                     platform.clock(),
-                    (int) settings.number(SideSettings.QUEUE_LIMIT),
-                    (int) settings.number(SideSettings.SLOTS),
+                    SideSettings.workLimits(settings),
                     EngineContract.of(settings),
                     SideSettings.claimLimits(settings),
-                    platform.metrics());
+                    platform.metrics(),
+                    platform.trail());
             registry.register(side);
             registry.register(new AdminListener(
                     address,
--- a/entry/src/main/java/org/arbutusstack/entry/plan/PlannerTiming.java
+++ b/entry/src/main/java/org/arbutusstack/entry/plan/PlannerTiming.java
@@ -1,6 +1,5 @@
 package org.arbutusstack.entry.plan;
 
-import org.arbutusstack.entry.EntrySettings;
 import org.arbutusstack.kernel.setting.Settings;
 
 /**
@@ -21,9 +20,9 @@
      */
     public static PlannerTiming of(Settings settings) {
         return new PlannerTiming(
-                settings.number(EntrySettings.PLANNER_SETTLE),
-                settings.number(EntrySettings.RUNNER_ABSENT),
-                settings.number(EntrySettings.DEMAND_SMOOTH),
-                settings.number(EntrySettings.DEMAND_HOLD));
+                settings.number(PlannerSettings.PLANNER_SETTLE),
+                settings.number(PlannerSettings.RUNNER_ABSENT),
+                settings.number(PlannerSettings.DEMAND_SMOOTH),
+                settings.number(PlannerSettings.DEMAND_HOLD));
     }
 }
--- a/entry/src/main/java/org/arbutusstack/entry/plan/ServicePlanner.java
+++ b/entry/src/main/java/org/arbutusstack/entry/plan/ServicePlanner.java
@@ -90,21 +90,37 @@
         checkAtNanos = clock.deadlineNanos(HOLDER_CHECK_MILLIS);
         KeyValueStore store = context.store();
         StoreResult<KeyValue> read = store.get(PlanKeys.holder(service), context.deadlineNanos());
-        boolean vacant =
-                read instanceof StoreResult.Done<KeyValue> done && !done.value().exists();
-        if (!vacant || !lease.obtain()) {
+        if (!(read instanceof StoreResult.Done<KeyValue> holder)) {
             return;
         }
-        byte[] holder = context.identity().incarnation().getBytes(StandardCharsets.UTF_8);
-        StoreResult<Long> taken =
-                store.compareAndSwap(PlanKeys.holder(service), 0, holder, lease.id(), context.deadlineNanos());
-        if (taken instanceof StoreResult.Done<Long> done) {
-            logger.info("event=planner-lease service={} fence={}", service, done.value());
-            fence = done.value();
-            settledAtNanos = clock.deadlineNanos(context.settleMillis());
+        if (holder.value().exists()) {
+            if (lease.isValid() && holder.value().text().equals(claim(lease))) {
+                taken(holder.value().revision());
+            }
+            return;
+        }
+        if (!lease.obtain()) {
+            return;
+        }
+        byte[] claim = claim(lease).getBytes(StandardCharsets.UTF_8);
+        StoreResult<Long> written =
+                store.compareAndSwap(PlanKeys.holder(service), 0, claim, lease.id(), context.deadlineNanos());
+        if (written instanceof StoreResult.Done<Long> done) {
+            taken(done.value());
         }
     }
 
+    /** Names this process and its lease, so that a claim whose answer was lost is recognised. */
+    private String claim(PlannerLease lease) {
+        return context.identity().incarnation() + '/' + lease.id();
+    }
+
+    private void taken(long holderRevision) {
+        logger.info("event=planner-lease service={} fence={}", service, holderRevision);
+        fence = holderRevision;
+        settledAtNanos = context.clock().deadlineNanos(context.settleMillis());
+    }
+
     /** Writes the plan found under this holder's fence, so that earlier holders' swaps fail. */
     private void raise(PlannerLease lease) {
         StoreResult<KeyValue> read = context.store().get(PlanKeys.plan(service), context.deadlineNanos());
--- a/entry/src/test/java/org/arbutusstack/entry/plan/PlannerServiceTests.java
+++ b/entry/src/test/java/org/arbutusstack/entry/plan/PlannerServiceTests.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.stream.IntStream;
 import org.arbutusstack.entry.EntryIdentity;
+import org.arbutusstack.kernel.digest.Digest;
 import org.arbutusstack.kernel.time.ManualClock;
 import org.arbutusstack.ledger.LogReplica;
 import org.arbutusstack.model.JsonCodec;
@@ -61,7 +62,9 @@
                 List.of(new ModelSpec("m", "lm", version, 100, 1)),
                 List.of(),
                 List.of());
-        replica.append(replica.state().sequence(), List.of(new TicketEntry(ticket, "operator", 1, "entry")));
+        TicketEntry entry = new TicketEntry(ticket, "operator", 1, "entry");
+        Digest chain = replica.state().chain().chain(entry.digest());
+        replica.append(replica.state().sequence(), List.of(entry), chain);
     }
 
     private static RunnerCapacity runner(String name, Set<String> ready) {
--- a/side/src/main/java/org/arbutusstack/side/EngineContract.java
+++ b/side/src/main/java/org/arbutusstack/side/EngineContract.java
@@ -30,12 +30,12 @@
      */
     public static EngineContract of(Settings settings) {
         return new EngineContract(
-                settings.flag(SideSettings.ENGINE_CHECKS_FENCE) ? EffectProof.FENCE : EffectProof.DELAY,
-                settings.number(SideSettings.ORDER_TIMEOUT),
-                settings.number(SideSettings.ORDER_DELAY_LIMIT),
-                settings.number(SideSettings.ORDER_START_LIMIT),
-                (int) settings.number(SideSettings.ADAPTER_LOADS),
-                settings.number(SideSettings.ADAPTER_STICKY));
+                settings.flag(EngineSettings.ENGINE_CHECKS_FENCE) ? EffectProof.FENCE : EffectProof.DELAY,
+                settings.number(EngineSettings.ORDER_TIMEOUT),
+                settings.number(EngineSettings.ORDER_DELAY_LIMIT),
+                settings.number(EngineSettings.ORDER_START_LIMIT),
+                (int) settings.number(EngineSettings.ADAPTER_LOADS),
+                settings.number(EngineSettings.ADAPTER_STICKY));
     }
 
     MemoryLedger ledger(long startedAtNanos) {
--- a/side/src/main/java/org/arbutusstack/side/SideSettings.java
+++ b/side/src/main/java/org/arbutusstack/side/SideSettings.java
@@ -25,39 +25,18 @@
     public static final Setting SLOTS =
             Setting.number("slots", 1, 4_096, 32, "requests handed to the backend server at once");
 
-    /** Whether the engine refuses an order with an old fencing number. */
-    public static final Setting ENGINE_CHECKS_FENCE = Setting.flag(
-            "engine-checks-fence",
-            true,
-            "whether the engine refuses old fencing numbers and keeps the highest one over its restarts (side)");
-
-    /** How long the answer to an order is waited for. */
-    public static final Setting ORDER_TIMEOUT = Setting.number(
-            "order-timeout-millis", 100, 600_000, 30_000, "wait for the answer to an order, in ms (side)");
-
-    /** The longest that an order may be under way. */
-    public static final Setting ORDER_DELAY_LIMIT = Setting.number(
-            "order-delay-limit-millis",
-            100,
-            600_000,
-            30_000,
-            "longest that an order can be under way to an engine that ignores fencing numbers, in ms (side)");
-
-    /** How long the engine's account may lack a load that was ordered. */
-    public static final Setting ORDER_START_LIMIT = Setting.number(
-            "order-start-limit-millis",
-            100,
-            600_000,
-            3_000,
-            "time after which a load missing in the engine's account is in doubt, in ms (side)");
-
-    /** The number of adapters that may load at once. */
-    public static final Setting ADAPTER_LOADS = Setting.number(
-            "adapter-loads-at-once", 1, 1_000, 2, "adapters that may load at once, share of the weight store (side)");
-
-    /** How long an adapter is kept after its last use. */
-    public static final Setting ADAPTER_STICKY = Setting.number(
-            "adapter-sticky-millis", 0, 3_600_000, 2_000, "time an adapter is kept after its last use, in ms (side)");
+    /** The bytes of the requests that may wait. */
+    public static final Setting QUEUE_BYTES = Setting.number(
+            "queue-bytes", 1_024, 1_073_741_824, 16_777_216, "bytes of requests that may wait at a side");
+
+    /** The time that a streamed answer may go without a part. */
+    public static final Setting STREAM_SILENCE = Setting.number(
+            "stream-silence-millis", 100, 600_000, 10_000, "time a streamed answer may go without a part, in ms");
+
+    /** The time that any other answer may go without a part. */
+    public static final Setting ANSWER_SILENCE = Setting.number(
+            "answer-silence-millis", 100, 600_000, 60_000, "time any other answer may go without a part, in ms");
+
     /** The time that the claim of a call is kept. */
     public static final Setting CLAIM_RETENTION = Setting.number(
             "claim-retention-hours",
@@ -78,6 +57,21 @@
 
     private SideSettings() {}
 
+    /**
+     * Reads the limits of work.
+     *
+     * @param settings the checked settings
+     * @return the limits
+     */
+    public static WorkLimits workLimits(Settings settings) {
+        return new WorkLimits(
+                (int) settings.number(QUEUE_LIMIT),
+                settings.number(QUEUE_BYTES),
+                (int) settings.number(SLOTS),
+                settings.number(STREAM_SILENCE),
+                settings.number(ANSWER_SILENCE));
+    }
+
     /**
      * Reads the limits of claims.
      *
@@ -102,13 +96,10 @@
                 SERVICE,
                 BACKEND,
                 QUEUE_LIMIT,
+                QUEUE_BYTES,
                 SLOTS,
-                ENGINE_CHECKS_FENCE,
-                ORDER_TIMEOUT,
-                ORDER_DELAY_LIMIT,
-                ORDER_START_LIMIT,
-                ADAPTER_LOADS,
-                ADAPTER_STICKY,
+                STREAM_SILENCE,
+                ANSWER_SILENCE,
                 CLAIM_RETENTION,
                 CLAIM_COMMIT,
                 CLAIM_ANSWER);
