--- /dev/null
+++ b/daemon/src/test/java/org/arbutusstack/daemon/request/RequestCluster.java
@@ -0,0 +1,78 @@
+package org.arbutusstack.daemon.request;
+
+import java.io.File;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.arbutusstack.testkit.engine.EngineShape;
+import org.arbutusstack.testkit.engine.EngineStandIn;
+import org.arbutusstack.testkit.process.DaemonProcess;
+import org.arbutusstack.testkit.process.ProcessCluster;
+
+/** Runs entries, sides and engines that all hold one model. */
+final class RequestCluster implements AutoCloseable {
+
+    static final String SERVICE = "stitch-lm";
+
+    final ProcessCluster cluster;
+
+    final List<EngineStandIn> engines = new ArrayList<>();
+
+    final List<DaemonProcess> sides = new ArrayList<>();
+
+    final List<DaemonProcess> entries = new ArrayList<>();
+
+    final CallerLoad load;
+
+    RequestCluster(String name, int entryCount, int sideCount, EngineShape shape, Map<String, String> entryFlags) {
+        cluster = new ProcessCluster(new File("target/" + name));
+        load = new CallerLoad(cluster.client());
+        for (int index = 1; index <= sideCount; index++) {
+            EngineStandIn engine = cluster.startEngine(shape, null);
+            engines.add(engine);
+            sides.add(cluster.startSide("lm-" + index, SERVICE, "regina", engine.address(), Map.of()));
+        }
+        for (int index = 1; index <= entryCount; index++) {
+            entries.add(cluster.startEntry("entry-" + index, "regina", new HashMap<>(entryFlags)));
+        }
+    }
+
+    /** Publishes the hosts and waits until each entry sees the model on each runner. */
+    RequestCluster ready() {
+        cluster.publishHosts();
+        entries.forEach(entry -> require(cluster.awaitUp(entry, 30)));
+        String ticket = "{\"number\":1,\"services\":[{\"name\":\"stitch-lm\",\"kind\":\"ENGINE\",\"idempotent\":true}],"
+                + "\"models\":[{\"name\":\"boot-design\",\"service\":\"stitch-lm\",\"version\":\"v1\","
+                + "\"memoryMb\":100,\"minimumCopies\":" + sides.size() + "}]}";
+        require(cluster.submit(entries.get(0), ticket).status() == 200);
+        entries.forEach(entry -> require(ProcessCluster.awaitTrue(15, () -> holders(entry) == sides.size())));
+        return this;
+    }
+
+    /** Counts the runners that take work for the model, as an entry sees them. */
+    long holders(DaemonProcess entry) {
+        long count = 0;
+        for (var runner : cluster.state(entry).path("runners")) {
+            boolean holds = runner.path("takesWork").asBoolean()
+                    && runner.path("models").path(0).asText().equals("boot-design@v1");
+            count += holds ? 1 : 0;
+        }
+        return count;
+    }
+
+    int executions(String requestId) {
+        return engines.stream().mapToInt(engine -> engine.executions(requestId)).sum();
+    }
+
+    private static void require(boolean condition) {
+        if (!condition) {
+            throw new IllegalStateException("The cluster did not get ready");
+        }
+    }
+
+    @Override
+    public void close() {
+        cluster.close();
+    }
+}
--- a/ledger/src/main/java/org/arbutusstack/ledger/peer/LogExchange.java
+++ b/ledger/src/main/java/org/arbutusstack/ledger/peer/LogExchange.java
@@ -244,7 +244,12 @@
         return peer == null ? 0 : peer.confirmedSequence();
     }
 
-    private HeartbeatFrame heartbeat() {
+    /**
+     * Tells how far this process's log reaches.
+     *
+     * @return the heartbeat to send now
+     */
+    public HeartbeatFrame heartbeat() {
         DesiredState state = replica.state();
         return new HeartbeatFrame(state.sequence(), state.chain(), leaving);
     }
--- a/placement/src/main/java/org/arbutusstack/placement/Layout.java
+++ b/placement/src/main/java/org/arbutusstack/placement/Layout.java
@@ -169,7 +169,10 @@
                         .sum();
     }
 
-    /** Finds the runner for one more copy: one that offers it, a new availability zone, then the most room. */
+    /**
+     * Finds the runner for one more copy: one that offers it, a new availability zone, the fewest requests, the most
+     * room.
+     */
     Optional<String> bestRunner(ModelSpec model, Predicate<RunnerCapacity> permitted) {
         String key = keyOf(model);
         Set<String> taken = index(holders, key);
@@ -181,6 +184,7 @@
                 .min(Comparator.<RunnerCapacity, Boolean>comparing(
                                 runner -> !runner.readyKeys().contains(key))
                         .thenComparing(runner -> zones.contains(runner.zone()))
+                        .thenComparing(RunnerCapacity::requests)
                         .thenComparing(runner -> -freeMb(runner.name()))
                         .thenComparing(RunnerCapacity::name))
                 .map(RunnerCapacity::name);
--- a/placement/src/main/java/org/arbutusstack/placement/RunnerCapacity.java
+++ b/placement/src/main/java/org/arbutusstack/placement/RunnerCapacity.java
@@ -30,6 +30,10 @@
         demand = Map.copyOf(demand);
     }
 
+    int requests() {
+        return demand.values().stream().mapToInt(Integer::intValue).sum();
+    }
+
     boolean holds(String key) {
         return readyKeys.contains(key) || otherKeys.contains(key);
     }
--- a/side/src/main/java/org/arbutusstack/side/SideService.java
+++ b/side/src/main/java/org/arbutusstack/side/SideService.java
@@ -30,6 +30,7 @@
 import org.arbutusstack.wire.frame.CancelFrame;
 import org.arbutusstack.wire.frame.Frame;
 import org.arbutusstack.wire.frame.HelloFrame;
+import org.arbutusstack.wire.frame.LoadFrame;
 import org.arbutusstack.wire.frame.PlanFrame;
 import org.arbutusstack.wire.frame.RefusalFrame;
 import org.arbutusstack.wire.frame.SideReportFrame;
@@ -58,7 +59,7 @@
 
     private static final long LOAD_PERIOD_MILLIS = 250;
 
-    private static final long REPORT_PERIOD_MILLIS = 500;
+    private static final long LOAD_REPORT_MILLIS = 1_000;
 
     private static final long LEAVING_NOTICE_MILLIS = 500;
 
@@ -96,7 +97,9 @@
 
     private final AtomicBoolean loadAsked = new AtomicBoolean();
 
-    private final AtomicReference<SideReportFrame> lastReport = new AtomicReference<>();
+    private final AtomicReference<SideReportFrame> present = new AtomicReference<>();
+
+    private SideReportFrame lastReport;
 
     private volatile boolean idle = true;
 
@@ -352,9 +355,11 @@
             loadAskAtNanos = clock.deadlineNanos(LOAD_PERIOD_MILLIS);
             backend.askLoad();
         }
-        report(clock.isPast(reportAtNanos));
+        peers.closeSilent(clock);
+        report(false);
     }
 
+    /** Tells the entries at once what has changed, but of changes of nothing but the load only a few. */
     private void report(boolean always) {
         SideReportFrame report = new SideReportFrame(
                 state().sequence(),
@@ -370,12 +375,15 @@
                 residency.readyAdapters(),
                 residency.demand(),
                 desk.isDraining() || !backendAnswers);
-        if (!always && report.equals(lastReport.get())) {
+        present.set(report);
+        LoadFrame load = new LoadFrame(desk.queued(), desk.running(), report.demand());
+        boolean onlyLoad = !always && lastReport != null && report.equals(lastReport.withLoad(load));
+        if (onlyLoad && (report.equals(lastReport) || !clock.isPast(reportAtNanos))) {
             return;
         }
-        lastReport.set(report);
-        reportAtNanos = clock.deadlineNanos(REPORT_PERIOD_MILLIS);
-        peers.broadcast(report);
+        lastReport = report;
+        reportAtNanos = clock.deadlineNanos(LOAD_REPORT_MILLIS);
+        peers.broadcast(onlyLoad ? load : report);
     }
 
     /**
@@ -402,7 +410,7 @@
         dump.put("sequence", state().sequence());
         dump.put("chain", state().chain().hex());
         dump.put("backendAnswers", backendAnswers);
-        dump.put("report", lastReport.get());
+        dump.put("report", present.get());
         dump.put("ring", Map.of("depth", duty.depth(), "capacity", duty.capacity()));
         return JsonCodec.write(dump);
     }
--- a/testkit/src/main/java/org/arbutusstack/testkit/process/ProcessCluster.java
+++ b/testkit/src/main/java/org/arbutusstack/testkit/process/ProcessCluster.java
@@ -84,6 +84,15 @@
         return store;
     }
 
+    /**
+     * Tells where the host list answers.
+     *
+     * @return the port on loopback
+     */
+    public int hostListPort() {
+        return hosts.port();
+    }
+
     /**
      * Gives access to the client that the cluster uses.
      *
--- a/wire/src/main/java/org/arbutusstack/wire/frame/SideReportFrame.java
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/SideReportFrame.java
@@ -39,6 +39,29 @@
         boolean leaving)
         implements Frame {
 
+    /**
+     * Replaces the load.
+     *
+     * @param load the load
+     * @return the report with that load
+     */
+    public SideReportFrame withLoad(LoadFrame load) {
+        return new SideReportFrame(
+                sequence,
+                planFence,
+                planSequence,
+                memorySizeMb,
+                memoryCommittedMb,
+                modelsMb,
+                load.queued(),
+                load.running(),
+                models,
+                otherModels,
+                adapters,
+                load.demand(),
+                leaving);
+    }
+
     static SideReportFrame read(MessageUnpacker unpacker) throws IOException {
         return new SideReportFrame(
                 unpacker.unpackLong(),
--- a/wire/src/test/java/org/arbutusstack/wire/frame/FrameCodecTests.java
+++ b/wire/src/test/java/org/arbutusstack/wire/frame/FrameCodecTests.java
@@ -35,6 +35,7 @@
                 new SideReportFrame(
                         1, 2, 3, 4, 5, 4, 6, 7, List.of("m@v1"), List.of("m@v0"), List.of(), Map.of("m", 3), false)
             },
+            {new LoadFrame(4, 5, Map.of("m", 9))},
             {new ProtocolErrorFrame("bad")}
         };
     }
