--- a/bench/src/main/java/org/arbutusstack/bench/slopes/FakeSides.java
+++ b/bench/src/main/java/org/arbutusstack/bench/slopes/FakeSides.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
@@ -91,10 +92,13 @@
                 plan.sequence(),
                 MEMORY_MB,
                 MEMORY_MB / 2,
+                MEMORY_MB / 2,
                 (int) queueLength.incrementAndGet(),
                 4,
                 models,
+                List.of(),
                 adapters,
+                Map.of(),
                 false);
         links.forEach(link -> send(link, report));
     }
