--- a/entry/src/main/java/org/arbutusstack/entry/plan/RunnerDirectory.java
+++ b/entry/src/main/java/org/arbutusstack/entry/plan/RunnerDirectory.java
@@ -13,4 +13,12 @@
      * @return the runners, ordered by name
      */
     List<RunnerCapacity> runners(String service);
+
+    /**
+     * Counts the runners of a service that the host list names, reached or not.
+     *
+     * @param service the service
+     * @return the number of runners
+     */
+    int listedRunners(String service);
 }
--- /dev/null
+++ b/entry/src/main/java/org/arbutusstack/entry/plan/ServicePlanner.java
@@ -0,0 +1,214 @@
+package org.arbutusstack.entry.plan;
+
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.arbutusstack.kernel.time.Clock;
+import org.arbutusstack.model.JsonCodec;
+import org.arbutusstack.model.plan.Plan;
+import org.arbutusstack.model.ticket.DesiredState;
+import org.arbutusstack.placement.DemandTracker;
+import org.arbutusstack.placement.PlanDecision;
+import org.arbutusstack.placement.PlanInput;
+import org.arbutusstack.placement.RunnerCapacity;
+import org.arbutusstack.store.KeyValue;
+import org.arbutusstack.store.KeyValueStore;
+import org.arbutusstack.store.StoreResult;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Plans one service while this process holds it.
+ *
+ * <p>A new holder first writes the plan that it found under its own, higher fence and without releases; from then on no
+ * swap of an earlier holder succeeds. A plan is shown to others only if the lease is valid after it was written. To be
+ * used by one thread.
+ */
+final class ServicePlanner {
+
+    private static final Logger logger = LoggerFactory.getLogger(ServicePlanner.class);
+
+    private static final long HOLDER_CHECK_MILLIS = 1_000;
+
+    private final String service;
+
+    private final PlannerContext context;
+
+    private final DemandTracker demand;
+
+    private final Map<String, Long> absentAtNanos = new HashMap<>();
+
+    private Plan plan;
+
+    private long fence;
+
+    private long revision;
+
+    private boolean raised;
+
+    private long checkAtNanos;
+
+    private long settledAtNanos;
+
+    ServicePlanner(String service, PlannerContext context) {
+        this.service = service;
+        this.context = context;
+        this.plan = Plan.none(service);
+        this.demand = context.newDemandTracker();
+        this.checkAtNanos = context.clock().nowNanos();
+    }
+
+    /** Gives the service up, without a call. */
+    void giveUp() {
+        if (fence != 0) {
+            logger.warn("event=planner-yielded service={} fence={}", service, fence);
+        }
+        fence = 0;
+        raised = false;
+    }
+
+    void run(DesiredState state, PlannerLease lease) {
+        if (fence == 0) {
+            takeOver(lease);
+        }
+        if (fence != 0 && !raised) {
+            raise(lease);
+        }
+        if (raised) {
+            decide(state, lease);
+        }
+    }
+
+    private void takeOver(PlannerLease lease) {
+        Clock clock = context.clock();
+        if (!clock.isPast(checkAtNanos)) {
+            return;
+        }
+        checkAtNanos = clock.deadlineNanos(HOLDER_CHECK_MILLIS);
+        KeyValueStore store = context.store();
+        StoreResult<KeyValue> read = store.get(PlanKeys.holder(service), context.deadlineNanos());
+        if (!(read instanceof StoreResult.Done<KeyValue> holder)) {
+            return;
+        }
+        if (holder.value().exists()) {
+            if (lease.isValid() && holder.value().text().equals(claim(lease))) {
+                taken(holder.value().revision());
+            }
+            return;
+        }
+        if (!lease.obtain()) {
+            return;
+        }
+        byte[] claim = claim(lease).getBytes(StandardCharsets.UTF_8);
+        StoreResult<Long> written =
+                store.compareAndSwap(PlanKeys.holder(service), 0, claim, lease.id(), context.deadlineNanos());
+        if (written instanceof StoreResult.Done<Long> done) {
+            taken(done.value());
+        }
+    }
+
+    /** Names this process and its lease, so that a claim whose answer was lost is recognised. */
+    private String claim(PlannerLease lease) {
+        return context.identity().incarnation() + '/' + lease.id();
+    }
+
+    private void taken(long holderRevision) {
+        logger.info("event=planner-lease service={} fence={}", service, holderRevision);
+        fence = holderRevision;
+        settledAtNanos = context.clock().deadlineNanos(context.settleMillis());
+    }
+
+    /** Writes the plan found under this holder's fence, so that earlier holders' swaps fail. */
+    private void raise(PlannerLease lease) {
+        StoreResult<KeyValue> read = context.store().get(PlanKeys.plan(service), context.deadlineNanos());
+        if (!(read instanceof StoreResult.Done<KeyValue> done)) {
+            return;
+        }
+        KeyValue value = done.value();
+        plan = value.exists() ? JsonCodec.read(value.value(), Plan.class) : Plan.none(service);
+        revision = value.revision();
+        if (plan.fence() > fence) {
+            giveUp();
+            return;
+        }
+        Plan next =
+                new Plan(service, fence, plan.sequence() + 1, plan.stateSequence(), plan.modelsByRunner(), Map.of());
+        raised = write(next, lease);
+        if (raised) {
+            plan.modelsByRunner().keySet().forEach(this::markAbsent);
+        }
+    }
+
+    private void decide(DesiredState state, PlannerLease lease) {
+        List<RunnerCapacity> runners = context.directory().runners(service);
+        Clock clock = context.clock();
+        boolean complete = runners.size() >= context.directory().listedRunners(service);
+        if (runners.isEmpty() || !complete && !clock.isPast(settledAtNanos)) {
+            return;
+        }
+        demand.update(runners, clock.nowNanos());
+        PlanInput input = new PlanInput(state.modelsOf(service), runners, absent(runners), plan, demand.demand());
+        PlanDecision decision = context.planner().decide(input);
+        boolean same = decision.modelsByRunner().equals(plan.modelsByRunner())
+                && decision.releasedByRunner().equals(plan.releasedByRunner())
+                && plan.stateSequence() == state.sequence();
+        if (same) {
+            return;
+        }
+        Plan next = new Plan(
+                service,
+                fence,
+                plan.sequence() + 1,
+                state.sequence(),
+                decision.modelsByRunner(),
+                decision.releasedByRunner());
+        write(next, lease);
+    }
+
+    /** Lists the runners of the plan that cannot be reached and were a moment ago. */
+    private Set<String> absent(List<RunnerCapacity> runners) {
+        Set<String> present = new HashSet<>();
+        runners.forEach(runner -> present.add(runner.name()));
+        plan.modelsByRunner().keySet().stream()
+                .filter(name -> !present.contains(name))
+                .forEach(this::markAbsent);
+        absentAtNanos.keySet().removeAll(present);
+        absentAtNanos.values().removeIf(untilNanos -> context.clock().isPast(untilNanos));
+        return Set.copyOf(absentAtNanos.keySet());
+    }
+
+    private void markAbsent(String runner) {
+        absentAtNanos.putIfAbsent(runner, context.clock().deadlineNanos(context.absentMillis()));
+    }
+
+    private boolean write(Plan next, PlannerLease lease) {
+        if (!lease.isValid()) {
+            giveUp();
+            return false;
+        }
+        StoreResult<Long> written = context.store()
+                .compareAndSwap(
+                        PlanKeys.plan(service),
+                        revision,
+                        JsonCodec.write(next),
+                        KeyValueStore.NO_LEASE,
+                        context.deadlineNanos());
+        context.metrics().planned(service, written);
+        if (written instanceof StoreResult.Done<Long> done && lease.isValid()) {
+            context.metrics().moves(service, plan, next);
+            logger.info("event=plan-written service={} fence={} sequence={}", service, fence, next.sequence());
+            plan = next;
+            revision = done.value();
+            context.book().offer(next);
+            return true;
+        }
+        raised = false;
+        if (written instanceof StoreResult.Done) {
+            giveUp();
+        }
+        return false;
+    }
+}
