Wake the claims' thread only when it has something to do

Before, each tick of 50 ms woke it. A step that comes while a commit waits in the ring would have been missed (seen by reading, no test); so each step asks for the commit itself, on the claims' thread.

--- a/side/src/main/java/org/arbutusstack/side/ClaimDesk.java
+++ b/side/src/main/java/org/arbutusstack/side/ClaimDesk.java
@@ -58,7 +58,7 @@
 
     private volatile int waiting;
 
-    private boolean fenced;
+    private volatile boolean fenced;
 
     private long fenceDueNanos;
 
@@ -94,9 +94,10 @@
         String claimant = work.frame().id() + "/" + work.frame().attempt() + "@" + identity.incarnation() + "#"
                 + claimNumber.getAndIncrement();
         work.claimedAs(claimant);
-        ClaimChange.Claim claim = new ClaimChange.Claim(keyOf(work).digest(), contentOf(work.frame()), claimant);
+        ClaimKey key = keyOf(work);
+        ClaimChange.Claim claim = new ClaimChange.Claim(key.digest(), contentOf(work.frame()), claimant);
         Consumer<ClaimResult> settled = result -> events.accept(new SideEvent.ClaimSettled(work, result));
-        return offer(() -> committer.claim(keyOf(work), claim, work.deadlineNanos(), settled));
+        return offer(() -> committer.claim(key, claim, work.deadlineNanos(), settled));
     }
 
     /** Records the outcome of a claimed call. */
@@ -112,19 +113,29 @@
     }
 
     private void change(Work work, ClaimChange change) {
-        if (!offer(() -> committer.change(keyOf(work), change))) {
+        ClaimKey key = keyOf(work);
+        if (!offer(() -> committer.change(key, change))) {
             logger.warn("event=claim-outcome-dropped request={}", work.frame().id());
         }
     }
 
     private boolean offer(Runnable step) {
-        boolean taken = duty.offer(step);
-        commitSoon();
-        return taken;
+        return duty.offer(() -> {
+            step.run();
+            waiting = committer.waiting();
+            commitSoon();
+        });
+    }
+
+    /** Wakes the claims' thread if it has something left to do. */
+    void tick() {
+        if (waiting > 0 || !fenced) {
+            commitSoon();
+        }
     }
 
     /** Commits what is due, once those steps that wait already are taken. */
-    void commitSoon() {
+    private void commitSoon() {
         if (commitAsked.compareAndSet(false, true) && !duty.offer(this::commit)) {
             commitAsked.set(false);
         }
--- a/side/src/main/java/org/arbutusstack/side/SideService.java
+++ b/side/src/main/java/org/arbutusstack/side/SideService.java
@@ -321,7 +321,7 @@
         if (isEngine()) {
             residency.converge();
         }
-        claims.commitSoon();
+        claims.tick();
         workStatus = new WorkStatus(
                 desk.queued(), desk.queuedBytes(), desk.running(), desk.slots(), suspects.size(), claims.waiting());
         idle = desk.isDraining() && desk.isIdle();
