--- /dev/null
+++ b/daemon/src/test/java/org/arbutusstack/daemon/ledger/package-info.java
@@ -0,0 +1,2 @@
+/** Tests the ticket log through real processes. */
+package org.arbutusstack.daemon.ledger;
