--- a/daemon/src/test/java/org/arbutusstack/daemon/ledger/OutageRecoveryTests.java
+++ b/daemon/src/test/java/org/arbutusstack/daemon/ledger/OutageRecoveryTests.java
@@ -31,8 +31,7 @@
 
     private static boolean awaitSequence(ProcessCluster cluster, DaemonProcess process, long sequence) {
         return ProcessCluster.awaitTrue(
-                IN_FORCE_SECONDS,
-                () -> cluster.state(process).path("sequence").asLong() >= sequence);
+                IN_FORCE_SECONDS, () -> cluster.state(process).path("sequence").asLong() >= sequence);
     }
 
     @Test(dataProvider = "outages")
--- a/ledger/src/main/java/org/arbutusstack/ledger/LogHead.java
+++ b/ledger/src/main/java/org/arbutusstack/ledger/LogHead.java
@@ -8,20 +8,23 @@
 /**
  * Stands in the key-value service under one key and says how far the log reaches.
  *
- * <p>An entry is accepted by the swap of the head that names it. Immutable.
+ * <p>An entry is accepted by the swap of the head that names it. The tail reaches back to the snapshot at the least.
+ * Immutable.
  *
  * @param sequence the sequence of the last entry, zero before the first
  * @param chain the chain digest after that entry, in hexadecimal digits
  * @param tail the digests of the last entries in order, the last entry's at the end
+ * @param snapshot the snapshot that stands for the entries before the tail
  */
-public record LogHead(long sequence, String chain, List<String> tail) {
+public record LogHead(long sequence, String chain, List<String> tail, SnapshotReference snapshot) {
 
     /** The head before the first entry. */
-    public static final LogHead EMPTY = new LogHead(0, Digest.ZERO.hex(), List.of());
+    public static final LogHead EMPTY = new LogHead(0, Digest.ZERO.hex(), List.of(), SnapshotReference.NONE);
 
     /** Copies the tail. */
     public LogHead {
         tail = List.copyOf(tail);
+        snapshot = snapshot == null ? SnapshotReference.NONE : snapshot;
     }
 
     /**
@@ -43,17 +46,29 @@
     public LogHead append(Digest entryDigest) {
         List<String> longer = new ArrayList<>(tail);
         longer.add(entryDigest.hex());
-        return new LogHead(sequence + 1, new Digest(chain).chain(entryDigest).hex(), longer);
+        return new LogHead(sequence + 1, new Digest(chain).chain(entryDigest).hex(), longer, snapshot);
     }
 
     /**
-     * Finds an entry in the tail.
+     * Replaces the snapshot and shortens the tail.
      *
-     * @param entryDigest the entry's digest
-     * @return its sequence, zero if the tail does not hold it
+     * @param taken the snapshot, taken at this head's sequence
+     * @param kept the number of entries that the tail still names
+     * @return the head after it
+     */
+    public LogHead compact(SnapshotReference taken, int kept) {
+        int from = Math.max(0, tail.size() - kept);
+        return new LogHead(sequence, chain, tail.subList(from, tail.size()), taken);
+    }
+
+    /**
+     * Lists the entries after the snapshot.
+     *
+     * @return their digests in order
      */
-    public long sequenceOf(Digest entryDigest) {
-        int index = tail.indexOf(entryDigest.hex());
-        return index < 0 ? 0 : tailAfterSequence() + index + 1;
+    @JsonIgnore
+    public List<String> sinceSnapshot() {
+        long skipped = Math.max(0, snapshot.sequence() - tailAfterSequence());
+        return tail.subList((int) skipped, tail.size());
     }
 }
--- a/ledger/src/main/java/org/arbutusstack/ledger/LogReader.java
+++ b/ledger/src/main/java/org/arbutusstack/ledger/LogReader.java
@@ -1,7 +1,10 @@
 package org.arbutusstack.ledger;
 
+import java.io.ByteArrayOutputStream;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.arbutusstack.kernel.Assert;
 import org.arbutusstack.kernel.digest.Digest;
@@ -34,6 +37,9 @@
 
     private final Clock clock;
 
+    /** The entries read for a catch-up that has not come to its end yet, by digest. */
+    private final Map<Digest, TicketEntry> pending = new HashMap<>();
+
     /**
      * Creates a reader.
      *
@@ -102,21 +108,34 @@
     }
 
     CatchUpResult catchUp(LogHead head, Retry retry) {
+        if (replica.state().sequence() < head.tailAfterSequence()) {
+            CatchUpResult installed = install(head.snapshot(), retry);
+            if (installed != CatchUpResult.CURRENT) {
+                return installed;
+            }
+        }
         long from = replica.state().sequence();
         if (from > head.sequence()) {
             return CatchUpResult.STALE;
         }
         if (from < head.tailAfterSequence()) {
-            return CatchUpResult.UNREADABLE;
+            return CatchUpResult.CORRUPT;
         }
         int known = (int) (from - head.tailAfterSequence());
+        return replay(head, from, head.tail().subList(known, head.tail().size()), retry);
+    }
+
+    private CatchUpResult replay(LogHead head, long from, List<String> digests, Retry retry) {
         List<TicketEntry> missing = new ArrayList<>();
-        for (String digest : head.tail().subList(known, head.tail().size())) {
-            CatchUpResult result = readEntry(new Digest(digest), retry, missing);
-            if (result != CatchUpResult.CURRENT) {
-                return result;
+        for (String digest : digests) {
+            Optional<TicketEntry> entry = readEntry(new Digest(digest), retry);
+            if (entry.isEmpty()) {
+                return retry.hasReadCorrupt() ? CatchUpResult.CORRUPT : CatchUpResult.UNREADABLE;
             }
+            pending.put(new Digest(digest), entry.get());
+            missing.add(entry.get());
         }
+        pending.clear();
         return switch (replica.append(from, missing, new Digest(head.chain()))) {
             case ADVANCED -> CatchUpResult.CURRENT;
             case KNOWN -> replica.state().sequence() == head.sequence() ? CatchUpResult.CURRENT : CatchUpResult.STALE;
@@ -135,22 +154,49 @@
         return CatchUpResult.CORRUPT;
     }
 
-    private CatchUpResult readEntry(Digest digest, Retry retry, List<TicketEntry> into) {
+    private CatchUpResult install(SnapshotReference reference, Retry retry) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        for (String key : reference.keys()) {
+            Optional<KeyValue> part = readKey(key, retry);
+            if (part.isEmpty()) {
+                return CatchUpResult.UNREADABLE;
+            }
+            bytes.writeBytes(part.get().value());
+        }
+        if (!Digest.of(bytes.toByteArray()).hex().equals(reference.digest())) {
+            logger.error("event=snapshot-digest-wrong sequence={}", reference.sequence());
+            return CatchUpResult.CORRUPT;
+        }
+        try {
+            LogSnapshot snapshot = JsonCodec.read(bytes.toByteArray(), LogSnapshot.class);
+            logger.info("event=snapshot-read sequence={} bytes={}", snapshot.sequence(), bytes.size());
+            return replica.install(snapshot).isHeld() ? CatchUpResult.CURRENT : CatchUpResult.CORRUPT;
+        } catch (ModelException malformed) {
+            logger.error("event=snapshot-malformed sequence={}", reference.sequence(), malformed);
+            return CatchUpResult.CORRUPT;
+        }
+    }
+
+    Optional<TicketEntry> readEntry(Digest digest, Retry retry) {
+        TicketEntry already = pending.get(digest);
+        if (already != null) {
+            return Optional.of(already);
+        }
         Optional<KeyValue> value = readKey(LogKeys.entry(digest), retry);
         if (value.isEmpty()) {
-            return CatchUpResult.UNREADABLE;
+            return Optional.empty();
         }
         try {
             TicketEntry entry = JsonCodec.read(value.get().value(), TicketEntry.class);
             if (entry.digest().equals(digest)) {
-                into.add(entry);
-                return CatchUpResult.CURRENT;
+                return Optional.of(entry);
             }
             logger.error("event=log-entry-digest-wrong digest={}", digest.hex());
         } catch (ModelException malformed) {
             logger.error("event=log-entry-malformed digest={} detail={}", digest.hex(), malformed.getMessage());
         }
-        return CatchUpResult.CORRUPT;
+        retry.readCorrupt();
+        return Optional.empty();
     }
 
     private Optional<KeyValue> readKey(String key, Retry retry) {
--- a/ledger/src/main/java/org/arbutusstack/ledger/Retry.java
+++ b/ledger/src/main/java/org/arbutusstack/ledger/Retry.java
@@ -26,6 +26,8 @@
 
     private int failures;
 
+    private boolean corrupt;
+
     Retry(Clock clock, long deadlineNanos) {
         this.clock = clock;
         this.deadlineNanos = deadlineNanos;
@@ -44,6 +46,15 @@
         return failures;
     }
 
+    /** Remembers that something read contradicts its digest. */
+    void readCorrupt() {
+        corrupt = true;
+    }
+
+    boolean hasReadCorrupt() {
+        return corrupt;
+    }
+
     /** Waits before the next call, longer after each failure. */
     void failed() {
         failures++;
--- a/ledger/src/main/java/org/arbutusstack/ledger/TicketLog.java
+++ b/ledger/src/main/java/org/arbutusstack/ledger/TicketLog.java
@@ -28,16 +28,22 @@
 
     private static final int MOST_FAILURES = 6;
 
+    private static final int MOST_SINCE_SNAPSHOT = 896;
+
     private final KeyValueStore store;
 
     private final LogReplica replica;
 
     private final LogReader reader;
 
+    private final TicketHistory history;
+
     private final List<TicketCheck> checks;
 
     private final Clock clock;
 
+    private boolean compactionDue;
+
     /**
      * Creates a log.
      *
@@ -52,6 +58,7 @@
         this.checks = List.copyOf(checks);
         this.clock = Assert.notNull(clock, "clock");
         this.reader = new LogReader(store, replica, clock);
+        this.history = new TicketHistory(store, replica, clock);
     }
 
     /**
@@ -63,6 +70,15 @@
         return reader;
     }
 
+    /**
+     * Tells whether the log is to be compacted.
+     *
+     * @return whether the head was found long at the last acceptance
+     */
+    public boolean isCompactionDue() {
+        return compactionDue;
+    }
+
     /**
      * Submits a ticket.
      *
@@ -111,11 +127,14 @@
             return Step.blocked(caughtUp.detail());
         }
         if (swapState.revision != head.revision()) {
-            Optional<AcceptResult> settled = settle(entry);
+            Optional<Step> settled = settle(entry, retry);
             if (settled.isPresent()) {
-                return Step.done(settled.get());
+                return settled.get();
             }
         }
+        if (head.head().sinceSnapshot().size() >= MOST_SINCE_SNAPSHOT) {
+            return Step.blocked("the ticket log is waiting to be compacted");
+        }
         if (!swapState.entryWritten && !writeEntry(entry, json, retry)) {
             return Step.blocked("the entry could not be written");
         }
@@ -134,6 +153,7 @@
         if (swapped instanceof StoreResult.Done) {
             Digest chain = new Digest(next.chain());
             replica.append(reading.head().sequence(), List.of(entry), chain);
+            compactionDue = next.sinceSnapshot().size() >= LogCompactor.DUE_ENTRIES;
             return Step.done(new AcceptResult.Accepted(new AcceptedTicket(next.sequence(), chain, entry), false));
         }
         if (swapped instanceof StoreResult.Unknown<Long> unknown) {
@@ -151,12 +171,30 @@
         return new AcceptResult.Undecided("an answer of the key-value service was lost; submit the same ticket again");
     }
 
-    private Optional<AcceptResult> settle(TicketEntry entry) {
-        Ticket ticket = entry.ticket();
-        Optional<AcceptedTicket> same = replica.ticket(ticket.number());
-        if (same.isPresent()) {
-            return Optional.of(sameNumber(entry, same.get()));
+    private Optional<Step> settle(TicketEntry entry, Retry retry) {
+        MarkLookup lookup = history.find(entry.ticket().number(), retry);
+        if (lookup instanceof MarkLookup.Unreadable) {
+            return Optional.of(Step.blocked(CatchUpResult.UNREADABLE.detail()));
+        }
+        if (lookup instanceof MarkLookup.Found found) {
+            return Optional.of(sameNumber(entry, found.mark(), retry));
         }
+        return check(entry).map(Step::done);
+    }
+
+    private Step sameNumber(TicketEntry entry, TicketMark standing, Retry retry) {
+        if (!standing.ticketDigest().equals(entry.ticket().digest().hex())) {
+            String detail = "ticket " + entry.ticket().number() + " was accepted with other content";
+            return Step.done(new AcceptResult.Refused(TicketRefusal.CONFLICT, detail));
+        }
+        boolean again = !standing.entryDigest().equals(entry.digest().hex());
+        return history.read(standing, retry)
+                .map(ticket -> Step.done(new AcceptResult.Accepted(ticket, again)))
+                .orElseGet(() -> Step.blocked("the entry of the ticket could not be read"));
+    }
+
+    private Optional<AcceptResult> check(TicketEntry entry) {
+        Ticket ticket = entry.ticket();
         DesiredState before = replica.state();
         for (ObjectId id : ticket.touched()) {
             if (before.ticketNumber(id) > ticket.number()) {
@@ -171,15 +209,6 @@
                 .map(detail -> new AcceptResult.Refused(TicketRefusal.INVALID, detail));
     }
 
-    private static AcceptResult sameNumber(TicketEntry entry, AcceptedTicket standing) {
-        if (!standing.entry().ticket().digest().equals(entry.ticket().digest())) {
-            String detail = "ticket " + entry.ticket().number() + " was accepted with other content";
-            return new AcceptResult.Refused(TicketRefusal.CONFLICT, detail);
-        }
-        boolean again = !standing.entry().digest().equals(entry.digest());
-        return new AcceptResult.Accepted(standing, again);
-    }
-
     private boolean writeEntry(TicketEntry entry, byte[] json, Retry retry) {
         String key = LogKeys.entry(entry.digest());
         StoreResult<Long> written =
--- a/ledger/src/main/java/org/arbutusstack/ledger/peer/LogExchange.java
+++ b/ledger/src/main/java/org/arbutusstack/ledger/peer/LogExchange.java
@@ -18,13 +18,15 @@
 import org.arbutusstack.wire.frame.HeartbeatFrame;
 import org.arbutusstack.wire.frame.LogPullFrame;
 import org.arbutusstack.wire.frame.LogPushFrame;
+import org.arbutusstack.wire.frame.SnapshotPullFrame;
+import org.arbutusstack.wire.frame.SnapshotPushFrame;
 import org.arbutusstack.wire.link.Link;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
  * Keeps the ticket logs at both ends of links alike: each end tells how far its log reaches, and the one behind pulls
- * bounded batches from a peer that is ahead until it has caught up.
+ * bounded batches from a peer that is ahead until it has caught up, or a snapshot if the entries are no longer kept.
  *
  * <p>A batch is appended only if its chain digest is the one computed here. A pull that stays unanswered is given to
  * another peer. Calls never block. Used by the one thread that owns the links; the copy of the log may be advanced by
@@ -53,6 +55,8 @@
 
     private final long heartbeatMillis;
 
+    private final SnapshotTransfer snapshots;
+
     private final Map<Link, LogPeer> peers = new LinkedHashMap<>();
 
     private LogPeer pulledPeer;
@@ -74,6 +78,7 @@
         this.replica = Assert.notNull(replica, "replica");
         this.clock = Assert.notNull(clock, "clock");
         this.heartbeatMillis = Assert.atLeast(heartbeatMillis, 1, "heartbeatMillis");
+        this.snapshots = new SnapshotTransfer(replica, clock);
         this.heartbeatAtNanos = clock.nowNanos();
     }
 
@@ -124,6 +129,10 @@
             push(peer, pull);
         } else if (frame instanceof LogPushFrame push) {
             pushed(peer, push);
+        } else if (frame instanceof SnapshotPullFrame pull) {
+            serve(peer, pull.digest(), pull.offset());
+        } else if (frame instanceof SnapshotPushFrame push) {
+            received(peer, push);
         } else {
             return false;
         }
@@ -157,6 +166,10 @@
         if (peer == null) {
             return;
         }
+        if (!replica.isRetained(pull.afterSequence())) {
+            serve(peer, Digest.ZERO, 0);
+            return;
+        }
         replica.batchAfter(pull.afterSequence(), ENTRIES_PER_PUSH, BYTES_PER_PUSH)
                 .ifPresent(batch -> {
                     List<byte[]> blobs =
@@ -165,6 +178,29 @@
                 });
     }
 
+    private void serve(LogPeer peer, Digest asked, int offset) {
+        if (peer != null && replica.state().sequence() > 0) {
+            snapshots.serve(peer.link(), asked, offset);
+        }
+    }
+
+    private void received(LogPeer peer, SnapshotPushFrame push) {
+        if (peer == null || peer != pulledPeer) {
+            return;
+        }
+        long before = replica.state().sequence();
+        Optional<SnapshotPullFrame> next = snapshots.take(push);
+        if (next.isPresent() && peer.link().send(next.get())) {
+            pullDeadlineNanos = clock.deadlineNanos(PULL_MILLIS);
+            return;
+        }
+        pulledPeer = null;
+        if (replica.state().sequence() == before) {
+            peer.avoidUntil(clock.deadlineNanos(AVOID_MILLIS));
+        }
+        pullIfBehind();
+    }
+
     private void pushed(LogPeer peer, LogPushFrame push) {
         if (peer == null || push.entries().isEmpty()) {
             return;
--- a/ledger/src/test/java/org/arbutusstack/ledger/ScriptedStore.java
+++ b/ledger/src/test/java/org/arbutusstack/ledger/ScriptedStore.java
@@ -40,6 +40,10 @@
 
     private long revision;
 
+    private long faultyWrite;
+
+    private Fault writeFault = Fault.NONE;
+
     private boolean down;
 
     private boolean silent;
@@ -67,6 +71,12 @@
         reads.clear();
     }
 
+    /** Lets one write fail, counted from now on, whatever its key. */
+    public void faultAtWrite(long number, Fault fault) {
+        faultyWrite = writeCount + number;
+        writeFault = fault;
+    }
+
     public void beforeNextSwap(Runnable action) {
         beforeSwap.add(action);
     }
@@ -91,6 +101,10 @@
         return rows.get(key).value();
     }
 
+    public int longestValue() {
+        return rows.values().stream().mapToInt(row -> row.value().length).max().orElse(0);
+    }
+
     public NavigableMap<String, KeyValue> rows() {
         return rows;
     }
@@ -142,6 +156,7 @@
             return new StoreResult.Unknown<>("down");
         }
         Fault fault = key.equals(LogKeys.HEAD) && !swaps.isEmpty() ? swaps.poll() : Fault.NONE;
+        fault = writeCount == faultyWrite ? writeFault : fault;
         return switch (fault) {
             case NONE -> swap(key, expectedRevision, value);
             case LOST_ANSWER -> {
--- a/ledger/src/test/java/org/arbutusstack/ledger/peer/DisseminationTests.java
+++ b/ledger/src/test/java/org/arbutusstack/ledger/peer/DisseminationTests.java
@@ -7,6 +7,7 @@
 import org.arbutusstack.kernel.digest.Digest;
 import org.arbutusstack.ledger.AcceptResult;
 import org.arbutusstack.ledger.AppendOutcome;
+import org.arbutusstack.ledger.LogCompactor;
 import org.arbutusstack.ledger.LogReplica;
 import org.arbutusstack.model.ticket.ServiceKind;
 import org.arbutusstack.model.ticket.ServiceSpec;
@@ -29,7 +30,11 @@
     }
 
     static AcceptResult submit(FakeProcesses.Entry entry, FakeProcesses all, long number) {
-        return entry.log.append(entry(number), all.clock.deadlineNanos(6_000));
+        AcceptResult result = entry.log.append(entry(number), all.clock.deadlineNanos(6_000));
+        if (entry.log.isCompactionDue()) {
+            new LogCompactor(all.store, entry.replica, all.clock).compact(all.clock.deadlineNanos(6_000));
+        }
+        return result;
     }
 
     /** Builds two zones with four entries each, six sides, one ticket in force. */
@@ -111,6 +116,22 @@
         assertEquals(fresh.replica.state().sequence(), 1_000);
     }
 
+    @Test
+    public void shouldCatchUpFromSidesWhenEntryStartsFarBehindInOutage() {
+        FakeProcesses all = build();
+        for (int number = 2; number <= 1_000; number++) {
+            submit(all.entries.get(0), all, number);
+        }
+        all.network.run(SETTLE_MILLIS);
+        all.store.down(true);
+        all.entries.forEach(entry -> entry.process.kill());
+        FakeProcesses.Entry fresh = all.addEntry("prairie", "regina");
+        all.publish();
+        all.network.run(IN_FORCE_MILLIS);
+        assertEquals(fresh.replica.state(), all.sides.get(0).replica.state());
+        assertEquals(fresh.replica.state().sequence(), 1_000);
+    }
+
     @DataProvider
     public Object[][] relayFaults() {
         return new Object[][] {{"one relay freezes", 1, false}, {"both relays freeze", 2, false}, {"both die", 2, true}
--- a/model/src/main/java/org/arbutusstack/model/ticket/DesiredState.java
+++ b/model/src/main/java/org/arbutusstack/model/ticket/DesiredState.java
@@ -17,7 +17,9 @@
  * @param services the services by name
  * @param models the models by name
  * @param adapters the adapters by name
- * @param ticketNumbers the highest ticket number that touched each object, removed objects included
+ * @param ticketNumbers the highest ticket number that touched each object, the latest removed objects included
+ * @param highestNumber the highest ticket number accepted, zero before the first
+ * @param forgottenNumber the highest ticket number of the removed objects that are no longer remembered
  */
 public record DesiredState(
         long sequence,
@@ -25,10 +27,17 @@
         Map<String, ServiceSpec> services,
         Map<String, ModelSpec> models,
         Map<String, AdapterSpec> adapters,
-        Map<ObjectId, Long> ticketNumbers) {
+        Map<ObjectId, Long> ticketNumbers,
+        long highestNumber,
+        long forgottenNumber) {
 
     /** The state before the first ticket. */
-    public static final DesiredState EMPTY = new DesiredState(0, Digest.ZERO, Map.of(), Map.of(), Map.of(), Map.of());
+    public static final DesiredState EMPTY =
+            new DesiredState(0, Digest.ZERO, Map.of(), Map.of(), Map.of(), Map.of(), 0, 0);
+
+    private static final int MOST_REMOVED = 2_048;
+
+    private static final int REMOVED_KEPT = 1_024;
 
     /** Copies the maps. */
     public DesiredState {
@@ -57,8 +66,35 @@
             mapOf(id.kind(), nextServices, nextModels, nextAdapters).remove(id.name());
         }
         ticket.touched().forEach(id -> nextNumbers.put(id, ticket.number()));
-        Digest nextChain = chain.chain(entry.digest());
-        return new DesiredState(sequence + 1, nextChain, nextServices, nextModels, nextAdapters, nextNumbers);
+        int existing = nextServices.size() + nextModels.size() + nextAdapters.size();
+        long forgotten = forgottenNumber;
+        if (nextNumbers.size() - existing > MOST_REMOVED) {
+            forgotten = Math.max(forgotten, forgetRemoved(nextNumbers, nextServices, nextModels, nextAdapters));
+        }
+        return new DesiredState(
+                sequence + 1,
+                chain.chain(entry.digest()),
+                nextServices,
+                nextModels,
+                nextAdapters,
+                nextNumbers,
+                Math.max(highestNumber, ticket.number()),
+                forgotten);
+    }
+
+    /** Drops the lowest numbers of removed objects and returns the highest one dropped. */
+    private static long forgetRemoved(
+            Map<ObjectId, Long> numbers, Map<String, ?> services, Map<String, ?> models, Map<String, ?> adapters) {
+        List<Map.Entry<ObjectId, Long>> removed = numbers.entrySet().stream()
+                .filter(entry -> !mapOf(entry.getKey().kind(), services, models, adapters)
+                        .containsKey(entry.getKey().name()))
+                .sorted(Map.Entry.<ObjectId, Long>comparingByValue()
+                        .thenComparing(entry -> entry.getKey().toString()))
+                .map(entry -> Map.entry(entry.getKey(), entry.getValue()))
+                .toList();
+        List<Map.Entry<ObjectId, Long>> dropped = removed.subList(0, removed.size() - REMOVED_KEPT);
+        dropped.forEach(entry -> numbers.remove(entry.getKey()));
+        return dropped.get(dropped.size() - 1).getValue();
     }
 
     private static Map<String, ?> mapOf(
@@ -74,10 +110,11 @@
      * Tells the ticket number in force for an object.
      *
      * @param id the object
-     * @return the highest accepted number that touched it, zero if none did
+     * @return the highest accepted number that touched it; for an object that is not remembered, the highest number that
+     *     may have removed it, zero if none may have
      */
     public long ticketNumber(ObjectId id) {
-        return ticketNumbers.getOrDefault(id, 0L);
+        return ticketNumbers.getOrDefault(id, forgottenNumber);
     }
 
     /**
--- a/wire/src/main/java/org/arbutusstack/wire/frame/Frame.java
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/Frame.java
@@ -23,6 +23,8 @@
                 CancelFrame,
                 LogPullFrame,
                 LogPushFrame,
+                SnapshotPullFrame,
+                SnapshotPushFrame,
                 PlanFrame,
                 SideReportFrame,
                 ProtocolErrorFrame {
--- a/wire/src/main/java/org/arbutusstack/wire/frame/FrameType.java
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/FrameType.java
@@ -30,6 +30,10 @@
     LOG_PULL(9, LogPullFrame::read),
     /** See {@link LogPushFrame}. */
     LOG_PUSH(10, LogPushFrame::read),
+    /** See {@link SnapshotPullFrame}. */
+    SNAPSHOT_PULL(50, SnapshotPullFrame::read),
+    /** See {@link SnapshotPushFrame}. */
+    SNAPSHOT_PUSH(51, SnapshotPushFrame::read),
     /** See {@link PlanFrame}. */
     PLAN(11, PlanFrame::read),
     /** See {@link SideReportFrame}. */
--- a/wire/src/test/java/org/arbutusstack/wire/frame/FrameCodecTests.java
+++ b/wire/src/test/java/org/arbutusstack/wire/frame/FrameCodecTests.java
@@ -25,6 +25,7 @@
         return new Object[][] {
             {new HelloFrame("side-1", HostRole.SIDE, "testi", "milano-fiera", "inc")},
             {new HeartbeatFrame(3, Digest.of("x"), true)},
+            {new SnapshotPullFrame(Digest.of("x"), 65_536)},
             {new ReceiptFrame(ID, 2)},
             {new AnswerHeadFrame(ID, 2, 200, "application/json", "side-1", "v1", 9)},
             {new RefusalFrame(ID, 1, Refusal.notRun(RefusalReason.QUEUE_FULL, "full"))},
