--- a/daemon/src/main/java/org/arbutusstack/daemon/Role.java
+++ b/daemon/src/main/java/org/arbutusstack/daemon/Role.java
@@ -20,8 +20,10 @@
 import org.arbutusstack.kernel.service.ServiceRegistry;
 import org.arbutusstack.kernel.setting.Setting;
 import org.arbutusstack.kernel.setting.Settings;
+import org.arbutusstack.ledger.LogCompactor;
 import org.arbutusstack.ledger.LogReplica;
 import org.arbutusstack.ledger.ReferenceCheck;
+import org.arbutusstack.ledger.TicketHistory;
 import org.arbutusstack.ledger.TicketLog;
 import org.arbutusstack.placement.SpreadingPlanner;
 import org.arbutusstack.routing.LeastOutstandingSelector;
@@ -60,7 +62,12 @@
             registry.register(router);
             registry.register(peers);
             registry.register(new LogFollowerService(platform.store(), replica, platform.clock(), peers::isRelay));
-            registry.register(new TicketService(log, platform.clock(), platform.trail()));
+            registry.register(new TicketService(
+                    log,
+                    new LogCompactor(platform.store(), replica, platform.clock()),
+                    new TicketHistory(platform.store(), replica, platform.clock()),
+                    platform.clock(),
+                    platform.trail()));
             registry.register(new PlannerService(
                     identity, platform.store(), replica, plans, router, new SpreadingPlanner(), platform.clock()));
             registry.register(new HostListService(
--- a/entry/src/main/java/org/arbutusstack/entry/ticket/OperatorListener.java
+++ b/entry/src/main/java/org/arbutusstack/entry/ticket/OperatorListener.java
@@ -23,6 +23,7 @@
 import org.arbutusstack.ledger.AcceptResult;
 import org.arbutusstack.ledger.AcceptedTicket;
 import org.arbutusstack.ledger.LogReplica;
+import org.arbutusstack.ledger.TicketRefusal;
 import org.arbutusstack.model.JsonCodec;
 import org.arbutusstack.model.ModelException;
 import org.arbutusstack.model.ticket.Ticket;
@@ -55,7 +56,9 @@
 
     private static final int MOST_LISTED = 50;
 
-    private static final long LONGEST_TICKET_BYTES = 900_000;
+    private static final int TOO_LARGE = 413;
+
+    private static final long LONGEST_BODY_BYTES = 8L * 1_024 * 1_024;
 
     private static final String TICKETS = "/tickets";
 
@@ -112,9 +115,8 @@
         this.router = Assert.notNull(router, "router");
         this.replica = Assert.notNull(replica, "replica");
         this.clock = Assert.notNull(clock, "clock");
-        this.server =
-                HttpServers.build(address, port, 1, LONGEST_TICKET_BYTES, exchange -> exchange.getRequestReceiver()
-                        .receiveFullBytes(this::receive));
+        this.server = HttpServers.build(address, port, 1, LONGEST_BODY_BYTES, exchange -> exchange.getRequestReceiver()
+                .receiveFullBytes(this::receive));
     }
 
     @Override
@@ -176,7 +178,8 @@
         if (result instanceof AcceptResult.Accepted accepted) {
             Responses.json(exchange, OK, JsonCodec.write(describe(accepted.ticket(), accepted.again())));
         } else if (result instanceof AcceptResult.Refused refused) {
-            error(exchange, CONFLICT, refused.reason().label(), refused.detail());
+            int status = refused.reason() == TicketRefusal.OVERSIZED ? TOO_LARGE : CONFLICT;
+            error(exchange, status, refused.reason().label(), refused.detail());
         } else if (result instanceof AcceptResult.NotAccepted notAccepted) {
             error(exchange, UNAVAILABLE, "not_accepted", notAccepted.detail());
         } else if (result instanceof AcceptResult.Undecided undecided) {
@@ -215,14 +218,24 @@
         Responses.json(exchange, OK, JsonCodec.write(Map.of("tickets", all)));
     }
 
-    private void show(HttpServerExchange exchange, String number) {
-        Optional<AcceptedTicket> found;
+    private void show(HttpServerExchange exchange, String text) {
+        long number;
         try {
-            found = replica.ticket(Long.parseLong(number));
+            number = Long.parseLong(text);
         } catch (NumberFormatException malformed) {
             error(exchange, BAD_REQUEST, "malformed", "the ticket's number must be a whole number");
             return;
         }
+        Optional<AcceptedTicket> kept = replica.ticket(number);
+        if (kept.isPresent()) {
+            show(exchange, number, kept);
+            return;
+        }
+        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> tickets.find(number)
+                .thenAccept(found -> exchange.getIoThread().execute(() -> show(exchange, number, found))));
+    }
+
+    private void show(HttpServerExchange exchange, long number, Optional<AcceptedTicket> found) {
         if (found.isEmpty()) {
             error(exchange, NOT_FOUND, "unknown_ticket", "no ticket " + number + " is known here");
             return;
--- a/entry/src/main/java/org/arbutusstack/entry/ticket/TicketService.java
+++ b/entry/src/main/java/org/arbutusstack/entry/ticket/TicketService.java
@@ -1,7 +1,9 @@
 package org.arbutusstack.entry.ticket;
 
 import java.util.Locale;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.arbutusstack.audit.AuditEvent;
 import org.arbutusstack.audit.AuditTrail;
 import org.arbutusstack.kernel.Assert;
@@ -9,15 +11,19 @@
 import org.arbutusstack.kernel.service.Service;
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.ledger.AcceptResult;
+import org.arbutusstack.ledger.AcceptedTicket;
+import org.arbutusstack.ledger.LogCompactor;
+import org.arbutusstack.ledger.TicketHistory;
 import org.arbutusstack.ledger.TicketLog;
 import org.arbutusstack.model.ticket.TicketEntry;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * Submits tickets to the ticket log, one after the other.
+ * Submits tickets to the ticket log, one after the other, and has the log compacted when that is due.
  *
- * <p>Runs on a duty of its own, which waits for the key-value service. {@link #submit} may be called by any thread.
+ * <p>Runs on duties of its own, which wait for the key-value service. {@link #submit} and {@link #find} may be called
+ * by any thread.
  */
 public final class TicketService implements Service {
 
@@ -30,22 +36,38 @@
 
     private static final long SUBMIT_MILLIS = 6_000;
 
+    private static final long FIND_MILLIS = 3_000;
+
+    private static final long COMPACT_MILLIS = 120_000;
+
     private final TicketLog log;
 
     private final Clock clock;
 
     private final AuditTrail trail;
 
+    private final LogCompactor compactor;
+
+    private final TicketHistory history;
+
     private final Duty<Runnable> duty = new Duty<>("tickets", RING_SIZE, Runnable::run);
 
+    private final Duty<Runnable> archive = new Duty<>("ticket-archive", RING_SIZE, Runnable::run);
+
+    private final AtomicBoolean compactionWaits = new AtomicBoolean();
+
     /**
      * Creates the service.
      *
      * @param log the ticket log; used by this service's duty only
+     * @param compactor shortens the ticket log; used by this service's archive duty only
+     * @param history finds tickets of long ago; used by this service's archive duty only
      * @param clock the clock of the process
      * @param trail takes what an auditor may ask about
      */
-    public TicketService(TicketLog log, Clock clock, AuditTrail trail) {
+    public TicketService(TicketLog log, LogCompactor compactor, TicketHistory history, Clock clock, AuditTrail trail) {
+        this.compactor = Assert.notNull(compactor, "compactor");
+        this.history = Assert.notNull(history, "history");
         this.log = Assert.notNull(log, "log");
         this.clock = Assert.notNull(clock, "clock");
         this.trail = Assert.notNull(trail, "trail");
@@ -59,6 +81,7 @@
     @Override
     public void start() {
         duty.start();
+        archive.start();
     }
 
     /**
@@ -86,12 +109,41 @@
                     outcome.getClass().getSimpleName());
             trail.record(eventOf(entry, outcome));
             result.complete(outcome);
+            if (log.isCompactionDue()) {
+                offerCompaction();
+            }
         } catch (RuntimeException failure) {
             logger.error("event=ticket-failure number={}", entry.ticket().number(), failure);
             result.complete(new AcceptResult.Undecided(String.valueOf(failure.getMessage())));
         }
     }
 
+    private void offerCompaction() {
+        if (compactionWaits.compareAndSet(false, true) && !archive.offer(this::compact)) {
+            compactionWaits.set(false);
+        }
+    }
+
+    private void compact() {
+        compactionWaits.set(false);
+        compactor.compact(clock.deadlineNanos(COMPACT_MILLIS));
+    }
+
+    /**
+     * Finds a ticket, also one that this process keeps no longer.
+     *
+     * @param number the ticket's number
+     * @return the ticket, or empty if it is unknown or the key-value service does not tell
+     */
+    public CompletableFuture<Optional<AcceptedTicket>> find(long number) {
+        CompletableFuture<Optional<AcceptedTicket>> result = new CompletableFuture<>();
+        boolean taken = archive.offer(() -> result.complete(history.find(number, clock.deadlineNanos(FIND_MILLIS))));
+        if (!taken) {
+            result.complete(Optional.empty());
+        }
+        return result;
+    }
+
     private static AuditEvent eventOf(TicketEntry entry, AcceptResult outcome) {
         long sequence = outcome instanceof AcceptResult.Accepted accepted
                 ? accepted.ticket().sequence()
@@ -107,5 +159,6 @@
     @Override
     public void stop() {
         duty.stop();
+        archive.stop();
     }
 }
--- a/ledger/src/main/java/org/arbutusstack/ledger/LogCompactor.java
+++ b/ledger/src/main/java/org/arbutusstack/ledger/LogCompactor.java
@@ -20,8 +20,8 @@
  * Shortens the head of the ticket log by a snapshot.
  *
  * <p>What the head is to name is written first: the pages of ticket numbers, the history's next segment, the snapshot's
- * parts. The swap of the head's revision puts it in force; a race lost or an answer lost leaves the log as it is. Parts of
- * the snapshot before are deleted after the swap. Calls block up to their deadline. Used by one thread.
+ * parts. The swap of the head's revision puts it in force; a race lost or an answer lost leaves the log as it is. Parts
+ * of the snapshot before are deleted after the swap. Calls block up to their deadline. Used by one thread.
  */
 public final class LogCompactor {
 
--- a/ledger/src/main/java/org/arbutusstack/ledger/TicketHistory.java
+++ b/ledger/src/main/java/org/arbutusstack/ledger/TicketHistory.java
@@ -15,8 +15,8 @@
 /**
  * Finds accepted tickets by number, in the copy if it has them and else in the key-value service.
  *
- * <p>The pages of numbers hold every ticket up to the head's snapshot; the copy holds the marks of those after it. Calls
- * block up to their deadline. Used by one thread.
+ * <p>The pages of numbers hold every ticket up to the head's snapshot; the copy holds the marks of those after it.
+ * Calls block up to their deadline. Used by one thread.
  */
 public final class TicketHistory {
 
--- a/ledger/src/test/java/org/arbutusstack/ledger/CompactionTests.java
+++ b/ledger/src/test/java/org/arbutusstack/ledger/CompactionTests.java
@@ -107,7 +107,7 @@
                 1, List.of(new ServiceSpec("stitch-lm", ServiceKind.ENGINE, true)), List.of(), List.of(), List.of())));
         submit(adapters(2, 0, 2_500));
         submit(adapters(4, 2_500, 5_000));
-        fill(6, 4_000);
+        fill(6, 1_700);
         assertTrue(store.longestValue() < LARGEST_VALUE_BYTES, "longest value " + store.longestValue());
         assertTrue(
                 head().snapshot().parts().size() > 1,
--- a/ledger/src/test/java/org/arbutusstack/ledger/TicketLogFaultTests.java
+++ b/ledger/src/test/java/org/arbutusstack/ledger/TicketLogFaultTests.java
@@ -190,7 +190,11 @@
 
     @Test
     public void shouldRefuseWhenTicketIsOversized() {
-        TicketEntry large = entry(1, "v".repeat(1_000_000));
+        List<ModelSpec> models = java.util.stream.IntStream.range(0, 10_000)
+                .mapToObj(index -> new ModelSpec("boot-design-" + index, "stitch-lm", "v1", 100, 1))
+                .toList();
+        Ticket ticket = new Ticket(1, List.of(), models, List.of(), List.of());
+        TicketEntry large = new TicketEntry(ticket, "operator", 1, "entry-1");
         AcceptResult result = append(newLog(new LogReplica()), large);
         assertEquals(((AcceptResult.Refused) result).reason().label(), "oversized");
         assertTrue(store.rows().isEmpty());
--- a/model/src/main/java/org/arbutusstack/model/ticket/AdapterSpec.java
+++ b/model/src/main/java/org/arbutusstack/model/ticket/AdapterSpec.java
@@ -12,11 +12,16 @@
  */
 public record AdapterSpec(String name, String model, String version, long memoryMb) {
 
+    private static final int LONGEST_VERSION = 256;
+
     /** Checks the statement. */
     public AdapterSpec {
         Assert.hasText(name, "adapters.name");
         Assert.hasText(model, "adapters.model");
         Assert.hasText(version, "adapters.version");
+        Assert.isTrue(
+                version.length() <= LONGEST_VERSION,
+                "'adapters.version' must have at most " + LONGEST_VERSION + " characters");
         Assert.atLeast(memoryMb, 1, "adapters.memoryMb");
     }
 
--- a/model/src/main/java/org/arbutusstack/model/ticket/DesiredState.java
+++ b/model/src/main/java/org/arbutusstack/model/ticket/DesiredState.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.arbutusstack.kernel.digest.Digest;
 
 /**
@@ -55,9 +57,12 @@
      */
     public DesiredState apply(TicketEntry entry) {
         Ticket ticket = entry.ticket();
-        Map<String, ServiceSpec> nextServices = new HashMap<>(services);
-        Map<String, ModelSpec> nextModels = new HashMap<>(models);
-        Map<String, AdapterSpec> nextAdapters = new HashMap<>(adapters);
+        Set<ObjectKind> touched = ticket.touched().stream().map(ObjectId::kind).collect(Collectors.toSet());
+        Map<String, ServiceSpec> nextServices =
+                touched.contains(ObjectKind.SERVICE) ? new HashMap<>(services) : services;
+        Map<String, ModelSpec> nextModels = touched.contains(ObjectKind.MODEL) ? new HashMap<>(models) : models;
+        Map<String, AdapterSpec> nextAdapters =
+                touched.contains(ObjectKind.ADAPTER) ? new HashMap<>(adapters) : adapters;
         Map<ObjectId, Long> nextNumbers = new HashMap<>(ticketNumbers);
         ticket.services().forEach(spec -> nextServices.put(spec.name(), spec));
         ticket.models().forEach(spec -> nextModels.put(spec.name(), spec));
@@ -110,8 +115,8 @@
      * Tells the ticket number in force for an object.
      *
      * @param id the object
-     * @return the highest accepted number that touched it; for an object that is not remembered, the highest number that
-     *     may have removed it, zero if none may have
+     * @return the highest accepted number that touched it; for an object that is not remembered, the highest number
+     *     that may have removed it, zero if none may have
      */
     public long ticketNumber(ObjectId id) {
         return ticketNumbers.getOrDefault(id, forgottenNumber);
--- a/model/src/main/java/org/arbutusstack/model/ticket/ModelSpec.java
+++ b/model/src/main/java/org/arbutusstack/model/ticket/ModelSpec.java
@@ -13,6 +13,8 @@
  */
 public record ModelSpec(String name, String service, String version, long memoryMb, int minimumCopies) {
 
+    private static final int LONGEST_VERSION = 256;
+
     private static final int MOST_COPIES = 1_000;
 
     /** Checks the statement. */
@@ -20,6 +22,9 @@
         Assert.hasText(name, "models.name");
         Assert.hasText(service, "models.service");
         Assert.hasText(version, "models.version");
+        Assert.isTrue(
+                version.length() <= LONGEST_VERSION,
+                "'models.version' must have at most " + LONGEST_VERSION + " characters");
         Assert.atLeast(memoryMb, 1, "models.memoryMb");
         Assert.isTrue(
                 minimumCopies >= 1 && minimumCopies <= MOST_COPIES,
