Keep members through mistaken host lists, and count acknowledgements for each run of a process

Cause: an empty or partial host list closed all links; ticket show counted what a side's report said, whatever its chain; a link to another host at a listed address was taken for the listed one. Router and Role changes are small.

--- a/daemon/src/main/java/org/arbutusstack/daemon/Role.java
+++ b/daemon/src/main/java/org/arbutusstack/daemon/Role.java
@@ -74,6 +74,8 @@
                     platform.client(),
                     HttpTarget.parse(settings.text(DaemonSettings.HOST_LIST)),
                     platform.clock(),
+                    host -> router.acknowledgements().isLinked(host.name())
+                            || peers.peerNames().contains(host.name()),
                     hosts -> {
                         router.hostsChanged(hosts);
                         peers.hostsChanged(hosts);
--- a/entry/src/main/java/org/arbutusstack/entry/member/HostListService.java
+++ b/entry/src/main/java/org/arbutusstack/entry/member/HostListService.java
@@ -1,7 +1,9 @@
 package org.arbutusstack.entry.member;
 
+import java.util.List;
 import java.util.concurrent.ExecutionException;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.arbutusstack.http.client.HttpCall;
 import org.arbutusstack.http.client.HttpClient;
 import org.arbutusstack.http.client.HttpReply;
@@ -13,14 +15,15 @@
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.model.JsonCodec;
 import org.arbutusstack.model.ModelException;
+import org.arbutusstack.model.host.Host;
 import org.arbutusstack.model.host.HostList;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * Reads the platform's host list again and again and hands it on when it has changed.
+ * Reads the platform's host list again and again and hands the members on when they have changed.
  *
- * <p>When it cannot be read, the last list stands. Runs on a duty of its own.
+ * <p>When it cannot be read, the members stand. Runs on a duty of its own.
  */
 public final class HostListService implements Service {
 
@@ -44,7 +47,11 @@
 
     private final Ticker ticker = new Ticker("host-list-ticker");
 
-    private HostList last;
+    private final Predicate<Host> linked;
+
+    private HostList members = new HostList(List.of());
+
+    private boolean mistaken;
 
     /**
      * Creates the service.
@@ -52,12 +59,15 @@
      * @param client reads the list
      * @param target where the list is
      * @param clock the clock of the process
-     * @param listener learns of each changed list; must not block
+     * @param linked tells whether something was lately heard from a host over a link
+     * @param listener learns of each change of the members; must not block
      */
-    public HostListService(HttpClient client, HttpTarget target, Clock clock, Consumer<HostList> listener) {
+    public HostListService(
+            HttpClient client, HttpTarget target, Clock clock, Predicate<Host> linked, Consumer<HostList> listener) {
         this.client = Assert.notNull(client, "client");
         this.target = Assert.notNull(target, "target");
         this.clock = Assert.notNull(clock, "clock");
+        this.linked = Assert.notNull(linked, "linked");
         this.listener = Assert.notNull(listener, "listener");
     }
 
@@ -88,11 +98,23 @@
     }
 
     private void handOn(HostList list) {
-        if (!list.equals(last)) {
-            last = list;
-            logger.info("event=host-list-changed hosts={}", list.hosts().size());
-            listener.accept(list);
+        HostList merged = Membership.merge(members, list, linked);
+        warnIfMistaken(list, !merged.equals(list));
+        if (!merged.equals(members)) {
+            members = merged;
+            logger.info("event=host-list-changed hosts={}", merged.hosts().size());
+            listener.accept(merged);
+        }
+    }
+
+    private void warnIfMistaken(HostList list, boolean isMistaken) {
+        if (isMistaken && !mistaken) {
+            logger.warn(
+                    "event=host-list-mistaken listed={} members={}",
+                    list.hosts().size(),
+                    members.hosts().size());
         }
+        mistaken = isMistaken;
     }
 
     @Override
--- a/entry/src/main/java/org/arbutusstack/entry/router/RouterService.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/RouterService.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import java.util.stream.Collectors;
 import org.arbutusstack.entry.EntryIdentity;
+import org.arbutusstack.entry.member.Acknowledgements;
+import org.arbutusstack.entry.member.RunnerAcknowledgement;
 import org.arbutusstack.entry.plan.PlanBook;
 import org.arbutusstack.entry.plan.RunnerDirectory;
 import org.arbutusstack.kernel.Assert;
@@ -24,6 +26,7 @@
 import org.arbutusstack.wire.frame.AnswerHeadFrame;
 import org.arbutusstack.wire.frame.AnswerPartFrame;
 import org.arbutusstack.wire.frame.Frame;
+import org.arbutusstack.wire.frame.HelloFrame;
 import org.arbutusstack.wire.frame.PlanFrame;
 import org.arbutusstack.wire.frame.ReceiptFrame;
 import org.arbutusstack.wire.frame.RefusalFrame;
@@ -67,6 +70,8 @@
 
     private final LogExchange exchange;
 
+    private final Acknowledgements acknowledgements = new Acknowledgements();
+
     private final SideDirectory sides;
 
     private final RequestTable requests;
@@ -210,6 +215,8 @@
         } else if (frame instanceof SideReportFrame report) {
             side.report(report);
             offerPlan(side, report);
+        } else if (frame instanceof HelloFrame hello) {
+            sides.introduced(side, hello);
         } else {
             exchange.take(side.link(), frame);
         }
@@ -230,6 +237,8 @@
         sides.closeSilent();
         exchange.leaving(draining);
         exchange.tick();
+        acknowledgements.observe(
+                sides.all().stream().map(this::acknowledgementOf).toList(), clock.wallMillis());
         if (clock.isPast(planAtNanos)) {
             planAtNanos = clock.deadlineNanos(PLAN_MILLIS);
             sides.all().stream().filter(side -> side.report() != null).forEach(side -> offerPlan(side, side.report()));
@@ -240,6 +249,20 @@
                 .toList();
     }
 
+    private RunnerAcknowledgement acknowledgementOf(SideConnection side) {
+        long sequence = exchange.confirmedSequence(side.link());
+        return new RunnerAcknowledgement(side.host().name(), side.incarnation(), sequence);
+    }
+
+    /**
+     * Gives access to what the runners acknowledge of the ticket log.
+     *
+     * @return the acknowledgements
+     */
+    public Acknowledgements acknowledgements() {
+        return acknowledgements;
+    }
+
     @Override
     public List<RunnerCapacity> runners(String service) {
         return statuses.stream()
--- a/entry/src/main/java/org/arbutusstack/entry/router/SideConnection.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/SideConnection.java
@@ -14,6 +14,8 @@
 
     private Link link;
 
+    private String incarnation = "";
+
     private boolean open;
 
     private SideReportFrame report;
@@ -40,6 +42,7 @@
 
     void connecting(Link opening) {
         link = opening;
+        incarnation = "";
         open = false;
         report = null;
     }
@@ -50,11 +53,21 @@
 
     void closed(long retryAtNanos) {
         link = null;
+        incarnation = "";
         open = false;
         report = null;
         reconnectAtNanos = retryAtNanos;
     }
 
+    void introduced(String run) {
+        incarnation = run;
+    }
+
+    /** Tells the run of the process at the other end, empty before it has introduced itself. */
+    String incarnation() {
+        return incarnation;
+    }
+
     boolean isOpen() {
         return open;
     }
--- a/entry/src/main/java/org/arbutusstack/entry/router/SideDirectory.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/SideDirectory.java
@@ -16,6 +16,7 @@
 import org.arbutusstack.model.host.HostRole;
 import org.arbutusstack.routing.RunnerView;
 import org.arbutusstack.wire.frame.Frame;
+import org.arbutusstack.wire.frame.HelloFrame;
 import org.arbutusstack.wire.link.Link;
 import org.arbutusstack.wire.link.LinkListener;
 import org.arbutusstack.wire.link.LinkTransport;
@@ -106,6 +107,20 @@
         return side;
     }
 
+    /** Takes the introduction of the process at the other end; a link to another host than the one listed is closed. */
+    void introduced(SideConnection side, HelloFrame hello) {
+        if (hello.name().equals(side.host().name())) {
+            side.introduced(hello.incarnation());
+            return;
+        }
+        logger.warn(
+                "event=host-replaced listed={} found={} incarnation={}",
+                side.host().name(),
+                hello.name(),
+                hello.incarnation());
+        side.link().close();
+    }
+
     SideConnection closed(Host host, Link link) {
         SideConnection side = find(host, link);
         if (side != null) {
--- a/entry/src/main/java/org/arbutusstack/entry/ticket/OperatorListener.java
+++ b/entry/src/main/java/org/arbutusstack/entry/ticket/OperatorListener.java
@@ -13,8 +13,8 @@
 import org.arbutusstack.entry.EntryIdentity;
 import org.arbutusstack.entry.audit.AnchorResult;
 import org.arbutusstack.entry.audit.AnchorService;
+import org.arbutusstack.entry.member.InForce;
 import org.arbutusstack.entry.router.RouterService;
-import org.arbutusstack.entry.router.RunnerStatus;
 import org.arbutusstack.http.server.HttpServers;
 import org.arbutusstack.http.server.Responses;
 import org.arbutusstack.kernel.Assert;
@@ -193,10 +193,7 @@
     }
 
     private Map<String, Object> describe(AcceptedTicket ticket, boolean again) {
-        List<RunnerStatus> runners = router.runnerStatuses();
-        long inForce = runners.stream()
-                .filter(runner -> runner.sequence() >= ticket.sequence())
-                .count();
+        InForce inForce = router.acknowledgements().inForce(ticket.sequence());
         Map<String, Object> description = new LinkedHashMap<>();
         description.put("number", ticket.entry().ticket().number());
         description.put("sequence", ticket.sequence());
@@ -206,8 +203,10 @@
         description.put("digest", ticket.entry().digest().hex());
         description.put("chain", ticket.chain().hex());
         description.put("again", again);
-        description.put("inForceOn", inForce);
-        description.put("runners", runners.size());
+        description.put("inForceOn", inForce.acknowledged());
+        description.put("runners", inForce.runners());
+        description.put("notInForceOn", inForce.missing());
+        inForce.everywhereByMillis().ifPresent(millis -> description.put("inForceEverywhereByMillis", millis));
         return description;
     }
 
--- /dev/null
+++ b/entry/src/test/java/org/arbutusstack/entry/member/AcknowledgementsTests.java
@@ -0,0 +1,42 @@
+package org.arbutusstack.entry.member;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.OptionalLong;
+import org.testng.annotations.Test;
+
+/** Tests {@link Acknowledgements}. */
+public class AcknowledgementsTests {
+
+    private final Acknowledgements board = new Acknowledgements();
+
+    private static RunnerAcknowledgement of(String runner, String incarnation, long sequence) {
+        return new RunnerAcknowledgement(runner, incarnation, sequence);
+    }
+
+    @Test
+    public void shouldCountPresentProcessesOnlyAndKeepFirstTime() {
+        board.observe(List.of(of("a", "a1", 5), of("b", "", 0)), 100);
+        assertEquals(board.inForce(5), new InForce(1, 2, List.of("b"), OptionalLong.empty()));
+        board.observe(List.of(of("a", "a1", 6), of("b", "b1", 5)), 200);
+        assertEquals(board.inForce(5), new InForce(2, 2, List.of(), OptionalLong.of(200)));
+        assertEquals(board.inForce(6), new InForce(1, 2, List.of("b"), OptionalLong.empty()));
+        board.observe(List.of(of("a", "a2", 0), of("b", "b1", 6)), 300);
+        assertEquals(board.inForce(5), new InForce(1, 2, List.of("a"), OptionalLong.of(200)));
+        assertTrue(board.isLinked("a"));
+        board.observe(List.of(of("a", "", 0), of("b", "b1", 6)), 350);
+        assertFalse(board.isLinked("a"));
+        board.observe(List.of(of("a", "a2", 6), of("b", "b1", 6)), 400);
+        assertEquals(board.inForce(5).everywhereByMillis(), OptionalLong.of(200));
+        assertEquals(board.inForce(6).everywhereByMillis(), OptionalLong.of(400));
+    }
+
+    @Test
+    public void shouldCountNothingWhenNoRunnerIsListed() {
+        board.observe(List.of(), 100);
+        assertEquals(board.inForce(1), new InForce(0, 0, List.of(), OptionalLong.empty()));
+    }
+}
--- a/testkit/src/main/java/org/arbutusstack/testkit/process/ProcessCluster.java
+++ b/testkit/src/main/java/org/arbutusstack/testkit/process/ProcessCluster.java
@@ -210,6 +210,11 @@
         hosts.put(Json.write(list));
     }
 
+    /** Shows an empty host list, as if by mistake. */
+    public void publishNoHosts() {
+        hosts.put(Json.write(Json.object().set("hosts", Json.object().arrayNode())));
+    }
+
     /**
      * Submits a ticket and waits for the answer.
      *
