--- a/daemon/src/main/java/org/arbutusstack/daemon/Role.java
+++ b/daemon/src/main/java/org/arbutusstack/daemon/Role.java
@@ -26,8 +26,10 @@
 import org.arbutusstack.kernel.service.ServiceRegistry;
 import org.arbutusstack.kernel.setting.Setting;
 import org.arbutusstack.kernel.setting.Settings;
+import org.arbutusstack.ledger.LogCompactor;
 import org.arbutusstack.ledger.LogReplica;
 import org.arbutusstack.ledger.ReferenceCheck;
+import org.arbutusstack.ledger.TicketHistory;
 import org.arbutusstack.ledger.TicketLog;
 import org.arbutusstack.placement.CopyPlanner;
 import org.arbutusstack.placement.PlacementPolicy;
@@ -73,7 +75,12 @@
             PlacementPolicy policy = PlacementPolicy.valueOf(settings.text(PlannerSettings.PLACEMENT_POLICY));
             registry.register(peers);
             registry.register(new LogFollowerService(platform.store(), replica, platform.clock(), peers::isRelay));
-            registry.register(new TicketService(log, platform.clock(), platform.trail()));
+            registry.register(new TicketService(
+                    log,
+                    new LogCompactor(platform.store(), replica, platform.clock()),
+                    new TicketHistory(platform.store(), replica, platform.clock()),
+                    platform.clock(),
+                    platform.trail()));
             registry.register(new PlannerService(
                     identity,
                     platform.store(),
@@ -89,6 +96,8 @@
                     platform.client(),
                     HttpTarget.parse(settings.text(DaemonSettings.HOST_LIST)),
                     platform.clock(),
+                    host -> router.acknowledgements().isLinked(host.name())
+                            || peers.peerNames().contains(host.name()),
                     hosts -> {
                         router.hostsChanged(hosts);
                         roster.hostsChanged(hosts);
--- a/entry/src/main/java/org/arbutusstack/entry/router/SideConnection.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/SideConnection.java
@@ -15,6 +15,8 @@
 
     private Link link;
 
+    private String incarnation = "";
+
     private boolean open;
 
     private SideReportFrame report;
@@ -48,6 +50,7 @@
     void connecting(Link opening) {
         link = opening;
         probedAtNanos = opening.heardAtNanos();
+        incarnation = "";
         open = false;
         givenUp = false;
         report = null;
@@ -59,6 +62,7 @@
 
     void closed(long retryAtNanos) {
         link = null;
+        incarnation = "";
         open = false;
         report = null;
         reconnectAtNanos = retryAtNanos;
@@ -91,6 +95,15 @@
         probedAtNanos = nanos;
     }
 
+    void introduced(String run) {
+        incarnation = run;
+    }
+
+    /** Tells the run of the process at the other end, empty before it has introduced itself. */
+    String incarnation() {
+        return incarnation;
+    }
+
     boolean isOpen() {
         return open;
     }
