--- a/ledger/src/main/java/org/arbutusstack/ledger/peer/PeerDirectory.java
+++ b/ledger/src/main/java/org/arbutusstack/ledger/peer/PeerDirectory.java
@@ -65,6 +65,8 @@
 
     private List<Host> entries = List.of();
 
+    private Map<String, List<String>> rankings = Map.of();
+
     private boolean relay;
 
     /**
@@ -110,6 +112,7 @@
         entries = hosts.hosts().stream()
                 .filter(host -> host.role() == HostRole.ENTRY && host.status() == HostStatus.LIVE)
                 .toList();
+        rankings = RelaySelection.rank(entries);
         select();
     }
 
@@ -215,7 +218,7 @@
 
     private void select() {
         RelaySelection selection =
-                RelaySelection.of(self.name(), self.zone(), entries, relaysPerZone, this::conditionOf);
+                RelaySelection.of(self.name(), self.zone(), rankings, relaysPerZone, this::conditionOf);
         if (selection.relay() != relay) {
             relay = selection.relay();
             logger.info("event=relay zone={} relay={}", self.zone(), relay);
--- a/ledger/src/main/java/org/arbutusstack/ledger/peer/RelaySelection.java
+++ b/ledger/src/main/java/org/arbutusstack/ledger/peer/RelaySelection.java
@@ -1,13 +1,11 @@
 package org.arbutusstack.ledger.peer;
 
-import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Function;
-import java.util.stream.Collectors;
 import org.arbutusstack.kernel.Assert;
 import org.arbutusstack.kernel.digest.Digest;
 import org.arbutusstack.model.host.Host;
@@ -33,7 +31,7 @@
      *
      * @param self the name of the entry
      * @param zone its availability zone
-     * @param entries the entries of the host list
+     * @param rankings the rankings of all zones
      * @param relaysPerZone the number of relays in each zone
      * @param conditions what is known of each entry by name
      * @return the selection
@@ -41,19 +39,16 @@
     public static RelaySelection of(
             String self,
             String zone,
-            List<Host> entries,
+            Map<String, List<String>> rankings,
             int relaysPerZone,
             Function<String, PeerCondition> conditions) {
         Assert.atLeast(relaysPerZone, 1, "relaysPerZone");
-        Map<String, List<Host>> byZone =
-                entries.stream().collect(Collectors.groupingBy(Host::zone, TreeMap::new, Collectors.toList()));
-        List<String> own = ranked(zone, byZone.getOrDefault(zone, List.of()));
         Set<String> wanted = new LinkedHashSet<>();
-        boolean relay = walk(own, self, relaysPerZone, conditions, wanted);
+        boolean relay = walk(rankings.getOrDefault(zone, List.of()), self, relaysPerZone, conditions, wanted);
         if (relay) {
-            byZone.forEach((other, hosts) -> {
+            rankings.forEach((other, ranking) -> {
                 if (!other.equals(zone)) {
-                    walk(ranked(other, hosts), self, relaysPerZone, conditions, wanted);
+                    walk(ranking, self, relaysPerZone, conditions, wanted);
                 }
             });
         }
@@ -90,19 +85,19 @@
     }
 
     /**
-     * Ranks the entries of a zone.
+     * Ranks the entries of each zone.
      *
-     * @param zone the availability zone
-     * @param entries its entries
-     * @return their names, the first relay first
+     * @param entries the entries of the host list
+     * @return their names by zone, the first relay of the zone first
      */
-    public static List<String> ranked(String zone, List<Host> entries) {
-        return entries.stream()
-                .map(Host::name)
-                .distinct()
-                .sorted(Comparator.comparing(
-                                (String name) -> Digest.of(zone + "/" + name).hex())
-                        .thenComparing(Comparator.naturalOrder()))
-                .toList();
+    public static Map<String, List<String>> rank(List<Host> entries) {
+        Map<String, TreeMap<String, String>> namesByScore = new TreeMap<>();
+        for (Host host : entries) {
+            String score = Digest.of(host.zone() + "/" + host.name()).hex();
+            namesByScore.computeIfAbsent(host.zone(), zone -> new TreeMap<>()).put(score, host.name());
+        }
+        Map<String, List<String>> rankings = new TreeMap<>();
+        namesByScore.forEach((zone, names) -> rankings.put(zone, List.copyOf(names.values())));
+        return rankings;
     }
 }
--- a/ledger/src/test/java/org/arbutusstack/ledger/ScriptedStore.java
+++ b/ledger/src/test/java/org/arbutusstack/ledger/ScriptedStore.java
@@ -113,6 +113,10 @@
         return readCount;
     }
 
+    public long watchCount() {
+        return watches.size();
+    }
+
     public long writeCount() {
         return writeCount;
     }
