--- a/entry/src/main/java/org/arbutusstack/entry/EntrySettings.java
+++ b/entry/src/main/java/org/arbutusstack/entry/EntrySettings.java
@@ -26,10 +26,6 @@
     public static final Setting DEFAULT_DEADLINE = Setting.number(
             "default-deadline-millis", 100, 600_000, 30_000, "deadline of a request that names none, in ms (entry)");
 
-    /** The number of requests in hand at once. */
-    public static final Setting MOST_REQUESTS =
-            Setting.number("most-requests", 1, 100_000, 2_048, "requests in hand at once (entry)");
-
     /** The number of entries of an availability zone that read the ticket log from the key-value service. */
     public static final Setting RELAYS_PER_ZONE =
             Setting.number("relays-per-zone", 1, 16, 2, "entries of a zone that follow the key-value service (entry)");
@@ -42,7 +38,6 @@
      * @return the settings
      */
     public static List<Setting> all() {
-        return List.of(
-                CALLER_PORT, OPERATOR_PORT, OPERATORS, LONGEST_BODY, DEFAULT_DEADLINE, MOST_REQUESTS, RELAYS_PER_ZONE);
+        return List.of(CALLER_PORT, OPERATOR_PORT, OPERATORS, LONGEST_BODY, DEFAULT_DEADLINE, RELAYS_PER_ZONE);
     }
 }
--- a/ledger/src/test/java/org/arbutusstack/ledger/peer/FleetTests.java
+++ b/ledger/src/test/java/org/arbutusstack/ledger/peer/FleetTests.java
@@ -83,8 +83,8 @@
         all.network.run(IN_FORCE_MILLIS);
         Reporter.log(
                 String.format(
-                        "fleet: service %s, %d entries, %d sides, in force ms p50 %d p99 %d max %d, reads %d, writes %d,"
-                                + " watches %d, in 100 s; frames %d",
+                        "fleet: service %s, entries %d, sides %d, in force ms p50 %d p99 %d max %d, reads %d, writes %d"
+                                + ", watches %d, frames %d",
                         name,
                         all.entries.size(),
                         SIDES,
--- a/wire/src/main/java/org/arbutusstack/wire/frame/Frame.java
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/Frame.java
@@ -27,6 +27,7 @@
                 SnapshotPushFrame,
                 PlanFrame,
                 SideReportFrame,
+                LoadFrame,
                 ProtocolErrorFrame {
 
     /**
