Refuse tickets whose models do not fit, and unload only after a second look

Cause: a side acted on a release at once, so that a request sent by an entry that had not yet learned of it found no model; a plan from before a hand-over could also be the first a restarted side sees. A side now takes a released model out of its report first and unloads it one second later if no request needs it and the release still stands. Tickets are checked for a packing with room for a transition. Sides get their own part of a plan only. Orders to raise the fence are not sent in DELAY mode, where they prove nothing.

--- a/daemon/src/main/java/org/arbutusstack/daemon/Role.java
+++ b/daemon/src/main/java/org/arbutusstack/daemon/Role.java
@@ -11,6 +11,7 @@
 import org.arbutusstack.entry.member.HostListService;
 import org.arbutusstack.entry.member.PeerService;
 import org.arbutusstack.entry.plan.EntryRoster;
+import org.arbutusstack.entry.plan.PackingCheck;
 import org.arbutusstack.entry.plan.PlanBook;
 import org.arbutusstack.entry.plan.PlannerService;
 import org.arbutusstack.entry.plan.PlannerSettings;
@@ -28,6 +29,7 @@
 import org.arbutusstack.kernel.setting.Settings;
 import org.arbutusstack.ledger.LogReplica;
 import org.arbutusstack.ledger.ReferenceCheck;
+import org.arbutusstack.ledger.TicketCheck;
 import org.arbutusstack.ledger.TicketLog;
 import org.arbutusstack.placement.CopyPlanner;
 import org.arbutusstack.placement.PlacementPolicy;
@@ -59,7 +61,8 @@
                     RouterLimits.of(settings),
                     metrics,
                     platform.trail());
-            TicketLog log = new TicketLog(platform.store(), replica, List.of(new ReferenceCheck()), platform.clock());
+            List<TicketCheck> checks = List.of(new ReferenceCheck(), new PackingCheck(router));
+            TicketLog log = new TicketLog(platform.store(), replica, checks, platform.clock());
             PeerService peers = new PeerService(
                     identity,
                     new InetSocketAddress(
--- /dev/null
+++ b/daemon/src/test/java/org/arbutusstack/daemon/placement/ReachabilityTests.java
@@ -0,0 +1,128 @@
+package org.arbutusstack.daemon.placement;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.File;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.arbutusstack.http.client.HttpCall;
+import org.arbutusstack.http.client.HttpReply;
+import org.arbutusstack.testkit.engine.EngineShape;
+import org.arbutusstack.testkit.engine.EngineStandIn;
+import org.arbutusstack.testkit.process.DaemonProcess;
+import org.arbutusstack.testkit.process.ProcessCluster;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests that real daemons keep every model reachable while versions change and a runner dies. */
+public class ReachabilityTests {
+
+    private static final int MODELS = 4;
+
+    private static final long CHANGE_SECONDS = 5;
+
+    private static final long BACK_SECONDS = 15;
+
+    private final List<EngineStandIn> engines = new ArrayList<>();
+
+    private final List<DaemonProcess> sides = new ArrayList<>();
+
+    @DataProvider
+    public Object[][] engines() {
+        return new Object[][] {{"checks fencing numbers", true}, {"ignores fencing numbers", false}};
+    }
+
+    private static String ticket(int number, String version) {
+        StringBuilder models = new StringBuilder();
+        for (int index = 0; index < MODELS; index++) {
+            models.append(index == 0 ? "" : ",")
+                    .append("{\"name\":\"m" + index + "\",\"service\":\"lm\",\"version\":\"" + version
+                            + "\",\"memoryMb\":200,\"minimumCopies\":1}");
+        }
+        String service = "{\"name\":\"lm\",\"kind\":\"ENGINE\",\"idempotent\":true}";
+        return "{\"number\":" + number + ",\"services\":[" + service + "],\"models\":[" + models + "]}";
+    }
+
+    private static int ask(ProcessCluster cluster, DaemonProcess entry, int model) {
+        String body = "{\"model\":\"m" + model + "\",\"max_tokens\":2,\"messages\":[{\"content\":\"hello\"}]}";
+        HttpCall call = HttpCall.post("/v1/chat/completions", body.getBytes(StandardCharsets.UTF_8));
+        HttpReply reply = ProcessCluster.await(cluster.call(entry.port("caller-port"), call));
+        return reply.status();
+    }
+
+    private void startSides(ProcessCluster cluster, boolean checksFence) {
+        engines.clear();
+        sides.clear();
+        EngineShape shape = EngineShape.SMALL.withMemoryMb(1_000).withFenceCheck(checksFence);
+        String fenceFlag = (checksFence ? "" : "no-") + "engine-checks-fence";
+        Map<String, String> flags = Map.of(fenceFlag, "", "order-delay-limit-millis", "500");
+        for (int index = 0; index < 3; index++) {
+            EngineStandIn engine = cluster.startEngine(shape, null);
+            engines.add(engine);
+            String zone = index % 2 == 0 ? "regina" : "brandon";
+            sides.add(cluster.startSide("lm-" + index, "lm", zone, engine.address(), flags));
+        }
+    }
+
+    @Test(dataProvider = "engines")
+    public void shouldAnswerAlwaysWhenVersionsChangeAndComeBackWhenRunnerDies(String name, boolean checksFence) {
+        try (ProcessCluster cluster = new ProcessCluster(new File("target/reachability-" + checksFence))) {
+            startSides(cluster, checksFence);
+            DaemonProcess entry = cluster.startEntry("entry-1", "regina", Map.of());
+            cluster.publishHosts();
+            assertTrue(cluster.awaitUp(entry, 30));
+            assertEquals(cluster.submit(entry, ticket(1, "v1")).status(), 200);
+            for (int model = 0; model < MODELS; model++) {
+                int each = model;
+                assertTrue(ProcessCluster.awaitTrue(30, () -> ask(cluster, entry, each) == 200), "m" + each);
+            }
+            assertEquals(cluster.submit(entry, ticket(2, "v2")).status(), 200);
+            long untilNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(CHANGE_SECONDS);
+            for (int asked = 0; System.nanoTime() - untilNanos < 0; asked++) {
+                assertEquals(ask(cluster, entry, asked % MODELS), 200, "request " + asked);
+            }
+            assertTrue(ProcessCluster.awaitTrue(BACK_SECONDS, () -> holdsOnly(cluster, "v2")), "versions");
+            sides.get(0).kill();
+            for (int model = 0; model < MODELS; model++) {
+                int each = model;
+                boolean back = ProcessCluster.awaitTrue(BACK_SECONDS, () -> ask(cluster, entry, each) == 200);
+                assertTrue(back, "m" + each);
+            }
+            engines.forEach(engine -> assertEquals(engine.memoryViolations(), 0));
+        }
+    }
+
+    private boolean holdsOnly(ProcessCluster cluster, String version) {
+        int copies = 0;
+        for (DaemonProcess side : sides) {
+            for (var key : cluster.state(side).path("report").path("models")) {
+                if (!key.asText().endsWith("@" + version)) {
+                    return false;
+                }
+                copies++;
+            }
+        }
+        return copies >= MODELS;
+    }
+
+    @Test
+    public void shouldRefuseTicketAndWriteNothingWhenModelsDoNotFit() {
+        try (ProcessCluster cluster = new ProcessCluster(new File("target/packing"))) {
+            startSides(cluster, true);
+            DaemonProcess entry = cluster.startEntry("entry-1", "regina", Map.of());
+            cluster.publishHosts();
+            assertTrue(cluster.awaitUp(entry, 30));
+            assertEquals(cluster.submit(entry, ticket(1, "v1")).status(), 200);
+            assertTrue(ProcessCluster.awaitTrue(30, () -> ask(cluster, entry, 0) == 200));
+            String large = ticket(2, "v2").replace("\"memoryMb\":200", "\"memoryMb\":900");
+            HttpReply refused = cluster.submit(entry, large);
+            assertEquals(refused.status() / 100, 4, refused.text());
+            assertTrue(refused.text().contains("no packing found"), refused.text());
+            assertEquals(cluster.state(entry).path("sequence").asLong(), 1);
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/arbutusstack/entry/plan/PackingCheck.java
@@ -0,0 +1,63 @@
+package org.arbutusstack.entry.plan;
+
+import java.util.List;
+import java.util.Optional;
+import org.arbutusstack.kernel.Assert;
+import org.arbutusstack.ledger.TicketCheck;
+import org.arbutusstack.model.ticket.DesiredState;
+import org.arbutusstack.model.ticket.ModelSpec;
+import org.arbutusstack.model.ticket.ServiceKind;
+import org.arbutusstack.model.ticket.ServiceSpec;
+import org.arbutusstack.model.ticket.Ticket;
+import org.arbutusstack.placement.Packing;
+import org.arbutusstack.placement.RunnerCapacity;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Checks that the runners of each service that a ticket gives more to have room for a copy of every model and for a
+ * transition.
+ *
+ * <p>A service none of whose runners has reported its memory cannot be checked and passes. Safe for use by any thread.
+ */
+public final class PackingCheck implements TicketCheck {
+
+    private static final Logger logger = LoggerFactory.getLogger(PackingCheck.class);
+
+    private final RunnerDirectory directory;
+
+    /**
+     * Creates a check.
+     *
+     * @param directory tells the runners
+     */
+    public PackingCheck(RunnerDirectory directory) {
+        this.directory = Assert.notNull(directory, "directory");
+    }
+
+    @Override
+    public Optional<String> complaint(Ticket ticket, DesiredState before, DesiredState after) {
+        return after.services().values().stream()
+                .filter(service -> service.kind() == ServiceKind.ENGINE)
+                .map(ServiceSpec::name)
+                .sorted()
+                .filter(service -> grows(before.modelsOf(service), after.modelsOf(service)))
+                .flatMap(service -> complaint(service, after.modelsOf(service)).stream())
+                .findFirst();
+    }
+
+    private static boolean grows(List<ModelSpec> before, List<ModelSpec> after) {
+        return !before.containsAll(after);
+    }
+
+    private Optional<String> complaint(String service, List<ModelSpec> models) {
+        List<Long> sizesMb = directory.runners(service).stream()
+                .map(RunnerCapacity::memorySizeMb)
+                .toList();
+        if (sizesMb.isEmpty()) {
+            logger.warn("event=packing-unchecked service={} reason=no-runner-known", service);
+            return Optional.empty();
+        }
+        return Packing.complaint(models, sizesMb).map(detail -> "service '" + service + "': " + detail);
+    }
+}
--- a/entry/src/main/java/org/arbutusstack/entry/router/RouterService.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/RouterService.java
@@ -260,7 +260,8 @@
         boolean newer = plan.fence() > report.planFence()
                 || plan.fence() == report.planFence() && plan.sequence() > report.planSequence();
         if (newer) {
-            side.link().send(new PlanFrame(JsonCodec.write(plan)));
+            String runner = side.host().name();
+            side.link().send(new PlanFrame(JsonCodec.write(plan.onlyFor(runner))));
         }
     }
 
--- a/model/src/main/java/org/arbutusstack/model/plan/Plan.java
+++ b/model/src/main/java/org/arbutusstack/model/plan/Plan.java
@@ -61,6 +61,22 @@
         return fence != other.fence ? fence > other.fence : sequence > other.sequence;
     }
 
+    /**
+     * Keeps what concerns one runner.
+     *
+     * @param runner the runner's name
+     * @return the plan without the other runners
+     */
+    public Plan onlyFor(String runner) {
+        return new Plan(
+                service,
+                fence,
+                sequence,
+                stateSequence,
+                Map.of(runner, modelsOf(runner)),
+                Map.of(runner, releasedOf(runner)));
+    }
+
     /**
      * Lists the models that a runner is to hold.
      *
--- a/placement/src/main/java/org/arbutusstack/placement/MemoryLedger.java
+++ b/placement/src/main/java/org/arbutusstack/placement/MemoryLedger.java
@@ -197,6 +197,9 @@
      * @return the fencing number to send; empty if none is wanted now
      */
     public OptionalLong raise(long nowNanos) {
+        if (proof != EffectProof.FENCE) {
+            return OptionalLong.empty();
+        }
         boolean waits = raisedFence > confirmedFence && nowNanos - raisedAtNanos < RAISE_RETRY_NANOS;
         if (!raiseWanted || waits || firstFence == 0 || isExhausted()) {
             return OptionalLong.empty();
--- a/side/src/main/java/org/arbutusstack/side/Residency.java
+++ b/side/src/main/java/org/arbutusstack/side/Residency.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -28,13 +29,16 @@
 /**
  * Brings what the engine holds to what the plan wants, within the memory. Used by the side's duty only.
  *
- * <p>A model is unloaded only if the plan releases it and no request here needs it. Adapters are loaded when a request
- * asks for them and unloaded, the one used longest ago first, when room is wanted.
+ * <p>A model is unloaded only if the plan releases it, a later plan had time to arrive, entries had time to learn that
+ * it is offered no more, and no request here needs it. Adapters are loaded when a request asks for them and unloaded,
+ * the one used longest ago first, when room is wanted.
  */
 final class Residency {
 
     private static final Logger logger = LoggerFactory.getLogger(Residency.class);
 
+    private static final long RELEASE_DELAY_MILLIS = 1_000;
+
     private final String runner;
 
     private final MemoryLedger ledger;
@@ -51,6 +55,8 @@
 
     private Plan plan;
 
+    private final Map<String, Long> unloadAtNanos = new HashMap<>();
+
     private boolean engineKnown;
 
     Residency(
@@ -92,6 +98,9 @@
             return;
         }
         plan = offered;
+        unloadAtNanos.keySet().retainAll(plan.releasedOf(runner));
+        plan.releasedOf(runner)
+                .forEach(key -> unloadAtNanos.putIfAbsent(key, clock.deadlineNanos(RELEASE_DELAY_MILLIS)));
         logger.info("event=plan-adopted fence={} sequence={}", plan.fence(), plan.sequence());
         converge();
     }
@@ -120,7 +129,9 @@
         } else if (order.kind().isUnload()) {
             ledger.unloadEnded(order.key(), order.fence(), clock.nowNanos());
         }
-        if (done) {
+        if (done && order.kind() == OrderKind.ROLE) {
+            logger.debug("event=order-done order={} fence={}", order.kind(), order.fence());
+        } else if (done) {
             logger.info("event=order-done order={} key={}", order.kind(), order.key());
         } else {
             logger.warn("event=order-failed order={} key={} detail={}", order.kind(), order.key(), failure);
@@ -147,11 +158,13 @@
                 load(OrderKind.LOAD, key, model.memoryMb());
             }
         }
-        retiring().stream().filter(key -> !inUse.contains(key)).forEach(this::unload);
+        retiring().stream()
+                .filter(key -> !inUse.contains(key) && clock.isPast(unloadAtNanos.get(key)))
+                .forEach(this::unload);
         for (String key : ledger.keys(ResidencyState.READY, true)) {
             AdapterSpec adapter = state.adapters().get(WeightsKey.parse(key).name());
             boolean current = adapter != null && keyOf(adapter).equals(key);
-            if (!current && !inUse.contains(key) && state.sequence() > 0) {
+            if (!current && !inUse.contains(key) && state.services().containsKey(plan.service())) {
                 unload(key);
             }
         }
--- a/side/src/main/java/org/arbutusstack/side/SideService.java
+++ b/side/src/main/java/org/arbutusstack/side/SideService.java
@@ -335,7 +335,7 @@
     private void loadReported(JsonNode load, long askedAtNanos) {
         loadAsked.set(false);
         backendAnswers = load != null;
-        if (load != null && isEngine()) {
+        if (load != null && (isEngine() || load.path("memory_mb").asLong() > 0)) {
             residency.engineReported(load, askedAtNanos);
             memoryMetrics.show(residency.ledger());
             desk.slotsReported(load.path("slots").asInt(Integer.MAX_VALUE));
--- a/testkit/src/main/java/org/arbutusstack/testkit/process/DaemonProcess.java
+++ b/testkit/src/main/java/org/arbutusstack/testkit/process/DaemonProcess.java
@@ -43,7 +43,9 @@
         List<String> command = program();
         flags.forEach((flag, value) -> {
             command.add("--" + flag);
-            command.add(value);
+            if (!value.isEmpty()) {
+                command.add(value);
+            }
         });
         ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
         builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log));
