--- a/entry/src/main/java/org/arbutusstack/entry/router/RequestTable.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/RequestTable.java
@@ -20,6 +20,7 @@
 import org.arbutusstack.wire.frame.AnswerPartFrame;
 import org.arbutusstack.wire.frame.CancelFrame;
 import org.arbutusstack.wire.frame.RefusalFrame;
+import org.arbutusstack.wire.frame.StrikeFrame;
 import org.arbutusstack.wire.frame.WorkFrame;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -66,6 +67,8 @@
 
     private final RetryBudget retries;
 
+    private final Quarantine quarantine;
+
     private final Map<RequestId, Pending> pending = new HashMap<>();
 
     private long bufferedBytes;
@@ -84,6 +87,12 @@
         this.metrics = metrics;
         this.outcomes = outcomes;
         this.retries = new RetryBudget(limits.retryPercent(), limits.retryReserve());
+        this.quarantine = new Quarantine(clock);
+    }
+
+    /** Learns of a request that was in flight when an engine was lost. */
+    void told(StrikeFrame frame) {
+        quarantine.told(frame);
     }
 
     boolean isSent(RequestId id) {
@@ -102,6 +111,11 @@
             refuse(entry, Refusal.notRun(RefusalReason.QUEUE_FULL, "this entry has too many requests in hand"));
             return;
         }
+        Optional<Refusal> quarantined = quarantine.refusalOf(request);
+        if (quarantined.isPresent()) {
+            refuse(entry, quarantined.get());
+            return;
+        }
         pending.put(request.id(), entry);
         route(entry);
         if (entry.side() == null && waitingLike(request) > limits.mostWaiting()) {
@@ -126,6 +140,7 @@
             return;
         }
         SideConnection side = sides.byName(chosen.get().name());
+        quarantine.warn(side.link(), request);
         entry.begin(side, clock.deadlineNanos(limits.receiptMillis()));
         if (side.link().send(frameOf(entry))) {
             entry.sent();
@@ -155,6 +170,9 @@
     }
 
     private Optional<RunnerView> choose(CallerRequest request, List<RunnerView> views) {
+        if (quarantine.isSuspect(request)) {
+            return quarantine.choose(request, views);
+        }
         if (request.idempotent()) {
             return selector.select(request.routing(), views);
         }
@@ -295,6 +313,11 @@
         } else {
             entry.end(refusal, clock.deadlineNanos(RETRY_MILLIS << entry.failures()));
         }
+        Optional<Refusal> quarantined = quarantine.refusalOf(entry.request());
+        if (quarantined.isPresent()) {
+            refuse(entry, quarantined.get());
+            return;
+        }
         if (!mayTryAgain(entry, refusal, linkLost)) {
             refuse(entry, refusal);
             return;
--- a/side/src/test/java/org/arbutusstack/side/WorkDeskFixture.java
+++ b/side/src/test/java/org/arbutusstack/side/WorkDeskFixture.java
@@ -32,6 +32,12 @@
 
     final List<AuditEvent> audited = new ArrayList<>();
 
+    final List<Frame> told = new ArrayList<>();
+
+    final SuspectDesk suspects;
+
+    final WorkRunner runner;
+
     final WorkDesk desk;
 
     private final Deque<SideEvent> events = new ArrayDeque<>();
@@ -44,11 +50,14 @@
         ClaimDesk claims =
                 new ClaimDesk(new UnusedStore(), clock, identity, claimLimits, new ClaimMetrics(registry), events::add);
         AnswerSender answers = new AnswerSender("lm-1", () -> 1L, audited::add, new WorkMetrics(registry));
-        desk = new WorkDesk(clock, backend, claims, answers, limits);
+        suspects = new SuspectDesk("inc", clock, 60_000, told::add, registry);
+        OpenWork open = new OpenWork();
+        runner = new WorkRunner(clock, backend, claims, open, suspects, answers);
+        desk = new WorkDesk(clock, backend, runner, open, suspects, answers, limits);
     }
 
     static WorkLimits limits(int slots) {
-        return new WorkLimits(16, 10_000, slots, 1_000, 5_000);
+        return new WorkLimits(16, 10_000, slots, 1_000, 5_000, 60_000);
     }
 
     static WorkFrame frame(long number, int attempt, long leftMillis, Priority priority) {
@@ -72,13 +81,13 @@
         while (!events.isEmpty()) {
             SideEvent event = events.poll();
             if (event instanceof SideEvent.BackendHead head) {
-                desk.head(head.work(), head.status(), head.contentType());
+                runner.head(head.work(), head.status(), head.contentType());
             } else if (event instanceof SideEvent.BackendBytes bytes) {
-                desk.bytes(bytes.work(), bytes.bytes());
+                runner.bytes(bytes.work(), bytes.bytes());
             } else if (event instanceof SideEvent.BackendEnded ended) {
-                desk.backendEnded(ended.work());
+                runner.backendEnded(ended.work());
             } else if (event instanceof SideEvent.BackendFailed failed) {
-                desk.backendFailed(failed.work(), failed.failure());
+                runner.backendFailed(failed.work(), failed.failure());
             }
         }
         desk.dispatch(work -> true);
