--- a/entry/src/main/java/org/arbutusstack/entry/router/RouterLimits.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/RouterLimits.java
@@ -15,7 +15,7 @@
  * @param mostBufferedBytes the bytes of answers that are buffered at once
  * @param receiptMillis how long a side may take to confirm a request, in milliseconds
  * @param heartbeatMillis the period of heartbeats on a link, in milliseconds
- * @param probeMillis how long a link with requests may say nothing before it is probed, in milliseconds
+ * @param silenceMillis how long a link may carry nothing before it is given up, in milliseconds
  */
 public record RouterLimits(
         int mostRequests,
@@ -27,15 +27,13 @@
         long mostBufferedBytes,
         long receiptMillis,
         long heartbeatMillis,
-        long probeMillis) {
-
-    private static final int SILENT_HEARTBEATS = 3;
+        long silenceMillis) {
 
     /** Checks the limits. */
     public RouterLimits {
         Assert.atLeast(mostRequests, 1, "mostRequests");
         Assert.atLeast(mostAttempts, 1, "mostAttempts");
-        Assert.atLeast(probeMillis, 1, "probeMillis");
+        Assert.atLeast(silenceMillis, 1, "silenceMillis");
     }
 
     /**
@@ -55,15 +53,6 @@
                 settings.number(RouterSettings.MOST_BUFFERED),
                 settings.number(RouterSettings.RECEIPT),
                 settings.number(RouterSettings.HEARTBEAT),
-                settings.number(RouterSettings.PROBE));
-    }
-
-    /**
-     * Tells when an idle link counts as silent.
-     *
-     * @return the milliseconds without anything heard
-     */
-    public long silenceMillis() {
-        return SILENT_HEARTBEATS * heartbeatMillis;
+                settings.number(RouterSettings.SILENCE));
     }
 }
--- a/entry/src/main/java/org/arbutusstack/entry/router/RouterService.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/RouterService.java
@@ -1,6 +1,5 @@
 package org.arbutusstack.entry.router;
 
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -17,22 +16,18 @@
 import org.arbutusstack.kernel.service.Service;
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.ledger.LogReplica;
+import org.arbutusstack.ledger.peer.LogExchange;
 import org.arbutusstack.model.JsonCodec;
 import org.arbutusstack.model.host.Host;
 import org.arbutusstack.model.host.HostList;
 import org.arbutusstack.model.plan.Plan;
 import org.arbutusstack.model.request.RequestId;
-import org.arbutusstack.model.ticket.DesiredState;
-import org.arbutusstack.model.ticket.TicketEntry;
 import org.arbutusstack.placement.RunnerCapacity;
 import org.arbutusstack.routing.RunnerSelector;
 import org.arbutusstack.wire.frame.AnswerHeadFrame;
 import org.arbutusstack.wire.frame.AnswerPartFrame;
 import org.arbutusstack.wire.frame.Frame;
-import org.arbutusstack.wire.frame.HeartbeatFrame;
 import org.arbutusstack.wire.frame.LoadFrame;
-import org.arbutusstack.wire.frame.LogPullFrame;
-import org.arbutusstack.wire.frame.LogPushFrame;
 import org.arbutusstack.wire.frame.PlanFrame;
 import org.arbutusstack.wire.frame.ReceiptFrame;
 import org.arbutusstack.wire.frame.RefusalFrame;
@@ -59,7 +54,7 @@
 
     private static final long TICK_MILLIS = 20;
 
-    private static final int ENTRIES_PER_PUSH = 64;
+    private static final long PLAN_MILLIS = 500;
 
     private static final long DRAIN_POLL_MILLIS = 20;
 
@@ -81,6 +76,8 @@
 
     private final Ticker ticker = new Ticker("router-ticker");
 
+    private final LogExchange exchange;
+
     private final SideDirectory sides;
 
     private final RequestTable requests;
@@ -91,7 +88,7 @@
 
     private volatile boolean draining;
 
-    private long heartbeatAtNanos;
+    private long planAtNanos;
 
     /**
      * Creates the service.
@@ -122,6 +119,7 @@
         this.clock = Assert.notNull(clock, "clock");
         this.limits = Assert.notNull(limits, "limits");
         this.metrics = Assert.notNull(metrics, "metrics");
+        this.exchange = new LogExchange(replica, clock, limits.heartbeatMillis());
         this.sides = new SideDirectory(identity, transport, clock, limits, metrics, this::offer);
         RequestOutcomes outcomes =
                 new RequestOutcomes(metrics, trail, () -> replica.state().sequence(), clock);
@@ -209,14 +207,14 @@
             requests.callerGone(gone.id());
         } else if (event instanceof RouterEvent.LinkOpened opened) {
             if (sides.opened(opened.host(), opened.link()) != null) {
-                opened.link().send(heartbeat());
+                exchange.opened(opened.link());
             }
         } else if (event instanceof RouterEvent.LinkClosed closed) {
             linkClosed(closed.host(), closed.link());
         } else if (event instanceof RouterEvent.HostsChanged) {
             applyHosts();
         } else if (event instanceof RouterEvent.StateAdvanced) {
-            sides.broadcast(heartbeat());
+            exchange.advanced();
         } else if (event instanceof RouterEvent.Tick) {
             tick();
         }
@@ -224,6 +222,7 @@
     }
 
     private void linkClosed(Host host, Link link) {
+        exchange.closed(link);
         SideConnection side = sides.closed(host, link);
         if (side != null) {
             requests.sideLost(side);
@@ -251,8 +250,8 @@
         } else if (frame instanceof SideReportFrame report) {
             side.report(report);
             offerPlan(side, report);
-        } else if (frame instanceof LogPullFrame pull) {
-            push(side, pull);
+        } else {
+            exchange.take(side.link(), frame);
         }
     }
 
@@ -265,28 +264,17 @@
         }
     }
 
-    private void push(SideConnection side, LogPullFrame pull) {
-        List<TicketEntry> entries = replica.entriesAfter(pull.afterSequence(), ENTRIES_PER_PUSH);
-        List<byte[]> blobs = new ArrayList<>();
-        entries.forEach(entry -> blobs.add(JsonCodec.write(entry)));
-        side.link().send(new LogPushFrame(pull.afterSequence(), blobs));
-    }
-
-    private HeartbeatFrame heartbeat() {
-        DesiredState state = replica.state();
-        return new HeartbeatFrame(state.sequence(), state.chain(), draining);
-    }
-
     private void tick() {
         applyHosts();
         requests.tick();
-        sides.closeSilent(heartbeat());
+        sides.closeSilent();
         sides.closedUnheard().forEach(side -> linkClosed(side.host(), side.link()));
         sides.dropUnlisted();
         sides.connectMissing();
-        if (clock.isPast(heartbeatAtNanos)) {
-            heartbeatAtNanos = clock.deadlineNanos(limits.heartbeatMillis());
-            sides.broadcast(heartbeat());
+        exchange.leaving(draining);
+        exchange.tick();
+        if (clock.isPast(planAtNanos)) {
+            planAtNanos = clock.deadlineNanos(PLAN_MILLIS);
             sides.all().stream().filter(side -> side.report() != null).forEach(side -> offerPlan(side, side.report()));
         }
         statuses = sides.all().stream()
--- a/entry/src/main/java/org/arbutusstack/entry/router/RouterSettings.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/RouterSettings.java
@@ -46,9 +46,9 @@
     public static final Setting HEARTBEAT =
             Setting.number("heartbeat-millis", 100, 60_000, 4_000, "period of link heartbeats, in ms (entry)");
 
-    /** How long a link with requests may say nothing before it is probed. */
-    public static final Setting PROBE = Setting.number(
-            "probe-millis", 50, 60_000, 1_000, "silence of a link with requests before a probe, in ms (entry)");
+    /** How long a link may carry nothing. */
+    public static final Setting SILENCE = Setting.number(
+            "link-silence-millis", 2_000, 60_000, 3_500, "silence after which a link is given up, in ms (entry)");
 
     private RouterSettings() {}
 
@@ -68,6 +68,6 @@
                 MOST_BUFFERED,
                 RECEIPT,
                 HEARTBEAT,
-                PROBE);
+                SILENCE);
     }
 }
--- a/entry/src/main/java/org/arbutusstack/entry/router/SideConnection.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/SideConnection.java
@@ -23,8 +23,6 @@
 
     private long reconnectAtNanos;
 
-    private long probedAtNanos;
-
     private boolean listed = true;
 
     private boolean givenUp;
@@ -47,7 +45,6 @@
 
     void connecting(Link opening) {
         link = opening;
-        probedAtNanos = opening.heardAtNanos();
         open = false;
         givenUp = false;
         report = null;
@@ -83,14 +80,6 @@
         open = false;
     }
 
-    long probedAtNanos() {
-        return probedAtNanos;
-    }
-
-    void probed(long nanos) {
-        probedAtNanos = nanos;
-    }
-
     boolean isOpen() {
         return open;
     }
--- a/entry/src/main/java/org/arbutusstack/entry/router/SideDirectory.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/SideDirectory.java
@@ -94,26 +94,13 @@
         }
     }
 
-    /**
-     * Gives up links that carry nothing more and probes those that may.
-     *
-     * <p>An idle link is silent after some heartbeats without an answer. A link with requests in flight is probed as
-     * soon as it says nothing for the time of a probe, and is silent if the probe is not answered in the same time.
-     */
-    void closeSilent(Frame probe) {
+    /** Gives up links on which several heartbeats of the side are missing. */
+    void closeSilent() {
         for (SideConnection side : sides.values()) {
-            if (side.link() == null) {
-                continue;
-            }
-            long quietMillis = (clock.nowNanos() - side.link().heardAtNanos()) / Clock.NANOS_PER_MILLI;
-            boolean busy = side.outstanding() > 0;
-            long boundMillis = busy ? 2 * limits.probeMillis() : limits.silenceMillis();
-            boolean probed = side.probedAtNanos() - side.link().heardAtNanos() > 0;
-            if (quietMillis >= boundMillis && (probed || !busy)) {
+            boolean silent = side.link() != null
+                    && clock.isPast(side.link().heardAtNanos() + limits.silenceMillis() * Clock.NANOS_PER_MILLI);
+            if (silent) {
                 giveUp(side, "silent");
-            } else if (busy && side.isOpen() && !probed && quietMillis >= limits.probeMillis()) {
-                side.probed(clock.nowNanos());
-                side.link().send(probe);
             }
         }
     }
