--- a/entry/src/main/java/org/arbutusstack/entry/router/EventStream.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/EventStream.java
@@ -23,8 +23,8 @@
     }
 
     /**
-     * Tells whether the terminal event is among the bytes; the answer is whole then, though the frame that says so may be
-     * lost.
+     * Tells whether the terminal event is among the bytes; the answer is whole then, though the frame that says so may
+     * be lost.
      */
     static boolean ends(Pending entry, byte[] bytes) {
         int from = bytes.length - TERMINAL_EVENT.length;
