Admit by deadline at the entry, keep room for urgent requests, choose runners by a named policy

RunnerLoad estimates by Little's law how long one more request of a priority would take at a runner where requests wait; if no runner of the model can be in time, the request is refused at once with Retry-After. bulk-percent keeps room for urgent requests. routing-policy names ROUND_ROBIN, LEAST_OUTSTANDING or BALANCED (adapter and prefix stickiness with bounded load, better of two). Reports are corrected by what the entry sent since. Priority is read as RFC 9218 and RFC 8941 ask.

--- a/daemon/src/main/java/org/arbutusstack/daemon/Role.java
+++ b/daemon/src/main/java/org/arbutusstack/daemon/Role.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import org.arbutusstack.entry.EntryIdentity;
 import org.arbutusstack.entry.EntrySettings;
@@ -15,6 +16,7 @@
 import org.arbutusstack.entry.router.RouterLimits;
 import org.arbutusstack.entry.router.RouterMetrics;
 import org.arbutusstack.entry.router.RouterService;
+import org.arbutusstack.entry.router.RouterSettings;
 import org.arbutusstack.entry.ticket.LogFollowerService;
 import org.arbutusstack.entry.ticket.OperatorDirectory;
 import org.arbutusstack.entry.ticket.OperatorListener;
@@ -27,7 +29,7 @@
 import org.arbutusstack.ledger.ReferenceCheck;
 import org.arbutusstack.ledger.TicketLog;
 import org.arbutusstack.placement.SpreadingPlanner;
-import org.arbutusstack.routing.LeastOutstandingSelector;
+import org.arbutusstack.routing.RoutingPolicy;
 import org.arbutusstack.side.SideIdentity;
 import org.arbutusstack.side.SideService;
 import org.arbutusstack.side.SideSettings;
@@ -49,7 +51,8 @@
                     platform.transport(),
                     replica,
                     plans,
-                    new LeastOutstandingSelector(),
+                    RoutingPolicy.valueOf(settings.text(RouterSettings.ROUTING_POLICY))
+                            .selector(identity.zone(), platform.clock().nowNanos()),
                     platform.clock(),
                     RouterLimits.of(settings),
                     metrics,
@@ -134,6 +137,12 @@
             } catch (IllegalArgumentException mistake) {
                 mistakes.add("--operators (ARBUTUS_OPERATORS): " + mistake.getMessage());
             }
+            String policy = settings.text(RouterSettings.ROUTING_POLICY);
+            if (Arrays.stream(RoutingPolicy.values())
+                    .noneMatch(known -> known.name().equals(policy))) {
+                mistakes.add("--routing-policy (ARBUTUS_ROUTING_POLICY): value '" + policy + "', permitted: "
+                        + Arrays.toString(RoutingPolicy.values()));
+            }
             long neededMillis = CallerLimits.of(settings).longestDrainMillis();
             if (settings.number(DaemonSettings.DRAIN) < neededMillis) {
                 mistakes.add("--drain-millis (ARBUTUS_DRAIN_MILLIS): value '" + settings.number(DaemonSettings.DRAIN)
--- a/entry/src/main/java/org/arbutusstack/entry/caller/CallerParser.java
+++ b/entry/src/main/java/org/arbutusstack/entry/caller/CallerParser.java
@@ -3,7 +3,9 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderValues;
 import java.io.IOException;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 import org.arbutusstack.entry.router.CallerRequest;
@@ -19,6 +21,7 @@
 import org.arbutusstack.model.ticket.ModelSpec;
 import org.arbutusstack.model.ticket.ServiceKind;
 import org.arbutusstack.model.ticket.ServiceSpec;
+import org.arbutusstack.routing.PrefixHash;
 import org.arbutusstack.routing.RoutingRequest;
 
 /**
@@ -38,7 +41,7 @@
 
     private static final int LONGEST_KEY = 256;
 
-    private static final int DEFAULT_URGENCY = 3;
+    private static final int PROMPT_CHARACTERS = 1_024;
 
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
@@ -72,7 +75,7 @@
         Envelope envelope = new Envelope(
                 new RequestId(incarnation, nextNumber.getAndIncrement()),
                 clock.deadlineNanos(deadlineMillis),
-                priorityOf(headerOf(exchange, PRIORITY_HEADER)),
+                PriorityHeader.parse(headersOf(exchange, PRIORITY_HEADER)),
                 key,
                 exchange.getRequestMethod().toString(),
                 body,
@@ -103,9 +106,9 @@
         return value == null ? "" : value;
     }
 
-    private static Priority priorityOf(String header) {
-        boolean given = header.matches("u=[0-7]([,;].*)?");
-        return Priority.ofUrgency(given ? header.charAt(2) - '0' : DEFAULT_URGENCY);
+    private static List<String> headersOf(HttpServerExchange exchange, String name) {
+        HeaderValues values = exchange.getRequestHeaders().get(name);
+        return values == null ? List.of() : List.copyOf(values);
     }
 
     private static ParseResult malformed(String detail) {
@@ -134,7 +137,8 @@
         ModelSpec spec = model.get();
         AdapterSpec adapter = state.adapters().get(asked);
         String adapterKey = adapter == null ? "" : adapter.name() + "@" + adapter.version();
-        RoutingRequest routing = new RoutingRequest(spec.service(), spec.name() + "@" + spec.version(), adapterKey);
+        RoutingRequest routing = new RoutingRequest(
+                spec.service(), spec.name() + "@" + spec.version(), adapterKey, PrefixHash.of(promptOf(json)));
         long ticket = state.ticketNumber(adapter == null ? spec.id() : adapter.id());
         boolean stream = json.path("stream").asBoolean(false);
         return new ParseResult.Parsed(new CallerRequest(
@@ -154,6 +158,18 @@
                 envelope.response()));
     }
 
+    /** Joins the beginning of the messages, as far as a prefix is made of it. */
+    private static String promptOf(JsonNode json) {
+        StringBuilder prompt = new StringBuilder();
+        for (JsonNode message : json.path("messages")) {
+            prompt.append(message.path("content").asText());
+            if (prompt.length() > PROMPT_CHARACTERS) {
+                break;
+            }
+        }
+        return prompt.toString();
+    }
+
     private ParseResult serviceCall(Envelope envelope, String rest, DesiredState state) {
         int slash = rest.indexOf('/');
         String name = slash < 0 ? rest : rest.substring(0, slash);
--- a/entry/src/main/java/org/arbutusstack/entry/router/Pending.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/Pending.java
@@ -85,7 +85,7 @@
     /** Notes that the link took the attempt's frame. */
     void sent() {
         sends++;
-        side.sent();
+        side.load().sent(request.priority());
     }
 
     /** Counts the attempts that a link took. */
--- a/entry/src/main/java/org/arbutusstack/entry/router/RequestTable.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/RequestTable.java
@@ -1,5 +1,6 @@
 package org.arbutusstack.entry.router;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -98,17 +99,21 @@
     void arrived(CallerRequest request) {
         retries.requestArrived();
         Pending entry = new Pending(request, clock.nowNanos());
-        if (pending.size() >= limits.mostRequests()) {
+        if (pending.size() >= limits.mostRequests(request.priority())) {
             refuse(entry, Refusal.notRun(RefusalReason.QUEUE_FULL, "this entry has too many requests in hand"));
             return;
         }
         pending.put(request.id(), entry);
         route(entry);
-        if (entry.side() == null && waitingLike(request) > limits.mostWaiting()) {
+        if (isWaiting(entry) && waitingLike(request) > limits.mostWaiting()) {
             refuse(entry, Refusal.notRun(RefusalReason.NO_RUNNER, "too many requests wait for a runner of this model"));
         }
     }
 
+    private boolean isWaiting(Pending entry) {
+        return entry.side() == null && pending.containsKey(entry.request().id());
+    }
+
     private long waitingLike(CallerRequest request) {
         return pending.values().stream()
                 .filter(entry -> entry.side() == null
@@ -121,6 +126,12 @@
 
     private void route(Pending entry) {
         CallerRequest request = entry.request();
+        long lateMillis = lateMillis(request);
+        if (lateMillis > 0) {
+            String detail = "no runner of the model could answer in time";
+            refuse(entry, Refusal.notRun(RefusalReason.DEADLINE_UNREACHABLE, detail, Duration.ofMillis(lateMillis)));
+            return;
+        }
         Optional<RunnerView> chosen = choose(entry);
         if (chosen.isEmpty()) {
             return;
@@ -162,6 +173,16 @@
         return claimOwners.select(key, 0, views);
     }
 
+    /** Estimates how late the soonest answer would be that a runner of the model could give, in milliseconds. */
+    private long lateMillis(CallerRequest request) {
+        long soonestMillis = sides.views().stream()
+                .filter(request.routing()::isServedBy)
+                .mapToLong(view -> sides.byName(view.name()).load().estimateMillis(request.priority()))
+                .min()
+                .orElse(0);
+        return soonestMillis - clock.millisUntil(request.deadlineNanos());
+    }
+
     private WorkFrame frameOf(Pending entry) {
         CallerRequest request = entry.request();
         return new WorkFrame(
@@ -263,21 +284,21 @@
         }
         request.response().end();
         outcomes.answered(entry);
-        remove(entry);
+        remove(entry, true);
     }
 
-    private void remove(Pending entry) {
+    private void remove(Pending entry, boolean answered) {
         pending.remove(entry.request().id());
-        release(entry);
+        release(entry, answered);
         entry.neverSent();
     }
 
     /** Frees what an attempt holds. */
-    private void release(Pending entry) {
+    private void release(Pending entry, boolean answered) {
         bufferedBytes -= entry.body().size();
         entry.body().reset();
         if (entry.side() != null) {
-            entry.side().ended();
+            entry.side().load().ended(entry.request().priority(), answered);
         }
     }
 
@@ -289,7 +310,7 @@
     }
 
     private void failed(Pending entry, Refusal refusal, boolean linkLost) {
-        release(entry);
+        release(entry, false);
         if (linkLost && !entry.request().idempotent()) {
             entry.returnToSide(refusal, clock.deadlineNanos(RETURN_MILLIS));
         } else {
@@ -308,7 +329,8 @@
         boolean safe = refusal.kind() == RefusalKind.NOT_RUN
                 || entry.request().idempotent() && refusal.kind() != RefusalKind.REJECTED
                 || linkLost;
-        boolean inTime = !clock.isPast(entry.request().deadlineNanos());
+        boolean inTime = refusal.reason() != RefusalReason.DEADLINE_PASSED
+                && !clock.isPast(entry.request().deadlineNanos());
         if (!safe || !inTime || entry.failures() >= limits.mostAttempts()) {
             return false;
         }
@@ -322,7 +344,7 @@
     private void refuse(Pending entry, Refusal refusal) {
         CallerRequest request = entry.request();
         Refusal truth = truthOf(entry, refusal);
-        remove(entry);
+        remove(entry, false);
         outcomes.refused(entry, truth);
         logger.info("event=refused request={} kind={} reason={}", request.id(), truth.kind(), truth.reason());
         if (entry.isStreamOpened()) {
@@ -355,7 +377,7 @@
         }
         outcomes.cancelled(entry);
         cancelAtSide(entry);
-        remove(entry);
+        remove(entry, false);
     }
 
     /** Tells the side that nobody waits; a call that is not idempotent goes on, so that its outcome is recorded. */
--- a/entry/src/main/java/org/arbutusstack/entry/router/RouterService.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/RouterService.java
@@ -267,6 +267,7 @@
     private void tick() {
         applyHosts();
         requests.tick();
+        sides.learn();
         sides.closeSilent();
         sides.closedUnheard().forEach(side -> linkClosed(side.host(), side.link()));
         sides.dropUnlisted();
--- a/entry/src/main/java/org/arbutusstack/entry/router/RouterSettings.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/RouterSettings.java
@@ -10,6 +10,14 @@
     public static final Setting MOST_REQUESTS =
             Setting.number("most-requests", 1, 100_000, 2_048, "requests in hand at once (entry)");
 
+    /** The share of bulk requests. */
+    public static final Setting BULK_PERCENT =
+            Setting.number("bulk-percent", 1, 100, 50, "share of most-requests that bulk may have, in percent (entry)");
+
+    /** How runners are chosen. */
+    public static final Setting ROUTING_POLICY = Setting.text(
+            "routing-policy", "BALANCED", "how runners are chosen: ROUND_ROBIN, LEAST_OUTSTANDING or BALANCED (entry)");
+
     /** The requests that wait for a runner of one model. */
     public static final Setting MOST_WAITING =
             Setting.number("most-waiting", 0, 100_000, 512, "requests that wait for a runner of one model (entry)");
@@ -60,6 +68,8 @@
     public static List<Setting> all() {
         return List.of(
                 MOST_REQUESTS,
+                BULK_PERCENT,
+                ROUTING_POLICY,
                 MOST_WAITING,
                 MOST_ATTEMPTS,
                 RETRY_PERCENT,
--- a/entry/src/main/java/org/arbutusstack/entry/router/SideConnection.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/SideConnection.java
@@ -3,6 +3,7 @@
 import java.util.Set;
 import org.arbutusstack.model.host.Host;
 import org.arbutusstack.model.host.HostStatus;
+import org.arbutusstack.routing.RunnerLoad;
 import org.arbutusstack.routing.RunnerView;
 import org.arbutusstack.wire.frame.LoadFrame;
 import org.arbutusstack.wire.frame.SideReportFrame;
@@ -19,7 +20,13 @@
 
     private SideReportFrame report;
 
-    private int outstanding;
+    private final RunnerLoad load;
+
+    private Set<String> models = Set.of();
+
+    private Set<String> adapters = Set.of();
+
+    private int others;
 
     private long reconnectAtNanos;
 
@@ -27,8 +34,9 @@
 
     private boolean givenUp;
 
-    SideConnection(Host host) {
+    SideConnection(Host host, long nowNanos) {
         this.host = host;
+        this.load = new RunnerLoad(nowNanos);
     }
 
     Host host() {
@@ -94,24 +102,29 @@
 
     void report(SideReportFrame latest) {
         report = latest;
+        models = Set.copyOf(latest.models());
+        adapters = Set.copyOf(latest.adapters());
+        loadReported();
     }
 
     void load(LoadFrame latest) {
         if (report != null) {
             report = report.withLoad(latest);
+            loadReported();
         }
     }
 
-    void sent() {
-        outstanding++;
+    private void loadReported() {
+        load.reported(report.queued());
+        others = Math.max(0, report.queued() + report.running() - outstanding());
     }
 
-    void ended() {
-        outstanding--;
+    RunnerLoad load() {
+        return load;
     }
 
     int outstanding() {
-        return outstanding;
+        return load.outstanding();
     }
 
     boolean takesWork() {
@@ -120,12 +133,6 @@
 
     RunnerView view() {
         return new RunnerView(
-                host.name(),
-                host.service(),
-                host.zone(),
-                Set.copyOf(report.models()),
-                Set.copyOf(report.adapters()),
-                report.queued() + report.running(),
-                outstanding);
+                host.name(), host.service(), host.zone(), models, adapters, others + outstanding(), outstanding());
     }
 }
--- a/entry/src/main/java/org/arbutusstack/entry/router/SideDirectory.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/SideDirectory.java
@@ -63,7 +63,7 @@
         for (Host host : hosts.hosts()) {
             if (host.role() == HostRole.SIDE) {
                 listed.add(host.name());
-                sides.computeIfAbsent(host.name(), name -> new SideConnection(host))
+                sides.computeIfAbsent(host.name(), name -> new SideConnection(host, clock.nowNanos()))
                         .host(host);
             }
         }
@@ -94,6 +94,11 @@
         }
     }
 
+    /** Lets the loads of the runners learn from the time that has passed. */
+    void learn() {
+        sides.values().forEach(side -> side.load().tick(clock.nowNanos()));
+    }
+
     /** Gives up links on which several heartbeats of the side are missing. */
     void closeSilent() {
         for (SideConnection side : sides.values()) {
--- a/entry/src/test/java/org/arbutusstack/entry/router/TableHarness.java
+++ b/entry/src/test/java/org/arbutusstack/entry/router/TableHarness.java
@@ -36,7 +36,7 @@
     static final long DEADLINE_MILLIS = 10_000;
 
     private static final RouterLimits LIMITS =
-            new RouterLimits(16, 4, 4, 20, 100, 4 * 1_048_576, 16 * 1_048_576, 1_000, 2_000, 1_000);
+            new RouterLimits(16, 50, 4, 4, 20, 100, 4 * 1_048_576, 16 * 1_048_576, 1_000, 2_000, 1_000);
 
     final ManualClock clock = new ManualClock();
 
--- a/model/src/main/java/org/arbutusstack/model/request/Refusal.java
+++ b/model/src/main/java/org/arbutusstack/model/request/Refusal.java
@@ -1,5 +1,6 @@
 package org.arbutusstack.model.request;
 
+import java.time.Duration;
 import org.arbutusstack.kernel.Assert;
 
 /**
@@ -12,6 +13,8 @@
  */
 public record Refusal(RefusalKind kind, RefusalReason reason, String detail, int retryAfterSeconds) {
 
+    private static final long MILLIS_BELOW_SECOND = 999;
+
     /** Checks the refusal. */
     public Refusal {
         Assert.notNull(kind, "kind");
@@ -30,6 +33,20 @@
         return new Refusal(RefusalKind.NOT_RUN, reason, detail, 1);
     }
 
+    /**
+     * Refuses a request that never ran, and tells when another try may succeed.
+     *
+     * @param reason why
+     * @param detail one sentence for people
+     * @param retryAfter the time after which another try may succeed, rounded up to seconds
+     * @return the refusal
+     */
+    public static Refusal notRun(RefusalReason reason, String detail, Duration retryAfter) {
+        int seconds =
+                (int) Math.max(1, retryAfter.plusMillis(MILLIS_BELOW_SECOND).toSeconds());
+        return new Refusal(RefusalKind.NOT_RUN, reason, detail, seconds);
+    }
+
     /**
      * Refuses a request that may have run.
      *
--- a/routing/src/main/java/org/arbutusstack/routing/LeastOutstandingSelector.java
+++ b/routing/src/main/java/org/arbutusstack/routing/LeastOutstandingSelector.java
@@ -18,7 +18,7 @@
         return runners.stream()
                 .filter(request::isServedBy)
                 .min(Comparator.<RunnerView, Boolean>comparing(runner -> lacksAdapter(request, runner))
-                        .thenComparing(runner -> Math.max(runner.reported(), runner.outstanding()))
+                        .thenComparing(RunnerView::load)
                         .thenComparing(RunnerView::name));
     }
 
--- a/routing/src/main/java/org/arbutusstack/routing/RunnerView.java
+++ b/routing/src/main/java/org/arbutusstack/routing/RunnerView.java
@@ -10,7 +10,7 @@
  * @param zone its availability zone
  * @param models the models that it reports ready, each as name and version joined by an at sign
  * @param adapters the adapters that it reports ready
- * @param reported the requests that it reports to wait or run
+ * @param reported the requests that it is reckoned to have: its last report, corrected by what this entry sent since
  * @param outstanding the requests that this entry has sent it and that have not ended
  */
 public record RunnerView(
@@ -27,4 +27,13 @@
         models = Set.copyOf(models);
         adapters = Set.copyOf(adapters);
     }
+
+    /**
+     * Tells the work known.
+     *
+     * @return the requests that wait or run there
+     */
+    public int load() {
+        return Math.max(reported, outstanding);
+    }
 }
--- /dev/null
+++ b/routing/src/test/java/org/arbutusstack/routing/RetryBudgetTests.java
@@ -0,0 +1,20 @@
+package org.arbutusstack.routing;
+
+import static org.testng.Assert.assertEquals;
+
+import org.testng.annotations.Test;
+
+/** Tests {@link RetryBudget}. */
+public class RetryBudgetTests {
+
+    @Test
+    public void shouldDenyRetriesBeyondTheShareWhenReserveIsSpent() {
+        RetryBudget budget = new RetryBudget(20, 10);
+        int granted = 0;
+        for (int request = 0; request < 1_000; request++) {
+            budget.requestArrived();
+            granted += budget.tryTake() ? 1 : 0;
+        }
+        assertEquals(granted, 10 + 200, 1);
+    }
+}
--- a/side/src/main/java/org/arbutusstack/side/SideService.java
+++ b/side/src/main/java/org/arbutusstack/side/SideService.java
@@ -106,6 +106,8 @@
 
     private long loadAskAtNanos;
 
+    private SideReportFrame sentReport;
+
     private long reportAtNanos;
 
     /**
@@ -353,13 +355,14 @@
                 residency.readyModels(),
                 residency.readyAdapters(),
                 desk.isDraining() || !backendAnswers);
-        SideReportFrame last = lastReport.get();
+        lastReport.set(report);
+        SideReportFrame last = sentReport;
         LoadFrame load = new LoadFrame(desk.queued(), desk.running());
         boolean onlyLoad = !always && last != null && report.equals(last.withLoad(load));
         if (onlyLoad && (report.equals(last) || !clock.isPast(reportAtNanos))) {
             return;
         }
-        lastReport.set(report);
+        sentReport = report;
         reportAtNanos = clock.deadlineNanos(LOAD_REPORT_MILLIS);
         peers.broadcast(onlyLoad ? load : report);
     }
