--- a/entry/src/main/java/org/arbutusstack/entry/router/RouterLimits.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/RouterLimits.java
@@ -63,7 +63,8 @@
     }
 
     /**
-     * Tells how many requests may be in hand when one more of a priority arrives; the rest is kept for more urgent ones.
+     * Tells how many requests may be in hand when one more of a priority arrives; the rest is kept for more urgent
+     * ones.
      *
      * @param priority the priority
      * @return the number
--- a/routing/src/main/java/org/arbutusstack/routing/BalancedSelector.java
+++ b/routing/src/main/java/org/arbutusstack/routing/BalancedSelector.java
@@ -10,8 +10,8 @@
 /**
  * Sends requests with the same adapter or prompt prefix to the same runners as long as the load stays even.
  *
- * <p>Runners that hold the request's adapter go first. Among those, a prefix ranks the runners by rendezvous hashing and
- * the first one within the bound takes the request; without a prefix the better of two random runners does, so that
+ * <p>Runners that hold the request's adapter go first. Among those, a prefix ranks the runners by rendezvous hashing
+ * and the first one within the bound takes the request; without a prefix the better of two random runners does, so that
  * entries which see the same old reports do not all choose the same one. A runner is within the bound if its load is at
  * most a quarter and a few requests above the mean of all that hold the model. The entry's own availability zone breaks
  * ties. To be used by one thread.
--- a/routing/src/main/java/org/arbutusstack/routing/RunnerLoad.java
+++ b/routing/src/main/java/org/arbutusstack/routing/RunnerLoad.java
@@ -8,8 +8,9 @@
  * Follows one entry's requests at one runner and estimates how long another would take there.
  *
  * <p>By Little's law the time of a request is the number in flight over the rate at which they end. While the runner
- * reports that requests wait, the rate at which all end is its speed; at other times it is the demand, so that it can only
- * raise what is known of the speed. A less urgent priority gets what the more urgent ones leave. To be used by one thread.
+ * reports that requests wait, the rate at which all end is its speed; at other times it is the demand, so that it can
+ * only raise what is known of the speed. A less urgent priority gets what the more urgent ones leave. To be used by one
+ * thread.
  */
 public final class RunnerLoad {
 
