--- a/daemon/src/test/java/org/arbutusstack/daemon/request/RequestCluster.java
+++ b/daemon/src/test/java/org/arbutusstack/daemon/request/RequestCluster.java
@@ -42,7 +42,8 @@
     RequestCluster ready() {
         cluster.publishHosts();
         entries.forEach(entry -> require(cluster.awaitUp(entry, 30)));
-        String ticket = "{\"number\":1,\"services\":[{\"name\":\"stitch-lm\",\"kind\":\"ENGINE\",\"idempotent\":true}],"
+        String ticket = "{\"number\":1,\"services\":[{\"name\":\"stitch-lm\",\"kind\":\"ENGINE\",\"idempotent\":true},"
+                + "{\"name\":\"orderdesk\",\"kind\":\"PLAIN\",\"idempotent\":false}],"
                 + "\"models\":[{\"name\":\"boot-design\",\"service\":\"stitch-lm\",\"version\":\"v1\","
                 + "\"memoryMb\":100,\"minimumCopies\":" + sides.size() + "}]}";
         require(cluster.submit(entries.get(0), ticket).status() == 200);
--- a/http/src/main/java/org/arbutusstack/http/server/ConnectionWatch.java
+++ b/http/src/main/java/org/arbutusstack/http/server/ConnectionWatch.java
@@ -1,9 +1,16 @@
 package org.arbutusstack.http.server;
 
+import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.ServerConnection;
+import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.AttachmentKey;
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.IoUtils;
 
 /**
  * Tells the exchange that a connection carries now when the connection closes.
@@ -13,6 +20,10 @@
  */
 final class ConnectionWatch {
 
+    private static final Logger logger = LoggerFactory.getLogger(ConnectionWatch.class);
+
+    private static final long PROBE_MILLIS = 500;
+
     private static final AttachmentKey<ConnectionWatch> KEY = AttachmentKey.create(ConnectionWatch.class);
 
     private final AtomicReference<ResponseStream> current = new AtomicReference<>();
@@ -37,6 +48,44 @@
         });
     }
 
+    /**
+     * Looks again and again whether the caller has closed the connection. Undertow reads nothing while a request is
+     * handled, so that the end of a connection would be seen only when the answer is written.
+     */
+    static void probe(HttpServerExchange exchange, ResponseStream stream) {
+        exchange.getIoThread().executeAfter(() -> probeNow(exchange, stream), PROBE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private static void probeNow(HttpServerExchange exchange, ResponseStream stream) {
+        boolean mayRead = !stream.isFinished()
+                && exchange.getConnection() instanceof HttpServerConnection connection
+                && connection.getExtraBytes() == null;
+        if (mayRead && !hasEnded((HttpServerConnection) exchange.getConnection())) {
+            probe(exchange, stream);
+        }
+    }
+
+    /** Reads what has arrived, gives it back for the next request, and closes a connection that has ended. */
+    private static boolean hasEnded(HttpServerConnection connection) {
+        PooledByteBuffer pooled = connection.getByteBufferPool().allocate();
+        int count = -1;
+        try {
+            count = connection.getOriginalSourceConduit().read(pooled.getBuffer());
+        } catch (IOException broken) {
+            logger.debug("event=caller-connection-broken detail={}", broken.getMessage());
+        }
+        if (count > 0) {
+            pooled.getBuffer().flip();
+            connection.ungetRequestBytes(pooled);
+            return false;
+        }
+        pooled.close();
+        if (count < 0) {
+            IoUtils.safeClose(connection);
+        }
+        return count < 0;
+    }
+
     private static void close(ResponseStream stream) {
         if (stream != null) {
             stream.connectionClosed();
--- a/http/src/main/java/org/arbutusstack/http/server/ResponseStream.java
+++ b/http/src/main/java/org/arbutusstack/http/server/ResponseStream.java
@@ -77,6 +77,10 @@
         task.run();
     }
 
+    synchronized boolean isFinished() {
+        return finished || closed;
+    }
+
     void finished() {
         Runnable task;
         synchronized (this) {
@@ -147,6 +151,7 @@
     @Override
     public synchronized void onClose(Runnable task) {
         closeTask = task;
+        ConnectionWatch.probe(exchange, this);
     }
 
     private void schedule() {
