--- /dev/null
+++ b/daemon/src/test/java/org/arbutusstack/daemon/request/PathLatencyTests.java
@@ -0,0 +1,52 @@
+package org.arbutusstack.daemon.request;
+
+import static org.testng.Assert.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.Map;
+import org.arbutusstack.http.client.HttpCall;
+import org.arbutusstack.testkit.engine.EngineShape;
+import org.arbutusstack.testkit.process.ProcessCluster;
+import org.testng.annotations.Test;
+
+/** Measures what the path through entry and side adds to a call of the engine itself. */
+public class PathLatencyTests {
+
+    private static final int CALLS = 400;
+
+    private static final int WARM_UP = 100;
+
+    private static final double FIRST_TOKEN_MILLIS = 330;
+
+    @Test
+    public void shouldAddLittleWhenNothingWaits() {
+        try (RequestCluster run = new RequestCluster("path", 1, 1, EngineShape.SMALL, Map.of()).ready()) {
+            double[] direct = new double[CALLS];
+            double[] through = new double[CALLS];
+            for (int index = -WARM_UP; index < CALLS; index++) {
+                double directMillis = callMillis(run, run.engines.get(0).port(), "direct " + index);
+                double throughMillis = callMillis(run, run.entries.get(0).port("caller-port"), "through " + index);
+                if (index >= 0) {
+                    direct[index] = directMillis;
+                    through[index] = throughMillis;
+                }
+            }
+            Arrays.sort(direct);
+            Arrays.sort(through);
+            System.out.printf(
+                    "path latency: direct p50=%.2f p99=%.2f ms, through entry and side p50=%.2f p99=%.2f ms%n",
+                    direct[CALLS / 2], direct[CALLS * 99 / 100], through[CALLS / 2], through[CALLS * 99 / 100]);
+            assertTrue(through[CALLS * 99 / 100] - direct[CALLS / 2] < FIRST_TOKEN_MILLIS);
+        }
+    }
+
+    private static double callMillis(RequestCluster run, int port, String prompt) {
+        String body =
+                "{\"model\":\"boot-design\",\"max_tokens\":1,\"messages\":[{\"content\":\"" + prompt + "\"}]}";
+        HttpCall call = HttpCall.post("/v1/chat/completions", body.getBytes(StandardCharsets.UTF_8));
+        long startNanos = System.nanoTime();
+        assertTrue(ProcessCluster.await(run.cluster.call(port, call)).isSuccess());
+        return (System.nanoTime() - startNanos) / 1e6;
+    }
+}
