--- a/daemon/src/test/java/org/arbutusstack/daemon/request/PathLatencyTests.java
+++ b/daemon/src/test/java/org/arbutusstack/daemon/request/PathLatencyTests.java
@@ -42,8 +42,7 @@
     }
 
     private static double callMillis(RequestCluster run, int port, String prompt) {
-        String body =
-                "{\"model\":\"boot-design\",\"max_tokens\":1,\"messages\":[{\"content\":\"" + prompt + "\"}]}";
+        String body = "{\"model\":\"boot-design\",\"max_tokens\":1,\"messages\":[{\"content\":\"" + prompt + "\"}]}";
         HttpCall call = HttpCall.post("/v1/chat/completions", body.getBytes(StandardCharsets.UTF_8));
         long startNanos = System.nanoTime();
         assertTrue(ProcessCluster.await(run.cluster.call(port, call)).isSuccess());
--- a/side/src/main/java/org/arbutusstack/side/SideService.java
+++ b/side/src/main/java/org/arbutusstack/side/SideService.java
@@ -96,7 +96,9 @@
 
     private final AtomicBoolean loadAsked = new AtomicBoolean();
 
-    private final AtomicReference<SideReportFrame> lastReport = new AtomicReference<>();
+    private final AtomicReference<SideReportFrame> present = new AtomicReference<>();
+
+    private SideReportFrame lastReport;
 
     private volatile boolean idle = true;
 
@@ -106,8 +108,6 @@
 
     private long loadAskAtNanos;
 
-    private SideReportFrame sentReport;
-
     private long reportAtNanos;
 
     /**
@@ -355,14 +355,13 @@
                 residency.readyModels(),
                 residency.readyAdapters(),
                 desk.isDraining() || !backendAnswers);
-        lastReport.set(report);
-        SideReportFrame last = sentReport;
+        present.set(report);
         LoadFrame load = new LoadFrame(desk.queued(), desk.running());
-        boolean onlyLoad = !always && last != null && report.equals(last.withLoad(load));
-        if (onlyLoad && (report.equals(last) || !clock.isPast(reportAtNanos))) {
+        boolean onlyLoad = !always && lastReport != null && report.equals(lastReport.withLoad(load));
+        if (onlyLoad && (report.equals(lastReport) || !clock.isPast(reportAtNanos))) {
             return;
         }
-        sentReport = report;
+        lastReport = report;
         reportAtNanos = clock.deadlineNanos(LOAD_REPORT_MILLIS);
         peers.broadcast(onlyLoad ? load : report);
     }
@@ -391,7 +390,7 @@
         dump.put("sequence", state().sequence());
         dump.put("chain", state().chain().hex());
         dump.put("backendAnswers", backendAnswers);
-        dump.put("report", lastReport.get());
+        dump.put("report", present.get());
         dump.put("ring", Map.of("depth", duty.depth(), "capacity", duty.capacity()));
         return JsonCodec.write(dump);
     }
