--- a/daemon/src/test/java/org/arbutusstack/daemon/request/OverloadTests.java
+++ b/daemon/src/test/java/org/arbutusstack/daemon/request/OverloadTests.java
@@ -16,6 +16,8 @@
 /** Tests an entry and a side at three times the engine's capacity, interactive and bulk mixed. */
 public class OverloadTests {
 
+    private static final long MOST_RESIDENT_MB = 128;
+
     private static final int TOKENS = 40;
 
     private static final int CAPACITY_PER_SECOND = 60;
@@ -41,6 +43,9 @@
             CallerLoad overload = offer(run, 3 * CAPACITY_PER_SECOND, SECONDS);
             report("at capacity", atCapacity);
             report("overload", overload);
+            long residentMb = run.entries.get(0).mostResidentMb();
+            System.out.println("overload test, entry most resident MB: " + residentMb);
+            assertTrue(residentMb <= MOST_RESIDENT_MB, "the entry took " + residentMb + " MB");
             assertEquals(overload.calls(CallerOutcome.UNANSWERED).size(), 0);
             assertEquals(overload.calls(CallerOutcome.WRONG).size(), 0);
             assertTrue(useful(overload, INTERACTIVE) >= useful(atCapacity, INTERACTIVE));
--- a/entry/src/main/java/org/arbutusstack/entry/router/SideConnection.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/SideConnection.java
@@ -115,7 +115,7 @@
     }
 
     private void loadReported() {
-        load.reported(report.queued());
+        load.reported(report.queued(), report.running());
         others = Math.max(0, report.queued() + report.running() - outstanding());
     }
 
--- a/routing/src/main/java/org/arbutusstack/routing/RunnerLoad.java
+++ b/routing/src/main/java/org/arbutusstack/routing/RunnerLoad.java
@@ -38,7 +38,9 @@
 
     private long windowEndNanos;
 
-    private boolean waiting;
+    private boolean reportedWaiting;
+
+    private int slots;
 
     private boolean waitingAllWindow;
 
@@ -80,10 +82,19 @@
      * Takes the runner's report of its load.
      *
      * @param queued the requests that wait there
+     * @param running the requests that run there
      */
-    public void reported(int queued) {
-        waiting = queued > 0;
-        waitingAllWindow &= waiting;
+    public void reported(int queued, int running) {
+        reportedWaiting = queued > 0;
+        if (reportedWaiting) {
+            slots = running;
+        }
+        waitingAllWindow &= reportedWaiting;
+    }
+
+    /** Tells whether requests wait, by the last report or since this entry alone has sent more than can run. */
+    private boolean isWaiting() {
+        return reportedWaiting || slots > 0 && outstanding() > slots;
     }
 
     /**
@@ -99,7 +110,7 @@
         System.arraycopy(sentInWindow, 0, sentInLastWindow, 0, sentInWindow.length);
         Arrays.fill(sentInWindow, 0);
         Arrays.fill(endedInWindow, 0);
-        waitingAllWindow = waiting;
+        waitingAllWindow = isWaiting();
         windowEndNanos = nowNanos + WINDOW_MILLIS * Clock.NANOS_PER_MILLI;
     }
 
@@ -125,7 +136,7 @@
      * @return the milliseconds until its answer, zero as long as nothing waits at the runner
      */
     public long estimateMillis(Priority priority) {
-        if (!waiting || speedPerSecond == 0) {
+        if (!isWaiting() || speedPerSecond == 0) {
             return 0;
         }
         double leftPerSecond = speedPerSecond;
--- a/testkit/src/main/java/org/arbutusstack/testkit/process/DaemonProcess.java
+++ b/testkit/src/main/java/org/arbutusstack/testkit/process/DaemonProcess.java
@@ -3,6 +3,8 @@
 import java.io.File;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -24,6 +26,8 @@
     /** The key that the links of the processes prove. */
     public static final String LINK_KEY = "a key for tests on loopback";
 
+    private static final long KIB_PER_MIB = 1_024;
+
     private final String name;
 
     private final Map<String, String> flags;
@@ -184,6 +188,33 @@
         }
     }
 
+    /**
+     * Tells the processor time that the process has spent since its start.
+     *
+     * @return the time in milliseconds
+     */
+    public long processorMillis() {
+        return process.info().totalCpuDuration().orElse(java.time.Duration.ZERO).toMillis();
+    }
+
+    /**
+     * Tells the largest resident size that the process has had.
+     *
+     * @return the size in mebibytes, zero if the system does not tell it
+     */
+    public long mostResidentMb() {
+        try {
+            for (String line : Files.readAllLines(Path.of("/proc", Long.toString(process.pid()), "status"))) {
+                if (line.startsWith("VmHWM:")) {
+                    return Long.parseLong(line.replaceAll("[^0-9]", "")) / KIB_PER_MIB;
+                }
+            }
+            return 0;
+        } catch (IOException unknown) {
+            return 0;
+        }
+    }
+
     /**
      * Tells whether the process runs.
      *
