--- a/entry/src/main/java/org/arbutusstack/entry/router/RequestTable.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/RequestTable.java
@@ -21,6 +21,7 @@
 import org.arbutusstack.wire.frame.AnswerPartFrame;
 import org.arbutusstack.wire.frame.CancelFrame;
 import org.arbutusstack.wire.frame.RefusalFrame;
+import org.arbutusstack.wire.frame.StrikeFrame;
 import org.arbutusstack.wire.frame.WorkFrame;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -67,6 +68,8 @@
 
     private final RetryBudget retries;
 
+    private final Quarantine quarantine;
+
     private final Map<RequestId, Pending> pending = new HashMap<>();
 
     private long bufferedBytes;
@@ -85,6 +88,12 @@
         this.metrics = metrics;
         this.outcomes = outcomes;
         this.retries = new RetryBudget(limits.retryPercent(), limits.retryReserve());
+        this.quarantine = new Quarantine(clock);
+    }
+
+    /** Learns of a request that was in flight when an engine was lost. */
+    void told(StrikeFrame frame) {
+        quarantine.told(frame);
     }
 
     boolean isSent(RequestId id) {
@@ -103,6 +112,11 @@
             refuse(entry, Refusal.notRun(RefusalReason.QUEUE_FULL, "this entry has too many requests in hand"));
             return;
         }
+        Optional<Refusal> quarantined = quarantine.refusalOf(request);
+        if (quarantined.isPresent()) {
+            refuse(entry, quarantined.get());
+            return;
+        }
         pending.put(request.id(), entry);
         route(entry);
         if (isWaiting(entry) && waitingLike(request) > limits.mostWaiting()) {
@@ -137,6 +151,7 @@
             return;
         }
         SideConnection side = sides.byName(chosen.get().name());
+        quarantine.warn(side.link(), request);
         entry.begin(side, clock.deadlineNanos(limits.receiptMillis()));
         if (side.link().send(frameOf(entry))) {
             entry.sent();
@@ -166,6 +181,9 @@
     }
 
     private Optional<RunnerView> choose(CallerRequest request, List<RunnerView> views) {
+        if (quarantine.isSuspect(request)) {
+            return quarantine.choose(request, views);
+        }
         if (request.idempotent()) {
             return selector.select(request.routing(), views);
         }
@@ -316,6 +334,11 @@
         } else {
             entry.end(refusal, clock.deadlineNanos(RETRY_MILLIS << entry.failures()));
         }
+        Optional<Refusal> quarantined = quarantine.refusalOf(entry.request());
+        if (quarantined.isPresent()) {
+            refuse(entry, quarantined.get());
+            return;
+        }
         if (!mayTryAgain(entry, refusal, linkLost)) {
             refuse(entry, refusal);
             return;
