--- a/entry/src/main/java/org/arbutusstack/entry/router/RouterService.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/RouterService.java
@@ -278,7 +278,8 @@
     private void tick() {
         applyHosts();
         requests.tick();
-        sides.closeSilent(exchange.heartbeat());
+        sides.learn();
+        sides.closeSilent();
         sides.closedUnheard().forEach(side -> linkClosed(side.host(), side.link()));
         sides.dropUnlisted();
         sides.connectMissing();
--- a/entry/src/main/java/org/arbutusstack/entry/router/SideConnection.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/SideConnection.java
@@ -3,6 +3,7 @@
 import java.util.Set;
 import org.arbutusstack.model.host.Host;
 import org.arbutusstack.model.host.HostStatus;
+import org.arbutusstack.routing.RunnerLoad;
 import org.arbutusstack.routing.RunnerView;
 import org.arbutusstack.wire.frame.LoadFrame;
 import org.arbutusstack.wire.frame.SideReportFrame;
@@ -21,18 +22,23 @@
 
     private SideReportFrame report;
 
-    private int outstanding;
+    private final RunnerLoad load;
 
-    private long reconnectAtNanos;
+    private Set<String> models = Set.of();
+
+    private Set<String> adapters = Set.of();
 
-    private long probedAtNanos;
+    private int others;
+
+    private long reconnectAtNanos;
 
     private boolean listed = true;
 
     private boolean givenUp;
 
-    SideConnection(Host host) {
+    SideConnection(Host host, long nowNanos) {
         this.host = host;
+        this.load = new RunnerLoad(nowNanos);
     }
 
     Host host() {
@@ -49,7 +55,6 @@
 
     void connecting(Link opening) {
         link = opening;
-        probedAtNanos = opening.heardAtNanos();
         incarnation = "";
         open = false;
         givenUp = false;
@@ -87,14 +92,6 @@
         open = false;
     }
 
-    long probedAtNanos() {
-        return probedAtNanos;
-    }
-
-    void probed(long nanos) {
-        probedAtNanos = nanos;
-    }
-
     void introduced(String run) {
         incarnation = run;
     }
@@ -118,24 +115,29 @@
 
     void report(SideReportFrame latest) {
         report = latest;
+        models = Set.copyOf(latest.models());
+        adapters = Set.copyOf(latest.adapters());
+        loadReported();
     }
 
     void load(LoadFrame latest) {
         if (report != null) {
             report = report.withLoad(latest);
+            loadReported();
         }
     }
 
-    void sent() {
-        outstanding++;
+    private void loadReported() {
+        load.reported(report.queued(), report.running());
+        others = Math.max(0, report.queued() + report.running() - outstanding());
     }
 
-    void ended() {
-        outstanding--;
+    RunnerLoad load() {
+        return load;
     }
 
     int outstanding() {
-        return outstanding;
+        return load.outstanding();
     }
 
     boolean takesWork() {
@@ -144,12 +146,6 @@
 
     RunnerView view() {
         return new RunnerView(
-                host.name(),
-                host.service(),
-                host.zone(),
-                Set.copyOf(report.models()),
-                Set.copyOf(report.adapters()),
-                report.queued() + report.running(),
-                outstanding);
+                host.name(), host.service(), host.zone(), models, adapters, others + outstanding(), outstanding());
     }
 }
