--- a/entry/src/main/java/org/arbutusstack/entry/router/SideDirectory.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/SideDirectory.java
@@ -16,6 +16,7 @@
 import org.arbutusstack.model.host.HostRole;
 import org.arbutusstack.routing.RunnerView;
 import org.arbutusstack.wire.frame.Frame;
+import org.arbutusstack.wire.frame.HelloFrame;
 import org.arbutusstack.wire.link.Link;
 import org.arbutusstack.wire.link.LinkListener;
 import org.arbutusstack.wire.link.LinkTransport;
@@ -63,7 +64,7 @@
         for (Host host : hosts.hosts()) {
             if (host.role() == HostRole.SIDE) {
                 listed.add(host.name());
-                sides.computeIfAbsent(host.name(), name -> new SideConnection(host))
+                sides.computeIfAbsent(host.name(), name -> new SideConnection(host, clock.nowNanos()))
                         .host(host);
             }
         }
@@ -94,26 +95,18 @@
         }
     }
 
-    /**
-     * Gives up links that carry nothing more and probes those that may.
-     *
-     * <p>An idle link is silent after some heartbeats without an answer. A link with requests in flight is probed as
-     * soon as it says nothing for the time of a probe, and is silent if the probe is not answered in the same time.
-     */
-    void closeSilent(Frame probe) {
+    /** Lets the loads of the runners learn from the time that has passed. */
+    void learn() {
+        sides.values().forEach(side -> side.load().tick(clock.nowNanos()));
+    }
+
+    /** Gives up links on which several heartbeats of the side are missing. */
+    void closeSilent() {
         for (SideConnection side : sides.values()) {
-            if (side.link() == null) {
-                continue;
-            }
-            long quietMillis = (clock.nowNanos() - side.link().heardAtNanos()) / Clock.NANOS_PER_MILLI;
-            boolean busy = side.outstanding() > 0;
-            long boundMillis = busy ? 2 * limits.probeMillis() : limits.silenceMillis();
-            boolean probed = side.probedAtNanos() - side.link().heardAtNanos() > 0;
-            if (quietMillis >= boundMillis && (probed || !busy)) {
+            boolean silent = side.link() != null
+                    && clock.isPast(side.link().heardAtNanos() + limits.silenceMillis() * Clock.NANOS_PER_MILLI);
+            if (silent) {
                 giveUp(side, "silent");
-            } else if (busy && side.isOpen() && !probed && quietMillis >= limits.probeMillis()) {
-                side.probed(clock.nowNanos());
-                side.link().send(probe);
             }
         }
     }
@@ -153,6 +146,20 @@
         return side;
     }
 
+    /** Takes the introduction of the process at the other end; a link to another host than the one listed is closed. */
+    void introduced(SideConnection side, HelloFrame hello) {
+        if (hello.name().equals(side.host().name())) {
+            side.introduced(hello.incarnation());
+            return;
+        }
+        logger.warn(
+                "event=host-replaced listed={} found={} incarnation={}",
+                side.host().name(),
+                hello.name(),
+                hello.incarnation());
+        giveUp(side, "replaced");
+    }
+
     SideConnection closed(Host host, Link link) {
         SideConnection side = find(host, link);
         if (side != null) {
--- a/side/src/main/java/org/arbutusstack/side/SideService.java
+++ b/side/src/main/java/org/arbutusstack/side/SideService.java
@@ -306,7 +306,7 @@
             desk.engineAway();
             report(true);
         }
-        if (load != null && isEngine()) {
+        if (load != null && (isEngine() || load.path("memory_mb").asLong() > 0)) {
             suspects.loadReported(load);
             residency.engineReported(load, askedAtNanos);
             memoryMetrics.show(residency.ledger());
