--- a/daemon/src/main/java/org/arbutusstack/daemon/Role.java
+++ b/daemon/src/main/java/org/arbutusstack/daemon/Role.java
@@ -10,8 +10,11 @@
 import org.arbutusstack.entry.caller.CallerListener;
 import org.arbutusstack.entry.member.HostListService;
 import org.arbutusstack.entry.member.PeerService;
+import org.arbutusstack.entry.plan.EntryRoster;
 import org.arbutusstack.entry.plan.PlanBook;
 import org.arbutusstack.entry.plan.PlannerService;
+import org.arbutusstack.entry.plan.PlannerSettings;
+import org.arbutusstack.entry.plan.PlannerTiming;
 import org.arbutusstack.entry.router.RouterLimits;
 import org.arbutusstack.entry.router.RouterMetrics;
 import org.arbutusstack.entry.router.RouterService;
@@ -28,8 +31,10 @@
 import org.arbutusstack.ledger.ReferenceCheck;
 import org.arbutusstack.ledger.TicketHistory;
 import org.arbutusstack.ledger.TicketLog;
-import org.arbutusstack.placement.SpreadingPlanner;
+import org.arbutusstack.placement.CopyPlanner;
+import org.arbutusstack.placement.PlacementPolicy;
 import org.arbutusstack.routing.LeastOutstandingSelector;
+import org.arbutusstack.side.EngineContract;
 import org.arbutusstack.side.SideIdentity;
 import org.arbutusstack.side.SideService;
 import org.arbutusstack.side.SideSettings;
@@ -66,6 +71,8 @@
                     platform.clock(),
                     (int) settings.number(EntrySettings.RELAYS_PER_ZONE));
             registry.register(router);
+            EntryRoster roster = new EntryRoster();
+            PlacementPolicy policy = PlacementPolicy.valueOf(settings.text(PlannerSettings.PLACEMENT_POLICY));
             registry.register(peers);
             registry.register(new LogFollowerService(platform.store(), replica, platform.clock(), peers::isRelay));
             registry.register(new TicketService(
@@ -75,7 +82,16 @@
                     platform.clock(),
                     platform.trail()));
             registry.register(new PlannerService(
-                    identity, platform.store(), replica, plans, router, new SpreadingPlanner(), platform.clock()));
+                    identity,
+                    platform.store(),
+                    replica,
+                    plans,
+                    router,
+                    roster,
+                    new CopyPlanner(policy, PlannerSettings.placementWeights(settings)),
+                    PlannerTiming.of(settings),
+                    platform.clock(),
+                    platform.metrics()));
             registry.register(new HostListService(
                     platform.client(),
                     HttpTarget.parse(settings.text(DaemonSettings.HOST_LIST)),
@@ -84,6 +100,7 @@
                             || peers.peerNames().contains(host.name()),
                     hosts -> {
                         router.hostsChanged(hosts);
+                        roster.hostsChanged(hosts);
                         peers.hostsChanged(hosts);
                     }));
             registerListeners(registry, settings, platform, identity, replica, metrics);
@@ -143,6 +160,13 @@
             } catch (IllegalArgumentException mistake) {
                 mistakes.add("--operators (ARBUTUS_OPERATORS): " + mistake.getMessage());
             }
+            try {
+                PlacementPolicy.valueOf(settings.text(PlannerSettings.PLACEMENT_POLICY));
+            } catch (IllegalArgumentException unknown) {
+                mistakes.add("--placement-policy (ARBUTUS_PLACEMENT_POLICY): value '"
+                        + settings.text(PlannerSettings.PLACEMENT_POLICY) + "', permitted: "
+                        + List.of(PlacementPolicy.values()));
+            }
             long neededMillis = CallerLimits.of(settings).longestDrainMillis();
             if (settings.number(DaemonSettings.DRAIN) < neededMillis) {
                 mistakes.add("--drain-millis (ARBUTUS_DRAIN_MILLIS): value '" + settings.number(DaemonSettings.DRAIN)
@@ -172,6 +196,7 @@
                     platform.newReplica(),
                     platform.clock(),
                     SideSettings.workLimits(settings),
+                    EngineContract.of(settings),
                     SideSettings.claimLimits(settings),
                     platform.metrics(),
                     platform.trail());
--- a/entry/src/main/java/org/arbutusstack/entry/router/RouterService.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/RouterService.java
@@ -35,6 +35,7 @@
 import org.arbutusstack.wire.frame.ReceiptFrame;
 import org.arbutusstack.wire.frame.RefusalFrame;
 import org.arbutusstack.wire.frame.SideReportFrame;
+import org.arbutusstack.wire.frame.StrikeFrame;
 import org.arbutusstack.wire.link.Link;
 import org.arbutusstack.wire.link.LinkTransport;
 import org.slf4j.Logger;
@@ -252,6 +253,8 @@
             requests.refused(refusal, side);
         } else if (frame instanceof LoadFrame load) {
             side.load(load);
+        } else if (frame instanceof StrikeFrame strike) {
+            requests.told(strike);
         } else if (frame instanceof SideReportFrame report) {
             side.report(report);
             offerPlan(side, report);
@@ -314,6 +317,13 @@
                 .toList();
     }
 
+    @Override
+    public int listedRunners(String service) {
+        return (int) statuses.stream()
+                .filter(status -> status.service().equals(service))
+                .count();
+    }
+
     /**
      * Lists what the router knows of each runner.
      *
--- a/side/src/main/java/org/arbutusstack/side/SideService.java
+++ b/side/src/main/java/org/arbutusstack/side/SideService.java
@@ -5,8 +5,6 @@
 import java.net.InetSocketAddress;
 import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.Queue;
-import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import org.arbutusstack.audit.AuditTrail;
@@ -19,12 +17,9 @@
 import org.arbutusstack.ledger.LogReplica;
 import org.arbutusstack.model.JsonCodec;
 import org.arbutusstack.model.plan.Plan;
-import org.arbutusstack.model.request.Refusal;
-import org.arbutusstack.model.request.RefusalReason;
 import org.arbutusstack.model.ticket.DesiredState;
 import org.arbutusstack.model.ticket.ServiceKind;
 import org.arbutusstack.model.ticket.ServiceSpec;
-import org.arbutusstack.placement.MemoryLedger;
 import org.arbutusstack.side.claim.ClaimLimits;
 import org.arbutusstack.side.claim.ClaimMetrics;
 import org.arbutusstack.store.KeyValueStore;
@@ -33,8 +28,8 @@
 import org.arbutusstack.wire.frame.HelloFrame;
 import org.arbutusstack.wire.frame.LoadFrame;
 import org.arbutusstack.wire.frame.PlanFrame;
-import org.arbutusstack.wire.frame.RefusalFrame;
 import org.arbutusstack.wire.frame.SideReportFrame;
+import org.arbutusstack.wire.frame.StrikeFrame;
 import org.arbutusstack.wire.frame.WorkFrame;
 import org.arbutusstack.wire.link.Link;
 import org.arbutusstack.wire.link.LinkListener;
@@ -62,6 +57,8 @@
 
     private static final long LOAD_REPORT_MILLIS = 1_000;
 
+    private static final int LOADS_MISSED_TO_LEAVE = 3;
+
     private static final long LEAVING_NOTICE_MILLIS = 500;
 
     private static final long DRAIN_POLL_MILLIS = 20;
@@ -86,13 +83,17 @@
 
     private final Residency residency;
 
+    private final WorkRunner runner;
+
     private final WorkDesk desk;
 
+    private final MemoryMetrics memoryMetrics;
+
     private final SidePeers peers;
 
-    private final WorkMetrics workMetrics;
+    private final SuspectDesk suspects;
 
-    private final Queue<SideEvent> overflow = new ConcurrentLinkedQueue<>();
+    private final EventGate gate;
 
     private final AtomicBoolean loadAsked = new AtomicBoolean();
 
@@ -106,6 +107,8 @@
 
     private long appliedSequence;
 
+    private int missedLoads;
+
     private long loadAskAtNanos;
 
     private long reportAtNanos;
@@ -121,6 +124,7 @@
      * @param replica this process's copy of the ticket log
      * @param clock the clock of the process
      * @param workLimits bounds the work
+     * @param engine what the engine promises
      * @param claimLimits bounds the claims of calls that may not be repeated
      * @param metrics the process's metrics
      * @param trail takes what an auditor may ask about
@@ -134,6 +138,7 @@
             LogReplica replica,
             Clock clock,
             WorkLimits workLimits,
+            EngineContract engine,
             ClaimLimits claimLimits,
             PrometheusRegistry metrics,
             AuditTrail trail) {
@@ -142,14 +147,21 @@
         this.transport = Assert.notNull(transport, "transport");
         this.clock = Assert.notNull(clock, "clock");
         this.replica = Assert.notNull(replica, "replica");
-        this.backend = new Backend(client, identity.backend(), clock, this::offer);
+        this.backend = new Backend(client, identity.backend(), clock, engine.orderMillis(), this::offer);
         this.claims = new ClaimDesk(store, clock, identity, claimLimits, new ClaimMetrics(metrics), this::offer);
-        this.residency = new Residency(identity.name(), identity.service(), new MemoryLedger(), backend::order);
-        this.workMetrics = new WorkMetrics(metrics);
+        OpenWork open = new OpenWork();
+        this.memoryMetrics = new MemoryMetrics(metrics);
+        AdapterCache cache = new AdapterCache(clock, engine.adapterLoadsAtOnce(), engine.adapterStickyMillis());
+        this.residency = new Residency(identity, engine.ledger(clock.nowNanos()), cache, clock, this::order, open::all);
+        WorkMetrics workMetrics = new WorkMetrics(metrics);
+        this.gate = new EventGate(duty, workMetrics);
         AnswerSender answers =
                 new AnswerSender(identity.name(), () -> replica.state().sequence(), trail, workMetrics);
-        this.desk = new WorkDesk(clock, backend, claims, answers, workLimits);
         this.peers = new SidePeers(replica, clock);
+        this.suspects = new SuspectDesk(
+                identity.incarnation(), clock, workLimits.quarantineMillis(), peers::broadcast, metrics);
+        this.runner = new WorkRunner(clock, backend, claims, open, suspects, answers);
+        this.desk = new WorkDesk(clock, backend, runner, open, suspects, answers, workLimits);
     }
 
     @Override
@@ -157,54 +169,13 @@
         return NAME;
     }
 
-    /** Offers an event to the duty; what a full ring cannot take is refused, broken off or kept, never lost unseen. */
-    private void offer(SideEvent event) {
-        if (duty.offer(event)) {
-            return;
-        }
-        if (event instanceof SideEvent.BackendBytes bytes) {
-            breakOff(bytes.work());
-        } else if (event instanceof SideEvent.BackendHead head) {
-            breakOff(head.work());
-        } else if (event instanceof SideEvent.FrameArrived arrived) {
-            refuseAtRing(arrived);
-        } else if (event instanceof SideEvent.LinkOpened opened) {
-            opened.link().close();
-        } else {
-            keep(event);
-        }
-    }
-
-    /** Keeps an event for the next tick; an answer whose end comes so may have lost its order and is broken off. */
-    private void keep(SideEvent event) {
-        if (event instanceof SideEvent.BackendEnded ended) {
-            breakOff(ended.work());
-        }
-        overflow.add(event);
-    }
-
-    private void breakOff(Work work) {
-        if (!work.isBroken()) {
-            logger.warn("event=side-ring-full broken_off={}", work.frame().id());
-            workMetrics.answerBroken();
-            work.markBroken();
-        }
-    }
-
-    private void refuseAtRing(SideEvent.FrameArrived arrived) {
-        if (arrived.frame() instanceof WorkFrame work) {
-            workMetrics.refusedAtRing();
-            Refusal refusal = Refusal.notRun(RefusalReason.QUEUE_FULL, "the runner has too much to do");
-            arrived.link().send(new RefusalFrame(work.id(), work.attempt(), refusal));
-        }
+    private void order(EngineOrder order) {
+        memoryMetrics.sent(order);
+        backend.order(order);
     }
 
-    private void takeOverflow() {
-        SideEvent event = overflow.poll();
-        while (event != null) {
-            handle(event);
-            event = overflow.poll();
-        }
+    private void offer(SideEvent event) {
+        gate.offer(event);
     }
 
     @Override
@@ -241,15 +212,15 @@
         if (event instanceof SideEvent.FrameArrived arrived) {
             frame(arrived.link(), arrived.frame());
         } else if (event instanceof SideEvent.BackendHead head) {
-            desk.head(head.work(), head.status(), head.contentType());
+            runner.head(head.work(), head.status(), head.contentType());
         } else if (event instanceof SideEvent.BackendBytes bytes) {
-            desk.bytes(bytes.work(), bytes.bytes());
+            runner.bytes(bytes.work(), bytes.bytes());
         } else if (event instanceof SideEvent.BackendEnded ended) {
-            desk.backendEnded(ended.work());
+            runner.backendEnded(ended.work());
         } else if (event instanceof SideEvent.BackendFailed failed) {
-            desk.backendFailed(failed.work(), failed.failure());
+            runner.backendFailed(failed.work(), failed.failure());
         } else if (event instanceof SideEvent.ClaimSettled settled) {
-            desk.claimSettled(settled.work(), settled.result());
+            runner.claimSettled(settled.work(), settled.result());
         } else {
             handleOther(event);
         }
@@ -262,15 +233,18 @@
     private void handleOther(SideEvent event) {
         if (event instanceof SideEvent.LinkOpened opened) {
             peers.opened(opened.link(), identity.hello());
+            suspects.tell(opened.link());
             report(true);
         } else if (event instanceof SideEvent.LinkClosed closed) {
             peers.closed(closed.link());
             desk.linkClosed(closed.link());
         } else if (event instanceof SideEvent.OrderEnded ended) {
+            memoryMetrics.ended(ended.order(), ended.failure() == null);
             residency.orderEnded(ended.order(), ended.failure());
+            loadAskAtNanos = clock.nowNanos();
             report(true);
         } else if (event instanceof SideEvent.LoadReported reported) {
-            loadReported(reported.load());
+            loadReported(reported.load(), reported.askedAtNanos());
         } else if (event instanceof SideEvent.FenceGranted granted) {
             residency.fenceGranted(granted.fence());
         } else if (event instanceof SideEvent.Tick) {
@@ -287,6 +261,8 @@
             desk.take(work, link);
         } else if (frame instanceof CancelFrame cancel) {
             desk.cancel(cancel.id(), cancel.attempt());
+        } else if (frame instanceof StrikeFrame strike) {
+            suspects.told(strike);
         } else if (frame instanceof HelloFrame hello) {
             desk.entryStarted(hello.name(), hello.incarnation());
         } else if (peers.take(link, frame)) {
@@ -319,23 +295,36 @@
         return work.frame().model().isEmpty() || residency.isReady(work);
     }
 
-    private void loadReported(JsonNode load) {
+    private void loadReported(JsonNode load, long askedAtNanos) {
         loadAsked.set(false);
-        backendAnswers = load != null;
+        missedLoads = load == null ? missedLoads + 1 : 0;
+        backendAnswers =
+                load != null || backendAnswers && missedLoads < LOADS_MISSED_TO_LEAVE && !suspects.isUncertain();
+        if (load == null && suspects.isUncertain()) {
+            desk.engineAway();
+            report(true);
+        }
         if (load != null && isEngine()) {
-            residency.engineReported(load);
+            suspects.loadReported(load);
+            residency.engineReported(load, askedAtNanos);
+            memoryMetrics.show(residency.ledger());
             desk.slotsReported(load.path("slots").asInt(Integer.MAX_VALUE));
         }
     }
 
     private void tick() {
-        takeOverflow();
+        gate.takeOverflow(this::handle);
         peers.tick();
         desk.expire();
+        if (isEngine()) {
+            residency.converge();
+        }
         claims.commitSoon();
         idle = desk.isDraining() && desk.isIdle();
-        if (clock.isPast(loadAskAtNanos) && loadAsked.compareAndSet(false, true)) {
+        boolean askDue = suspects.isUncertain() || clock.isPast(loadAskAtNanos);
+        if (askDue && loadAsked.compareAndSet(false, true)) {
             loadAskAtNanos = clock.deadlineNanos(LOAD_PERIOD_MILLIS);
+            suspects.loadAsked();
             backend.askLoad();
         }
         peers.closeSilent(clock);
@@ -350,13 +339,16 @@
                 residency.plan().sequence(),
                 residency.ledger().sizeMb(),
                 residency.ledger().committedMb(),
+                residency.ledger().modelsMb(),
                 desk.queued(),
                 desk.running(),
                 residency.readyModels(),
+                residency.otherModels(),
                 residency.readyAdapters(),
+                residency.demand(),
                 desk.isDraining() || !backendAnswers);
         present.set(report);
-        LoadFrame load = new LoadFrame(desk.queued(), desk.running());
+        LoadFrame load = new LoadFrame(desk.queued(), desk.running(), report.demand());
         boolean onlyLoad = !always && lastReport != null && report.equals(lastReport.withLoad(load));
         if (onlyLoad && (report.equals(lastReport) || !clock.isPast(reportAtNanos))) {
             return;
--- a/wire/src/main/java/org/arbutusstack/wire/frame/Frame.java
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/Frame.java
@@ -28,6 +28,7 @@
                 PlanFrame,
                 SideReportFrame,
                 LoadFrame,
+                StrikeFrame,
                 ProtocolErrorFrame {
 
     /**
--- a/wire/src/main/java/org/arbutusstack/wire/frame/FrameType.java
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/FrameType.java
@@ -41,7 +41,9 @@
     /** See {@link LoadFrame}. */
     LOAD(20, LoadFrame::read),
     /** See {@link ProtocolErrorFrame}. */
-    PROTOCOL_ERROR(13, ProtocolErrorFrame::read);
+    PROTOCOL_ERROR(13, ProtocolErrorFrame::read),
+    /** See {@link StrikeFrame}. */
+    STRIKE(42, StrikeFrame::read);
 
     private final int code;
 
