--- a/side/src/test/java/org/arbutusstack/side/MemoryScheduleTests.java
+++ b/side/src/test/java/org/arbutusstack/side/MemoryScheduleTests.java
@@ -110,7 +110,7 @@
         }
 
         private DesiredState state() {
-            return new DesiredState(++sequence, Digest.ZERO, Map.of(), models, Map.of(), Map.of());
+            return new DesiredState(++sequence, Digest.ZERO, Map.of(), models, Map.of(), Map.of(), 0, 0);
         }
 
         private void plan() {
