--- a/daemon/src/main/java/org/arbutusstack/daemon/Role.java
+++ b/daemon/src/main/java/org/arbutusstack/daemon/Role.java
@@ -9,6 +9,7 @@
 import org.arbutusstack.entry.caller.CallerLimits;
 import org.arbutusstack.entry.caller.CallerListener;
 import org.arbutusstack.entry.member.HostListService;
+import org.arbutusstack.entry.member.MemberMetrics;
 import org.arbutusstack.entry.member.PeerService;
 import org.arbutusstack.entry.plan.EntryRoster;
 import org.arbutusstack.entry.plan.PlanBook;
@@ -21,6 +22,7 @@
 import org.arbutusstack.entry.ticket.LogFollowerService;
 import org.arbutusstack.entry.ticket.OperatorDirectory;
 import org.arbutusstack.entry.ticket.OperatorListener;
+import org.arbutusstack.entry.ticket.TicketMetrics;
 import org.arbutusstack.entry.ticket.TicketService;
 import org.arbutusstack.http.client.HttpTarget;
 import org.arbutusstack.kernel.service.ServiceRegistry;
@@ -62,6 +64,7 @@
                     metrics,
                     platform.trail());
             TicketLog log = new TicketLog(platform.store(), replica, List.of(new ReferenceCheck()), platform.clock());
+            MemberMetrics memberMetrics = new MemberMetrics(platform.metrics());
             PeerService peers = new PeerService(
                     identity,
                     new InetSocketAddress(
@@ -69,7 +72,8 @@
                     platform.transport(),
                     replica,
                     platform.clock(),
-                    (int) settings.number(EntrySettings.RELAYS_PER_ZONE));
+                    (int) settings.number(EntrySettings.RELAYS_PER_ZONE),
+                    memberMetrics);
             registry.register(router);
             EntryRoster roster = new EntryRoster();
             PlacementPolicy policy = PlacementPolicy.valueOf(settings.text(PlannerSettings.PLACEMENT_POLICY));
@@ -79,6 +83,7 @@
                     log,
                     new LogCompactor(platform.store(), replica, platform.clock()),
                     new TicketHistory(platform.store(), replica, platform.clock()),
+                    new TicketMetrics(platform.metrics(), replica),
                     platform.clock(),
                     platform.trail()));
             registry.register(new PlannerService(
@@ -98,6 +103,7 @@
                     platform.clock(),
                     host -> router.acknowledgements().isLinked(host.name())
                             || peers.peerNames().contains(host.name()),
+                    memberMetrics,
                     hosts -> {
                         router.hostsChanged(hosts);
                         roster.hostsChanged(hosts);
--- a/entry/src/main/java/org/arbutusstack/entry/member/HostListService.java
+++ b/entry/src/main/java/org/arbutusstack/entry/member/HostListService.java
@@ -49,6 +49,8 @@
 
     private final Predicate<Host> linked;
 
+    private final MemberMetrics metrics;
+
     private HostList members = new HostList(List.of());
 
     private boolean mistaken;
@@ -60,10 +62,17 @@
      * @param target where the list is
      * @param clock the clock of the process
      * @param linked tells whether something was lately heard from a host over a link
+     * @param metrics tells the members
      * @param listener learns of each change of the members; must not block
      */
     public HostListService(
-            HttpClient client, HttpTarget target, Clock clock, Predicate<Host> linked, Consumer<HostList> listener) {
+            HttpClient client,
+            HttpTarget target,
+            Clock clock,
+            Predicate<Host> linked,
+            MemberMetrics metrics,
+            Consumer<HostList> listener) {
+        this.metrics = Assert.notNull(metrics, "metrics");
         this.client = Assert.notNull(client, "client");
         this.target = Assert.notNull(target, "target");
         this.clock = Assert.notNull(clock, "clock");
@@ -102,6 +111,7 @@
         warnIfMistaken(list, !merged.equals(list));
         if (!merged.equals(members)) {
             members = merged;
+            metrics.members(merged.hosts().size());
             logger.info("event=host-list-changed hosts={}", merged.hosts().size());
             listener.accept(merged);
         }
@@ -109,6 +119,7 @@
 
     private void warnIfMistaken(HostList list, boolean isMistaken) {
         if (isMistaken && !mistaken) {
+            metrics.listMistaken();
             logger.warn(
                     "event=host-list-mistaken listed={} members={}",
                     list.hosts().size(),
--- a/entry/src/main/java/org/arbutusstack/entry/member/PeerService.java
+++ b/entry/src/main/java/org/arbutusstack/entry/member/PeerService.java
@@ -38,6 +38,8 @@
 
     private final PeerDirectory directory;
 
+    private final MemberMetrics metrics;
+
     private final Duty<Runnable> duty = new Duty<>(NAME, RING_SIZE, Runnable::run);
 
     private final Ticker ticker = new Ticker("peers-ticker");
@@ -55,6 +57,7 @@
      * @param replica this process's copy of the ticket log
      * @param clock the clock of the process
      * @param relaysPerZone the number of relays in each availability zone
+     * @param metrics tells the links
      */
     public PeerService(
             EntryIdentity identity,
@@ -62,7 +65,9 @@
             LinkTransport transport,
             LogReplica replica,
             Clock clock,
-            int relaysPerZone) {
+            int relaysPerZone,
+            MemberMetrics metrics) {
+        this.metrics = Assert.notNull(metrics, "metrics");
         Assert.notNull(identity, "identity");
         this.linkAddress = Assert.notNull(linkAddress, "linkAddress");
         this.directory =
@@ -88,6 +93,7 @@
 
     private void offer(Runnable task) {
         if (!duty.offer(task)) {
+            metrics.ringFull();
             logger.warn("event=peers-ring-full depth={}", duty.depth());
         }
     }
@@ -96,6 +102,7 @@
         directory.tick();
         relay = directory.isRelay();
         peerNames = directory.peerNames();
+        metrics.peers(peerNames.size(), relay);
     }
 
     /**
--- a/entry/src/main/java/org/arbutusstack/entry/ticket/TicketService.java
+++ b/entry/src/main/java/org/arbutusstack/entry/ticket/TicketService.java
@@ -50,6 +50,8 @@
 
     private final TicketHistory history;
 
+    private final TicketMetrics metrics;
+
     private final Duty<Runnable> duty = new Duty<>("tickets", RING_SIZE, Runnable::run);
 
     private final Duty<Runnable> archive = new Duty<>("ticket-archive", RING_SIZE, Runnable::run);
@@ -62,10 +64,18 @@
      * @param log the ticket log; used by this service's duty only
      * @param compactor shortens the ticket log; used by this service's archive duty only
      * @param history finds tickets of long ago; used by this service's archive duty only
+     * @param metrics counts what becomes of tickets
      * @param clock the clock of the process
      * @param trail takes what an auditor may ask about
      */
-    public TicketService(TicketLog log, LogCompactor compactor, TicketHistory history, Clock clock, AuditTrail trail) {
+    public TicketService(
+            TicketLog log,
+            LogCompactor compactor,
+            TicketHistory history,
+            TicketMetrics metrics,
+            Clock clock,
+            AuditTrail trail) {
+        this.metrics = Assert.notNull(metrics, "metrics");
         this.compactor = Assert.notNull(compactor, "compactor");
         this.history = Assert.notNull(history, "history");
         this.log = Assert.notNull(log, "log");
@@ -108,6 +118,7 @@
                     entry.operator(),
                     outcome.getClass().getSimpleName());
             trail.record(eventOf(entry, outcome));
+            metrics.submitted(outcome);
             result.complete(outcome);
             if (log.isCompactionDue()) {
                 offerCompaction();
@@ -126,7 +137,7 @@
 
     private void compact() {
         compactionWaits.set(false);
-        compactor.compact(clock.deadlineNanos(COMPACT_MILLIS));
+        metrics.compacted(compactor.compact(clock.deadlineNanos(COMPACT_MILLIS)));
     }
 
     /**
