--- a/entry/src/main/java/org/arbutusstack/entry/router/RouterLimits.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/RouterLimits.java
@@ -2,11 +2,13 @@
 
 import org.arbutusstack.kernel.Assert;
 import org.arbutusstack.kernel.setting.Settings;
+import org.arbutusstack.model.request.Priority;
 
 /**
  * States what the router keeps within.
  *
  * @param mostRequests the requests in hand at once
+ * @param bulkPercent the share of the requests in hand that bulk requests may have, in percent
  * @param mostWaiting the requests of one model that wait for a runner at once
  * @param mostAttempts the attempts of one request, without those that a leaving side refused
  * @param retryPercent the retries permitted for a hundred requests
@@ -15,10 +17,11 @@
  * @param mostBufferedBytes the bytes of answers that are buffered at once
  * @param receiptMillis how long a side may take to confirm a request, in milliseconds
  * @param heartbeatMillis the period of heartbeats on a link, in milliseconds
- * @param probeMillis how long a link with requests may say nothing before it is probed, in milliseconds
+ * @param silenceMillis how long a link may carry nothing before it is given up, in milliseconds
  */
 public record RouterLimits(
         int mostRequests,
+        int bulkPercent,
         int mostWaiting,
         int mostAttempts,
         int retryPercent,
@@ -27,15 +30,15 @@
         long mostBufferedBytes,
         long receiptMillis,
         long heartbeatMillis,
-        long probeMillis) {
+        long silenceMillis) {
 
-    private static final int SILENT_HEARTBEATS = 3;
+    private static final int WHOLE_PERCENT = 100;
 
     /** Checks the limits. */
     public RouterLimits {
         Assert.atLeast(mostRequests, 1, "mostRequests");
         Assert.atLeast(mostAttempts, 1, "mostAttempts");
-        Assert.atLeast(probeMillis, 1, "probeMillis");
+        Assert.atLeast(silenceMillis, 1, "silenceMillis");
     }
 
     /**
@@ -47,6 +50,7 @@
     public static RouterLimits of(Settings settings) {
         return new RouterLimits(
                 (int) settings.number(RouterSettings.MOST_REQUESTS),
+                (int) settings.number(RouterSettings.BULK_PERCENT),
                 (int) settings.number(RouterSettings.MOST_WAITING),
                 (int) settings.number(RouterSettings.MOST_ATTEMPTS),
                 (int) settings.number(RouterSettings.RETRY_PERCENT),
@@ -55,15 +59,23 @@
                 settings.number(RouterSettings.MOST_BUFFERED),
                 settings.number(RouterSettings.RECEIPT),
                 settings.number(RouterSettings.HEARTBEAT),
-                settings.number(RouterSettings.PROBE));
+                settings.number(RouterSettings.SILENCE));
     }
 
     /**
-     * Tells when an idle link counts as silent.
+     * Tells how many requests may be in hand when one more of a priority arrives; the rest is kept for more urgent
+     * ones.
      *
-     * @return the milliseconds without anything heard
+     * @param priority the priority
+     * @return the number
      */
-    public long silenceMillis() {
-        return SILENT_HEARTBEATS * heartbeatMillis;
+    public int mostRequests(Priority priority) {
+        int percent =
+                switch (priority) {
+                    case INTERACTIVE -> WHOLE_PERCENT;
+                    case NORMAL -> (WHOLE_PERCENT + bulkPercent) / 2;
+                    case BULK -> bulkPercent;
+                };
+        return Math.max(1, (int) ((long) mostRequests * percent / WHOLE_PERCENT));
     }
 }
--- a/entry/src/main/java/org/arbutusstack/entry/router/RouterService.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/RouterService.java
@@ -270,14 +270,16 @@
         boolean newer = plan.fence() > report.planFence()
                 || plan.fence() == report.planFence() && plan.sequence() > report.planSequence();
         if (newer) {
-            side.link().send(new PlanFrame(JsonCodec.write(plan)));
+            String runner = side.host().name();
+            side.link().send(new PlanFrame(JsonCodec.write(plan.onlyFor(runner))));
         }
     }
 
     private void tick() {
         applyHosts();
         requests.tick();
-        sides.closeSilent(exchange.heartbeat());
+        sides.learn();
+        sides.closeSilent();
         sides.closedUnheard().forEach(side -> linkClosed(side.host(), side.link()));
         sides.dropUnlisted();
         sides.connectMissing();
--- a/side/src/main/java/org/arbutusstack/side/SideService.java
+++ b/side/src/main/java/org/arbutusstack/side/SideService.java
@@ -105,6 +105,8 @@
 
     private volatile boolean backendAnswers;
 
+    private volatile WorkStatus workStatus = WorkStatus.EMPTY;
+
     private long appliedSequence;
 
     private int missedLoads;
@@ -304,7 +306,7 @@
             desk.engineAway();
             report(true);
         }
-        if (load != null && isEngine()) {
+        if (load != null && (isEngine() || load.path("memory_mb").asLong() > 0)) {
             suspects.loadReported(load);
             residency.engineReported(load, askedAtNanos);
             memoryMetrics.show(residency.ledger());
@@ -320,6 +322,8 @@
             residency.converge();
         }
         claims.commitSoon();
+        workStatus = new WorkStatus(
+                desk.queued(), desk.queuedBytes(), desk.running(), desk.slots(), suspects.size(), claims.waiting());
         idle = desk.isDraining() && desk.isIdle();
         boolean askDue = suspects.isUncertain() || clock.isPast(loadAskAtNanos);
         if (askDue && loadAsked.compareAndSet(false, true)) {
@@ -383,6 +387,7 @@
         dump.put("chain", state().chain().hex());
         dump.put("backendAnswers", backendAnswers);
         dump.put("report", present.get());
+        dump.put("work", workStatus);
         dump.put("ring", Map.of("depth", duty.depth(), "capacity", duty.capacity()));
         return JsonCodec.write(dump);
     }
