Let only relays read the host list often, and tell the others over links

Relays read every 500 ms (host-list-period-millis) and send changed lists; others read at the start and every 30 s. Not run: the whole suite; the mechanism was not seen failing first.

--- a/daemon/src/main/java/org/arbutusstack/daemon/Role.java
+++ b/daemon/src/main/java/org/arbutusstack/daemon/Role.java
@@ -109,6 +109,8 @@
                     platform.clock(),
                     host -> router.acknowledgements().isLinked(host.name())
                             || peers.peerNames().contains(host.name()),
+                    peers,
+                    settings.number(EntrySettings.HOST_LIST_PERIOD),
                     memberMetrics,
                     hosts -> {
                         router.hostsChanged(hosts);
--- a/entry/src/main/java/org/arbutusstack/entry/EntrySettings.java
+++ b/entry/src/main/java/org/arbutusstack/entry/EntrySettings.java
@@ -30,6 +30,10 @@
     public static final Setting RELAYS_PER_ZONE =
             Setting.number("relays-per-zone", 1, 16, 2, "entries of a zone that follow the key-value service (entry)");
 
+    /** The period at which a relay reads the host list. */
+    public static final Setting HOST_LIST_PERIOD = Setting.number(
+            "host-list-period-millis", 100, 60_000, 500, "period at which a relay reads the host list, in ms (entry)");
+
     private EntrySettings() {}
 
     /**
@@ -38,6 +42,13 @@
      * @return the settings
      */
     public static List<Setting> all() {
-        return List.of(CALLER_PORT, OPERATOR_PORT, OPERATORS, LONGEST_BODY, DEFAULT_DEADLINE, RELAYS_PER_ZONE);
+        return List.of(
+                CALLER_PORT,
+                OPERATOR_PORT,
+                OPERATORS,
+                LONGEST_BODY,
+                DEFAULT_DEADLINE,
+                RELAYS_PER_ZONE,
+                HOST_LIST_PERIOD);
     }
 }
--- a/entry/src/main/java/org/arbutusstack/entry/member/HostListService.java
+++ b/entry/src/main/java/org/arbutusstack/entry/member/HostListService.java
@@ -23,15 +23,18 @@
 /**
  * Reads the platform's host list again and again and hands the members on when they have changed.
  *
- * <p>When it cannot be read, the members stand. Runs on a duty of its own.
+ * <p>Only a relay reads at the full period; other entries learn of changes from the relays and read now and then. When
+ * it cannot be read, the members stand. Runs on a duty of its own.
  */
 public final class HostListService implements Service {
 
     private static final Logger logger = LoggerFactory.getLogger(HostListService.class);
 
-    private static final int RING_SIZE = 4;
+    private static final int RING_SIZE = 64;
 
-    private static final long PERIOD_MILLIS = 500;
+    private static final long TICK_MILLIS = 100;
+
+    private static final long FOLLOWER_PERIOD_MILLIS = 30_000;
 
     private static final long CALL_MILLIS = 2_000;
 
@@ -49,6 +52,16 @@
 
     private final Predicate<Host> linked;
 
+    private final PeerService peers;
+
+    private final long periodMillis;
+
+    private HostList lastRead = new HostList(List.of());
+
+    private long readAtNanos;
+
+    private long relayReadAtNanos;
+
     private final MemberMetrics metrics;
 
     private HostList members = new HostList(List.of());
@@ -62,6 +75,8 @@
      * @param target where the list is
      * @param clock the clock of the process
      * @param linked tells whether something was lately heard from a host over a link
+     * @param peers tells whether the entry is a relay, and carries lists between entries
+     * @param periodMillis the period at which a relay reads the list, in milliseconds
      * @param metrics tells the members
      * @param listener learns of each change of the members; must not block
      */
@@ -70,8 +85,12 @@
             HttpTarget target,
             Clock clock,
             Predicate<Host> linked,
+            PeerService peers,
+            long periodMillis,
             MemberMetrics metrics,
             Consumer<HostList> listener) {
+        this.peers = Assert.notNull(peers, "peers");
+        this.periodMillis = Assert.atLeast(periodMillis, 1, "periodMillis");
         this.metrics = Assert.notNull(metrics, "metrics");
         this.client = Assert.notNull(client, "client");
         this.target = Assert.notNull(target, "target");
@@ -88,8 +107,21 @@
     @Override
     public void start() {
         duty.start();
-        duty.offer(this::read);
-        ticker.every(PERIOD_MILLIS, () -> duty.offer(this::read));
+        readAtNanos = clock.nowNanos();
+        relayReadAtNanos = readAtNanos;
+        peers.onHosts(hosts -> duty.offer(() -> handOn(hosts)));
+        duty.offer(this::readIfDue);
+        ticker.every(TICK_MILLIS, () -> duty.offer(this::readIfDue));
+    }
+
+    private void readIfDue() {
+        boolean due = peers.isRelay() ? clock.isPast(relayReadAtNanos) : clock.isPast(readAtNanos);
+        if (!due) {
+            return;
+        }
+        relayReadAtNanos = clock.deadlineNanos(periodMillis);
+        readAtNanos = clock.deadlineNanos(FOLLOWER_PERIOD_MILLIS);
+        read();
     }
 
     private void read() {
@@ -97,7 +129,7 @@
             HttpReply reply = client.call(target, HttpCall.get("/hosts"), clock.deadlineNanos(CALL_MILLIS))
                     .get();
             if (reply.isSuccess()) {
-                handOn(JsonCodec.read(reply.body(), HostList.class));
+                publish(JsonCodec.read(reply.body(), HostList.class));
             }
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
@@ -106,6 +138,14 @@
         }
     }
 
+    private void publish(HostList list) {
+        handOn(list);
+        if (!list.equals(lastRead)) {
+            lastRead = list;
+            peers.publish(list);
+        }
+    }
+
     private void handOn(HostList list) {
         HostList merged = Membership.merge(members, list, linked);
         warnIfMistaken(list, !merged.equals(list));
--- a/entry/src/main/java/org/arbutusstack/entry/member/PeerService.java
+++ b/entry/src/main/java/org/arbutusstack/entry/member/PeerService.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.arbutusstack.entry.EntryIdentity;
 import org.arbutusstack.kernel.Assert;
 import org.arbutusstack.kernel.ring.Duty;
@@ -114,6 +115,24 @@
         offer(() -> directory.hostsChanged(hosts));
     }
 
+    /**
+     * Sets who learns of host lists that relays send; to be called before the start.
+     *
+     * @param listener learns of each list; must not block
+     */
+    public void onHosts(Consumer<HostList> listener) {
+        directory.onHosts(listener);
+    }
+
+    /**
+     * Sends a host list that this entry has read to other entries, if it is a relay.
+     *
+     * @param hosts the list as read
+     */
+    public void publish(HostList hosts) {
+        offer(() -> directory.publish(hosts));
+    }
+
     /**
      * Tells whether the entry is a relay of its availability zone.
      *
--- a/ledger/src/main/java/org/arbutusstack/ledger/peer/PeerDirectory.java
+++ b/ledger/src/main/java/org/arbutusstack/ledger/peer/PeerDirectory.java
@@ -12,12 +12,15 @@
 import org.arbutusstack.kernel.Assert;
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.ledger.LogReplica;
+import org.arbutusstack.model.JsonCodec;
+import org.arbutusstack.model.ModelException;
 import org.arbutusstack.model.host.Host;
 import org.arbutusstack.model.host.HostList;
 import org.arbutusstack.model.host.HostRole;
 import org.arbutusstack.model.host.HostStatus;
 import org.arbutusstack.wire.frame.Frame;
 import org.arbutusstack.wire.frame.HelloFrame;
+import org.arbutusstack.wire.frame.HostsFrame;
 import org.arbutusstack.wire.link.Link;
 import org.arbutusstack.wire.link.LinkListener;
 import org.arbutusstack.wire.link.LinkTransport;
@@ -63,6 +66,10 @@
 
     private final Map<Link, String> namesByLink = new LinkedHashMap<>();
 
+    private Consumer<HostList> hostsListener = hosts -> {};
+
+    private HostsFrame readHosts;
+
     private List<Host> entries = List.of();
 
     private Map<String, List<String>> rankings = Map.of();
@@ -103,6 +110,27 @@
         transport.listen(address, new EventListener(""));
     }
 
+    /**
+     * Sets who learns of host lists that relays send.
+     *
+     * @param listener learns of each list; must not block
+     */
+    public void onHosts(Consumer<HostList> listener) {
+        hostsListener = Assert.notNull(listener, "listener");
+    }
+
+    /**
+     * Sends a host list that this entry has read to the entries behind its links, if it is a relay.
+     *
+     * @param hosts the list as read
+     */
+    public void publish(HostList hosts) {
+        readHosts = new HostsFrame(JsonCodec.write(hosts));
+        if (relay) {
+            namesByLink.keySet().forEach(link -> link.send(readHosts));
+        }
+    }
+
     /**
      * Takes a changed host list.
      *
@@ -138,6 +166,9 @@
         }
         namesByLink.put(event.link(), "");
         event.link().send(self);
+        if (relay && readHosts != null) {
+            event.link().send(readHosts);
+        }
         exchange.opened(event.link());
     }
 
@@ -159,9 +190,25 @@
             introduced(link, hello);
             return;
         }
+        if (frame instanceof HostsFrame hosts) {
+            receive(hosts);
+            return;
+        }
         exchange.take(link, frame);
     }
 
+    /** Hands on a list from another relay, unless this entry is a relay and reads its own. */
+    private void receive(HostsFrame frame) {
+        if (relay) {
+            return;
+        }
+        try {
+            hostsListener.accept(JsonCodec.read(frame.hosts(), HostList.class));
+        } catch (ModelException malformed) {
+            logger.warn("event=hosts-malformed detail={}", malformed.getMessage());
+        }
+    }
+
     private void introduced(Link link, HelloFrame hello) {
         namesByLink.put(link, hello.name());
         dialled.values().stream().filter(peer -> peer.link() == link).forEach(peer -> checkName(peer, hello));
--- a/ledger/src/test/java/org/arbutusstack/ledger/peer/DisseminationTests.java
+++ b/ledger/src/test/java/org/arbutusstack/ledger/peer/DisseminationTests.java
@@ -3,12 +3,15 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.arbutusstack.kernel.digest.Digest;
 import org.arbutusstack.ledger.AcceptResult;
 import org.arbutusstack.ledger.AppendOutcome;
 import org.arbutusstack.ledger.LogCompactor;
 import org.arbutusstack.ledger.LogReplica;
+import org.arbutusstack.model.host.HostList;
 import org.arbutusstack.model.ticket.ServiceKind;
 import org.arbutusstack.model.ticket.ServiceSpec;
 import org.arbutusstack.model.ticket.Ticket;
@@ -185,6 +188,27 @@
         assertTrue(reads <= 2 * 11, "reads in 10 s: " + reads);
     }
 
+    @Test
+    public void shouldTellFollowersOfHostsWhenRelayReadsList() {
+        FakeProcesses all = build();
+        HostList list = new HostList(List.of(all.entries.get(0).host));
+        Map<String, HostList> told = new HashMap<>();
+        all.entries.forEach(entry -> entry.peers.onHosts(hosts -> told.put(entry.host.name(), hosts)));
+        all.entries.forEach(entry -> entry.peers.publish(list));
+        all.network.run(500);
+        long followers = all.entries.stream()
+                .filter(entry -> !entry.peers.isRelay())
+                .filter(entry -> list.equals(told.get(entry.host.name())))
+                .count();
+        assertEquals(followers, 4);
+        assertEquals(told.size(), 4, "relays read for themselves");
+        FakeProcesses.Entry late = all.addEntry("prairie", "regina");
+        late.peers.onHosts(hosts -> told.put(late.host.name(), hosts));
+        all.publish();
+        all.network.run(SETTLE_MILLIS);
+        assertTrue(late.peers.isRelay() || list.equals(told.get(late.host.name())));
+    }
+
     @Test
     public void shouldFollowByReadingWhenWatchIsSilent() {
         FakeProcesses all = build();
--- a/wire/src/main/java/org/arbutusstack/wire/frame/Frame.java
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/Frame.java
@@ -25,6 +25,7 @@
                 LogPushFrame,
                 SnapshotPullFrame,
                 SnapshotPushFrame,
+                HostsFrame,
                 PlanFrame,
                 SideReportFrame,
                 LoadFrame,
--- a/wire/src/main/java/org/arbutusstack/wire/frame/FrameType.java
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/FrameType.java
@@ -34,6 +34,8 @@
     SNAPSHOT_PULL(50, SnapshotPullFrame::read),
     /** See {@link SnapshotPushFrame}. */
     SNAPSHOT_PUSH(51, SnapshotPushFrame::read),
+    /** See {@link HostsFrame}. */
+    HOSTS(52, HostsFrame::read),
     /** See {@link PlanFrame}. */
     PLAN(11, PlanFrame::read),
     /** See {@link SideReportFrame}. */
