--- a/daemon/src/main/java/org/arbutusstack/daemon/Role.java
+++ b/daemon/src/main/java/org/arbutusstack/daemon/Role.java
@@ -10,6 +10,7 @@
 import org.arbutusstack.entry.caller.CallerLimits;
 import org.arbutusstack.entry.caller.CallerListener;
 import org.arbutusstack.entry.member.HostListService;
+import org.arbutusstack.entry.member.MemberMetrics;
 import org.arbutusstack.entry.member.PeerService;
 import org.arbutusstack.entry.plan.EntryRoster;
 import org.arbutusstack.entry.plan.PackingCheck;
@@ -24,6 +25,7 @@
 import org.arbutusstack.entry.ticket.LogFollowerService;
 import org.arbutusstack.entry.ticket.OperatorDirectory;
 import org.arbutusstack.entry.ticket.OperatorListener;
+import org.arbutusstack.entry.ticket.TicketMetrics;
 import org.arbutusstack.entry.ticket.TicketService;
 import org.arbutusstack.http.client.HttpTarget;
 import org.arbutusstack.kernel.service.ServiceRegistry;
@@ -68,6 +70,7 @@
                     platform.trail());
             List<TicketCheck> checks = List.of(new ReferenceCheck(), new PackingCheck(router));
             TicketLog log = new TicketLog(platform.store(), replica, checks, platform.clock());
+            MemberMetrics memberMetrics = new MemberMetrics(platform.metrics());
             PeerService peers = new PeerService(
                     identity,
                     new InetSocketAddress(
@@ -75,7 +78,8 @@
                     platform.transport(),
                     replica,
                     platform.clock(),
-                    (int) settings.number(EntrySettings.RELAYS_PER_ZONE));
+                    (int) settings.number(EntrySettings.RELAYS_PER_ZONE),
+                    memberMetrics);
             registry.register(router);
             EntryRoster roster = new EntryRoster();
             PlacementPolicy policy = PlacementPolicy.valueOf(settings.text(PlannerSettings.PLACEMENT_POLICY));
@@ -85,6 +89,7 @@
                     log,
                     new LogCompactor(platform.store(), replica, platform.clock()),
                     new TicketHistory(platform.store(), replica, platform.clock()),
+                    new TicketMetrics(platform.metrics(), replica),
                     platform.clock(),
                     platform.trail()));
             registry.register(new PlannerService(
@@ -104,6 +109,9 @@
                     platform.clock(),
                     host -> router.acknowledgements().isLinked(host.name())
                             || peers.peerNames().contains(host.name()),
+                    peers,
+                    settings.number(EntrySettings.HOST_LIST_PERIOD),
+                    memberMetrics,
                     hosts -> {
                         router.hostsChanged(hosts);
                         roster.hostsChanged(hosts);
--- a/entry/src/main/java/org/arbutusstack/entry/member/PeerService.java
+++ b/entry/src/main/java/org/arbutusstack/entry/member/PeerService.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.arbutusstack.entry.EntryIdentity;
 import org.arbutusstack.kernel.Assert;
 import org.arbutusstack.kernel.ring.Duty;
@@ -38,6 +39,8 @@
 
     private final PeerDirectory directory;
 
+    private final MemberMetrics metrics;
+
     private final Duty<Runnable> duty = new Duty<>(NAME, RING_SIZE, Runnable::run);
 
     private final Ticker ticker = new Ticker("peers-ticker");
@@ -55,6 +58,7 @@
      * @param replica this process's copy of the ticket log
      * @param clock the clock of the process
      * @param relaysPerZone the number of relays in each availability zone
+     * @param metrics tells the links
      */
     public PeerService(
             EntryIdentity identity,
@@ -62,7 +66,9 @@
             LinkTransport transport,
             LogReplica replica,
             Clock clock,
-            int relaysPerZone) {
+            int relaysPerZone,
+            MemberMetrics metrics) {
+        this.metrics = Assert.notNull(metrics, "metrics");
         Assert.notNull(identity, "identity");
         this.linkAddress = Assert.notNull(linkAddress, "linkAddress");
         this.directory =
@@ -88,6 +94,7 @@
 
     private void offer(Runnable task) {
         if (!duty.offer(task)) {
+            metrics.ringFull();
             logger.warn("event=peers-ring-full depth={}", duty.depth());
         }
     }
@@ -96,6 +103,7 @@
         directory.tick();
         relay = directory.isRelay();
         peerNames = directory.peerNames();
+        metrics.peers(peerNames.size(), relay);
     }
 
     /**
@@ -107,6 +115,24 @@
         offer(() -> directory.hostsChanged(hosts));
     }
 
+    /**
+     * Sets who learns of host lists that relays send; to be called before the start.
+     *
+     * @param listener learns of each list; must not block
+     */
+    public void onHosts(Consumer<HostList> listener) {
+        directory.onHosts(listener);
+    }
+
+    /**
+     * Sends a host list that this entry has read to other entries, if it is a relay.
+     *
+     * @param hosts the list as read
+     */
+    public void publish(HostList hosts) {
+        offer(() -> directory.publish(hosts));
+    }
+
     /**
      * Tells whether the entry is a relay of its availability zone.
      *
