--- a/bench/src/main/java/org/arbutusstack/bench/BenchCommand.java
+++ b/bench/src/main/java/org/arbutusstack/bench/BenchCommand.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import org.arbutusstack.bench.capacity.CapacityCommand;
 import org.arbutusstack.bench.deployment.DeploymentCommand;
 import org.arbutusstack.bench.load.LoadCommand;
 import org.arbutusstack.bench.report.ReportFiles;
@@ -11,6 +12,13 @@
 
 /** Lists the commands of the measuring tool; each constant runs its own. */
 enum BenchCommand {
+    /** Works out what each role uses at the size to design for. */
+    CAPACITY {
+        @Override
+        void run(String[] arguments, ReportFiles files) {
+            new CapacityCommand().run(files);
+        }
+    },
     /** Runs a deployment under load and faults. */
     DEPLOYMENT {
         @Override
--- /dev/null
+++ b/bench/src/main/java/org/arbutusstack/bench/capacity/SlopeReports.java
@@ -0,0 +1,34 @@
+package org.arbutusstack.bench.capacity;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.arbutusstack.bench.report.LinearFit;
+import org.arbutusstack.testkit.Json;
+
+/**
+ * Reads the lines that the slopes command wrote.
+ *
+ * @param directory where the reports are
+ */
+record SlopeReports(Path directory) {
+
+    LinearFit fit(String slopeCase, String value) {
+        JsonNode fit = read(slopeCase).path("fits").path(value);
+        if (fit.isMissingNode()) {
+            throw new IllegalStateException("Could not find " + value + " in the report of " + slopeCase);
+        }
+        return new LinearFit(fit.path("intercept").asDouble(), fit.path("slope").asDouble());
+    }
+
+    private JsonNode read(String slopeCase) {
+        Path file = directory.resolve("slopes-" + slopeCase + ".json");
+        try {
+            return Json.read(Files.readAllBytes(file));
+        } catch (IOException failure) {
+            throw new UncheckedIOException("Could not read " + file, failure);
+        }
+    }
+}
