--- a/bench/src/main/java/org/arbutusstack/bench/BenchCommand.java
+++ b/bench/src/main/java/org/arbutusstack/bench/BenchCommand.java
@@ -7,6 +7,7 @@
 import org.arbutusstack.bench.capacity.CapacityCommand;
 import org.arbutusstack.bench.deployment.DeploymentCommand;
 import org.arbutusstack.bench.load.LoadCommand;
+import org.arbutusstack.bench.policy.PolicyCommand;
 import org.arbutusstack.bench.report.ReportFiles;
 import org.arbutusstack.bench.slopes.SlopesCommand;
 
@@ -33,6 +34,13 @@
             new LoadCommand().run(arguments, files);
         }
     },
+    /** Compares policies under virtual time. */
+    POLICY {
+        @Override
+        void run(String[] arguments, ReportFiles files) {
+            new PolicyCommand().run(arguments, files);
+        }
+    },
     /** Measures how use grows with size. */
     SLOPES {
         @Override
--- a/bench/src/main/java/org/arbutusstack/bench/deployment/Policy.java
+++ b/bench/src/main/java/org/arbutusstack/bench/deployment/Policy.java
@@ -4,6 +4,13 @@
 
 /** Lists the policies that are compared; each constant knows the flags of the daemons that choose it. */
 public enum Policy {
+    /** Copies fill the memory evenly and requests go to the runner with the least work. */
+    STATIC(Map.of("placement-policy", "STATIC")),
+    /** Copies follow the demand at once, without hysteresis. */
+    FOLLOW_DEMAND(Map.of(
+            "placement-policy", "FOLLOW_DEMAND", "requests-per-copy", "4", "adapter-reserve-percent", "5")),
+    /** Copies follow the demand with hysteresis, set for attainment. */
+    BALANCED(Map.of("placement-policy", "BALANCED", "requests-per-copy", "4", "adapter-reserve-percent", "5")),
     /** The daemons' own choice. */
     CURRENT(Map.of());
 
