--- a/daemon/src/main/java/org/arbutusstack/daemon/DaemonSettings.java
+++ b/daemon/src/main/java/org/arbutusstack/daemon/DaemonSettings.java
@@ -3,6 +3,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.arbutusstack.entry.EntrySettings;
+import org.arbutusstack.entry.caller.CallerSettings;
+import org.arbutusstack.entry.router.RouterSettings;
 import org.arbutusstack.kernel.setting.Setting;
 import org.arbutusstack.side.SideSettings;
 
@@ -46,7 +48,7 @@
 
     /** The time that a graceful stop may take. */
     public static final Setting DRAIN =
-            Setting.number("drain-millis", 0, 3_600_000, 60_000, "time that a graceful stop may take, in ms");
+            Setting.number("drain-millis", 0, 3_600_000, 130_000, "time that a graceful stop may take, in ms");
 
     /** The time between two anchors of the audit records. */
     public static final Setting ANCHOR_PERIOD =
@@ -79,6 +81,8 @@
                 ANCHOR_PERIOD,
                 RETENTION));
         all.addAll(EntrySettings.all());
+        all.addAll(CallerSettings.all());
+        all.addAll(RouterSettings.all());
         all.addAll(SideSettings.all());
         return all;
     }
--- a/entry/src/main/java/org/arbutusstack/entry/router/SideConnection.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/SideConnection.java
@@ -4,6 +4,7 @@
 import org.arbutusstack.model.host.Host;
 import org.arbutusstack.model.host.HostStatus;
 import org.arbutusstack.routing.RunnerView;
+import org.arbutusstack.wire.frame.LoadFrame;
 import org.arbutusstack.wire.frame.SideReportFrame;
 import org.arbutusstack.wire.link.Link;
 
@@ -22,6 +23,12 @@
 
     private long reconnectAtNanos;
 
+    private long probedAtNanos;
+
+    private boolean listed = true;
+
+    private boolean givenUp;
+
     SideConnection(Host host) {
         this.host = host;
     }
@@ -40,12 +47,14 @@
 
     void connecting(Link opening) {
         link = opening;
+        probedAtNanos = opening.heardAtNanos();
         open = false;
+        givenUp = false;
         report = null;
     }
 
     void opened() {
-        open = true;
+        open = !givenUp;
     }
 
     void closed(long retryAtNanos) {
@@ -55,6 +64,33 @@
         reconnectAtNanos = retryAtNanos;
     }
 
+    /** Tells whether the host list names the host. */
+    boolean isListed() {
+        return listed;
+    }
+
+    void listed(boolean isListed) {
+        listed = isListed;
+    }
+
+    boolean isGivenUp() {
+        return givenUp;
+    }
+
+    /** Takes the link out of use before it is closed. */
+    void giveUp() {
+        givenUp = true;
+        open = false;
+    }
+
+    long probedAtNanos() {
+        return probedAtNanos;
+    }
+
+    void probed(long nanos) {
+        probedAtNanos = nanos;
+    }
+
     boolean isOpen() {
         return open;
     }
@@ -71,6 +107,12 @@
         report = latest;
     }
 
+    void load(LoadFrame latest) {
+        if (report != null) {
+            report = report.withLoad(latest);
+        }
+    }
+
     void sent() {
         outstanding++;
     }
@@ -84,7 +126,7 @@
     }
 
     boolean takesWork() {
-        return open && report != null && !report.leaving() && host.status() == HostStatus.LIVE;
+        return open && listed && report != null && !report.leaving() && host.status() == HostStatus.LIVE;
     }
 
     RunnerView view() {
--- a/wire/src/main/java/org/arbutusstack/wire/frame/SideReportFrame.java
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/SideReportFrame.java
@@ -32,6 +32,26 @@
         boolean leaving)
         implements Frame {
 
+    /**
+     * Replaces the load.
+     *
+     * @param load the load
+     * @return the report with that load
+     */
+    public SideReportFrame withLoad(LoadFrame load) {
+        return new SideReportFrame(
+                sequence,
+                planFence,
+                planSequence,
+                memorySizeMb,
+                memoryCommittedMb,
+                load.queued(),
+                load.running(),
+                models,
+                adapters,
+                leaving);
+    }
+
     static SideReportFrame read(MessageUnpacker unpacker) throws IOException {
         return new SideReportFrame(
                 unpacker.unpackLong(),
