--- a/bench/src/main/java/org/arbutusstack/bench/deployment/Policy.java
+++ b/bench/src/main/java/org/arbutusstack/bench/deployment/Policy.java
@@ -4,8 +4,10 @@
 
 /** Lists the policies that are compared; each constant knows the flags of the daemons that choose it. */
 public enum Policy {
-    /** Copies fill the memory evenly and requests go to the runner with the least work. */
-    STATIC(Map.of("placement-policy", "STATIC")),
+    /** Copies fill the memory evenly and requests go round. */
+    STATIC_ROUND_ROBIN(Map.of("placement-policy", "STATIC", "routing-policy", "ROUND_ROBIN")),
+    /** Copies fill the memory evenly and requests go to the runner with the least work, adapters first. */
+    STATIC_LEAST_OUTSTANDING(Map.of("placement-policy", "STATIC", "routing-policy", "LEAST_OUTSTANDING")),
     /** Copies follow the demand at once, without hysteresis. */
     FOLLOW_DEMAND(Map.of(
             "placement-policy", "FOLLOW_DEMAND", "requests-per-copy", "4", "adapter-reserve-percent", "5")),
--- a/bench/src/main/java/org/arbutusstack/bench/policy/PolicyRun.java
+++ b/bench/src/main/java/org/arbutusstack/bench/policy/PolicyRun.java
@@ -75,7 +75,7 @@
         this.totals = new VirtualTotals(TimeUnit.SECONDS.toNanos(SETTLE_SECONDS));
         this.weights = new VirtualWeights(deployment.weights(), time);
         this.planner = setup.policy().planner(placementWeights);
-        this.selector = setup.policy().selector();
+        this.selector = setup.policy().selector(deployment.zone(0), setup.seed());
         for (int number = 0; number < setup.runners(); number++) {
             runners.add(new VirtualRunner(
                     "runner-" + number, deployment.zone(number), deployment.shape(), time, weights, totals));
--- a/bench/src/main/java/org/arbutusstack/bench/slopes/SlopeCase.java
+++ b/bench/src/main/java/org/arbutusstack/bench/slopes/SlopeCase.java
@@ -61,7 +61,9 @@
         Measurement measure(int size, SlopeBed bed) {
             DaemonProcess entry = bed.startEntry();
             for (int index = 0; index < size; index++) {
-                bed.cluster().addHost(SlopeBed.row("entry-far-" + index, "ENTRY", "", 1).put("zone", "far"));
+                bed.cluster()
+                        .addHost(SlopeBed.row("entry-far-" + index, "ENTRY", "", 1)
+                                .put("zone", "far"));
             }
             bed.cluster().publishHosts();
             return bed.measure(size, entry);
