--- a/entry/src/main/java/org/arbutusstack/entry/router/RouterService.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/RouterService.java
@@ -32,6 +32,7 @@
 import org.arbutusstack.wire.frame.ReceiptFrame;
 import org.arbutusstack.wire.frame.RefusalFrame;
 import org.arbutusstack.wire.frame.SideReportFrame;
+import org.arbutusstack.wire.frame.StrikeFrame;
 import org.arbutusstack.wire.link.Link;
 import org.arbutusstack.wire.link.LinkTransport;
 import org.slf4j.Logger;
@@ -247,6 +248,8 @@
             requests.refused(refusal, side);
         } else if (frame instanceof LoadFrame load) {
             side.load(load);
+        } else if (frame instanceof StrikeFrame strike) {
+            requests.told(strike);
         } else if (frame instanceof SideReportFrame report) {
             side.report(report);
             offerPlan(side, report);
