--- a/bench/src/main/java/org/arbutusstack/bench/deployment/Deployment.java
+++ b/bench/src/main/java/org/arbutusstack/bench/deployment/Deployment.java
@@ -31,7 +31,7 @@
 
     private static final EngineShape SHAPE = new EngineShape(80_000, 4, 30, 1_000, 512, 64, true, 1_000);
 
-    private static final long SMALLEST_MODEL_MB = 14_000;
+    private static final long SMALLEST_MODEL_MB = 10_000;
 
     private static final long MODEL_STEP_MB = 3_000;
 
