--- a/bench/src/main/java/org/arbutusstack/bench/deployment/DeploymentCommand.java
+++ b/bench/src/main/java/org/arbutusstack/bench/deployment/DeploymentCommand.java
@@ -69,6 +69,7 @@
         report.put("scenario", options.valueOf(scenario).name());
         report.put("fault", options.valueOf(fault).name());
         List<Series> lines = new ArrayList<>();
+        DeploymentTable table = new DeploymentTable(System.out);
         for (String policy : options.valuesOf(policies)) {
             ArrayNode steps = report.putArray(policy);
             for (long seed : options.valuesOf(seeds)) {
@@ -85,6 +86,9 @@
                 .toLowerCase(Locale.ROOT)
                 .replace('_', '-');
         files.json(fileName, report);
+        table.head();
+        options.valuesOf(policies)
+                .forEach(policy -> table.rows(policy, options.valuesOf(loads), (ArrayNode) report.path(policy)));
         String title = deployment + ", " + options.valueOf(scenario) + ", fault " + options.valueOf(fault);
         files.plot(fileName, new SvgPlot(title, "load, share of all engines", "served in time, share", lines));
     }
--- a/bench/src/main/java/org/arbutusstack/bench/deployment/Policy.java
+++ b/bench/src/main/java/org/arbutusstack/bench/deployment/Policy.java
@@ -9,8 +9,8 @@
     /** Copies fill the memory evenly and requests go to the runner with the least work, adapters first. */
     STATIC_LEAST_OUTSTANDING(Map.of("placement-policy", "STATIC", "routing-policy", "LEAST_OUTSTANDING")),
     /** Copies follow the demand at once, without hysteresis. */
-    FOLLOW_DEMAND(Map.of(
-            "placement-policy", "FOLLOW_DEMAND", "requests-per-copy", "4", "adapter-reserve-percent", "5")),
+    FOLLOW_DEMAND(
+            Map.of("placement-policy", "FOLLOW_DEMAND", "requests-per-copy", "4", "adapter-reserve-percent", "5")),
     /** Copies follow the demand with hysteresis, set for attainment. */
     BALANCED(Map.of("placement-policy", "BALANCED", "requests-per-copy", "4", "adapter-reserve-percent", "5")),
     /** The daemons' own choice. */
--- a/bench/src/main/java/org/arbutusstack/bench/policy/PolicyCommand.java
+++ b/bench/src/main/java/org/arbutusstack/bench/policy/PolicyCommand.java
@@ -28,8 +28,7 @@
             .withValuesSeparatedBy(',')
             .defaultsTo(0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.7, 0.8, 0.9);
 
-    private final OptionSpec<Long> seeds =
-            number("seeds", "the number of seeds", Long.class, 5L);
+    private final OptionSpec<Long> seeds = number("seeds", "the number of seeds", Long.class, 5L);
 
     private final OptionSpec<Long> seconds = number("seconds", "length of each trace", Long.class, 120L);
 
@@ -101,8 +100,8 @@
         int count = options.valueOf(runners) == 0 ? deployment.engineRunners() : options.valueOf(runners);
         return LongStream.rangeClosed(1, options.valueOf(seeds))
                 .parallel()
-                .mapToObj(seed -> new PolicySetup(
-                        policy, load, options.valueOf(seconds), seed, options.valueOf(scenario), count))
+                .mapToObj(seed ->
+                        new PolicySetup(policy, load, options.valueOf(seconds), seed, options.valueOf(scenario), count))
                 .map(setup -> new PolicyRun(deployment, setup, weights).run())
                 .toList();
     }
@@ -144,7 +143,8 @@
             }
         }
         attained.forEach(line -> System.out.println(line.name() + " falls under 95% at load " + fallsAt(line)));
-        int fewest = results.stream().mapToInt(PolicyResult::fewestReachable).min().orElse(0);
+        int fewest =
+                results.stream().mapToInt(PolicyResult::fewestReachable).min().orElse(0);
         System.out.println("fewest reachable models in any run: " + fewest);
     }
 
--- a/bench/src/main/java/org/arbutusstack/bench/policy/PolicyRun.java
+++ b/bench/src/main/java/org/arbutusstack/bench/policy/PolicyRun.java
@@ -124,8 +124,7 @@
                 runners.stream().map(VirtualRunner::capacity).toList();
         demand.update(capacities, time.nowNanos());
         PlanDecision decision = planner.decide(new PlanInput(models, capacities, Set.of(), plan, demand.demand()));
-        plan = new Plan(
-                "service", 1, plan.sequence() + 1, 1, decision.modelsByRunner(), decision.releasedByRunner());
+        plan = new Plan("service", 1, plan.sequence() + 1, 1, decision.modelsByRunner(), decision.releasedByRunner());
         Map<String, List<String>> released = plan.releasedByRunner();
         runners.forEach(runner -> runner.adopt(
                 plan.modelsByRunner().getOrDefault(runner.name(), List.of()),
--- a/bench/src/main/java/org/arbutusstack/bench/policy/VirtualRunner.java
+++ b/bench/src/main/java/org/arbutusstack/bench/policy/VirtualRunner.java
@@ -147,8 +147,9 @@
 
     void take(VirtualRequest request) {
         waiting.add(request);
-        waiting.sort(Comparator.<VirtualRequest>comparingInt(each -> each.arrival().urgency())
-                .thenComparingLong(VirtualRequest::deadlineNanos));
+        waiting.sort(
+                Comparator.<VirtualRequest>comparingInt(each -> each.arrival().urgency())
+                        .thenComparingLong(VirtualRequest::deadlineNanos));
         wantAdapter(request.adapterKey());
         dispatch();
     }
