--- /dev/null
+++ b/entry/src/main/java/org/arbutusstack/entry/plan/PlannerMetrics.java
@@ -0,0 +1,51 @@
+package org.arbutusstack.entry.plan;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.HashSet;
+import java.util.Locale;
+import java.util.Set;
+import org.arbutusstack.model.plan.Plan;
+import org.arbutusstack.store.StoreResult;
+
+/** Counts the plans written and the copies that they add and give up. Safe for use by any thread. */
+final class PlannerMetrics {
+
+    private final Counter plans;
+
+    private final Counter moves;
+
+    PlannerMetrics(PrometheusRegistry registry) {
+        plans = Counter.builder()
+                .name("arbutus_planner_plans_total")
+                .help("plans sent to the key-value service by outcome")
+                .labelNames("service", "outcome")
+                .register(registry);
+        moves = Counter.builder()
+                .name("arbutus_planner_copies_total")
+                .help("model copies that plans add and give up")
+                .labelNames("service", "change")
+                .register(registry);
+    }
+
+    void planned(String service, StoreResult<Long> result) {
+        String outcome = result.getClass().getSimpleName().toLowerCase(Locale.ROOT);
+        plans.labelValues(service, outcome).inc();
+    }
+
+    void moves(String service, Plan before, Plan after) {
+        Set<String> earlier = copies(before);
+        Set<String> later = copies(after);
+        Set<String> added = new HashSet<>(later);
+        added.removeAll(earlier);
+        earlier.removeAll(later);
+        moves.labelValues(service, "added").inc(added.size());
+        moves.labelValues(service, "given_up").inc(earlier.size());
+    }
+
+    private static Set<String> copies(Plan plan) {
+        Set<String> copies = new HashSet<>();
+        plan.modelsByRunner().forEach((runner, keys) -> keys.forEach(key -> copies.add(runner + ' ' + key)));
+        return copies;
+    }
+}
--- a/side/src/test/java/org/arbutusstack/side/WorkDeskFixture.java
+++ b/side/src/test/java/org/arbutusstack/side/WorkDeskFixture.java
@@ -44,7 +44,7 @@
 
     WorkDeskFixture(WorkLimits limits) {
         SideIdentity identity = new SideIdentity("lm-1", "stitch-lm", "regina", "inc", new HttpTarget("127.0.0.1", 1));
-        Backend backend = new Backend(client, identity.backend(), clock, events::add);
+        Backend backend = new Backend(client, identity.backend(), clock, 1_000, events::add);
         PrometheusRegistry registry = new PrometheusRegistry();
         ClaimLimits claimLimits = new ClaimLimits(1_000, 10, 100, 1_000);
         ClaimDesk claims =
--- a/wire/src/main/java/org/arbutusstack/wire/frame/LoadFrame.java
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/LoadFrame.java
@@ -1,6 +1,7 @@
 package org.arbutusstack.wire.frame;
 
 import java.io.IOException;
+import java.util.Map;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
 
@@ -9,11 +10,12 @@
  *
  * @param queued the requests that wait
  * @param running the requests that run
+ * @param demand the requests waiting or running by model
  */
-public record LoadFrame(int queued, int running) implements Frame {
+public record LoadFrame(int queued, int running, Map<String, Integer> demand) implements Frame {
 
     static LoadFrame read(MessageUnpacker unpacker) throws IOException {
-        return new LoadFrame(unpacker.unpackInt(), unpacker.unpackInt());
+        return new LoadFrame(unpacker.unpackInt(), unpacker.unpackInt(), Frames.unpackCounts(unpacker));
     }
 
     @Override
@@ -25,5 +27,6 @@
     public void write(MessagePacker packer) throws IOException {
         packer.packInt(queued);
         packer.packInt(running);
+        Frames.packCounts(packer, demand);
     }
 }
