--- a/bench/src/main/java/org/arbutusstack/bench/deployment/DeploymentTable.java
+++ b/bench/src/main/java/org/arbutusstack/bench/deployment/DeploymentTable.java
@@ -83,12 +83,14 @@
 
     private static String reasons(List<JsonNode> steps) {
         Map<String, Integer> sums = new TreeMap<>();
-        steps.forEach(step -> step.path("not_in_time")
-                .fields()
-                .forEachRemaining(reason -> sums.merge(
+        for (JsonNode step : steps) {
+            for (Map.Entry<String, JsonNode> reason : step.path("not_in_time").properties()) {
+                sums.merge(
                         reason.getKey().toLowerCase(Locale.ROOT),
                         reason.getValue().asInt(),
-                        Integer::sum)));
+                        Integer::sum);
+            }
+        }
         List<String> texts = new ArrayList<>();
         sums.forEach((reason, count) -> texts.add(count + " " + reason));
         return texts.isEmpty() ? "none" : String.join(", ", texts);
--- a/bench/src/main/java/org/arbutusstack/bench/slopes/FakeSides.java
+++ b/bench/src/main/java/org/arbutusstack/bench/slopes/FakeSides.java
@@ -92,7 +92,8 @@
     }
 
     private void reportLoad() {
-        LoadFrame load = new LoadFrame((int) queueLength.incrementAndGet(), RUNNING);
+        int queued = (int) queueLength.incrementAndGet();
+        LoadFrame load = new LoadFrame(queued, RUNNING, Map.of("model-0", queued, "model-1", RUNNING));
         links.forEach(link -> send(link, load));
     }
 
