--- a/bench/src/main/java/org/arbutusstack/bench/policy/PolicyCommand.java
+++ b/bench/src/main/java/org/arbutusstack/bench/policy/PolicyCommand.java
@@ -28,31 +28,31 @@
             .withValuesSeparatedBy(',')
             .defaultsTo(0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.7, 0.8, 0.9);
 
-    private final OptionSpec<Long> seeds = number("seeds", "the number of seeds", Long.class, 5L);
+    private final OptionSpec<Long> seeds = option("seeds", "the number of seeds", Long.class, 5L);
 
-    private final OptionSpec<Long> seconds = number("seconds", "length of each trace", Long.class, 120L);
+    private final OptionSpec<Long> seconds = option("seconds", "length of each trace", Long.class, 120L);
 
     private final OptionSpec<Scenario> scenario =
-            number("scenario", "how the demand moves", Scenario.class, Scenario.STEADY);
+            option("scenario", "how the demand moves", Scenario.class, Scenario.STEADY);
 
     private final OptionSpec<Integer> runners =
-            number("runners", "the number of runners; 0 for all of the deployment", Integer.class, 0);
+            option("runners", "the number of runners; 0 for all of the deployment", Integer.class, 0);
 
     private final OptionSpec<Integer> requestsPerCopy =
-            number("requests-per-copy", "as in the daemon's settings", Integer.class, 8);
+            option("requests-per-copy", "as in the daemon's settings", Integer.class, 8);
 
     private final OptionSpec<Integer> attainment =
-            number("attainment-weight", "as in the daemon's settings", Integer.class, 3);
+            option("attainment-weight", "as in the daemon's settings", Integer.class, 3);
 
-    private final OptionSpec<Integer> move = number("move-weight", "as in the daemon's settings", Integer.class, 1);
+    private final OptionSpec<Integer> move = option("move-weight", "as in the daemon's settings", Integer.class, 1);
 
     private final OptionSpec<Integer> reserve =
-            number("adapter-reserve-percent", "as in the daemon's settings", Integer.class, 10);
+            option("adapter-reserve-percent", "as in the daemon's settings", Integer.class, 10);
 
     private final OptionSpec<Integer> modelLoads =
-            number("model-loads-at-once", "as in the daemon's settings", Integer.class, 4);
+            option("model-loads-at-once", "as in the daemon's settings", Integer.class, 4);
 
-    private <T> OptionSpec<T> number(String name, String description, Class<T> type, T otherwise) {
+    private <T> OptionSpec<T> option(String name, String description, Class<T> type, T otherwise) {
         return parser.accepts(name, description).withRequiredArg().ofType(type).defaultsTo(otherwise);
     }
 
--- a/bench/src/main/java/org/arbutusstack/bench/slopes/SlopeCase.java
+++ b/bench/src/main/java/org/arbutusstack/bench/slopes/SlopeCase.java
@@ -64,7 +64,7 @@
             for (int index = 0; index < size; index++) {
                 bed.cluster()
                         .addHost(SlopeBed.row("entry-far-" + index, "ENTRY", "", 1)
-                                .put("zone", "far"));
+                                .put("status", "LEAVING"));
             }
             bed.cluster().publishHosts();
             return bed.measure(size, entry);
--- a/daemon/src/main/java/org/arbutusstack/daemon/Role.java
+++ b/daemon/src/main/java/org/arbutusstack/daemon/Role.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import org.arbutusstack.entry.EntryIdentity;
 import org.arbutusstack.entry.EntrySettings;
@@ -18,6 +19,7 @@
 import org.arbutusstack.entry.router.RouterLimits;
 import org.arbutusstack.entry.router.RouterMetrics;
 import org.arbutusstack.entry.router.RouterService;
+import org.arbutusstack.entry.router.RouterSettings;
 import org.arbutusstack.entry.ticket.LogFollowerService;
 import org.arbutusstack.entry.ticket.OperatorDirectory;
 import org.arbutusstack.entry.ticket.OperatorListener;
@@ -31,7 +33,7 @@
 import org.arbutusstack.ledger.TicketLog;
 import org.arbutusstack.placement.CopyPlanner;
 import org.arbutusstack.placement.PlacementPolicy;
-import org.arbutusstack.routing.LeastOutstandingSelector;
+import org.arbutusstack.routing.RoutingPolicy;
 import org.arbutusstack.side.EngineContract;
 import org.arbutusstack.side.SideIdentity;
 import org.arbutusstack.side.SideService;
@@ -54,7 +56,8 @@
                     platform.transport(),
                     replica,
                     plans,
-                    new LeastOutstandingSelector(),
+                    RoutingPolicy.valueOf(settings.text(RouterSettings.ROUTING_POLICY))
+                            .selector(identity.zone(), platform.clock().nowNanos()),
                     platform.clock(),
                     RouterLimits.of(settings),
                     metrics,
@@ -158,6 +161,12 @@
                         + settings.text(PlannerSettings.PLACEMENT_POLICY) + "', permitted: "
                         + List.of(PlacementPolicy.values()));
             }
+            String policy = settings.text(RouterSettings.ROUTING_POLICY);
+            if (Arrays.stream(RoutingPolicy.values())
+                    .noneMatch(known -> known.name().equals(policy))) {
+                mistakes.add("--routing-policy (ARBUTUS_ROUTING_POLICY): value '" + policy + "', permitted: "
+                        + Arrays.toString(RoutingPolicy.values()));
+            }
             long neededMillis = CallerLimits.of(settings).longestDrainMillis();
             if (settings.number(DaemonSettings.DRAIN) < neededMillis) {
                 mistakes.add("--drain-millis (ARBUTUS_DRAIN_MILLIS): value '" + settings.number(DaemonSettings.DRAIN)
--- a/entry/src/main/java/org/arbutusstack/entry/router/SideDirectory.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/SideDirectory.java
@@ -63,7 +63,7 @@
         for (Host host : hosts.hosts()) {
             if (host.role() == HostRole.SIDE) {
                 listed.add(host.name());
-                sides.computeIfAbsent(host.name(), name -> new SideConnection(host))
+                sides.computeIfAbsent(host.name(), name -> new SideConnection(host, clock.nowNanos()))
                         .host(host);
             }
         }
@@ -94,26 +94,18 @@
         }
     }
 
-    /**
-     * Gives up links that carry nothing more and probes those that may.
-     *
-     * <p>An idle link is silent after some heartbeats without an answer. A link with requests in flight is probed as
-     * soon as it says nothing for the time of a probe, and is silent if the probe is not answered in the same time.
-     */
-    void closeSilent(Frame probe) {
+    /** Lets the loads of the runners learn from the time that has passed. */
+    void learn() {
+        sides.values().forEach(side -> side.load().tick(clock.nowNanos()));
+    }
+
+    /** Gives up links on which several heartbeats of the side are missing. */
+    void closeSilent() {
         for (SideConnection side : sides.values()) {
-            if (side.link() == null) {
-                continue;
-            }
-            long quietMillis = (clock.nowNanos() - side.link().heardAtNanos()) / Clock.NANOS_PER_MILLI;
-            boolean busy = side.outstanding() > 0;
-            long boundMillis = busy ? 2 * limits.probeMillis() : limits.silenceMillis();
-            boolean probed = side.probedAtNanos() - side.link().heardAtNanos() > 0;
-            if (quietMillis >= boundMillis && (probed || !busy)) {
+            boolean silent = side.link() != null
+                    && clock.isPast(side.link().heardAtNanos() + limits.silenceMillis() * Clock.NANOS_PER_MILLI);
+            if (silent) {
                 giveUp(side, "silent");
-            } else if (busy && side.isOpen() && !probed && quietMillis >= limits.probeMillis()) {
-                side.probed(clock.nowNanos());
-                side.link().send(probe);
             }
         }
     }
