--- a/bench/src/main/java/org/arbutusstack/bench/deployment/Policy.java
+++ b/bench/src/main/java/org/arbutusstack/bench/deployment/Policy.java
@@ -11,6 +11,16 @@
     /** Copies follow the demand at once, without hysteresis. */
     FOLLOW_DEMAND(
             Map.of("placement-policy", "FOLLOW_DEMAND", "requests-per-copy", "4", "adapter-reserve-percent", "5")),
+    /** Copies follow the demand with hysteresis and requests go to the runner with the least work, adapters first. */
+    PREVIOUS(Map.of(
+            "placement-policy",
+            "BALANCED",
+            "routing-policy",
+            "LEAST_OUTSTANDING",
+            "requests-per-copy",
+            "4",
+            "adapter-reserve-percent",
+            "5")),
     /** Copies follow the demand with hysteresis, set for attainment. */
     BALANCED(Map.of("placement-policy", "BALANCED", "requests-per-copy", "4", "adapter-reserve-percent", "5")),
     /** The daemons' own choice. */
--- a/daemon/src/main/java/org/arbutusstack/daemon/Role.java
+++ b/daemon/src/main/java/org/arbutusstack/daemon/Role.java
@@ -12,6 +12,7 @@
 import org.arbutusstack.entry.member.HostListService;
 import org.arbutusstack.entry.member.PeerService;
 import org.arbutusstack.entry.plan.EntryRoster;
+import org.arbutusstack.entry.plan.PackingCheck;
 import org.arbutusstack.entry.plan.PlanBook;
 import org.arbutusstack.entry.plan.PlannerService;
 import org.arbutusstack.entry.plan.PlannerSettings;
@@ -28,8 +29,11 @@
 import org.arbutusstack.kernel.service.ServiceRegistry;
 import org.arbutusstack.kernel.setting.Setting;
 import org.arbutusstack.kernel.setting.Settings;
+import org.arbutusstack.ledger.LogCompactor;
 import org.arbutusstack.ledger.LogReplica;
 import org.arbutusstack.ledger.ReferenceCheck;
+import org.arbutusstack.ledger.TicketCheck;
+import org.arbutusstack.ledger.TicketHistory;
 import org.arbutusstack.ledger.TicketLog;
 import org.arbutusstack.placement.CopyPlanner;
 import org.arbutusstack.placement.PlacementPolicy;
@@ -62,7 +66,8 @@
                     RouterLimits.of(settings),
                     metrics,
                     platform.trail());
-            TicketLog log = new TicketLog(platform.store(), replica, List.of(new ReferenceCheck()), platform.clock());
+            List<TicketCheck> checks = List.of(new ReferenceCheck(), new PackingCheck(router));
+            TicketLog log = new TicketLog(platform.store(), replica, checks, platform.clock());
             PeerService peers = new PeerService(
                     identity,
                     new InetSocketAddress(
@@ -76,7 +81,12 @@
             PlacementPolicy policy = PlacementPolicy.valueOf(settings.text(PlannerSettings.PLACEMENT_POLICY));
             registry.register(peers);
             registry.register(new LogFollowerService(platform.store(), replica, platform.clock(), peers::isRelay));
-            registry.register(new TicketService(log, platform.clock(), platform.trail()));
+            registry.register(new TicketService(
+                    log,
+                    new LogCompactor(platform.store(), replica, platform.clock()),
+                    new TicketHistory(platform.store(), replica, platform.clock()),
+                    platform.clock(),
+                    platform.trail()));
             registry.register(new PlannerService(
                     identity,
                     platform.store(),
@@ -92,6 +102,8 @@
                     platform.client(),
                     HttpTarget.parse(settings.text(DaemonSettings.HOST_LIST)),
                     platform.clock(),
+                    host -> router.acknowledgements().isLinked(host.name())
+                            || peers.peerNames().contains(host.name()),
                     hosts -> {
                         router.hostsChanged(hosts);
                         roster.hostsChanged(hosts);
