--- a/bench/src/main/java/org/arbutusstack/bench/BenchCommand.java
+++ b/bench/src/main/java/org/arbutusstack/bench/BenchCommand.java
@@ -4,13 +4,22 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import org.arbutusstack.bench.capacity.CapacityCommand;
 import org.arbutusstack.bench.deployment.DeploymentCommand;
 import org.arbutusstack.bench.load.LoadCommand;
+import org.arbutusstack.bench.policy.PolicyCommand;
 import org.arbutusstack.bench.report.ReportFiles;
 import org.arbutusstack.bench.slopes.SlopesCommand;
 
 /** Lists the commands of the measuring tool; each constant runs its own. */
 enum BenchCommand {
+    /** Works out what each role uses at the size to design for. */
+    CAPACITY {
+        @Override
+        void run(String[] arguments, ReportFiles files) {
+            new CapacityCommand().run(files);
+        }
+    },
     /** Runs a deployment under load and faults. */
     DEPLOYMENT {
         @Override
@@ -25,6 +34,13 @@
             new LoadCommand().run(arguments, files);
         }
     },
+    /** Compares policies under virtual time. */
+    POLICY {
+        @Override
+        void run(String[] arguments, ReportFiles files) {
+            new PolicyCommand().run(arguments, files);
+        }
+    },
     /** Measures how use grows with size. */
     SLOPES {
         @Override
