--- /dev/null
+++ b/side/src/test/java/org/arbutusstack/side/AdapterResidencyTests.java
@@ -0,0 +1,166 @@
+package org.arbutusstack.side;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import org.arbutusstack.kernel.digest.Digest;
+import org.arbutusstack.kernel.time.ManualClock;
+import org.arbutusstack.model.plan.Plan;
+import org.arbutusstack.model.ticket.AdapterSpec;
+import org.arbutusstack.model.ticket.DesiredState;
+import org.arbutusstack.model.ticket.ModelSpec;
+import org.arbutusstack.model.ticket.ServiceKind;
+import org.arbutusstack.model.ticket.ServiceSpec;
+import org.arbutusstack.placement.EffectProof;
+import org.arbutusstack.placement.MemoryLedger;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests which adapters a side loads and which make room. */
+public class AdapterResidencyTests {
+
+    private static final int ADAPTERS = 6;
+
+    private final FakeEngine engine = new FakeEngine(true, new Random(1), 0);
+
+    private ManualClock clock;
+
+    private List<FakeEngine.Answer> answers;
+
+    private Collection<Work> open;
+
+    private Residency residency;
+
+    private long nowMillis;
+
+    private int loads;
+
+    private int mostAtOnce;
+
+    @BeforeMethod
+    public void prepare() {
+        engine.crash(nowMillis);
+        clock = new ManualClock();
+        answers = new ArrayList<>();
+        open = new ArrayList<>();
+        loads = 0;
+        mostAtOnce = 0;
+        residency = new Residency(
+                new SideIdentity("r1", "lm", "regina", "i1", null),
+                new MemoryLedger(EffectProof.FENCE, clock.nowNanos(), 5_000, 10_000),
+                new AdapterCache(clock, 2, 3_000),
+                clock,
+                this::order,
+                () -> open);
+        Map<String, AdapterSpec> adapters = new TreeMap<>();
+        for (int index = 0; index < ADAPTERS; index++) {
+            adapters.put("adapter" + index, new AdapterSpec("adapter" + index, "m", "v1", 250));
+        }
+        residency.stateAdvanced(new DesiredState(
+                1,
+                Digest.ZERO,
+                Map.of("lm", new ServiceSpec("lm", ServiceKind.ENGINE, true)),
+                Map.of("m", new ModelSpec("m", "lm", "v1", 400, 1)),
+                adapters,
+                Map.of()));
+        residency.fenceGranted(100 + nowMillis);
+        residency.adopt(new Plan("lm", 1, 1, 1, Map.of("r1", List.of("m@v1")), Map.of()));
+        pass(6_000);
+    }
+
+    private void order(EngineOrder order) {
+        loads += order.kind() == OrderKind.LOAD_ADAPTER ? 1 : 0;
+        answers.addAll(engine.send(order, nowMillis, 30_000));
+    }
+
+    private void pass(long millis) {
+        for (long passed = 0; passed < millis; passed += 100) {
+            nowMillis += 100;
+            clock.advanceMillis(100);
+            engine.advance(nowMillis);
+            for (FakeEngine.Answer answer : List.copyOf(answers)) {
+                if (answer.atMillis <= nowMillis && answers.remove(answer)) {
+                    residency.orderEnded(answer.order, answer.failure);
+                }
+            }
+            if (engine.answers(nowMillis)) {
+                residency.engineReported(engine.account(nowMillis), clock.nowNanos());
+            }
+            mostAtOnce = Math.max(
+                    mostAtOnce,
+                    residency
+                            .ledger()
+                            .keys(org.arbutusstack.placement.ResidencyState.LOADING, true)
+                            .size());
+        }
+    }
+
+    private boolean ask(int adapter, long millis) {
+        Work work = Adapters.work(adapter, "m", "adapter" + adapter);
+        open.add(work);
+        for (long passed = 0; passed < millis; passed += 200) {
+            if (residency.isReady(work)) {
+                return true;
+            }
+            pass(200);
+        }
+        return false;
+    }
+
+    private void askAndEnd(int adapter) {
+        assertTrue(ask(adapter, 8_000), "adapter" + adapter);
+        open.removeIf(work -> work.frame().adapter().equals("adapter" + adapter));
+    }
+
+    @Test
+    public void shouldUnloadTheOneUsedLongestAgoWhenRoomIsWanted() {
+        askAndEnd(0);
+        askAndEnd(1);
+        pass(1_000);
+        askAndEnd(0);
+        pass(4_000);
+        askAndEnd(2);
+        assertEquals(residency.readyAdapters(), List.of("adapter0@v1", "adapter2@v1"));
+        assertEquals(residency.readyModels(), List.of("m@v1"));
+    }
+
+    @Test
+    public void shouldKeepAdapterWhenItIsInUse() {
+        assertTrue(ask(0, 8_000));
+        askAndEnd(1);
+        pass(20_000);
+        askAndEnd(2);
+        pass(20_000);
+        assertTrue(residency.readyAdapters().contains("adapter0@v1"));
+        assertTrue(ask(3, 8_000));
+        assertFalse(ask(4, 8_000));
+        assertTrue(residency.readyAdapters().contains("adapter0@v1"));
+    }
+
+    @Test
+    public void shouldKeepAdapterForAWhileWhenItWasJustUsed() {
+        askAndEnd(0);
+        askAndEnd(1);
+        assertFalse(ask(2, 1_000));
+        assertEquals(residency.readyAdapters(), List.of("adapter0@v1", "adapter1@v1"));
+        assertTrue(ask(2, 8_000));
+    }
+
+    @Test
+    public void shouldLoadNoMoreAtOnceThanItsShareWhenManyAreAskedFor() {
+        for (int adapter = 0; adapter < ADAPTERS; adapter++) {
+            ask(adapter, 200);
+        }
+        pass(10_000);
+        assertTrue(loads > 0);
+        assertTrue(mostAtOnce <= 2, "at once " + mostAtOnce);
+        assertEquals(engine.violations(), 0);
+    }
+}
--- /dev/null
+++ b/side/src/test/java/org/arbutusstack/side/Adapters.java
@@ -0,0 +1,30 @@
+package org.arbutusstack.side;
+
+import org.arbutusstack.model.request.Priority;
+import org.arbutusstack.model.request.RequestId;
+import org.arbutusstack.wire.frame.WorkFrame;
+
+/** Makes requests that ask for adapters. */
+final class Adapters {
+
+    private Adapters() {}
+
+    static Work work(int id, String model, String adapter) {
+        WorkFrame frame = new WorkFrame(
+                new RequestId("entry", id),
+                1,
+                10_000,
+                Priority.INTERACTIVE,
+                "lm",
+                model,
+                adapter,
+                true,
+                "",
+                "POST",
+                "/v1/chat/completions",
+                false,
+                0,
+                new byte[0]);
+        return new Work(frame, null, Long.MAX_VALUE);
+    }
+}
--- a/side/src/test/java/org/arbutusstack/side/MemoryScheduleTests.java
+++ b/side/src/test/java/org/arbutusstack/side/MemoryScheduleTests.java
@@ -11,8 +11,11 @@
 import org.arbutusstack.kernel.digest.Digest;
 import org.arbutusstack.kernel.time.ManualClock;
 import org.arbutusstack.model.plan.Plan;
+import org.arbutusstack.model.ticket.AdapterSpec;
 import org.arbutusstack.model.ticket.DesiredState;
 import org.arbutusstack.model.ticket.ModelSpec;
+import org.arbutusstack.model.ticket.ServiceKind;
+import org.arbutusstack.model.ticket.ServiceSpec;
 import org.arbutusstack.placement.EffectProof;
 import org.arbutusstack.placement.MemoryLedger;
 import org.testng.annotations.DataProvider;
@@ -23,6 +26,8 @@
 
     private static final int MODELS = 12;
 
+    private static final int ADAPTERS = 15;
+
     private static final int STEPS = 400;
 
     private static final int QUIET_STEPS = 600;
@@ -65,6 +70,10 @@
 
         private final Map<String, ModelSpec> models = new HashMap<>();
 
+        private final Map<String, ServiceSpec> services = Map.of("lm", new ServiceSpec("lm", ServiceKind.ENGINE, true));
+
+        private final Map<String, AdapterSpec> adapters = new HashMap<>();
+
         private Residency residency;
 
         private List<String> wanted = List.of();
@@ -86,9 +95,17 @@
             for (int index = 0; index < MODELS; index++) {
                 models.put("m" + index, spec(index, 1));
             }
+            for (int index = 0; index < ADAPTERS; index++) {
+                adapters.put("adapter" + index, adapter(index, 1));
+            }
             restart();
         }
 
+        private AdapterSpec adapter(int index, int version) {
+            String model = "m" + index % MODELS;
+            return new AdapterSpec("adapter" + index, model, "v" + version, 30 + random.nextInt(100));
+        }
+
         private ModelSpec spec(int index, int version) {
             return new ModelSpec("m" + index, "lm", "v" + version, 100 + random.nextInt(300), 1);
         }
@@ -110,7 +127,7 @@
         }
 
         private DesiredState state() {
-            return new DesiredState(++sequence, Digest.ZERO, Map.of(), models, Map.of(), Map.of());
+            return new DesiredState(++sequence, Digest.ZERO, services, models, adapters, Map.of());
         }
 
         private void plan() {
@@ -145,6 +162,12 @@
             } else if (dice < 20) {
                 chooseWanted();
                 plan();
+            } else if (dice > 60) {
+                askForAdapter(random.nextInt(ADAPTERS));
+            } else if (dice == 22) {
+                int index = random.nextInt(ADAPTERS);
+                adapters.put("adapter" + index, adapter(index, 2 + random.nextInt(1_000)));
+                residency.stateAdvanced(state());
             } else if (dice == 20) {
                 engine.crash(nowMillis);
             } else if (dice == 21) {
@@ -152,6 +175,11 @@
             }
         }
 
+        private void askForAdapter(int index) {
+            AdapterSpec adapter = adapters.get("adapter" + index);
+            residency.isReady(Adapters.work(index, adapter.model(), adapter.name()));
+        }
+
         private int step(int index) {
             return Integer.parseInt(models.get("m" + index).version().substring(1));
         }
