--- a/entry/src/main/java/org/arbutusstack/entry/plan/ServicePlanner.java
+++ b/entry/src/main/java/org/arbutusstack/entry/plan/ServicePlanner.java
@@ -33,6 +33,9 @@
 
     private static final long HOLDER_CHECK_MILLIS = 1_000;
 
+    /** Keeps planning within 1.7% of a core: a decision is followed by a rest of so many times its duration. */
+    private static final long REST_FACTOR = 60;
+
     private final String service;
 
     private final PlannerContext context;
@@ -53,12 +56,15 @@
 
     private long settledAtNanos;
 
+    private long decideAtNanos;
+
     ServicePlanner(String service, PlannerContext context) {
         this.service = service;
         this.context = context;
         this.plan = Plan.none(service);
         this.demand = context.newDemandTracker();
         this.checkAtNanos = context.clock().nowNanos();
+        this.decideAtNanos = checkAtNanos;
     }
 
     /** Gives the service up, without a call. */
@@ -146,12 +152,15 @@
         List<RunnerCapacity> runners = context.directory().runners(service);
         Clock clock = context.clock();
         boolean complete = runners.size() >= context.directory().listedRunners(service);
-        if (runners.isEmpty() || !complete && !clock.isPast(settledAtNanos)) {
+        boolean unsettled = !complete && !clock.isPast(settledAtNanos);
+        if (runners.isEmpty() || unsettled || !clock.isPast(decideAtNanos)) {
             return;
         }
+        long beganNanos = clock.nowNanos();
         demand.update(runners, clock.nowNanos());
         PlanInput input = new PlanInput(state.modelsOf(service), runners, absent(runners), plan, demand.demand());
         PlanDecision decision = context.planner().decide(input);
+        decideAtNanos = clock.nowNanos() + REST_FACTOR * (clock.nowNanos() - beganNanos);
         boolean same = decision.modelsByRunner().equals(plan.modelsByRunner())
                 && decision.releasedByRunner().equals(plan.releasedByRunner())
                 && plan.stateSequence() == state.sequence();
--- a/placement/src/main/java/org/arbutusstack/placement/Layout.java
+++ b/placement/src/main/java/org/arbutusstack/placement/Layout.java
@@ -24,6 +24,8 @@
 
     private final Map<String, String> names = new HashMap<>();
 
+    private final Map<String, String> keys = new HashMap<>();
+
     private final Map<String, Set<String>> wanted = new TreeMap<>();
 
     private final Map<String, Set<String>> holders = new HashMap<>();
@@ -84,8 +86,9 @@
         return model != null && !keyOf(model).equals(key);
     }
 
-    static String keyOf(ModelSpec model) {
-        return WeightsKey.of(model).toString();
+    private String keyOf(ModelSpec model) {
+        return keys.computeIfAbsent(
+                model.name(), name -> WeightsKey.of(models.get(name)).toString());
     }
 
     private void want(String runner, String key) {
@@ -159,14 +162,16 @@
     /** Tells the memory free on a runner once it has unloaded what is wanted no more. */
     long roomMb(String name) {
         RunnerCapacity runner = runners.get(name);
-        Set<String> leaving = new HashSet<>(runner.readyKeys());
-        leaving.addAll(runner.otherKeys());
-        leaving.removeAll(wanted.get(name));
-        return freeMb(name)
-                + leaving.stream()
-                        .map(key -> models.get(nameOf(key)))
-                        .mapToLong(model -> model == null ? 0 : model.memoryMb())
-                        .sum();
+        return freeMb(name) + leavingMb(name, runner.readyKeys()) + leavingMb(name, runner.otherKeys());
+    }
+
+    private long leavingMb(String runner, Set<String> keys) {
+        long sumMb = 0;
+        for (String key : keys) {
+            ModelSpec model = wanted.get(runner).contains(key) ? null : models.get(nameOf(key));
+            sumMb += model == null ? 0 : model.memoryMb();
+        }
+        return sumMb;
     }
 
     /**
--- a/placement/src/test/java/org/arbutusstack/placement/CopyPlannerTests.java
+++ b/placement/src/test/java/org/arbutusstack/placement/CopyPlannerTests.java
@@ -3,9 +3,17 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.IntStream;
+import org.arbutusstack.model.plan.Plan;
 import org.arbutusstack.model.ticket.ModelSpec;
+import org.arbutusstack.model.ticket.WeightsKey;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -153,6 +161,37 @@
         assertTrue(attainment[balanced] >= attainment[following] - 0.01, table.toString());
     }
 
+    @Test
+    public void shouldDecideWithinItsPeriodWhenRegionIsLarge() {
+        Random random = new Random(7);
+        List<ModelSpec> models =
+                IntStream.range(0, 250).mapToObj(index -> model(index, 1)).toList();
+        List<RunnerCapacity> runners = new ArrayList<>();
+        Map<String, List<String>> held = new HashMap<>();
+        Map<String, Demand> demand = new HashMap<>();
+        for (int index = 0; index < 171; index++) {
+            Set<String> keys = new TreeSet<>();
+            for (int copy = 0; copy < 7; copy++) {
+                keys.add(WeightsKey.of(models.get((7 * index + copy) % models.size()))
+                        .toString());
+            }
+            held.put("lm-" + index, List.copyOf(keys));
+            runners.add(new RunnerCapacity("lm-" + index, "z" + index % 3, 80_000, 72_000, keys, Set.of(), Map.of()));
+        }
+        models.forEach(model -> demand.put(model.name(), new Demand(random.nextInt(60), 60)));
+        Plan plan = new Plan("lm", 1, 1, 1, held, Map.of());
+        PlanInput input = new PlanInput(models, runners, Set.of(), plan, demand);
+        CopyPlanner planner = new CopyPlanner(PlacementPolicy.BALANCED, WEIGHTS);
+        long bestNanos = Long.MAX_VALUE;
+        for (int run = 0; run < 10; run++) {
+            long beganNanos = System.nanoTime();
+            planner.decide(input);
+            bestNanos = Math.min(bestNanos, System.nanoTime() - beganNanos);
+        }
+        System.out.println("171 runners, 250 models: ms for a decision, best of 10=" + bestNanos / 1_000_000);
+        assertTrue(bestNanos < 300_000_000L, "ns " + bestNanos);
+    }
+
     private static VirtualService wander(PlacementPolicy policy, int seed) {
         Random random = new Random(seed);
         VirtualService service = stubble(policy);
--- a/side/src/test/java/org/arbutusstack/side/AdapterResidencyTests.java
+++ b/side/src/test/java/org/arbutusstack/side/AdapterResidencyTests.java
@@ -26,7 +26,9 @@
 /** Tests which adapters a side loads and which make room. */
 public class AdapterResidencyTests {
 
-    private static final int ADAPTERS = 6;
+    private static final int ADAPTERS = 12;
+
+    private static final int FIRST_SMALL = 6;
 
     private final FakeEngine engine = new FakeEngine(true, new Random(1), 0);
 
@@ -61,7 +63,8 @@
                 () -> open);
         Map<String, AdapterSpec> adapters = new TreeMap<>();
         for (int index = 0; index < ADAPTERS; index++) {
-            adapters.put("adapter" + index, new AdapterSpec("adapter" + index, "m", "v1", 250));
+            adapters.put(
+                    "adapter" + index, new AdapterSpec("adapter" + index, "m", "v1", index < FIRST_SMALL ? 250 : 50));
         }
         residency.stateAdvanced(new DesiredState(
                 1,
@@ -155,11 +158,11 @@
 
     @Test
     public void shouldLoadNoMoreAtOnceThanItsShareWhenManyAreAskedFor() {
-        for (int adapter = 0; adapter < ADAPTERS; adapter++) {
+        for (int adapter = FIRST_SMALL; adapter < ADAPTERS; adapter++) {
             ask(adapter, 200);
         }
         pass(10_000);
-        assertTrue(loads > 0);
+        assertTrue(loads >= 2, "loads " + loads);
         assertTrue(mostAtOnce <= 2, "at once " + mostAtOnce);
         assertEquals(engine.violations(), 0);
     }
