--- a/entry/src/main/java/org/arbutusstack/entry/router/RouterSettings.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/RouterSettings.java
@@ -10,6 +10,14 @@
     public static final Setting MOST_REQUESTS =
             Setting.number("most-requests", 1, 100_000, 2_048, "requests in hand at once (entry)");
 
+    /** The share of bulk requests. */
+    public static final Setting BULK_PERCENT =
+            Setting.number("bulk-percent", 1, 100, 50, "share of most-requests that bulk may have, in percent (entry)");
+
+    /** How runners are chosen. */
+    public static final Setting ROUTING_POLICY = Setting.text(
+            "routing-policy", "BALANCED", "how runners are chosen: ROUND_ROBIN, LEAST_OUTSTANDING or BALANCED (entry)");
+
     /** The requests that wait for a runner of one model. */
     public static final Setting MOST_WAITING =
             Setting.number("most-waiting", 0, 100_000, 512, "requests that wait for a runner of one model (entry)");
@@ -46,9 +54,9 @@
     public static final Setting HEARTBEAT =
             Setting.number("heartbeat-millis", 100, 60_000, 4_000, "period of link heartbeats, in ms (entry)");
 
-    /** How long a link with requests may say nothing before it is probed. */
-    public static final Setting PROBE = Setting.number(
-            "probe-millis", 50, 60_000, 1_000, "silence of a link with requests before a probe, in ms (entry)");
+    /** How long a link may carry nothing. */
+    public static final Setting SILENCE = Setting.number(
+            "link-silence-millis", 2_000, 60_000, 3_500, "silence after which a link is given up, in ms (entry)");
 
     private RouterSettings() {}
 
@@ -60,6 +68,8 @@
     public static List<Setting> all() {
         return List.of(
                 MOST_REQUESTS,
+                BULK_PERCENT,
+                ROUTING_POLICY,
                 MOST_WAITING,
                 MOST_ATTEMPTS,
                 RETRY_PERCENT,
@@ -68,6 +78,6 @@
                 MOST_BUFFERED,
                 RECEIPT,
                 HEARTBEAT,
-                PROBE);
+                SILENCE);
     }
 }
--- a/side/src/main/java/org/arbutusstack/side/SidePeers.java
+++ b/side/src/main/java/org/arbutusstack/side/SidePeers.java
@@ -6,16 +6,15 @@
 import org.arbutusstack.ledger.LogReplica;
 import org.arbutusstack.ledger.peer.LogExchange;
 import org.arbutusstack.wire.frame.Frame;
-import org.arbutusstack.wire.frame.HeartbeatFrame;
 import org.arbutusstack.wire.frame.HelloFrame;
 import org.arbutusstack.wire.link.Link;
 
 /** Keeps the links of a side and the ticket logs at their ends alike. Used by the side's duty only. */
 final class SidePeers {
 
-    private static final long SILENCE_MILLIS = 15_000;
+    private static final long HEARTBEAT_MILLIS = 1_500;
 
-    private static final long HEARTBEAT_MILLIS = 60_000;
+    private static final long SILENCE_MILLIS = 15_000;
 
     private final LogExchange exchange;
 
@@ -43,15 +42,8 @@
         exchange.closed(link);
     }
 
-    /**
-     * Takes a frame of the ticket log; tells whether it was one.
-     *
-     * <p>Answers a heartbeat, so that the entry hears that the link carries both ways.
-     */
+    /** Takes a frame of the ticket log; tells whether it was one. */
     boolean take(Link link, Frame frame) {
-        if (frame instanceof HeartbeatFrame) {
-            link.send(exchange.heartbeat());
-        }
         return exchange.take(link, frame);
     }
 
--- a/side/src/test/java/org/arbutusstack/side/AdapterResidencyTests.java
+++ b/side/src/test/java/org/arbutusstack/side/AdapterResidencyTests.java
@@ -72,7 +72,9 @@
                 Map.of("lm", new ServiceSpec("lm", ServiceKind.ENGINE, true)),
                 Map.of("m", new ModelSpec("m", "lm", "v1", 400, 1)),
                 adapters,
-                Map.of()));
+                Map.of(),
+                0,
+                0));
         residency.fenceGranted(100 + nowMillis);
         residency.adopt(new Plan("lm", 1, 1, 1, Map.of("r1", List.of("m@v1")), Map.of()));
         pass(6_000);
--- a/side/src/test/java/org/arbutusstack/side/MemoryScheduleTests.java
+++ b/side/src/test/java/org/arbutusstack/side/MemoryScheduleTests.java
@@ -127,7 +127,7 @@
         }
 
         private DesiredState state() {
-            return new DesiredState(++sequence, Digest.ZERO, services, models, adapters, Map.of());
+            return new DesiredState(++sequence, Digest.ZERO, services, models, adapters, Map.of(), 0, 0);
         }
 
         private void plan() {
