--- a/side/src/main/java/org/arbutusstack/side/WorkDesk.java
+++ b/side/src/main/java/org/arbutusstack/side/WorkDesk.java
@@ -229,16 +229,25 @@
 
     /** Refuses work whose deadline passed in the queue, and gives up on a backend server that went silent. */
     void expire() {
-        queue.removeIf(work -> clock.isPast(work.deadlineNanos()), work -> {
+        queue.removeIf(this::isTooLate, work -> {
             open.end(work);
-            String detail = "the deadline passed in the queue";
-            answers.refuse(work, Refusal.notRun(RefusalReason.DEADLINE_PASSED, detail));
+            Refusal refusal = clock.isPast(work.deadlineNanos())
+                    ? Refusal.notRun(RefusalReason.DEADLINE_PASSED, "the deadline passed in the queue")
+                    : Refusal.notRun(RefusalReason.DEADLINE_UNREACHABLE, "too little time is left to run it");
+            answers.refuse(work, refusal);
         });
         List<Work> silent = open.all();
         silent.removeIf(work -> !isSilent(work));
         silent.forEach(runner::giveUpSilent);
     }
 
+    /** Tells whether waiting work would not be done in time though it began now; known while all slots are taken. */
+    private boolean isTooLate(Work work) {
+        long neededNanos =
+                open.running() < slots ? 0 : runner.estimateNanos(work.frame().model(), 0, slots);
+        return clock.isPast(work.deadlineNanos() - neededNanos);
+    }
+
     private boolean isSilent(Work work) {
         long millis = work.frame().stream() ? limits.streamSilenceMillis() : limits.answerSilenceMillis();
         return work.isSent() && clock.isPast(work.progressedAtNanos() + millis * Clock.NANOS_PER_MILLI);
--- a/side/src/test/java/org/arbutusstack/side/WorkDeskTests.java
+++ b/side/src/test/java/org/arbutusstack/side/WorkDeskTests.java
@@ -110,6 +110,24 @@
         assertEquals(fixture.desk.queued(), 1);
     }
 
+    @Test
+    public void shouldRefuseWaitingWorkWhenTooLittleTimeIsLeftToRunIt() {
+        WorkDeskFixture fixture = new WorkDeskFixture(WorkDeskFixture.limits(1));
+        FakeLink own = new FakeLink();
+        fixture.take(normal(1, 1), own);
+        fixture.clock.advanceMillis(900);
+        fixture.client.last().finish();
+        fixture.handle();
+        fixture.take(normal(2, 1), own);
+        fixture.take(WorkDeskFixture.frame(3, 1, 4_000, Priority.INTERACTIVE), own);
+        fixture.clock.advanceMillis(3_000);
+        fixture.desk.expire();
+        assertEquals(own.refusals(), List.of());
+        fixture.clock.advanceMillis(200);
+        fixture.desk.expire();
+        assertEquals(own.refusals(), List.of("3 NOT_RUN DEADLINE_UNREACHABLE"));
+    }
+
     @Test
     public void shouldRefuseWhenQueueIsFullByCountOrBytes() {
         WorkDeskFixture fixture = new WorkDeskFixture(new WorkLimits(2, 20, 1, 1_000, 1_000, 60_000));
