--- a/daemon/src/main/java/org/arbutusstack/daemon/DaemonSettings.java
+++ b/daemon/src/main/java/org/arbutusstack/daemon/DaemonSettings.java
@@ -4,8 +4,10 @@
 import java.util.List;
 import org.arbutusstack.entry.EntrySettings;
 import org.arbutusstack.entry.caller.CallerSettings;
+import org.arbutusstack.entry.plan.PlannerSettings;
 import org.arbutusstack.entry.router.RouterSettings;
 import org.arbutusstack.kernel.setting.Setting;
+import org.arbutusstack.side.EngineSettings;
 import org.arbutusstack.side.SideSettings;
 
 /** Lists the settings of the daemon that both roles have. */
@@ -81,9 +83,11 @@
                 ANCHOR_PERIOD,
                 RETENTION));
         all.addAll(EntrySettings.all());
+        all.addAll(PlannerSettings.all());
         all.addAll(CallerSettings.all());
         all.addAll(RouterSettings.all());
         all.addAll(SideSettings.all());
+        all.addAll(EngineSettings.all());
         return all;
     }
 }
--- a/entry/src/main/java/org/arbutusstack/entry/router/RouterService.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/RouterService.java
@@ -295,6 +295,13 @@
                 .toList();
     }
 
+    @Override
+    public int listedRunners(String service) {
+        return (int) statuses.stream()
+                .filter(status -> status.service().equals(service))
+                .count();
+    }
+
     /**
      * Lists what the router knows of each runner.
      *
--- a/side/src/main/java/org/arbutusstack/side/SideService.java
+++ b/side/src/main/java/org/arbutusstack/side/SideService.java
@@ -20,7 +20,6 @@
 import org.arbutusstack.model.ticket.DesiredState;
 import org.arbutusstack.model.ticket.ServiceKind;
 import org.arbutusstack.model.ticket.ServiceSpec;
-import org.arbutusstack.placement.MemoryLedger;
 import org.arbutusstack.side.claim.ClaimLimits;
 import org.arbutusstack.side.claim.ClaimMetrics;
 import org.arbutusstack.store.KeyValueStore;
@@ -58,6 +57,8 @@
 
     private static final long LOAD_REPORT_MILLIS = 1_000;
 
+    private static final long QUEUE_REPORT_MILLIS = 250;
+
     private static final int LOADS_MISSED_TO_LEAVE = 3;
 
     private static final long LEAVING_NOTICE_MILLIS = 500;
@@ -88,6 +89,8 @@
 
     private final WorkDesk desk;
 
+    private final MemoryMetrics memoryMetrics;
+
     private final SidePeers peers;
 
     private final SuspectDesk suspects;
@@ -123,6 +126,7 @@
      * @param replica this process's copy of the ticket log
      * @param clock the clock of the process
      * @param workLimits bounds the work
+     * @param engine what the engine promises
      * @param claimLimits bounds the claims of calls that may not be repeated
      * @param metrics the process's metrics
      * @param trail takes what an auditor may ask about
@@ -136,6 +140,7 @@
             LogReplica replica,
             Clock clock,
             WorkLimits workLimits,
+            EngineContract engine,
             ClaimLimits claimLimits,
             PrometheusRegistry metrics,
             AuditTrail trail) {
@@ -144,9 +149,12 @@
         this.transport = Assert.notNull(transport, "transport");
         this.clock = Assert.notNull(clock, "clock");
         this.replica = Assert.notNull(replica, "replica");
-        this.backend = new Backend(client, identity.backend(), clock, this::offer);
+        this.backend = new Backend(client, identity.backend(), clock, engine.orderMillis(), this::offer);
         this.claims = new ClaimDesk(store, clock, identity, claimLimits, new ClaimMetrics(metrics), this::offer);
-        this.residency = new Residency(identity.name(), identity.service(), new MemoryLedger(), backend::order);
+        OpenWork open = new OpenWork();
+        this.memoryMetrics = new MemoryMetrics(metrics);
+        AdapterCache cache = new AdapterCache(clock, engine.adapterLoadsAtOnce(), engine.adapterStickyMillis());
+        this.residency = new Residency(identity, engine.ledger(clock.nowNanos()), cache, clock, this::order, open::all);
         WorkMetrics workMetrics = new WorkMetrics(metrics);
         this.gate = new EventGate(duty, workMetrics);
         AnswerSender answers =
@@ -154,7 +162,6 @@
         this.peers = new SidePeers(replica, clock);
         this.suspects = new SuspectDesk(
                 identity.incarnation(), clock, workLimits.quarantineMillis(), peers::broadcast, metrics);
-        OpenWork open = new OpenWork();
         this.runner = new WorkRunner(clock, backend, claims, open, suspects, answers);
         this.desk = new WorkDesk(clock, backend, runner, open, suspects, answers, workLimits);
     }
@@ -164,6 +171,11 @@
         return NAME;
     }
 
+    private void order(EngineOrder order) {
+        memoryMetrics.sent(order);
+        backend.order(order);
+    }
+
     private void offer(SideEvent event) {
         gate.offer(event);
     }
@@ -229,10 +241,12 @@
             peers.closed(closed.link());
             desk.linkClosed(closed.link());
         } else if (event instanceof SideEvent.OrderEnded ended) {
+            memoryMetrics.ended(ended.order(), ended.failure() == null);
             residency.orderEnded(ended.order(), ended.failure());
+            loadAskAtNanos = clock.nowNanos();
             report(true);
         } else if (event instanceof SideEvent.LoadReported reported) {
-            loadReported(reported.load());
+            loadReported(reported.load(), reported.askedAtNanos());
         } else if (event instanceof SideEvent.FenceGranted granted) {
             residency.fenceGranted(granted.fence());
         } else if (event instanceof SideEvent.Tick) {
@@ -283,7 +297,7 @@
         return work.frame().model().isEmpty() || residency.isReady(work);
     }
 
-    private void loadReported(JsonNode load) {
+    private void loadReported(JsonNode load, long askedAtNanos) {
         loadAsked.set(false);
         missedLoads = load == null ? missedLoads + 1 : 0;
         backendAnswers =
@@ -294,7 +308,8 @@
         }
         if (load != null && isEngine()) {
             suspects.loadReported(load);
-            residency.engineReported(load);
+            residency.engineReported(load, askedAtNanos);
+            memoryMetrics.show(residency.ledger());
             desk.slotsReported(load.path("slots").asInt(Integer.MAX_VALUE));
         }
     }
@@ -303,6 +318,9 @@
         gate.takeOverflow(this::handle);
         peers.tick();
         desk.expire();
+        if (isEngine()) {
+            residency.converge();
+        }
         claims.commitSoon();
         idle = desk.isDraining() && desk.isIdle();
         boolean askDue = suspects.isUncertain() || clock.isPast(loadAskAtNanos);
@@ -315,6 +333,13 @@
         report(false);
     }
 
+    /** Tells sooner than else that a queue has begun, since entries admit more than can run until they know it. */
+    private boolean isLoadDue(LoadFrame load) {
+        boolean queueBegins = lastReport.queued() == 0 && load.queued() > 0;
+        long soonerMillis = queueBegins ? LOAD_REPORT_MILLIS - QUEUE_REPORT_MILLIS : 0;
+        return clock.isPast(reportAtNanos - soonerMillis * Clock.NANOS_PER_MILLI);
+    }
+
     /** Tells the entries at once what has changed, but of changes of nothing but the load only a few. */
     private void report(boolean always) {
         SideReportFrame report = new SideReportFrame(
@@ -323,15 +348,18 @@
                 residency.plan().sequence(),
                 residency.ledger().sizeMb(),
                 residency.ledger().committedMb(),
+                residency.ledger().modelsMb(),
                 desk.queued(),
                 desk.running(),
                 residency.readyModels(),
+                residency.otherModels(),
                 residency.readyAdapters(),
+                residency.demand(),
                 desk.isDraining() || !backendAnswers);
         present.set(report);
-        LoadFrame load = new LoadFrame(desk.queued(), desk.running());
+        LoadFrame load = new LoadFrame(desk.queued(), desk.running(), report.demand());
         boolean onlyLoad = !always && lastReport != null && report.equals(lastReport.withLoad(load));
-        if (onlyLoad && (report.equals(lastReport) || !clock.isPast(reportAtNanos))) {
+        if (onlyLoad && (report.equals(lastReport) || !isLoadDue(load))) {
             return;
         }
         lastReport = report;
