--- a/daemon/src/main/java/org/arbutusstack/daemon/Role.java
+++ b/daemon/src/main/java/org/arbutusstack/daemon/Role.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import org.arbutusstack.entry.EntryIdentity;
 import org.arbutusstack.entry.EntrySettings;
@@ -11,6 +12,7 @@
 import org.arbutusstack.entry.member.HostListService;
 import org.arbutusstack.entry.member.PeerService;
 import org.arbutusstack.entry.plan.EntryRoster;
+import org.arbutusstack.entry.plan.PackingCheck;
 import org.arbutusstack.entry.plan.PlanBook;
 import org.arbutusstack.entry.plan.PlannerService;
 import org.arbutusstack.entry.plan.PlannerSettings;
@@ -27,8 +29,11 @@
 import org.arbutusstack.kernel.service.ServiceRegistry;
 import org.arbutusstack.kernel.setting.Setting;
 import org.arbutusstack.kernel.setting.Settings;
+import org.arbutusstack.ledger.LogCompactor;
 import org.arbutusstack.ledger.LogReplica;
 import org.arbutusstack.ledger.ReferenceCheck;
+import org.arbutusstack.ledger.TicketCheck;
+import org.arbutusstack.ledger.TicketHistory;
 import org.arbutusstack.ledger.TicketLog;
 import org.arbutusstack.placement.CopyPlanner;
 import org.arbutusstack.placement.PlacementPolicy;
@@ -61,7 +66,8 @@
                     RouterLimits.of(settings),
                     metrics,
                     platform.trail());
-            TicketLog log = new TicketLog(platform.store(), replica, List.of(new ReferenceCheck()), platform.clock());
+            List<TicketCheck> checks = List.of(new ReferenceCheck(), new PackingCheck(router));
+            TicketLog log = new TicketLog(platform.store(), replica, checks, platform.clock());
             PeerService peers = new PeerService(
                     identity,
                     new InetSocketAddress(
@@ -75,7 +81,12 @@
             PlacementPolicy policy = PlacementPolicy.valueOf(settings.text(PlannerSettings.PLACEMENT_POLICY));
             registry.register(peers);
             registry.register(new LogFollowerService(platform.store(), replica, platform.clock(), peers::isRelay));
-            registry.register(new TicketService(log, platform.clock(), platform.trail()));
+            registry.register(new TicketService(
+                    log,
+                    new LogCompactor(platform.store(), replica, platform.clock()),
+                    new TicketHistory(platform.store(), replica, platform.clock()),
+                    platform.clock(),
+                    platform.trail()));
             registry.register(new PlannerService(
                     identity,
                     platform.store(),
@@ -91,6 +102,8 @@
                     platform.client(),
                     HttpTarget.parse(settings.text(DaemonSettings.HOST_LIST)),
                     platform.clock(),
+                    host -> router.acknowledgements().isLinked(host.name())
+                            || peers.peerNames().contains(host.name()),
                     hosts -> {
                         router.hostsChanged(hosts);
                         roster.hostsChanged(hosts);
@@ -153,13 +166,6 @@
             } catch (IllegalArgumentException mistake) {
                 mistakes.add("--operators (ARBUTUS_OPERATORS): " + mistake.getMessage());
             }
-            try {
-                RoutingPolicy.valueOf(settings.text(RouterSettings.ROUTING_POLICY));
-            } catch (IllegalArgumentException unknown) {
-                mistakes.add("--routing-policy (ARBUTUS_ROUTING_POLICY): value '"
-                        + settings.text(RouterSettings.ROUTING_POLICY) + "', permitted: "
-                        + List.of(RoutingPolicy.values()));
-            }
             try {
                 PlacementPolicy.valueOf(settings.text(PlannerSettings.PLACEMENT_POLICY));
             } catch (IllegalArgumentException unknown) {
@@ -167,6 +173,12 @@
                         + settings.text(PlannerSettings.PLACEMENT_POLICY) + "', permitted: "
                         + List.of(PlacementPolicy.values()));
             }
+            String policy = settings.text(RouterSettings.ROUTING_POLICY);
+            if (Arrays.stream(RoutingPolicy.values())
+                    .noneMatch(known -> known.name().equals(policy))) {
+                mistakes.add("--routing-policy (ARBUTUS_ROUTING_POLICY): value '" + policy + "', permitted: "
+                        + Arrays.toString(RoutingPolicy.values()));
+            }
             long neededMillis = CallerLimits.of(settings).longestDrainMillis();
             if (settings.number(DaemonSettings.DRAIN) < neededMillis) {
                 mistakes.add("--drain-millis (ARBUTUS_DRAIN_MILLIS): value '" + settings.number(DaemonSettings.DRAIN)
--- a/entry/src/main/java/org/arbutusstack/entry/router/SideConnection.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/SideConnection.java
@@ -16,6 +16,8 @@
 
     private Link link;
 
+    private String incarnation = "";
+
     private boolean open;
 
     private SideReportFrame report;
@@ -53,6 +55,7 @@
 
     void connecting(Link opening) {
         link = opening;
+        incarnation = "";
         open = false;
         givenUp = false;
         report = null;
@@ -64,6 +67,7 @@
 
     void closed(long retryAtNanos) {
         link = null;
+        incarnation = "";
         open = false;
         report = null;
         reconnectAtNanos = retryAtNanos;
@@ -88,6 +92,15 @@
         open = false;
     }
 
+    void introduced(String run) {
+        incarnation = run;
+    }
+
+    /** Tells the run of the process at the other end, empty before it has introduced itself. */
+    String incarnation() {
+        return incarnation;
+    }
+
     boolean isOpen() {
         return open;
     }
