--- a/side/src/main/java/org/arbutusstack/side/SideService.java
+++ b/side/src/main/java/org/arbutusstack/side/SideService.java
@@ -57,6 +57,8 @@
 
     private static final long LOAD_REPORT_MILLIS = 1_000;
 
+    private static final long QUEUE_REPORT_MILLIS = 250;
+
     private static final int LOADS_MISSED_TO_LEAVE = 3;
 
     private static final long LEAVING_NOTICE_MILLIS = 500;
@@ -335,6 +337,13 @@
         report(false);
     }
 
+    /** Tells sooner than else that a queue has begun, since entries admit more than can run until they know it. */
+    private boolean isLoadDue(LoadFrame load) {
+        boolean queueBegins = lastReport.queued() == 0 && load.queued() > 0;
+        long soonerMillis = queueBegins ? LOAD_REPORT_MILLIS - QUEUE_REPORT_MILLIS : 0;
+        return clock.isPast(reportAtNanos - soonerMillis * Clock.NANOS_PER_MILLI);
+    }
+
     /** Tells the entries at once what has changed, but of changes of nothing but the load only a few. */
     private void report(boolean always) {
         SideReportFrame report = new SideReportFrame(
@@ -354,7 +363,7 @@
         present.set(report);
         LoadFrame load = new LoadFrame(desk.queued(), desk.running(), report.demand());
         boolean onlyLoad = !always && lastReport != null && report.equals(lastReport.withLoad(load));
-        if (onlyLoad && (report.equals(lastReport) || !clock.isPast(reportAtNanos))) {
+        if (onlyLoad && (report.equals(lastReport) || !isLoadDue(load))) {
             return;
         }
         lastReport = report;
