Serve the version that is held until the new one is ready; ask for p99 of refusals again

Cause: after a ticket with a new version, entries asked runners for that version only, so that every request waited out its deadline while the weights were loaded: ReachabilityTests with loads of 2.5 s and a deadline of 1.5 s failed on both kinds of engine (request 0: 503). Ruled out: the side (it already serves any version ready), the planner (releases the old copy only after the new one). Change: routing falls back to the version most runners hold; an opened stream goes on with the version that opened it, or is broken off truthfully.

--- a/daemon/src/test/java/org/arbutusstack/daemon/request/OverloadTests.java
+++ b/daemon/src/test/java/org/arbutusstack/daemon/request/OverloadTests.java
@@ -51,7 +51,7 @@
             assertTrue(useful(overload, INTERACTIVE) >= useful(atCapacity, INTERACTIVE));
             assertTrue(
                     useful(overload, INTERACTIVE) + useful(overload, BULK)
-                            >= 0.9 * (useful(atCapacity, INTERACTIVE) + useful(atCapacity, BULK)),
+                            >= useful(atCapacity, INTERACTIVE) + useful(atCapacity, BULK),
                     "useful work fell");
             double early = percentile(overload.calls(CallerOutcome.NOT_RUN), 95);
             assertTrue(early < INTERACTIVE_MILLIS / 2.0, "refusals come late");
@@ -60,6 +60,18 @@
         }
     }
 
+    /** Asks of the last refusals what the test above asks of most; see KNOWN-RED.txt. */
+    @Test
+    public void shouldRefuseNinetyNineInHundredEarlyWhenOverloaded() {
+        try (RequestCluster run = new RequestCluster("overload-last", 1, 1, EngineShape.SMALL, Map.of()).ready()) {
+            assertTrue(offer(run, CAPACITY_PER_SECOND, 2).ended() > 0);
+            CallerLoad overload = offer(run, 3 * CAPACITY_PER_SECOND, SECONDS);
+            report("overload, last refusals", overload);
+            double early = percentile(overload.calls(CallerOutcome.NOT_RUN), 99);
+            assertTrue(early < INTERACTIVE_MILLIS, "p99 of the time to refuse is " + early + " ms");
+        }
+    }
+
     private static CallerLoad offer(RequestCluster run, int perSecond, int seconds) {
         CallerLoad load = new CallerLoad(run.cluster.client());
         ScheduledExecutorService sender = Executors.newSingleThreadScheduledExecutor();
--- a/entry/src/main/java/org/arbutusstack/entry/router/Pending.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/Pending.java
@@ -2,10 +2,13 @@
 
 import java.io.ByteArrayOutputStream;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import org.arbutusstack.model.request.Refusal;
 import org.arbutusstack.model.request.RefusalKind;
 import org.arbutusstack.model.request.RefusalReason;
+import org.arbutusstack.routing.RoutingRequest;
+import org.arbutusstack.routing.RunnerView;
 import org.arbutusstack.wire.frame.AnswerHeadFrame;
 
 /**
@@ -47,6 +50,8 @@
 
     private AnswerHeadFrame head;
 
+    private String streamVersion = "";
+
     Pending(CallerRequest request, long arrivedNanos) {
         this.request = request;
         this.arrivedNanos = arrivedNanos;
@@ -185,6 +190,18 @@
         return head;
     }
 
+    /** Tells what the next attempt needs of a runner: an opened stream goes on with the version that opened it. */
+    RoutingRequest routing(List<RunnerView> runners) {
+        return streamVersion.isEmpty()
+                ? request.routing().orHeldVersion(runners)
+                : request.routing().withVersion(streamVersion);
+    }
+
+    /** Tells whether the answer opened last goes on with the opened stream. */
+    boolean isContinued() {
+        return isEventStream() && head.modelVersion().equals(streamVersion);
+    }
+
     void head(AnswerHeadFrame opened) {
         receipt = true;
         head = opened;
@@ -201,5 +218,6 @@
     void openStream() {
         streamOpened = true;
         maybeRan = true;
+        streamVersion = head.modelVersion();
     }
 }
--- a/entry/src/main/java/org/arbutusstack/entry/router/RequestTable.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/RequestTable.java
@@ -172,20 +172,21 @@
         }
         List<RunnerView> fresh =
                 views.stream().filter(view -> !entry.avoids(view.name())).toList();
-        Optional<RunnerView> chosen = choose(entry.request(), fresh);
+        Optional<RunnerView> chosen = choose(entry, fresh);
         if (chosen.isPresent() || !mayForgive) {
             return chosen;
         }
         entry.forgive();
-        return choose(entry.request(), views);
+        return choose(entry, views);
     }
 
-    private Optional<RunnerView> choose(CallerRequest request, List<RunnerView> views) {
+    private Optional<RunnerView> choose(Pending entry, List<RunnerView> views) {
+        CallerRequest request = entry.request();
         if (quarantine.isSuspect(request)) {
             return quarantine.choose(request, views);
         }
         if (request.idempotent()) {
-            return selector.select(request.routing(), views);
+            return selector.select(entry.routing(views), views);
         }
         ClaimKey key = new ClaimKey(request.routing().service(), request.idempotencyKey());
         return claimOwners.select(key, 0, views);
@@ -245,7 +246,7 @@
             return;
         }
         entry.head(frame);
-        boolean continuesStream = !entry.isStreamOpened() || frame.status() == OK && entry.isEventStream();
+        boolean continuesStream = !entry.isStreamOpened() || frame.status() == OK && entry.isContinued();
         if (!entry.request().model().isEmpty() && frame.status() == NOT_FOUND) {
             abandon(entry, Refusal.notRun(RefusalReason.BACKEND_ERROR, "the runner does not hold the model"));
         } else if (!entry.request().model().isEmpty() && frame.status() >= SERVER_ERRORS || !continuesStream) {
--- a/entry/src/test/java/org/arbutusstack/entry/router/RequestTableTests.java
+++ b/entry/src/test/java/org/arbutusstack/entry/router/RequestTableTests.java
@@ -226,6 +226,21 @@
         assertFalse(sink.text().contains("not loaded"), sink.text());
     }
 
+    @Test
+    public void shouldNotMixVersionsWhenStreamIsResumed() {
+        TableHarness run = new TableHarness("lm-1", "lm-2");
+        CallerRequest request = run.submit(true, true);
+        run.head(request, 200, EVENTS);
+        run.part(request, 0, 1, "data: a\n\n", false);
+        run.lose(run.sideOf(request));
+        run.head(request, 200, EVENTS, "v2");
+        run.part(request, 1, 1, "data: OTHER\n\n", false);
+        run.passMillis(TableHarness.DEADLINE_MILLIS);
+        String text = TableHarness.sink(request).text();
+        assertFalse(text.contains("OTHER"), text);
+        assertTrue(text.contains("event: error"), text);
+    }
+
     @Test
     public void shouldTryAgainWhenEngineHasNotLoadedTheModel() {
         TableHarness run = new TableHarness("lm-1", "lm-2");
--- a/entry/src/test/java/org/arbutusstack/entry/router/TableHarness.java
+++ b/entry/src/test/java/org/arbutusstack/entry/router/TableHarness.java
@@ -146,8 +146,12 @@
     }
 
     void head(CallerRequest request, int status, String contentType) {
+        head(request, status, contentType, "v1");
+    }
+
+    void head(CallerRequest request, int status, String contentType, String version) {
         AnswerHeadFrame frame = new AnswerHeadFrame(
-                request.id(), work(request).attempt(), status, contentType, sideOf(request), "v1", 1);
+                request.id(), work(request).attempt(), status, contentType, sideOf(request), version, 1);
         table.head(frame, side(sideOf(request)));
     }
 
--- a/routing/src/main/java/org/arbutusstack/routing/RoutingRequest.java
+++ b/routing/src/main/java/org/arbutusstack/routing/RoutingRequest.java
@@ -1,5 +1,10 @@
 package org.arbutusstack.routing;
 
+import java.util.Collection;
+import java.util.Map;
+import java.util.stream.Collectors;
+import org.arbutusstack.model.ticket.WeightsKey;
+
 /**
  * Describes what a request needs of a runner.
  *
@@ -41,4 +46,38 @@
         return runner.service().equals(service)
                 && (modelKey.isEmpty() || runner.models().contains(modelKey));
     }
+
+    /**
+     * Asks for a version of the model that a runner holds: the one asked for, or, while no runner holds that one yet,
+     * the one that most runners hold.
+     *
+     * @param runners the runners that take new work
+     * @return the request for that version; this one if no runner holds the model
+     */
+    public RoutingRequest orHeldVersion(Collection<RunnerView> runners) {
+        if (modelKey.isEmpty() || runners.stream().anyMatch(this::isServedBy)) {
+            return this;
+        }
+        String name = WeightsKey.parse(modelKey).name();
+        Map<String, Long> holders = runners.stream()
+                .filter(runner -> runner.service().equals(service))
+                .flatMap(runner -> runner.models().stream())
+                .filter(key -> WeightsKey.parse(key).name().equals(name))
+                .collect(Collectors.groupingBy(key -> key, Collectors.counting()));
+        return holders.entrySet().stream()
+                .max(Map.Entry.<String, Long>comparingByValue().thenComparing(Map.Entry.comparingByKey()))
+                .map(held -> new RoutingRequest(service, held.getKey(), adapterKey, prefixHash))
+                .orElse(this);
+    }
+
+    /**
+     * Asks for a certain version of the model.
+     *
+     * @param version the version
+     * @return the request for that version
+     */
+    public RoutingRequest withVersion(String version) {
+        String name = WeightsKey.parse(modelKey).name();
+        return new RoutingRequest(service, new WeightsKey(name, version).toString(), adapterKey, prefixHash);
+    }
 }
