Read the code as a newcomer: imports in place of full names, the choice of a runner in a class of its own

Change: imports; RunnerChoice holds policy, claim owner, quarantine and the fallback; no behaviour changed.

--- a/bench/src/main/java/org/arbutusstack/bench/load/LoadResult.java
+++ b/bench/src/main/java/org/arbutusstack/bench/load/LoadResult.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.EnumMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
 import org.HdrHistogram.ConcurrentHistogram;
@@ -99,7 +100,7 @@
     public synchronized ObjectNode json() {
         ObjectNode node = Json.object();
         node.put("requests", ended());
-        outcomes.forEach((outcome, count) -> node.put(outcome.name().toLowerCase(java.util.Locale.ROOT), count));
+        outcomes.forEach((outcome, count) -> node.put(outcome.name().toLowerCase(Locale.ROOT), count));
         node.put("attainment", attainment());
         node.put("interactive_attainment", (double) interactiveInTime / Math.max(1, interactive));
         percentiles(node.putObject("first_token_millis"), firstToken);
--- a/bench/src/main/java/org/arbutusstack/bench/slopes/SlopesCommand.java
+++ b/bench/src/main/java/org/arbutusstack/bench/slopes/SlopesCommand.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
@@ -88,8 +89,7 @@
         for (String name : measured.get(0).more().keySet()) {
             fits.put(name, fit(measured, one -> one.more().get(name)));
         }
-        String name =
-                "slopes-" + slopeCase.name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+        String name = "slopes-" + slopeCase.name().toLowerCase(Locale.ROOT).replace('_', '-');
         Map<String, Object> report = new TreeMap<>();
         report.put("unit", slopeCase.unit());
         report.put("measured", measured);
--- a/ctl/src/main/java/org/arbutusstack/ctl/AuditCommands.java
+++ b/ctl/src/main/java/org/arbutusstack/ctl/AuditCommands.java
@@ -1,6 +1,7 @@
 package org.arbutusstack.ctl;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -143,8 +144,8 @@
             }
             Output.parse(reply.get())
                     .path("anchors")
-                    .forEach(node -> anchors.add(JsonCodec.read(
-                            node.toString().getBytes(java.nio.charset.StandardCharsets.UTF_8), AuditAnchor.class)));
+                    .forEach(node -> anchors.add(
+                            JsonCodec.read(node.toString().getBytes(StandardCharsets.UTF_8), AuditAnchor.class)));
         }
         AuditReport report = new AuditVerifier().verify(collected.records(), anchors);
         ExitCode code = question.answer(collected.records(), report);
--- a/daemon/src/main/java/org/arbutusstack/daemon/Role.java
+++ b/daemon/src/main/java/org/arbutusstack/daemon/Role.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Locale;
 import org.arbutusstack.entry.EntryIdentity;
 import org.arbutusstack.entry.EntrySettings;
 import org.arbutusstack.entry.audit.AnchorService;
@@ -256,7 +257,7 @@
         for (Setting setting : required()) {
             if (settings.text(setting).isBlank()) {
                 mistakes.add("--" + setting.name() + " (" + setting.variable() + "): value '', permitted: required for "
-                        + name().toLowerCase(java.util.Locale.ROOT));
+                        + name().toLowerCase(Locale.ROOT));
             }
         }
         if (mistakes.isEmpty()) {
--- a/entry/src/main/java/org/arbutusstack/entry/router/Answers.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/Answers.java
@@ -1,5 +1,6 @@
 package org.arbutusstack.entry.router;
 
+import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import org.arbutusstack.http.server.ResponseSink;
@@ -59,8 +60,8 @@
     /** Ends a stream that cannot be continued, so that the caller can tell that it is not whole. */
     static void breakOff(CallerRequest request, Refusal refusal) {
         byte[] json = JsonCodec.write(Map.of("error", errorOf(request.id().toString(), refusal)));
-        String event = "event: error\ndata: " + new String(json, java.nio.charset.StandardCharsets.UTF_8) + "\n\n";
-        request.response().write(event.getBytes(java.nio.charset.StandardCharsets.UTF_8));
+        String event = "event: error\ndata: " + new String(json, StandardCharsets.UTF_8) + "\n\n";
+        request.response().write(event.getBytes(StandardCharsets.UTF_8));
         request.response().end();
     }
 }
--- a/entry/src/main/java/org/arbutusstack/entry/router/RequestTable.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/RequestTable.java
@@ -8,12 +8,10 @@
 import java.util.Map;
 import java.util.Optional;
 import org.arbutusstack.kernel.time.Clock;
-import org.arbutusstack.model.request.ClaimKey;
 import org.arbutusstack.model.request.Refusal;
 import org.arbutusstack.model.request.RefusalKind;
 import org.arbutusstack.model.request.RefusalReason;
 import org.arbutusstack.model.request.RequestId;
-import org.arbutusstack.routing.ClaimOwnerSelector;
 import org.arbutusstack.routing.RetryBudget;
 import org.arbutusstack.routing.RunnerSelector;
 import org.arbutusstack.routing.RunnerView;
@@ -54,9 +52,7 @@
 
     private final SideDirectory sides;
 
-    private final RunnerSelector selector;
-
-    private final ClaimOwnerSelector claimOwners = new ClaimOwnerSelector();
+    private final RunnerChoice choice;
 
     private final Clock clock;
 
@@ -82,13 +78,13 @@
             RouterMetrics metrics,
             RequestOutcomes outcomes) {
         this.sides = sides;
-        this.selector = selector;
         this.clock = clock;
         this.limits = limits;
         this.metrics = metrics;
         this.outcomes = outcomes;
         this.retries = new RetryBudget(limits.retryPercent(), limits.retryReserve());
         this.quarantine = new Quarantine(clock);
+        this.choice = new RunnerChoice(sides, selector, quarantine, clock);
     }
 
     /** Learns of a request that was in flight when an engine was lost. */
@@ -140,13 +136,13 @@
 
     private void route(Pending entry) {
         CallerRequest request = entry.request();
-        long lateMillis = lateMillis(request);
+        long lateMillis = choice.lateMillis(request);
         if (lateMillis > 0) {
             String detail = "no runner of the model could answer in time";
             refuse(entry, Refusal.notRun(RefusalReason.DEADLINE_UNREACHABLE, detail, Duration.ofMillis(lateMillis)));
             return;
         }
-        Optional<RunnerView> chosen = choose(entry);
+        Optional<RunnerView> chosen = choice.choose(entry);
         if (chosen.isEmpty()) {
             return;
         }
@@ -161,47 +157,6 @@
         }
     }
 
-    /** Chooses a runner that has not failed the request, or any once the time to try again has come. */
-    private Optional<RunnerView> choose(Pending entry) {
-        List<RunnerView> views = sides.views();
-        boolean mayForgive = clock.isPast(entry.retryAtNanos());
-        if (entry.returnsTo() != null && !mayForgive) {
-            return views.stream()
-                    .filter(view -> view.name().equals(entry.returnsTo()))
-                    .findFirst();
-        }
-        List<RunnerView> fresh =
-                views.stream().filter(view -> !entry.avoids(view.name())).toList();
-        Optional<RunnerView> chosen = choose(entry, fresh);
-        if (chosen.isPresent() || !mayForgive) {
-            return chosen;
-        }
-        entry.forgive();
-        return choose(entry, views);
-    }
-
-    private Optional<RunnerView> choose(Pending entry, List<RunnerView> views) {
-        CallerRequest request = entry.request();
-        if (quarantine.isSuspect(request)) {
-            return quarantine.choose(request, views);
-        }
-        if (request.idempotent()) {
-            return selector.select(entry.routing(views), views);
-        }
-        ClaimKey key = new ClaimKey(request.routing().service(), request.idempotencyKey());
-        return claimOwners.select(key, 0, views);
-    }
-
-    /** Estimates how late the soonest answer would be that a runner of the model could give, in milliseconds. */
-    private long lateMillis(CallerRequest request) {
-        long soonestMillis = sides.views().stream()
-                .filter(request.routing()::isServedBy)
-                .mapToLong(view -> sides.byName(view.name()).load().estimateMillis(request.priority()))
-                .min()
-                .orElse(0);
-        return soonestMillis - clock.millisUntil(request.deadlineNanos());
-    }
-
     private WorkFrame frameOf(Pending entry) {
         CallerRequest request = entry.request();
         return new WorkFrame(
--- a/entry/src/main/java/org/arbutusstack/entry/router/RouterService.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/RouterService.java
@@ -189,9 +189,9 @@
     @Override
     public void drain(long deadlineNanos) {
         draining = true;
-        java.util.concurrent.locks.LockSupport.parkNanos(2 * TICK_MILLIS * Clock.NANOS_PER_MILLI);
+        clock.pause(2 * TICK_MILLIS);
         while (inHand > 0 && !clock.isPast(deadlineNanos)) {
-            java.util.concurrent.locks.LockSupport.parkNanos(DRAIN_POLL_MILLIS * Clock.NANOS_PER_MILLI);
+            clock.pause(DRAIN_POLL_MILLIS);
         }
     }
 
--- /dev/null
+++ b/entry/src/main/java/org/arbutusstack/entry/router/RunnerChoice.java
@@ -0,0 +1,77 @@
+package org.arbutusstack.entry.router;
+
+import java.util.List;
+import java.util.Optional;
+import org.arbutusstack.kernel.Assert;
+import org.arbutusstack.kernel.time.Clock;
+import org.arbutusstack.model.request.ClaimKey;
+import org.arbutusstack.routing.ClaimOwnerSelector;
+import org.arbutusstack.routing.RunnerSelector;
+import org.arbutusstack.routing.RunnerView;
+
+/**
+ * Chooses the runner for the next attempt of a request: by the routing policy, by the owner of its claim, or, for a
+ * request that may crash engines, where it does the least harm.
+ *
+ * <p>Used by the router's duty only.
+ */
+final class RunnerChoice {
+
+    private final SideDirectory sides;
+
+    private final RunnerSelector selector;
+
+    private final ClaimOwnerSelector claimOwners = new ClaimOwnerSelector();
+
+    private final Quarantine quarantine;
+
+    private final Clock clock;
+
+    RunnerChoice(SideDirectory sides, RunnerSelector selector, Quarantine quarantine, Clock clock) {
+        this.sides = Assert.notNull(sides, "sides");
+        this.selector = Assert.notNull(selector, "selector");
+        this.quarantine = Assert.notNull(quarantine, "quarantine");
+        this.clock = Assert.notNull(clock, "clock");
+    }
+
+    /** Chooses a runner that has not failed the request, or any once the time to try again has come. */
+    Optional<RunnerView> choose(Pending entry) {
+        List<RunnerView> views = sides.views();
+        boolean mayForgive = clock.isPast(entry.retryAtNanos());
+        if (entry.returnsTo() != null && !mayForgive) {
+            return views.stream()
+                    .filter(view -> view.name().equals(entry.returnsTo()))
+                    .findFirst();
+        }
+        List<RunnerView> fresh =
+                views.stream().filter(view -> !entry.avoids(view.name())).toList();
+        Optional<RunnerView> chosen = choose(entry, fresh);
+        if (chosen.isPresent() || !mayForgive) {
+            return chosen;
+        }
+        entry.forgive();
+        return choose(entry, views);
+    }
+
+    private Optional<RunnerView> choose(Pending entry, List<RunnerView> views) {
+        CallerRequest request = entry.request();
+        if (quarantine.isSuspect(request)) {
+            return quarantine.choose(request, views);
+        }
+        if (request.idempotent()) {
+            return selector.select(entry.routing(views), views);
+        }
+        ClaimKey key = new ClaimKey(request.routing().service(), request.idempotencyKey());
+        return claimOwners.select(key, 0, views);
+    }
+
+    /** Estimates how late the soonest answer would be that a runner of the model could give, in milliseconds. */
+    long lateMillis(CallerRequest request) {
+        long soonestMillis = sides.views().stream()
+                .filter(request.routing()::isServedBy)
+                .mapToLong(view -> sides.byName(view.name()).load().estimateMillis(request.priority()))
+                .min()
+                .orElse(0);
+        return soonestMillis - clock.millisUntil(request.deadlineNanos());
+    }
+}
--- a/http/src/main/java/org/arbutusstack/http/client/HttpClient.java
+++ b/http/src/main/java/org/arbutusstack/http/client/HttpClient.java
@@ -1,5 +1,6 @@
 package org.arbutusstack.http.client;
 
+import java.io.ByteArrayOutputStream;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 
@@ -60,7 +61,7 @@
 
         private final CompletableFuture<HttpReply> future = new CompletableFuture<>();
 
-        private final java.io.ByteArrayOutputStream body = new java.io.ByteArrayOutputStream();
+        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
         private int answeredStatus;
 
--- a/http/src/main/java/org/arbutusstack/http/server/ResponseStream.java
+++ b/http/src/main/java/org/arbutusstack/http/server/ResponseStream.java
@@ -1,11 +1,13 @@
 package org.arbutusstack.http.server;
 
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HttpString;
 import io.undertow.util.SameThreadExecutor;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.function.Consumer;
 import org.arbutusstack.kernel.Assert;
 import org.xnio.IoUtils;
 import org.xnio.channels.StreamSinkChannel;
@@ -50,7 +52,7 @@
      * @param exchange the exchange, within its handler's call
      * @param opened what is done with the stream once the handler has returned
      */
-    public static void open(HttpServerExchange exchange, java.util.function.Consumer<ResponseStream> opened) {
+    public static void open(HttpServerExchange exchange, Consumer<ResponseStream> opened) {
         Assert.notNull(exchange, "exchange");
         ResponseStream stream = new ResponseStream(exchange);
         ConnectionWatch.follow(exchange, stream);
@@ -111,7 +113,7 @@
 
     @Override
     public void header(String name, String value) {
-        exchange.getResponseHeaders().put(new io.undertow.util.HttpString(name), value);
+        exchange.getResponseHeaders().put(new HttpString(name), value);
     }
 
     @Override
--- a/kernel/src/main/java/org/arbutusstack/kernel/setting/SettingKind.java
+++ b/kernel/src/main/java/org/arbutusstack/kernel/setting/SettingKind.java
@@ -1,5 +1,7 @@
 package org.arbutusstack.kernel.setting;
 
+import java.util.regex.Pattern;
+
 /** Checks the text of a setting by its kind; each constant returns what is permitted when the text is not. */
 public enum SettingKind {
 
@@ -62,8 +64,7 @@
         }
     };
 
-    private static final java.util.regex.Pattern ADDRESS_PATTERN =
-            java.util.regex.Pattern.compile("[A-Za-z0-9._\\[\\]:-]+:[0-9]{1,5}");
+    private static final Pattern ADDRESS_PATTERN = Pattern.compile("[A-Za-z0-9._\\[\\]:-]+:[0-9]{1,5}");
 
     /**
      * Checks a text.
--- a/model/src/main/java/org/arbutusstack/model/ticket/DesiredState.java
+++ b/model/src/main/java/org/arbutusstack/model/ticket/DesiredState.java
@@ -1,6 +1,7 @@
 package org.arbutusstack.model.ticket;
 
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -143,7 +144,7 @@
         Collection<ModelSpec> all = models.values();
         return all.stream()
                 .filter(model -> model.service().equals(service))
-                .sorted(java.util.Comparator.comparing(ModelSpec::name))
+                .sorted(Comparator.comparing(ModelSpec::name))
                 .toList();
     }
 }
--- a/model/src/main/java/org/arbutusstack/model/ticket/ObjectId.java
+++ b/model/src/main/java/org/arbutusstack/model/ticket/ObjectId.java
@@ -1,5 +1,6 @@
 package org.arbutusstack.model.ticket;
 
+import java.util.Locale;
 import org.arbutusstack.kernel.Assert;
 
 /**
@@ -21,6 +22,6 @@
 
     @Override
     public String toString() {
-        return kind.name().toLowerCase(java.util.Locale.ROOT) + " '" + name + "'";
+        return kind.name().toLowerCase(Locale.ROOT) + " '" + name + "'";
     }
 }
--- a/side/src/main/java/org/arbutusstack/side/SideService.java
+++ b/side/src/main/java/org/arbutusstack/side/SideService.java
@@ -196,7 +196,7 @@
         offer(new SideEvent.DrainBegun());
         long noticedAtNanos = clock.deadlineNanos(LEAVING_NOTICE_MILLIS);
         while (!isDrained(noticedAtNanos) && !clock.isPast(deadlineNanos)) {
-            java.util.concurrent.locks.LockSupport.parkNanos(DRAIN_POLL_MILLIS * Clock.NANOS_PER_MILLI);
+            clock.pause(DRAIN_POLL_MILLIS);
         }
     }
 
--- a/testkit/src/main/java/org/arbutusstack/testkit/engine/EngineStandIn.java
+++ b/testkit/src/main/java/org/arbutusstack/testkit/engine/EngineStandIn.java
@@ -81,7 +81,7 @@
      *
      * @return the description that {@code GET /load} gives, without the queue
      */
-    public com.fasterxml.jackson.databind.JsonNode memoryState() {
+    public JsonNode memoryState() {
         return memory.json();
     }
 
--- a/testkit/src/main/java/org/arbutusstack/testkit/hosts/HostListStandIn.java
+++ b/testkit/src/main/java/org/arbutusstack/testkit/hosts/HostListStandIn.java
@@ -1,6 +1,7 @@
 package org.arbutusstack.testkit.hosts;
 
 import io.undertow.server.HttpServerExchange;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 import org.arbutusstack.http.server.ResponseStream;
 import org.arbutusstack.http.server.Responses;
@@ -17,7 +18,7 @@
 
     private final long lagMillis;
 
-    private volatile byte[] hosts = "{\"hosts\":[]}".getBytes(java.nio.charset.StandardCharsets.UTF_8);
+    private volatile byte[] hosts = "{\"hosts\":[]}".getBytes(StandardCharsets.UTF_8);
 
     /**
      * Creates a stand-in.
--- a/testkit/src/main/java/org/arbutusstack/testkit/kv/KeyValueTable.java
+++ b/testkit/src/main/java/org/arbutusstack/testkit/kv/KeyValueTable.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Base64;
 import java.util.HashMap;
 import java.util.List;
@@ -222,7 +223,7 @@
 
         boolean send(ObjectNode message) {
             byte[] json = Json.write(message);
-            byte[] line = java.util.Arrays.copyOf(json, json.length + 1);
+            byte[] line = Arrays.copyOf(json, json.length + 1);
             line[json.length] = '\n';
             return stream.write(line);
         }
--- a/testkit/src/main/java/org/arbutusstack/testkit/process/DaemonProcess.java
+++ b/testkit/src/main/java/org/arbutusstack/testkit/process/DaemonProcess.java
@@ -5,6 +5,7 @@
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -196,7 +197,7 @@
      * @return the time in milliseconds
      */
     public long processorMillis() {
-        return process.info().totalCpuDuration().orElse(java.time.Duration.ZERO).toMillis();
+        return process.info().totalCpuDuration().orElse(Duration.ZERO).toMillis();
     }
 
     /**
--- a/testkit/src/main/java/org/arbutusstack/testkit/process/ProcessCluster.java
+++ b/testkit/src/main/java/org/arbutusstack/testkit/process/ProcessCluster.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.File;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -12,6 +13,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import org.arbutusstack.http.client.HttpCall;
 import org.arbutusstack.http.client.HttpClient;
@@ -232,7 +235,7 @@
      * @return the answer
      */
     public HttpReply submit(DaemonProcess entry, String ticketJson) {
-        byte[] body = ticketJson.getBytes(java.nio.charset.StandardCharsets.UTF_8);
+        byte[] body = ticketJson.getBytes(StandardCharsets.UTF_8);
         return await(call(entry.port("operator-port"), asOperator("POST", "/tickets", body)));
     }
 
@@ -272,7 +275,7 @@
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
             throw new IllegalStateException("Was interrupted", interrupted);
-        } catch (ExecutionException | java.util.concurrent.TimeoutException failure) {
+        } catch (ExecutionException | TimeoutException failure) {
             throw new IllegalStateException("Got no answer", failure);
         }
     }
@@ -305,7 +308,7 @@
             if (condition.getAsBoolean()) {
                 return true;
             }
-            java.util.concurrent.locks.LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(POLL_MILLIS));
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(POLL_MILLIS));
         }
         return condition.getAsBoolean();
     }
--- a/testkit/src/main/java/org/arbutusstack/testkit/weights/WeightStoreStandIn.java
+++ b/testkit/src/main/java/org/arbutusstack/testkit/weights/WeightStoreStandIn.java
@@ -6,6 +6,7 @@
 import org.arbutusstack.http.server.ResponseStream;
 import org.arbutusstack.http.server.Responses;
 import org.arbutusstack.testkit.AbstractStandIn;
+import org.arbutusstack.testkit.Json;
 
 /**
  * Takes its time over fetches of weights: full speed up to a number in flight, proportionally longer beyond it.
@@ -81,7 +82,7 @@
     }
 
     private void setFault(HttpServerExchange exchange, byte[] body) {
-        slowdown = org.arbutusstack.testkit.Json.read(body).path("slowdown").asDouble(1);
+        slowdown = Json.read(body).path("slowdown").asDouble(1);
         Responses.json(exchange, OK, "{}");
     }
 
--- a/wire/src/main/java/org/arbutusstack/wire/link/NioLinkTransport.java
+++ b/wire/src/main/java/org/arbutusstack/wire/link/NioLinkTransport.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.channels.ClosedSelectorException;
+import java.nio.channels.SelectableChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
 import java.nio.channels.ServerSocketChannel;
@@ -123,7 +124,7 @@
         return new LinkHandshake(linkKey, end);
     }
 
-    SelectionKey register(java.nio.channels.SelectableChannel channel, int operations, LinkEvents events) {
+    SelectionKey register(SelectableChannel channel, int operations, LinkEvents events) {
         try {
             return channel.register(selector, operations, events);
         } catch (IOException failure) {
@@ -216,7 +217,7 @@
         flush();
         execute(() -> {
             running = false;
-            selector.keys().forEach(key -> org.arbutusstack.wire.link.NioLink.closeQuietly(key.channel()));
+            selector.keys().forEach(key -> NioLink.closeQuietly(key.channel()));
         });
         try {
             thread.join(1_000);
