--- a/entry/src/main/java/org/arbutusstack/entry/router/RouterService.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/RouterService.java
@@ -44,8 +44,8 @@
 /**
  * Runs the router's duty: one thread that owns the links to the sides and the requests in hand.
  *
- * <p>{@link #submit}, {@link #callerGone}, {@link #hostsChanged}, {@link #runners}, {@link #runnerStatuses} and {@link
- * #stateDump} may be called by any thread.
+ * <p>{@link #submit}, {@link #callerGone}, {@link #hostsChanged}, {@link #runners} and {@link #stateDump} may be
+ * called by any thread.
  */
 public final class RouterService implements Service, RunnerDirectory {
 
@@ -326,15 +326,6 @@
                 .count();
     }
 
-    /**
-     * Lists what the router knows of each runner.
-     *
-     * @return the runners, ordered by name
-     */
-    public List<RunnerStatus> runnerStatuses() {
-        return statuses;
-    }
-
     /**
      * Writes the entry's state for people.
      *
