--- a/daemon/src/main/java/org/arbutusstack/daemon/ArbutusDaemon.java
+++ b/daemon/src/main/java/org/arbutusstack/daemon/ArbutusDaemon.java
@@ -53,6 +53,11 @@
      * @throws InterruptedException if the main thread is interrupted
      */
     public static void main(String[] arguments) throws InterruptedException {
+        Optional<PlatformCommand> platform = PlatformCommand.find(arguments, System.getenv());
+        if (platform.isPresent()) {
+            platform.get().run();
+            return;
+        }
         SettingsResult result = new SettingsParser("arbutusd", DaemonSettings.all()).parse(arguments, System.getenv());
         if (result instanceof SettingsResult.Information information) {
             System.out.println(information.text());
--- /dev/null
+++ b/daemon/src/main/java/org/arbutusstack/daemon/PlatformCommand.java
@@ -0,0 +1,103 @@
+package org.arbutusstack.daemon;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import org.arbutusstack.kernel.service.DefaultServiceRegistry;
+import org.arbutusstack.kernel.service.Kernel;
+import org.arbutusstack.kernel.service.ServiceException;
+import org.arbutusstack.kernel.service.ServiceRegistry;
+import org.arbutusstack.kernel.time.Clock;
+import org.arbutusstack.kernel.time.SystemClock;
+import org.arbutusstack.platform.PlatformRole;
+import org.arbutusstack.platform.PlatformSettings;
+import org.arbutusstack.wire.link.LinkKey;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Runs one process of the system on the users' platform, whose settings come in a file.
+ *
+ * <p>Chosen by the first argument, {@code platform-entry} or {@code platform-side}.
+ */
+final class PlatformCommand {
+
+    private static final Logger logger = LoggerFactory.getLogger(PlatformCommand.class);
+
+    private static final Map<String, PlatformRole> ROLES =
+            Map.of("platform-entry", PlatformRole.ENTRY, "platform-side", PlatformRole.SIDE);
+
+    private static final int SETTINGS_EXIT_CODE = 64;
+
+    private static final int START_EXIT_CODE = 70;
+
+    private static final int LAST_PARTS = 6;
+
+    private static final String LINK_KEY_VARIABLE = "ARBUTUS_LINK_KEY";
+
+    private final PlatformRole role;
+
+    private final Map<String, String> environment;
+
+    private final CountDownLatch stopped = new CountDownLatch(1);
+
+    private PlatformCommand(PlatformRole role, Map<String, String> environment) {
+        this.role = role;
+        this.environment = environment;
+    }
+
+    /** Finds the command that the arguments name. */
+    static Optional<PlatformCommand> find(String[] arguments, Map<String, String> environment) {
+        return arguments.length == 1 && ROLES.containsKey(arguments[0])
+                ? Optional.of(new PlatformCommand(ROLES.get(arguments[0]), environment))
+                : Optional.empty();
+    }
+
+    void run() throws InterruptedException {
+        String file = environment.get(PlatformSettings.FILE_VARIABLE);
+        String linkKey = environment.get(LINK_KEY_VARIABLE);
+        if (file == null || linkKey == null || linkKey.isBlank()) {
+            fail(List.of(PlatformSettings.FILE_VARIABLE + " and " + LINK_KEY_VARIABLE + " must be set"));
+            return;
+        }
+        PlatformSettings.Result result = PlatformSettings.read(Path.of(file), role.servesCallers());
+        if (result instanceof PlatformSettings.Result.Invalid invalid) {
+            fail(invalid.mistakes());
+        } else if (result instanceof PlatformSettings.Result.Valid valid) {
+            start(valid.settings(), new LinkKey(linkKey));
+            stopped.await();
+        }
+    }
+
+    private static void fail(List<String> mistakes) {
+        mistakes.forEach(mistake -> System.err.println("arbutusd: " + mistake));
+        System.exit(SETTINGS_EXIT_CODE);
+    }
+
+    private void start(PlatformSettings settings, LinkKey linkKey) {
+        Clock clock = new SystemClock();
+        ServiceRegistry registry = new DefaultServiceRegistry();
+        Kernel kernel = new Kernel(registry, clock);
+        try {
+            role.register(registry, settings, linkKey, clock, new PrometheusRegistry());
+            kernel.start();
+        } catch (ServiceException | IllegalArgumentException failure) {
+            logger.error("event=start-failed role={}", role, failure);
+            System.exit(START_EXIT_CODE);
+        }
+        logger.info("event=started role={} host={} zone={}", role, settings.hostName(), settings.zone());
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(kernel, settings), "shutdown"));
+    }
+
+    /** Drains until the last sixth of the grace time. */
+    private void stop(Kernel kernel, PlatformSettings settings) {
+        logger.info("event=stopping role={}", role);
+        kernel.stop(settings.graceMillis() * (LAST_PARTS - 1) / LAST_PARTS);
+        logger.info("event=stopped role={}", role);
+        stopped.countDown();
+        Runtime.getRuntime().halt(0);
+    }
+}
--- a/entry/src/main/java/org/arbutusstack/entry/plan/PlannerService.java
+++ b/entry/src/main/java/org/arbutusstack/entry/plan/PlannerService.java
@@ -14,6 +14,7 @@
 import org.arbutusstack.model.ticket.ServiceKind;
 import org.arbutusstack.placement.Planner;
 import org.arbutusstack.store.KeyValueStore;
+import org.arbutusstack.store.StoreLease;
 
 /**
  * Plans the services that this process holds by its lease; for the others it looks once a second whether they are
@@ -33,7 +34,7 @@
 
     private final PlannerContext context;
 
-    private final PlannerLease lease;
+    private final StoreLease lease;
 
     private final Duty<Runnable> duty = new Duty<>("planner", RING_SIZE, Runnable::run);
 
@@ -77,7 +78,7 @@
                 Assert.notNull(timing, "timing"),
                 Assert.notNull(clock, "clock"),
                 new PlannerMetrics(metrics));
-        this.lease = new PlannerLease(store, clock, PlannerContext.CALL_MILLIS);
+        this.lease = new StoreLease(store, clock, PlannerContext.CALL_MILLIS);
     }
 
     @Override
--- a/entry/src/main/java/org/arbutusstack/entry/plan/ServicePlanner.java
+++ b/entry/src/main/java/org/arbutusstack/entry/plan/ServicePlanner.java
@@ -16,6 +16,7 @@
 import org.arbutusstack.placement.RunnerCapacity;
 import org.arbutusstack.store.KeyValue;
 import org.arbutusstack.store.KeyValueStore;
+import org.arbutusstack.store.StoreLease;
 import org.arbutusstack.store.StoreResult;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -76,7 +77,7 @@
         raised = false;
     }
 
-    void run(DesiredState state, PlannerLease lease) {
+    void run(DesiredState state, StoreLease lease) {
         if (fence == 0) {
             takeOver(lease);
         }
@@ -88,7 +89,7 @@
         }
     }
 
-    private void takeOver(PlannerLease lease) {
+    private void takeOver(StoreLease lease) {
         Clock clock = context.clock();
         if (!clock.isPast(checkAtNanos)) {
             return;
@@ -117,7 +118,7 @@
     }
 
     /** Names this process and its lease, so that a claim whose answer was lost is recognised. */
-    private String claim(PlannerLease lease) {
+    private String claim(StoreLease lease) {
         return context.identity().incarnation() + '/' + lease.id();
     }
 
@@ -128,7 +129,7 @@
     }
 
     /** Writes the plan found under this holder's fence, so that earlier holders' swaps fail. */
-    private void raise(PlannerLease lease) {
+    private void raise(StoreLease lease) {
         StoreResult<KeyValue> read = context.store().get(PlanKeys.plan(service), context.deadlineNanos());
         if (!(read instanceof StoreResult.Done<KeyValue> done)) {
             return;
@@ -148,7 +149,7 @@
         }
     }
 
-    private void decide(DesiredState state, PlannerLease lease) {
+    private void decide(DesiredState state, StoreLease lease) {
         List<RunnerCapacity> runners = context.directory().runners(service);
         Clock clock = context.clock();
         boolean complete = runners.size() >= context.directory().listedRunners(service);
@@ -193,7 +194,7 @@
         absentAtNanos.putIfAbsent(runner, context.clock().deadlineNanos(context.absentMillis()));
     }
 
-    private boolean write(Plan next, PlannerLease lease) {
+    private boolean write(Plan next, StoreLease lease) {
         if (!lease.isValid()) {
             giveUp();
             return false;
--- a/entry/src/main/java/org/arbutusstack/entry/router/RequestTable.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/RequestTable.java
@@ -9,7 +9,6 @@
 import java.util.Optional;
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.model.request.Refusal;
-import org.arbutusstack.model.request.RefusalKind;
 import org.arbutusstack.model.request.RefusalReason;
 import org.arbutusstack.model.request.RequestId;
 import org.arbutusstack.routing.RetryBudget;
@@ -305,9 +304,7 @@
     }
 
     private boolean mayTryAgain(Pending entry, Refusal refusal, boolean linkLost) {
-        boolean safe = refusal.kind() == RefusalKind.NOT_RUN
-                || entry.request().idempotent() && refusal.kind() != RefusalKind.REJECTED
-                || linkLost;
+        boolean safe = refusal.kind().mayRepeat(entry.request().idempotent()) || linkLost;
         boolean inTime = refusal.reason() != RefusalReason.DEADLINE_PASSED
                 && !clock.isPast(entry.request().deadlineNanos());
         if (!safe || !inTime || entry.failures() >= limits.mostAttempts()) {
@@ -322,7 +319,7 @@
 
     private void refuse(Pending entry, Refusal refusal) {
         CallerRequest request = entry.request();
-        Refusal truth = truthOf(entry, refusal);
+        Refusal truth = refusal.afterAttempts(entry.maybeRan());
         remove(entry, false);
         outcomes.refused(entry, truth);
         logger.info("event=refused request={} kind={} reason={}", request.id(), truth.kind(), truth.reason());
@@ -333,13 +330,6 @@
         }
     }
 
-    /** Takes back what the last attempt says if an earlier one may have run. */
-    private static Refusal truthOf(Pending entry, Refusal refusal) {
-        return refusal.kind() == RefusalKind.NOT_RUN && entry.maybeRan()
-                ? Refusal.outcomeUnknown(refusal.reason(), refusal.detail() + "; an earlier attempt may have run")
-                : refusal;
-    }
-
     void sideLost(SideConnection side) {
         for (Pending entry : new ArrayList<>(pending.values())) {
             if (entry.side() == side) {
--- /dev/null
+++ b/gateway/src/main/java/org/arbutusstack/gateway/plan/PlannerElection.java
@@ -0,0 +1,185 @@
+package org.arbutusstack.gateway.plan;
+
+import java.nio.charset.StandardCharsets;
+import org.arbutusstack.kernel.Assert;
+import org.arbutusstack.kernel.service.Service;
+import org.arbutusstack.kernel.time.Clock;
+import org.arbutusstack.store.KeyValue;
+import org.arbutusstack.store.KeyValueStore;
+import org.arbutusstack.store.StoreLease;
+import org.arbutusstack.store.StoreResult;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Takes the planner's key in the key-value service if no entry holds it, and keeps it by a lease.
+ *
+ * <p>The revision of the key's creation is the holder's fencing number. Runs on a duty of its own; the results may be
+ * read by any thread.
+ */
+public final class PlannerElection implements Service {
+
+    /** The key that names the planner. */
+    public static final String KEY = "arbutus/planner";
+
+    private static final Logger logger = LoggerFactory.getLogger(PlannerElection.class);
+
+    private static final long PERIOD_MILLIS = 300;
+
+    private static final long CALL_MILLIS = 600;
+
+    /** A difference between the two clocks after which the process must have stood still. */
+    private static final long STOOD_STILL_MILLIS = 400;
+
+    private final KeyValueStore store;
+
+    private final String identity;
+
+    private final Clock clock;
+
+    private final StoreLease lease;
+
+    private final Thread thread;
+
+    private volatile boolean running;
+
+    private volatile boolean vacant = true;
+
+    private volatile long fence;
+
+    private volatile boolean holding;
+
+    private long clockDifferenceMillis;
+
+    /**
+     * Creates the service.
+     *
+     * @param store the key-value service
+     * @param identity names this run of the entry and where it accepts links
+     * @param clock the clock of the process
+     */
+    public PlannerElection(KeyValueStore store, String identity, Clock clock) {
+        this.store = Assert.notNull(store, "store");
+        this.identity = Assert.hasText(identity, "identity");
+        this.clock = Assert.notNull(clock, "clock");
+        this.lease = new StoreLease(store, clock, CALL_MILLIS);
+        this.clockDifferenceMillis = clockDifference();
+        this.thread = new Thread(this::run, "planner-election");
+        this.thread.setDaemon(true);
+    }
+
+    private long clockDifference() {
+        return clock.wallMillis() - clock.nowNanos() / Clock.NANOS_PER_MILLI;
+    }
+
+    @Override
+    public String name() {
+        return "planner-election";
+    }
+
+    @Override
+    public void start() {
+        running = true;
+        thread.start();
+    }
+
+    @Override
+    public void stop() {
+        running = false;
+        holding = false;
+        lease.revoke();
+    }
+
+    /**
+     * Learns whether the key is seen to be free.
+     *
+     * @param isVacant whether no entry holds it
+     */
+    public void seen(boolean isVacant) {
+        vacant = isVacant;
+    }
+
+    /**
+     * Tells whether this entry plans.
+     *
+     * @return whether its lease lives for certain
+     */
+    public boolean isHolding() {
+        return holding;
+    }
+
+    /**
+     * Tells the holder's fencing number.
+     *
+     * @return the number under which this entry planned last
+     */
+    public long fence() {
+        return fence;
+    }
+
+    private void run() {
+        while (running) {
+            try {
+                step();
+            } catch (RuntimeException failure) {
+                logger.error("event=duty-failure duty=planner-election", failure);
+            }
+            clock.pause(PERIOD_MILLIS);
+        }
+    }
+
+    /** Renews the lease, or takes the key if it is free. */
+    void step() {
+        long difference = clockDifference();
+        boolean stoodStill = Math.abs(difference - clockDifferenceMillis) > STOOD_STILL_MILLIS;
+        clockDifferenceMillis = difference;
+        if (stoodStill && holding) {
+            logger.warn("event=planner-yielded fence={} cause=clocks-differ", fence);
+            holding = false;
+            lease.abandon();
+            return;
+        }
+        if (holding && !lease.renew()) {
+            logger.warn("event=planner-yielded fence={} cause=lease-lapsed", fence);
+            holding = false;
+        }
+        if (!holding && vacant) {
+            take();
+        }
+    }
+
+    private void take() {
+        if (!lease.obtain()) {
+            return;
+        }
+        byte[] value = identity.getBytes(StandardCharsets.UTF_8);
+        StoreResult<Long> written =
+                store.compareAndSwap(KEY, 0, value, lease.id(), clock.deadlineNanos(CALL_MILLIS));
+        if (written instanceof StoreResult.Done<Long> done) {
+            taken(done.value());
+        } else if (written instanceof StoreResult.Conflict) {
+            settle();
+        }
+    }
+
+    /** Finds out whether the key is held by an earlier write of this process whose answer was lost. */
+    private void settle() {
+        StoreResult<KeyValue> read = store.get(KEY, clock.deadlineNanos(CALL_MILLIS));
+        if (read instanceof StoreResult.Done<KeyValue> done) {
+            boolean own = done.value().exists() && done.value().text().equals(identity);
+            vacant = !done.value().exists();
+            if (own && lease.isValid()) {
+                taken(done.value().revision());
+            }
+        }
+    }
+
+    private void taken(long revision) {
+        if (!lease.isValid()) {
+            return;
+        }
+        fence = revision;
+        holding = true;
+        logger.info("event=planner-lease fence={}", revision);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/arbutusstack/gateway/plan/PlannerLink.java
@@ -0,0 +1,131 @@
+package org.arbutusstack.gateway.plan;
+
+import java.net.InetSocketAddress;
+import org.arbutusstack.http.client.HttpTarget;
+import org.arbutusstack.kernel.Assert;
+import org.arbutusstack.kernel.ring.Ring;
+import org.arbutusstack.kernel.time.Clock;
+import org.arbutusstack.wire.frame.Frame;
+import org.arbutusstack.wire.frame.ModelDemandFrame;
+import org.arbutusstack.wire.link.Link;
+import org.arbutusstack.wire.link.LinkListener;
+import org.arbutusstack.wire.link.LinkTransport;
+
+/**
+ * Carries the demand of the other entries to the planner, wherever it is.
+ *
+ * <p>Used by the entry's loop only.
+ */
+public final class PlannerLink {
+
+    private static final long RECONNECT_MILLIS = 300;
+
+    private final LinkTransport transport;
+
+    private final ModelPlanner planner;
+
+    private final Ring<Runnable> loop;
+
+    private final Clock clock;
+
+    private String holder = "";
+
+    private Link link;
+
+    private long reconnectAtNanos;
+
+    /**
+     * Creates the link; it is not open.
+     *
+     * @param transport opens and accepts links
+     * @param planner this entry's part of planning
+     * @param loop the entry's loop
+     * @param clock the clock of the process
+     */
+    public PlannerLink(LinkTransport transport, ModelPlanner planner, Ring<Runnable> loop, Clock clock) {
+        this.transport = Assert.notNull(transport, "transport");
+        this.planner = Assert.notNull(planner, "planner");
+        this.loop = Assert.notNull(loop, "loop");
+        this.clock = Assert.notNull(clock, "clock");
+        this.reconnectAtNanos = clock.nowNanos();
+    }
+
+    /**
+     * Accepts the links of other entries.
+     *
+     * @param address where to listen
+     */
+    public void listen(InetSocketAddress address) {
+        transport.listen(address, new Acceptor());
+    }
+
+    /**
+     * Learns who plans.
+     *
+     * @param address where the planner accepts links; empty if nobody plans or this entry does
+     */
+    public void holder(String address) {
+        if (address.equals(holder)) {
+            return;
+        }
+        holder = address;
+        if (link != null) {
+            link.close();
+            link = null;
+        }
+        reconnectAtNanos = clock.nowNanos();
+    }
+
+    /** Tells the planner this entry's demand. */
+    public void tick() {
+        if (holder.isEmpty()) {
+            return;
+        }
+        if (link == null && clock.isPast(reconnectAtNanos)) {
+            HttpTarget target = HttpTarget.parse(holder);
+            link = transport.connect(new InetSocketAddress(target.address(), target.port()), new Opener());
+        }
+        if (link != null && link.isOpen()) {
+            planner.ownDemand().forEach(link::send);
+        }
+    }
+
+    private void closed(Link closed) {
+        if (link == closed) {
+            link = null;
+            reconnectAtNanos = clock.deadlineNanos(RECONNECT_MILLIS);
+        }
+    }
+
+    /** Hears nothing but the end of the link. */
+    private final class Opener implements LinkListener {
+
+        @Override
+        public void onOpen(Link opened) {}
+
+        @Override
+        public void onFrame(Link from, Frame frame) {}
+
+        @Override
+        public void onClosed(Link closed) {
+            loop.offer(() -> closed(closed));
+        }
+    }
+
+    /** Takes the demand of other entries. */
+    private final class Acceptor implements LinkListener {
+
+        @Override
+        public void onOpen(Link opened) {}
+
+        @Override
+        public void onFrame(Link from, Frame frame) {
+            if (frame instanceof ModelDemandFrame demand) {
+                loop.offer(() -> planner.told(demand));
+            }
+        }
+
+        @Override
+        public void onClosed(Link closed) {}
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/CurrentAttempt.java
@@ -0,0 +1,110 @@
+package org.arbutusstack.gateway.request;
+
+import java.io.ByteArrayOutputStream;
+import org.arbutusstack.gateway.runner.KnownRunner;
+
+/** Follows one attempt and hands what the runner says to the desk. Used by the entry's loop only. */
+final class CurrentAttempt implements AnswerListener {
+
+    private final RequestDesk desk;
+
+    private final ActiveRequest owner;
+
+    private final KnownRunner runner;
+
+    private final long sentAtNanos;
+
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+
+    private RunnerPort.Attempt handle;
+
+    private AnswerHead head;
+
+    private boolean cancelled;
+
+    CurrentAttempt(RequestDesk desk, ActiveRequest owner, KnownRunner runner, long sentAtNanos) {
+        this.desk = desk;
+        this.owner = owner;
+        this.runner = runner;
+        this.sentAtNanos = sentAtNanos;
+    }
+
+    void handle(RunnerPort.Attempt sent) {
+        handle = sent;
+        if (cancelled) {
+            sent.cancel();
+        }
+    }
+
+    KnownRunner runner() {
+        return runner;
+    }
+
+    long sentAtNanos() {
+        return sentAtNanos;
+    }
+
+    AnswerHead head() {
+        return head;
+    }
+
+    byte[] body() {
+        return body.toByteArray();
+    }
+
+    /** Closes the attempt's connection; nothing more is heard of it. */
+    void cancel() {
+        cancelled = true;
+        if (handle != null) {
+            handle.cancel();
+        }
+    }
+
+    /** Lets the attempt run to its end without anybody to hear of it. */
+    void orphan() {
+        cancelled = true;
+    }
+
+    private boolean isCurrent() {
+        return !cancelled && owner.attempt() == this;
+    }
+
+    @Override
+    public void onHead(AnswerHead answered) {
+        if (isCurrent()) {
+            head = answered;
+            desk.head(owner, this);
+        }
+    }
+
+    @Override
+    public void onBytes(byte[] bytes) {
+        if (!isCurrent()) {
+            return;
+        }
+        if (passesOn()) {
+            desk.streamed(owner, this, bytes);
+        } else {
+            body.writeBytes(bytes);
+        }
+    }
+
+    /** Tells whether the answer is passed on event by event. */
+    boolean passesOn() {
+        return head.eventStream() && head.isSuccess() && head.claim() == AnswerClaim.ATTESTED;
+    }
+
+    @Override
+    public void onEnd() {
+        if (isCurrent()) {
+            desk.whole(owner, this);
+        }
+    }
+
+    @Override
+    public void onFailed(boolean maybeSent, String detail) {
+        if (isCurrent()) {
+            desk.broken(owner, this, maybeSent, detail);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/DecisionLog.java
@@ -0,0 +1,84 @@
+package org.arbutusstack.gateway.request;
+
+import org.arbutusstack.gateway.runner.KnownRunner;
+import org.arbutusstack.kernel.log.LogThrottle;
+import org.arbutusstack.kernel.time.Clock;
+import org.arbutusstack.model.request.Refusal;
+import org.arbutusstack.wire.frame.RunnerStatusFrame;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Writes one line for each decision that touches a request, within a bound a second. Safe for use by any thread. */
+final class DecisionLog {
+
+    private static final Logger logger = LoggerFactory.getLogger(DecisionLog.class);
+
+    /** Bounds the lines of failures; a second of a fully refused peak at one entry of today's deployments. */
+    private static final int LINES_PER_SECOND = 100;
+
+    private final Clock clock;
+
+    private final LogThrottle throttle;
+
+    DecisionLog(Clock clock) {
+        this.clock = clock;
+        this.throttle = new LogThrottle(clock, LINES_PER_SECOND);
+    }
+
+    static String describe(ActiveRequest active) {
+        InboundRequest request = active.request();
+        return "request=" + request.id() + " route=" + request.route().name() + " service=" + request.service()
+                + " model=" + request.model() + " adapter=" + request.adapter() + " sends=" + active.sends();
+    }
+
+    private static String stateOf(KnownRunner runner) {
+        if (runner == null) {
+            return "runner=none";
+        }
+        RunnerStatusFrame status = runner.status();
+        String load = status == null ? "status=none" : "queued=" + status.queued() + " running=" + status.running();
+        return "runner=" + runner.entry().id() + " outstanding=" + runner.outstanding() + " " + load;
+    }
+
+    void sent(ActiveRequest active, KnownRunner runner) {
+        if (logger.isDebugEnabled()) {
+            logger.debug("event=sent {} {}", describe(active), stateOf(runner));
+        }
+    }
+
+    void retried(ActiveRequest active, KnownRunner runner, Refusal refusal) {
+        if (throttle.admits()) {
+            logger.info(
+                    "event=retry {} {} kind={} reason={} detail=\"{}\"",
+                    describe(active),
+                    stateOf(runner),
+                    refusal.kind().label(),
+                    refusal.reason().label(),
+                    refusal.detail());
+        }
+    }
+
+    void refused(ActiveRequest active, Refusal truth) {
+        if (throttle.admits()) {
+            InboundRequest request = active.request();
+            long heldMillis = (clock.nowNanos() - request.arrivedNanos()) / Clock.NANOS_PER_MILLI;
+            logger.info(
+                    "event=refused {} kind={} reason={} opened={} events={} held_ms={} left_ms={} dropped={} detail=\"{}\"",
+                    describe(active),
+                    truth.kind().label(),
+                    truth.reason().label(),
+                    active.isOpened(),
+                    active.events().events(),
+                    heldMillis,
+                    clock.millisUntil(request.deadlineNanos()),
+                    throttle.takeSuppressed(),
+                    truth.detail());
+        }
+    }
+
+    void callerGone(ActiveRequest active) {
+        if (logger.isDebugEnabled()) {
+            logger.debug("event=caller-gone {}", describe(active));
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/GatewayMetrics.java
@@ -0,0 +1,97 @@
+package org.arbutusstack.gateway.request;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.Locale;
+import org.arbutusstack.model.request.RefusalReason;
+
+/** Counts and times the requests of callers. Safe for use by any thread. */
+public final class GatewayMetrics {
+
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private static final String SERVICE = "service";
+
+    private final Counter outcomes;
+
+    private final Counter retries;
+
+    private final Counter badInput;
+
+    private final Histogram firstByte;
+
+    private final Gauge inHand;
+
+    private final Gauge waiting;
+
+    /**
+     * Registers the metrics.
+     *
+     * @param registry the process's metrics
+     */
+    public GatewayMetrics(PrometheusRegistry registry) {
+        outcomes = Counter.builder()
+                .name("arbutus_gateway_requests_total")
+                .help("requests of callers by service, kind of route and outcome")
+                .labelNames(SERVICE, "kind", "outcome")
+                .register(registry);
+        retries = Counter.builder()
+                .name("arbutus_gateway_retries_total")
+                .help("attempts after the first by service and reason")
+                .labelNames(SERVICE, "reason")
+                .register(registry);
+        badInput = Counter.builder()
+                .name("arbutus_gateway_bad_input_total")
+                .help("requests refused before they were routed, by reason")
+                .labelNames("reason")
+                .register(registry);
+        firstByte = Histogram.builder()
+                .name("arbutus_gateway_first_byte_seconds")
+                .help("time from the arrival of a request to the first byte of its answer")
+                .labelNames(SERVICE, "kind")
+                .classicOnly()
+                .register(registry);
+        inHand = Gauge.builder()
+                .name("arbutus_gateway_requests_in_hand")
+                .help("requests that are not answered yet")
+                .register(registry);
+        waiting = Gauge.builder()
+                .name("arbutus_gateway_requests_waiting")
+                .help("requests that wait for a model or an adapter")
+                .register(registry);
+    }
+
+    void ended(InboundRequest request, String outcome) {
+        outcomes.labelValues(request.service(), kindOf(request), outcome).inc();
+    }
+
+    void answered(InboundRequest request, long nowNanos) {
+        firstByte
+                .labelValues(request.service(), kindOf(request))
+                .observe((nowNanos - request.arrivedNanos()) / NANOS_PER_SECOND);
+    }
+
+    private static String kindOf(InboundRequest request) {
+        return request.route().kind().name().toLowerCase(Locale.ROOT);
+    }
+
+    void retried(InboundRequest request, RefusalReason reason) {
+        retries.labelValues(request.service(), reason.label()).inc();
+    }
+
+    /**
+     * Counts a request that was refused before it was routed.
+     *
+     * @param reason why
+     */
+    public void badInput(RefusalReason reason) {
+        badInput.labelValues(reason.label()).inc();
+    }
+
+    void inHand(int count, int waitingCount) {
+        inHand.set(count);
+        waiting.set(waitingCount);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDesk.java
@@ -0,0 +1,406 @@
+package org.arbutusstack.gateway.request;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.arbutusstack.gateway.runner.KnownRunner;
+import org.arbutusstack.http.server.ResponseSink;
+import org.arbutusstack.kernel.Assert;
+import org.arbutusstack.kernel.time.Clock;
+import org.arbutusstack.model.request.Refusal;
+import org.arbutusstack.model.request.RefusalKind;
+import org.arbutusstack.model.request.RefusalReason;
+import org.arbutusstack.routing.RetryBudget;
+
+/**
+ * Keeps the requests in hand, sends them to runners, tries again where that is safe, and answers each caller once.
+ *
+ * <p>What a refused caller is told follows from the facts of all attempts: only a request of which no byte was sent, or
+ * of which each runner said that it did not run it, did not run. Used by the entry's loop only.
+ *
+ * @see RunnerChooser
+ */
+public final class RequestDesk {
+
+    private final RunnerChooser chooser;
+
+    private final RunnerPort runnerPort;
+
+    private final CallerPort callers;
+
+    private final Clock clock;
+
+    private final RetryLimits limits;
+
+    private final GatewayMetrics metrics;
+
+    private final DecisionLog log;
+
+    private final Set<ActiveRequest> inHand = new LinkedHashSet<>();
+
+    private final Map<String, RetryBudget> retriesByService = new HashMap<>();
+
+    private boolean tickHasWork;
+
+    /**
+     * Creates a desk.
+     *
+     * @param chooser chooses runners
+     * @param runnerPort sends to runners
+     * @param callers writes to callers
+     * @param clock the clock of the process
+     * @param limits bounds the retries
+     * @param metrics counts and times the requests
+     */
+    RequestDesk(
+            RunnerChooser chooser,
+            RunnerPort runnerPort,
+            CallerPort callers,
+            Clock clock,
+            RetryLimits limits,
+            GatewayMetrics metrics) {
+        this.chooser = Assert.notNull(chooser, "chooser");
+        this.runnerPort = Assert.notNull(runnerPort, "runnerPort");
+        this.callers = Assert.notNull(callers, "callers");
+        this.clock = Assert.notNull(clock, "clock");
+        this.limits = Assert.notNull(limits, "limits");
+        this.metrics = Assert.notNull(metrics, "metrics");
+        this.log = new DecisionLog(clock);
+    }
+
+    /**
+     * Takes a request.
+     *
+     * @param request the request
+     * @param response takes its answer
+     */
+    public void arrived(InboundRequest request, ResponseSink response) {
+        ActiveRequest active = new ActiveRequest(request, response);
+        budgetOf(request.service()).requestArrived();
+        inHand.add(active);
+        response.onClose(() -> callerGone(active));
+        route(active);
+    }
+
+    private RetryBudget budgetOf(String service) {
+        return retriesByService.computeIfAbsent(
+                service, name -> RetryBudget.empty(limits.percentOfRequests(), limits.reserve()));
+    }
+
+    /**
+     * Counts the requests in hand.
+     *
+     * @return their number
+     */
+    public int size() {
+        return inHand.size();
+    }
+
+    private void route(ActiveRequest active) {
+        if (active.isEnded() || active.attempt() != null) {
+            return;
+        }
+        InboundRequest request = active.request();
+        if (clock.isPast(request.deadlineNanos())) {
+            expire(active);
+            return;
+        }
+        RunnerChooser.Choice choice = chooser.choose(active);
+        if (choice instanceof RunnerChooser.Choice.Send send) {
+            send(active, send.runner());
+        } else if (choice instanceof RunnerChooser.Choice.AwaitAdapter await) {
+            awaitAdapter(active, await.runner());
+        } else if (choice instanceof RunnerChooser.Choice.NoRunner) {
+            String detail = "no runner of the service takes work";
+            refuse(active, Refusal.notRun(RefusalReason.NO_RUNNER, detail), limits.returnMillis());
+        }
+    }
+
+    private void awaitAdapter(ActiveRequest active, KnownRunner runner) {
+        boolean stillAwaited = active.adapterRunner() != null && !clock.isPast(active.adapterUntilNanos());
+        if (stillAwaited && active.adapterRunner().takesWork()) {
+            return;
+        }
+        InboundRequest request = active.request();
+        runner.useAdapter(request.model(), request.adapter());
+        active.awaitAdapter(runner, clock.deadlineNanos(limits.adapterMillis()));
+    }
+
+    private void send(ActiveRequest active, KnownRunner runner) {
+        InboundRequest request = active.request();
+        CurrentAttempt attempt = new CurrentAttempt(this, active, runner, clock.nowNanos());
+        active.begin(attempt);
+        runner.sent();
+        runner.health().sent(clock.nowNanos());
+        if (!request.adapter().isEmpty()) {
+            runner.useAdapter(request.model(), request.adapter());
+        }
+        log.sent(active, runner);
+        String lastEventId = active.isOpened() ? active.events().lastEventId() : "";
+        attempt.handle(runnerPort.send(runner.entry(), request, lastEventId, request.deadlineNanos(), attempt));
+    }
+
+    /** Looks at the head of an answer; the body of one that is of no use is not awaited. */
+    void head(ActiveRequest active, CurrentAttempt attempt) {
+        AnswerHead head = attempt.head();
+        if (head.claim() == AnswerClaim.UNATTESTED) {
+            attempt.cancel();
+            attempt.runner().health().failed(clock.nowNanos());
+            String detail = "an answer with status " + head.status() + " that is not the runner's to this request";
+            failed(active, Refusal.outcomeUnknown(RefusalReason.BACKEND_ERROR, detail));
+        }
+    }
+
+    /** Passes events on as they come. */
+    void streamed(ActiveRequest active, CurrentAttempt attempt, byte[] bytes) {
+        byte[] events = active.events().take(bytes);
+        if (active.events().isTooLong()) {
+            attempt.cancel();
+            failed(active, Refusal.outcomeUnknown(RefusalReason.ANSWER_TOO_LARGE, "an event is too long to hold"));
+            return;
+        }
+        if (events.length > 0) {
+            passOn(active, attempt, events);
+        }
+    }
+
+    private void passOn(ActiveRequest active, CurrentAttempt attempt, byte[] bytes) {
+        openStream(active, attempt);
+        active.response().write(bytes);
+    }
+
+    private void openStream(ActiveRequest active, CurrentAttempt attempt) {
+        if (!active.isOpened()) {
+            active.opened();
+            attempt.runner().health().succeeded();
+            metrics.answered(active.request(), clock.nowNanos());
+            callers.open(active.response(), attempt.head(), -1);
+        }
+    }
+
+    /** Takes the end of an answer. */
+    void whole(ActiveRequest active, CurrentAttempt attempt) {
+        switch (attempt.head().claim()) {
+            case ATTESTED -> attested(active, attempt);
+            case NOT_RUN -> notRun(active, attempt, RefusalReason.QUEUE_FULL);
+            case NOT_HELD -> notRun(active, attempt, RefusalReason.NO_RUNNER);
+            case OTHER_INCARNATION -> {
+                attempt.runner().replaced();
+                runnerPort.forget(attempt.runner().entry());
+                notRun(active, attempt, RefusalReason.LEAVING);
+            }
+            default -> throw new IllegalStateException("unattested answers end at their head");
+        }
+    }
+
+    private void attested(ActiveRequest active, CurrentAttempt attempt) {
+        if (attempt.passesOn()) {
+            endStream(active, attempt);
+            return;
+        }
+        ActiveRequest.BufferedAnswer answer = new ActiveRequest.BufferedAnswer(attempt.head(), attempt.body());
+        if (active.isOpened()) {
+            failed(active, Refusal.outcomeUnknown(RefusalReason.BACKEND_ERROR, "the stream was not resumed"));
+        } else if (attempt.head().isSuccess()) {
+            attempt.runner().health().succeeded();
+            answer(active, answer);
+        } else {
+            attempt.runner().health().failed(clock.nowNanos());
+            active.failedAnswer(answer);
+            String detail = "the runner answered with status " + attempt.head().status();
+            failed(active, Refusal.outcomeUnknown(RefusalReason.BACKEND_ERROR, detail));
+        }
+    }
+
+    private void endStream(ActiveRequest active, CurrentAttempt attempt) {
+        byte[] rest = active.events().rest();
+        if (rest.length > 0 && !attempt.head().framed()) {
+            broken(active, attempt, true, "the connection ended within an event");
+            return;
+        }
+        openStream(active, attempt);
+        if (rest.length > 0) {
+            active.response().write(rest);
+        }
+        active.response().end();
+        active.attemptDone();
+        end(active, "answered");
+    }
+
+    private void answer(ActiveRequest active, ActiveRequest.BufferedAnswer answer) {
+        active.attemptDone();
+        metrics.answered(active.request(), clock.nowNanos());
+        callers.open(active.response(), answer.head(), answer.body().length);
+        if (answer.body().length > 0) {
+            active.response().write(answer.body());
+        }
+        active.response().end();
+        end(active, answer.head().isSuccess() ? "answered" : "failed-at-runner");
+    }
+
+    private void notRun(ActiveRequest active, CurrentAttempt attempt, RefusalReason reason) {
+        if (attempt.head().claim() == AnswerClaim.NOT_HELD) {
+            attempt.runner().holdsNo(active.request().model(), active.request().adapter());
+        }
+        String detail = "the runner did not run it and answered with status " + attempt.head().status();
+        failed(active, Refusal.notRun(reason, detail));
+    }
+
+    /** Takes the end of an attempt without a whole answer. */
+    void broken(ActiveRequest active, CurrentAttempt attempt, boolean maybeSent, String detail) {
+        active.events().dropRest();
+        if (maybeSent) {
+            attempt.runner().health().failed(clock.nowNanos());
+            failed(active, Refusal.outcomeUnknown(RefusalReason.BACKEND_LOST, detail));
+            return;
+        }
+        attempt.runner().health().unreachable(clock.nowNanos());
+        active.neverSent();
+        failed(active, Refusal.notRun(RefusalReason.BACKEND_LOST, detail));
+    }
+
+    private void failed(ActiveRequest active, Refusal refusal) {
+        KnownRunner runner = active.attempt() == null ? null : active.attempt().runner();
+        active.attemptEnded(refusal);
+        if (mayTryAgain(active, refusal)) {
+            log.retried(active, runner, refusal);
+            metrics.retried(active.request(), refusal.reason());
+            route(active);
+        } else if (active.failedAnswer() != null && !active.isOpened()) {
+            log.refused(active, refusal);
+            answer(active, active.failedAnswer());
+        } else {
+            refuse(active, refusal, limits.returnMillis());
+        }
+    }
+
+    private boolean mayTryAgain(ActiveRequest active, Refusal refusal) {
+        InboundRequest request = active.request();
+        boolean safe = refusal.kind().mayRepeat(request.route().mayRepeat());
+        boolean permitted = active.runs() < request.route().mostAttempts() && active.sends() < limits.mostSends();
+        if (!safe || !permitted || clock.isPast(request.deadlineNanos())) {
+            return false;
+        }
+        boolean unsent = refusal.kind() == RefusalKind.NOT_RUN && refusal.reason() == RefusalReason.BACKEND_LOST;
+        return unsent || budgetOf(request.service()).tryTake();
+    }
+
+    private void refuse(ActiveRequest active, Refusal refusal, long retryAfterMillis) {
+        Refusal truth = refusal.afterAttempts(active.maybeRan());
+        log.refused(active, truth);
+        end(active, truth.kind().label() + '-' + truth.reason().label());
+        if (active.isOpened()) {
+            active.response().abort();
+        } else {
+            callers.refuse(active.response(), active.request().id(), truth, retryAfterMillis);
+        }
+    }
+
+    private void end(ActiveRequest active, String outcome) {
+        active.ended();
+        inHand.remove(active);
+        metrics.ended(active.request(), outcome);
+    }
+
+    private void callerGone(ActiveRequest active) {
+        if (active.isEnded()) {
+            return;
+        }
+        CurrentAttempt attempt = active.attempt();
+        boolean mustFinish = !active.request().route().kind().isStreaming()
+                && !active.request().route().mayRepeat();
+        if (attempt != null && mustFinish) {
+            attempt.orphan();
+        } else if (attempt != null) {
+            attempt.cancel();
+        }
+        active.attemptDone();
+        log.callerGone(active);
+        end(active, "caller-gone");
+    }
+
+    /** Ends what is past its deadline and looks again after what waits. */
+    public void tick() {
+        int waitingCount = 0;
+        for (ActiveRequest active : new ArrayList<>(inHand)) {
+            if (clock.isPast(active.request().deadlineNanos())) {
+                expire(active);
+            } else if (active.attempt() == null) {
+                waitingCount++;
+                route(active);
+            }
+        }
+        tickHasWork = waitingCount > 0;
+        metrics.inHand(inHand.size(), waitingCount);
+    }
+
+    /** Looks after what waits, since a runner's state has changed. */
+    public void runnersChanged() {
+        if (!tickHasWork) {
+            return;
+        }
+        for (ActiveRequest active : new ArrayList<>(inHand)) {
+            route(active);
+        }
+    }
+
+    private void expire(ActiveRequest active) {
+        CurrentAttempt attempt = active.attempt();
+        if (attempt == null && active.failedAnswer() != null && !active.isOpened()) {
+            answer(active, active.failedAnswer());
+            return;
+        }
+        if (attempt != null) {
+            attempt.cancel();
+            String detail = "the deadline passed before the answer";
+            active.attemptEnded(Refusal.outcomeUnknown(RefusalReason.DEADLINE_PASSED, detail));
+            refuse(active, active.lastRefusal(), 0);
+            return;
+        }
+        String detail = "no runner that holds the model could take the request in time";
+        refuse(active, Refusal.notRun(RefusalReason.NO_RUNNER, detail), limits.returnMillis());
+    }
+
+    /**
+     * Lists the requests in hand for models.
+     *
+     * @param service the service
+     * @return the requests by model
+     */
+    public Map<String, ModelUse> modelUse(String service) {
+        Map<String, ModelUse> uses = new HashMap<>();
+        for (ActiveRequest active : inHand) {
+            InboundRequest request = active.request();
+            if (request.service().equals(service) && request.needsModel()) {
+                boolean waits = active.attempt() == null && active.adapterRunner() == null;
+                uses.merge(request.model(), new ModelUse(1, waits ? 1 : 0), ModelUse::plus);
+            }
+        }
+        return uses;
+    }
+
+    /**
+     * Lists what is in hand, for the dump of the process's state.
+     *
+     * @return one line for each request
+     */
+    public List<String> describe() {
+        return inHand.stream().map(DecisionLog::describe).toList();
+    }
+
+    /**
+     * Counts the requests in hand for one model.
+     *
+     * @param inHand all of them
+     * @param waiting those that wait for a runner that holds it
+     */
+    public record ModelUse(int inHand, int waiting) {
+
+        private ModelUse plus(ModelUse other) {
+            return new ModelUse(inHand + other.inHand, waiting + other.waiting);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDesks.java
@@ -0,0 +1,36 @@
+package org.arbutusstack.gateway.request;
+
+import org.arbutusstack.gateway.runner.RunnerTable;
+import org.arbutusstack.kernel.time.Clock;
+import org.arbutusstack.routing.RoutingPolicy;
+
+/** Creates desks with the choice of runners that entries use. */
+public final class RequestDesks {
+
+    private RequestDesks() {}
+
+    /**
+     * Creates a desk.
+     *
+     * @param runners the runners
+     * @param runnerPort sends to runners
+     * @param callers writes to callers
+     * @param zone the entry's availability zone
+     * @param clock the clock of the process
+     * @param limits bounds the retries
+     * @param metrics counts and times the requests
+     * @return the desk
+     */
+    public static RequestDesk create(
+            RunnerTable runners,
+            RunnerPort runnerPort,
+            CallerPort callers,
+            String zone,
+            Clock clock,
+            RetryLimits limits,
+            GatewayMetrics metrics) {
+        RunnerChooser chooser =
+                new RunnerChooser(runners, RoutingPolicy.BALANCED.selector(zone, clock.nowNanos()), zone, clock);
+        return new RequestDesk(chooser, runnerPort, callers, clock, limits, metrics);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RetryLimits.java
@@ -0,0 +1,50 @@
+package org.arbutusstack.gateway.request;
+
+import org.arbutusstack.kernel.Assert;
+
+/**
+ * Bounds what one entry does to get a request answered.
+ *
+ * @param percentOfRequests the retries that a hundred requests of this entry's callers earn
+ * @param reserve the retries that can be saved up; this entry's part of the fleet's
+ * @param mostSends the runners that one request is sent to, those included that did not run it
+ * @param adapterMillis how long a runner may take to load an adapter before another one is asked
+ * @param returnMillis when a refused caller may come back
+ */
+public record RetryLimits(
+        int percentOfRequests, int reserve, int mostSends, long adapterMillis, long returnMillis) {
+
+    /** Ten times the longest load of an adapter that the users name, so that a queue of them counts as none lost. */
+    private static final long ADAPTER_MILLIS = 300;
+
+    /** The time in which a runner's state is told anew several times. */
+    private static final long RETURN_MILLIS = 700;
+
+    private static final int MOST_SENDS = 3;
+
+    /** The entries among which the fleet's reserve is divided; several times as many as a deployment has today. */
+    private static final int ENTRIES = 16;
+
+    /** Keeps a tenth of what is permitted for requests that are counted elsewhere or later. */
+    private static final double KEPT_SHARE = 0.9;
+
+    private static final double PERCENT = 100;
+
+    /** Checks the limits. */
+    public RetryLimits {
+        Assert.atLeast(percentOfRequests, 0, "percentOfRequests");
+        Assert.atLeast(reserve, 1, "reserve");
+    }
+
+    /**
+     * Takes one entry's part of what the fleet is permitted.
+     *
+     * @param ratio the retries permitted for each request
+     * @param burst the retries permitted besides, over all entries
+     * @return the limits of one entry
+     */
+    public static RetryLimits ofFleet(double ratio, int burst) {
+        int percent = (int) Math.floor(ratio * PERCENT * KEPT_SHARE);
+        return new RetryLimits(percent, Math.max(1, burst / ENTRIES), MOST_SENDS, ADAPTER_MILLIS, RETURN_MILLIS);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
@@ -0,0 +1,105 @@
+package org.arbutusstack.gateway.request;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import org.arbutusstack.gateway.runner.KnownRunner;
+import org.arbutusstack.gateway.runner.RunnerTable;
+import org.arbutusstack.kernel.Assert;
+import org.arbutusstack.kernel.time.Clock;
+import org.arbutusstack.routing.RoutingRequest;
+import org.arbutusstack.routing.RunnerSelector;
+import org.arbutusstack.routing.RunnerView;
+
+/**
+ * Chooses the runner for the next attempt of a request. Does no I/O; used by the entry's loop only.
+ *
+ * @see RunnerSelector
+ */
+final class RunnerChooser {
+
+    private final RunnerTable runners;
+
+    private final RunnerSelector engineSelector;
+
+    private final String zone;
+
+    private final Clock clock;
+
+    RunnerChooser(RunnerTable runners, RunnerSelector engineSelector, String zone, Clock clock) {
+        this.runners = Assert.notNull(runners, "runners");
+        this.engineSelector = Assert.notNull(engineSelector, "engineSelector");
+        this.zone = Assert.notNull(zone, "zone");
+        this.clock = Assert.notNull(clock, "clock");
+    }
+
+    /** Tells what is to be done next with a request. */
+    sealed interface Choice {
+
+        /** Send it to a runner. */
+        record Send(KnownRunner runner) implements Choice {}
+
+        /** Have its adapter loaded by a runner that holds its model. */
+        record AwaitAdapter(KnownRunner runner) implements Choice {}
+
+        /** No runner holds its model. */
+        record AwaitModel() implements Choice {}
+
+        /** No runner of its service takes work. */
+        record NoRunner() implements Choice {}
+    }
+
+    Choice choose(ActiveRequest active) {
+        InboundRequest request = active.request();
+        List<KnownRunner> able = runners.takingWork(request.service());
+        if (able.isEmpty()) {
+            return new Choice.NoRunner();
+        }
+        return request.needsModel() ? chooseEngine(active, able) : choosePlain(active, able);
+    }
+
+    private Choice choosePlain(ActiveRequest active, List<KnownRunner> able) {
+        return preferred(active, able).stream()
+                .min(Comparator.<KnownRunner>comparingInt(KnownRunner::outstanding)
+                        .thenComparing(runner -> !runner.entry().zone().equals(zone))
+                        .thenComparing(runner -> runner.entry().id()))
+                .<Choice>map(Choice.Send::new)
+                .orElseGet(Choice.NoRunner::new);
+    }
+
+    private Choice chooseEngine(ActiveRequest active, List<KnownRunner> able) {
+        InboundRequest request = active.request();
+        List<KnownRunner> holders =
+                able.stream().filter(runner -> runner.holds(request.model())).toList();
+        if (holders.isEmpty()) {
+            return new Choice.AwaitModel();
+        }
+        List<KnownRunner> preferred = preferred(active, holders);
+        RoutingRequest needs = new RoutingRequest(
+                request.service(),
+                request.model(),
+                KnownRunner.adapterKey(request.model(), request.adapter()),
+                request.prefixHash());
+        List<RunnerView> views = preferred.stream().map(KnownRunner::view).toList();
+        Optional<RunnerView> chosen = engineSelector.select(needs, views);
+        if (chosen.isEmpty()) {
+            return new Choice.AwaitModel();
+        }
+        KnownRunner runner = runners.byId(chosen.get().name());
+        boolean ready = request.adapter().isEmpty() || needs.hasAdapterOn(chosen.get());
+        return ready ? new Choice.Send(runner) : new Choice.AwaitAdapter(runner);
+    }
+
+    /** Leaves out the runners that failed the request or are in doubt, as long as others are left. */
+    private List<KnownRunner> preferred(ActiveRequest active, List<KnownRunner> able) {
+        List<KnownRunner> fresh = new ArrayList<>(able);
+        fresh.removeIf(runner -> active.avoids(runner.entry().id()));
+        List<KnownRunner> sound = new ArrayList<>(fresh);
+        sound.removeIf(runner -> runner.health().isDoubtful(clock.nowNanos()));
+        if (!sound.isEmpty()) {
+            return sound;
+        }
+        return fresh.isEmpty() ? able : fresh;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/package-info.java
@@ -0,0 +1,2 @@
+/** Decides what becomes of each request of a caller. */
+package org.arbutusstack.gateway.request;
--- /dev/null
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/KnownRunner.java
@@ -0,0 +1,230 @@
+package org.arbutusstack.gateway.runner;
+
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.arbutusstack.kernel.time.Clock;
+import org.arbutusstack.routing.RunnerHealth;
+import org.arbutusstack.routing.RunnerView;
+import org.arbutusstack.wire.frame.AdapterUseFrame;
+import org.arbutusstack.wire.frame.RunnerStatusFrame;
+import org.arbutusstack.wire.link.Link;
+
+/**
+ * Follows one incarnation of a runner: what it registered, what the process beside it reports, and what this entry has
+ * sent it. Used by the entry's loop only.
+ */
+public final class KnownRunner {
+
+    /** How long a status counts: five of the side's periods, so that a few lost ones change nothing. */
+    private static final long STATUS_MILLIS = 1_500;
+
+    private final Clock clock;
+
+    private final RunnerHealth health = new RunnerHealth();
+
+    private RunnerEntry entry;
+
+    private RunnerStatusFrame status;
+
+    private long statusUntilNanos;
+
+    private Link link;
+
+    private int outstanding;
+
+    private int sentSinceStatus;
+
+    private boolean gone;
+
+    private Set<String> models = Set.of();
+
+    private Set<String> adapters = Set.of();
+
+    KnownRunner(RunnerEntry entry, Clock clock) {
+        this.clock = clock;
+        this.statusUntilNanos = clock.nowNanos();
+        entry(entry);
+    }
+
+    /**
+     * Tells what the runner registered.
+     *
+     * @return the entry
+     */
+    public RunnerEntry entry() {
+        return entry;
+    }
+
+    void entry(RunnerEntry next) {
+        entry = next;
+        refreshHoldings();
+    }
+
+    /**
+     * Tells what is known of the runner's answers.
+     *
+     * @return its health
+     */
+    public RunnerHealth health() {
+        return health;
+    }
+
+    /**
+     * Takes a status from the process beside the runner.
+     *
+     * @param next the status
+     * @param from the link that brought it
+     */
+    public void status(RunnerStatusFrame next, Link from) {
+        if (next.startedAtMillis() != entry.startedAtMillis()) {
+            return;
+        }
+        status = next;
+        link = from;
+        sentSinceStatus = 0;
+        statusUntilNanos = clock.deadlineNanos(STATUS_MILLIS);
+        refreshHoldings();
+    }
+
+    private void refreshHoldings() {
+        Set<String> heldModels = new HashSet<>();
+        Set<String> heldAdapters = new HashSet<>();
+        if (hasStatus()) {
+            for (RunnerStatusFrame.HeldModel model : status.models()) {
+                heldModels.add(model.name());
+                model.adapters().forEach(adapter -> heldAdapters.add(adapterKey(model.name(), adapter)));
+            }
+        } else {
+            for (Map.Entry<String, Set<String>> model : entry.adaptersByModel().entrySet()) {
+                heldModels.add(model.getKey());
+                model.getValue().forEach(adapter -> heldAdapters.add(adapterKey(model.getKey(), adapter)));
+            }
+        }
+        models = Set.copyOf(heldModels);
+        adapters = Set.copyOf(heldAdapters);
+    }
+
+    /**
+     * Names an adapter of a model.
+     *
+     * @param model the model
+     * @param adapter the adapter; empty for none
+     * @return the key; empty for none
+     */
+    public static String adapterKey(String model, String adapter) {
+        return adapter.isEmpty() ? "" : model + '/' + adapter;
+    }
+
+    /**
+     * Tells whether the process beside the runner has told its state a moment ago.
+     *
+     * @return whether it has
+     */
+    public boolean hasStatus() {
+        return status != null && !clock.isPast(statusUntilNanos);
+    }
+
+    /**
+     * Tells the last status.
+     *
+     * @return the status; null if there is no recent one
+     */
+    public RunnerStatusFrame status() {
+        return hasStatus() ? status : null;
+    }
+
+    /** Forgets that a model or adapter is held, since the runner has just said that it is not. */
+    public void holdsNo(String model, String adapter) {
+        Set<String> fewer = new HashSet<>(adapter.isEmpty() ? models : adapters);
+        fewer.remove(adapter.isEmpty() ? model : adapterKey(model, adapter));
+        if (adapter.isEmpty()) {
+            models = Set.copyOf(fewer);
+        } else {
+            adapters = Set.copyOf(fewer);
+        }
+    }
+
+    /**
+     * Tells whether the runner takes new work.
+     *
+     * @return whether it is neither gone nor leaving
+     */
+    public boolean takesWork() {
+        boolean statusAllows = !hasStatus() || status.takesWork();
+        return !gone && !entry.leaving() && statusAllows;
+    }
+
+    void goneForGood() {
+        gone = true;
+    }
+
+    /** Notes that another incarnation answers at the runner's address. */
+    public void replaced() {
+        gone = true;
+    }
+
+    /**
+     * Tells the process beside the runner that an adapter is used or waited for.
+     *
+     * @param model the model
+     * @param adapter the adapter
+     * @return whether it could be told
+     */
+    public boolean useAdapter(String model, String adapter) {
+        return hasStatus() && link != null && link.send(new AdapterUseFrame(model, adapter));
+    }
+
+    /**
+     * Tells the link to the process beside the runner.
+     *
+     * @return the link; null if none has brought a status
+     */
+    public Link link() {
+        return link;
+    }
+
+    /** Counts a request sent. */
+    public void sent() {
+        outstanding++;
+        sentSinceStatus++;
+    }
+
+    /** Counts a request that ended. */
+    public void ended() {
+        outstanding--;
+        if (sentSinceStatus > 0) {
+            sentSinceStatus--;
+        }
+    }
+
+    /**
+     * Counts the requests of this entry in flight there.
+     *
+     * @return their number
+     */
+    public int outstanding() {
+        return outstanding;
+    }
+
+    /**
+     * Describes the runner for the choice between runners.
+     *
+     * @return the view
+     */
+    public RunnerView view() {
+        int reported = hasStatus() ? status.queued() + status.running() + sentSinceStatus : outstanding;
+        return new RunnerView(
+                entry.id(), entry.service(), entry.zone(), models, adapters, reported, outstanding);
+    }
+
+    /**
+     * Tells whether the runner holds a model.
+     *
+     * @param model the model
+     * @return whether it does
+     */
+    public boolean holds(String model) {
+        return models.contains(model);
+    }
+}
--- a/http/src/main/java/org/arbutusstack/http/client/HttpCall.java
+++ b/http/src/main/java/org/arbutusstack/http/client/HttpCall.java
@@ -10,8 +10,9 @@
  * @param path the path with its query
  * @param headers the headers beside those of the transport
  * @param body the body, empty for none; not copied
+ * @param repeatable whether it may go on a connection that was idle for long and may be dead
  */
-public record HttpCall(String method, String path, Map<String, String> headers, byte[] body) {
+public record HttpCall(String method, String path, Map<String, String> headers, byte[] body, boolean repeatable) {
 
     private static final byte[] NO_BODY = new byte[0];
 
@@ -23,6 +24,18 @@
         Assert.notNull(body, "body");
     }
 
+    /**
+     * Describes a call that may be repeated.
+     *
+     * @param method the method
+     * @param path the path with its query
+     * @param headers the headers
+     * @param body the body; not copied
+     */
+    public HttpCall(String method, String path, Map<String, String> headers, byte[] body) {
+        this(method, path, headers, body, true);
+    }
+
     /**
      * Describes a POST of JSON.
      *
--- a/http/src/main/java/org/arbutusstack/http/client/UndertowExchange.java
+++ b/http/src/main/java/org/arbutusstack/http/client/UndertowExchange.java
@@ -11,14 +11,14 @@
 import io.undertow.util.HttpString;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.HashMap;
-import java.util.Locale;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
+import org.xnio.XnioExecutor;
 import org.xnio.XnioWorker;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
@@ -32,6 +32,11 @@
 
     private static final int READ_BYTES = 8_192;
 
+    private static final long MILLIS_PER_SECOND = 1_000;
+
+    /** How long a connection may take to open; long enough for one opening packet that is sent again at once. */
+    private static final long CONNECT_MILLIS = 800;
+
     private final UndertowHttpClient owner;
 
     private final HttpTarget target;
@@ -46,8 +51,18 @@
 
     private volatile boolean maybeSent;
 
+    private boolean requestWritten;
+
+    private long missingBytes = -1;
+
+    private long keepAliveMillis = -1;
+
     private volatile ClientConnection connection;
 
+    private volatile XnioExecutor.Key expiry;
+
+    private volatile XnioExecutor.Key connectExpiry;
+
     UndertowExchange(
             UndertowHttpClient owner, HttpTarget target, HttpCall call, long deadlineNanos, HttpListener listener) {
         this.owner = owner;
@@ -60,7 +75,8 @@
     void connect(UndertowClient client, XnioWorker worker, ByteBufferPool pool) {
         var ioThread = worker.getIoThread();
         long leftMillis = millisLeft();
-        ioThread.executeAfter(this::expire, leftMillis, TimeUnit.MILLISECONDS);
+        expiry = ioThread.executeAfter(this::expire, leftMillis, TimeUnit.MILLISECONDS);
+        connectExpiry = ioThread.executeAfter(this::expireConnect, CONNECT_MILLIS, TimeUnit.MILLISECONDS);
         client.connect(
                 new ClientCallback<ClientConnection>() {
                     @Override
@@ -83,15 +99,22 @@
         return Math.max(1, (deadlineNanos - System.nanoTime()) / 1_000_000L);
     }
 
+    private void expireConnect() {
+        if (connection == null) {
+            fail("Could not connect within " + CONNECT_MILLIS + " ms", null);
+        }
+    }
+
     void send(ClientConnection idle) {
-        idle.getIoThread().executeAfter(this::expire, millisLeft(), TimeUnit.MILLISECONDS);
+        expiry = idle.getIoThread().executeAfter(this::expire, millisLeft(), TimeUnit.MILLISECONDS);
         sendOn(idle);
     }
 
     private void sendOn(ClientConnection open) {
         connection = open;
+        cancel(connectExpiry);
         if (ended.get()) {
-            owner.giveBack(target, open);
+            owner.giveBack(target, open, keepAliveMillis);
             return;
         }
         if (System.nanoTime() - deadlineNanos >= 0) {
@@ -101,7 +124,9 @@
         ClientRequest request =
                 new ClientRequest().setMethod(new HttpString(call.method())).setPath(call.path());
         request.getRequestHeaders().put(Headers.HOST, target.toString());
-        request.getRequestHeaders().put(Headers.CONTENT_LENGTH, call.body().length);
+        if (call.body().length > 0 || !"GET".equals(call.method())) {
+            request.getRequestHeaders().put(Headers.CONTENT_LENGTH, call.body().length);
+        }
         call.headers().forEach((name, value) -> request.getRequestHeaders().put(new HttpString(name), value));
         maybeSent = true;
         open.sendRequest(request, new ClientCallback<ClientExchange>() {
@@ -128,13 +153,18 @@
                 }
             }
             sink.shutdownWrites();
-            if (!sink.flush()) {
-                sink.getWriteSetter()
-                        .set(ChannelListeners.flushingChannelListener(
-                                flushed -> flushed.suspendWrites(),
-                                (channel, failure) -> fail("Could not send", failure)));
-                sink.resumeWrites();
+            if (sink.flush()) {
+                requestWritten = true;
+                return;
             }
+            sink.getWriteSetter()
+                    .set(ChannelListeners.flushingChannelListener(
+                            flushed -> {
+                                flushed.suspendWrites();
+                                requestWritten = true;
+                            },
+                            (channel, failure) -> fail("Could not send", failure)));
+            sink.resumeWrites();
         } catch (IOException failure) {
             fail("Could not send", failure);
         }
@@ -144,7 +174,13 @@
         return new ClientCallback<ClientExchange>() {
             @Override
             public void completed(ClientExchange exchange) {
-                listener.onHead(exchange.getResponse().getResponseCode(), headersOf(exchange));
+                Map<String, String> headers = headersOf(exchange);
+                missingBytes = numberIn(headers.get("Content-Length"));
+                keepAliveMillis = numberIn(headers.get("Keep-Alive")) * MILLIS_PER_SECOND;
+                listener.onHead(exchange.getResponse().getResponseCode(), headers);
+                if (ended.get()) {
+                    return;
+                }
                 StreamSourceChannel source = exchange.getResponseChannel();
                 source.getReadSetter().set(UndertowExchange.this::readBody);
                 readBody(source);
@@ -157,14 +193,21 @@
         };
     }
 
+    /** Collects the headers by name without regard to case; repeated ones are joined. */
     private static Map<String, String> headersOf(ClientExchange exchange) {
-        Map<String, String> headers = new HashMap<>();
+        Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
         for (HeaderValues values : exchange.getResponse().getResponseHeaders()) {
-            headers.put(values.getHeaderName().toString().toLowerCase(Locale.ROOT), values.getFirst());
+            headers.put(values.getHeaderName().toString(), String.join(", ", values));
         }
         return headers;
     }
 
+    /** Reads the first whole number of a header; negative if there is none. */
+    private static long numberIn(String header) {
+        String digits = header == null ? "" : header.replaceFirst("^\\D*(\\d{1,9}).*$", "$1");
+        return digits.isEmpty() || !Character.isDigit(digits.charAt(0)) ? -1 : Long.parseLong(digits);
+    }
+
     private void readBody(StreamSourceChannel source) {
         ByteBuffer buffer = ByteBuffer.allocate(READ_BYTES);
         try {
@@ -181,6 +224,7 @@
                 }
                 byte[] part = new byte[count];
                 buffer.flip().get(part);
+                missingBytes -= missingBytes < 0 ? 0 : count;
                 listener.onBytes(part);
             }
         } catch (IOException failure) {
@@ -189,9 +233,26 @@
     }
 
     private void end() {
-        if (ended.compareAndSet(false, true)) {
-            owner.giveBack(target, connection);
-            listener.onEnd();
+        if (missingBytes > 0) {
+            fail("Got an answer that lacks " + missingBytes + " bytes", null);
+            return;
+        }
+        if (!ended.compareAndSet(false, true)) {
+            return;
+        }
+        cancel(expiry);
+        if (requestWritten) {
+            owner.giveBack(target, connection, keepAliveMillis);
+        } else {
+            // The rest of the request would be read as the next one.
+            IoUtils.safeClose(connection);
+        }
+        listener.onEnd();
+    }
+
+    private static void cancel(XnioExecutor.Key timer) {
+        if (timer != null) {
+            timer.remove();
         }
     }
 
@@ -201,6 +262,8 @@
 
     private void fail(String what, Throwable cause) {
         if (ended.compareAndSet(false, true)) {
+            cancel(expiry);
+            cancel(connectExpiry);
             IoUtils.safeClose(connection);
             String message = what + ": " + call.method() + " " + call.path() + " at " + target;
             listener.onFailure(new HttpException(message, maybeSent, cause));
--- a/http/src/main/java/org/arbutusstack/http/client/UndertowHttpClient.java
+++ b/http/src/main/java/org/arbutusstack/http/client/UndertowHttpClient.java
@@ -5,11 +5,10 @@
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
 import org.arbutusstack.kernel.Assert;
+import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -26,13 +25,15 @@
 
     private static final int BUFFER_BYTES = 8_192;
 
-    private static final int MOST_IDLE_CONNECTIONS = 32;
-
     private final XnioWorker worker;
 
     private final ByteBufferPool bufferPool = new DefaultByteBufferPool(false, BUFFER_BYTES, 64, 0);
 
-    private final ConcurrentMap<HttpTarget, Deque<ClientConnection>> idleByTarget = new ConcurrentHashMap<>();
+    private final ConcurrentMap<HttpTarget, IdleConnections> idleByTarget = new ConcurrentHashMap<>();
+
+    private final ConnectionPoolLimits limits;
+
+    private final boolean ownsWorker;
 
     /**
      * Creates a client.
@@ -42,6 +43,8 @@
      */
     public UndertowHttpClient(String name, int ioThreads) {
         Assert.hasText(name, "name");
+        this.limits = ConnectionPoolLimits.UNLIMITED_AGE;
+        this.ownsWorker = true;
         OptionMap options = OptionMap.builder()
                 .set(Options.WORKER_IO_THREADS, ioThreads)
                 .set(Options.WORKER_TASK_CORE_THREADS, 1)
@@ -57,64 +60,58 @@
         }
     }
 
+    /**
+     * Creates a client whose calls run on threads that it shares with others.
+     *
+     * @param worker the threads; they outlive the client
+     * @param limits bounds the connections kept
+     */
+    public UndertowHttpClient(XnioWorker worker, ConnectionPoolLimits limits) {
+        this.worker = Assert.notNull(worker, "worker");
+        this.limits = Assert.notNull(limits, "limits");
+        this.ownsWorker = false;
+    }
+
     @Override
     public Cancellable stream(HttpTarget target, HttpCall call, long deadlineNanos, HttpListener listener) {
         UndertowExchange exchange = new UndertowExchange(this, target, call, deadlineNanos, listener);
-        ClientConnection idle = takeIdle(target);
+        ClientConnection idle = idleOf(target).take(call.repeatable(), System.nanoTime());
         if (idle == null) {
             exchange.connect(UndertowClient.getInstance(), worker, bufferPool);
+        } else if (idle.getIoThread() == Thread.currentThread()) {
+            exchange.send(idle);
         } else {
             idle.getIoThread().execute(() -> exchange.send(idle));
         }
         return exchange;
     }
 
-    private ClientConnection takeIdle(HttpTarget target) {
-        Deque<ClientConnection> idle = idleByTarget.get(target);
-        if (idle == null) {
-            return null;
-        }
-        synchronized (idle) {
-            ClientConnection connection = idle.pollLast();
-            while (connection != null && !connection.isOpen()) {
-                connection = idle.pollLast();
-            }
-            return connection;
-        }
+    private IdleConnections idleOf(HttpTarget target) {
+        return idleByTarget.computeIfAbsent(target, key -> new IdleConnections(limits));
     }
 
-    void giveBack(HttpTarget target, ClientConnection connection) {
-        if (!connection.isOpen()) {
-            return;
-        }
-        Deque<ClientConnection> idle = idleByTarget.computeIfAbsent(target, key -> new ArrayDeque<>());
-        synchronized (idle) {
-            if (idle.size() < MOST_IDLE_CONNECTIONS) {
-                idle.addLast(connection);
-                return;
+    /** Keeps a connection for the next call, once it has shown that no more bytes follow the last answer. */
+    void giveBack(HttpTarget target, ClientConnection connection, long keepAliveMillis) {
+        connection.getIoThread().execute(() -> {
+            if (connection.isOpen() && !idleOf(target).add(connection, keepAliveMillis, System.nanoTime())) {
+                IoUtils.safeClose(connection);
             }
-        }
-        org.xnio.IoUtils.safeClose(connection);
+        });
     }
 
     @Override
     public void forget(HttpTarget target) {
-        Deque<ClientConnection> idle = idleByTarget.get(target);
+        IdleConnections idle = idleByTarget.remove(target);
         if (idle != null) {
-            closeAll(idle);
-        }
-    }
-
-    private static void closeAll(Deque<ClientConnection> idle) {
-        synchronized (idle) {
-            idle.forEach(org.xnio.IoUtils::safeClose);
-            idle.clear();
+            idle.closeAll();
         }
     }
 
     @Override
     public void close() {
-        idleByTarget.values().forEach(UndertowHttpClient::closeAll);
-        worker.shutdownNow();
+        idleByTarget.values().forEach(IdleConnections::closeAll);
+        if (ownsWorker) {
+            worker.shutdownNow();
+        }
     }
 }
--- /dev/null
+++ b/http/src/main/java/org/arbutusstack/http/loop/IoLoop.java
@@ -0,0 +1,146 @@
+package org.arbutusstack.http.loop;
+
+import io.undertow.Undertow;
+import io.undertow.server.HttpHandler;
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.arbutusstack.http.client.ConnectionPoolLimits;
+import org.arbutusstack.http.client.HttpException;
+import org.arbutusstack.http.client.UndertowHttpClient;
+import org.arbutusstack.http.server.HttpServers;
+import org.arbutusstack.kernel.Assert;
+import org.arbutusstack.kernel.ring.Ring;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+
+/**
+ * Owns one I/O thread which serves callers, calls runners and decides between them, so that an event of a stream passes
+ * through without a change of thread.
+ *
+ * <p>Other duties hand it tasks through {@link #offer}, which refuses once too many wait. Safe for use by any thread.
+ *
+ * @see Ring
+ */
+public final class IoLoop implements Ring<Runnable>, AutoCloseable {
+
+    private static final Logger logger = LoggerFactory.getLogger(IoLoop.class);
+
+    private final String name;
+
+    private final int capacity;
+
+    private final XnioWorker worker;
+
+    private final XnioIoThread thread;
+
+    private final AtomicInteger waiting = new AtomicInteger();
+
+    /**
+     * Creates a loop and starts its thread.
+     *
+     * @param name the name of the duty
+     * @param capacity the tasks of other duties that may wait
+     */
+    public IoLoop(String name, int capacity) {
+        this.name = Assert.hasText(name, "name");
+        this.capacity = (int) Assert.atLeast(capacity, 1, "capacity");
+        OptionMap options = OptionMap.builder()
+                .set(Options.WORKER_IO_THREADS, 1)
+                .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                .set(Options.THREAD_DAEMON, true)
+                .set(Options.WORKER_NAME, name)
+                .set(Options.TCP_NODELAY, true)
+                .getMap();
+        try {
+            this.worker = Xnio.getInstance().createWorker(options);
+        } catch (IOException failure) {
+            throw new HttpException("Could not start the loop '" + name + "'", false, failure);
+        }
+        this.thread = worker.getIoThread();
+    }
+
+    /**
+     * Builds a listener whose handler runs on the loop's thread.
+     *
+     * @param address the IP number to listen on
+     * @param port the port
+     * @param longestBodyBytes the longest body that is read
+     * @param idleMillis how long a connection may be idle
+     * @param handler answers the requests
+     * @return the listener, not yet started
+     */
+    public Undertow listener(String address, int port, long longestBodyBytes, int idleMillis, HttpHandler handler) {
+        return HttpServers.build(address, port, worker, longestBodyBytes, idleMillis, handler);
+    }
+
+    /**
+     * Creates a client whose listeners are called on the loop's thread.
+     *
+     * @param limits bounds the connections kept
+     * @return the client
+     */
+    public UndertowHttpClient client(ConnectionPoolLimits limits) {
+        return new UndertowHttpClient(worker, limits);
+    }
+
+    @Override
+    public boolean offer(Runnable task) {
+        Assert.notNull(task, "task");
+        if (waiting.incrementAndGet() > capacity) {
+            waiting.decrementAndGet();
+            return false;
+        }
+        thread.execute(() -> {
+            waiting.decrementAndGet();
+            runSafely(task);
+        });
+        return true;
+    }
+
+    private void runSafely(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException failure) {
+            logger.error("event=duty-failure duty={}", name, failure);
+        }
+    }
+
+    /**
+     * Runs a task on the loop again and again.
+     *
+     * @param periodMillis the pause between two runs
+     * @param task the task
+     */
+    public void every(long periodMillis, Runnable task) {
+        Assert.atLeast(periodMillis, 1, "periodMillis");
+        thread.executeAfter(
+                () -> {
+                    runSafely(task);
+                    every(periodMillis, task);
+                },
+                periodMillis,
+                TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public int depth() {
+        return waiting.get();
+    }
+
+    @Override
+    public int capacity() {
+        return capacity;
+    }
+
+    @Override
+    public void close() {
+        worker.shutdownNow();
+    }
+}
--- a/http/src/main/java/org/arbutusstack/http/server/ConnectionWatch.java
+++ b/http/src/main/java/org/arbutusstack/http/server/ConnectionWatch.java
@@ -6,7 +6,6 @@
 import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.AttachmentKey;
 import java.io.IOException;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -22,8 +21,6 @@
 
     private static final Logger logger = LoggerFactory.getLogger(ConnectionWatch.class);
 
-    private static final long PROBE_MILLIS = 500;
-
     private static final AttachmentKey<ConnectionWatch> KEY = AttachmentKey.create(ConnectionWatch.class);
 
     private final AtomicReference<ResponseStream> current = new AtomicReference<>();
@@ -49,19 +46,30 @@
     }
 
     /**
-     * Looks again and again whether the caller has closed the connection. Undertow reads nothing while a request is
-     * handled, so that the end of a connection would be seen only when the answer is written.
+     * Closes the connection as soon as the caller has. Undertow reads nothing while a request is handled, so that the
+     * end of a connection would be seen only when the answer is written.
      */
-    static void probe(HttpServerExchange exchange, ResponseStream stream) {
-        exchange.getIoThread().executeAfter(() -> probeNow(exchange, stream), PROBE_MILLIS, TimeUnit.MILLISECONDS);
+    static void awaitEnd(HttpServerExchange exchange, ResponseStream stream) {
+        if (exchange.getConnection() instanceof HttpServerConnection connection) {
+            exchange.getIoThread().execute(() -> listen(connection, stream));
+        }
+    }
+
+    private static void listen(HttpServerConnection connection, ResponseStream stream) {
+        if (stream.isFinished() || connection.getExtraBytes() != null) {
+            return;
+        }
+        connection.getChannel().getSourceChannel().setReadListener(channel -> readable(connection, stream));
+        connection.getOriginalSourceConduit().resumeReads();
     }
 
-    private static void probeNow(HttpServerExchange exchange, ResponseStream stream) {
-        boolean mayRead = !stream.isFinished()
-                && exchange.getConnection() instanceof HttpServerConnection connection
-                && connection.getExtraBytes() == null;
-        if (mayRead && !hasEnded((HttpServerConnection) exchange.getConnection())) {
-            probe(exchange, stream);
+    private static void readable(HttpServerConnection connection, ResponseStream stream) {
+        if (stream.isFinished()) {
+            connection.getOriginalSourceConduit().suspendReads();
+            return;
+        }
+        if (!hasEnded(connection) && connection.getExtraBytes() != null) {
+            connection.getOriginalSourceConduit().suspendReads();
         }
     }
 
--- a/http/src/main/java/org/arbutusstack/http/server/HttpServers.java
+++ b/http/src/main/java/org/arbutusstack/http/server/HttpServers.java
@@ -4,6 +4,7 @@
 import io.undertow.UndertowOptions;
 import io.undertow.server.HttpHandler;
 import org.arbutusstack.kernel.Assert;
+import org.xnio.XnioWorker;
 
 /**
  * Builds HTTP listeners with few threads and a bound on bodies.
@@ -18,6 +19,9 @@
 
     private static final int PARSE_MILLIS = 10_000;
 
+    /** The longest head that is read; several times the 16 KiB that deployments permit. */
+    private static final int LONGEST_HEAD_BYTES = 65_536;
+
     private HttpServers() {}
 
     /**
@@ -53,6 +57,28 @@
                 .build();
     }
 
+    /**
+     * Builds a listener on threads that it shares with others.
+     *
+     * @param address the IP number to listen on
+     * @param port the port; zero for any free one
+     * @param worker the threads
+     * @param longestBodyBytes the longest body that is read
+     * @param idleMillis how long a connection may be idle before it is closed
+     * @param handler answers the requests
+     * @return the listener, not yet started
+     */
+    public static Undertow build(
+            String address, int port, XnioWorker worker, long longestBodyBytes, int idleMillis, HttpHandler handler) {
+        return builder(address, port, 1, longestBodyBytes, handler)
+                .setWorker(worker)
+                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, idleMillis)
+                .setServerOption(UndertowOptions.MAX_HEADER_SIZE, LONGEST_HEAD_BYTES)
+                .setServerOption(UndertowOptions.ALLOW_UNESCAPED_CHARACTERS_IN_URL, true)
+                .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
+                .build();
+    }
+
     private static Undertow.Builder builder(
             String address, int port, int ioThreads, long longestBodyBytes, HttpHandler handler) {
         Assert.hasText(address, "address");
--- a/http/src/main/java/org/arbutusstack/http/server/ResponseSink.java
+++ b/http/src/main/java/org/arbutusstack/http/server/ResponseSink.java
@@ -17,6 +17,18 @@
      */
     void head(int status, String contentType);
 
+    /**
+     * Sets the status alone; to be called before the first {@link #write}.
+     *
+     * @param status the status
+     */
+    default void status(int status) {
+        throw new UnsupportedOperationException("status without content type");
+    }
+
+    /** Closes the connection after this answer and tells the caller so. */
+    default void lastOnConnection() {}
+
     /**
      * Sets a header; to be called before the first {@link #write}.
      *
--- a/http/src/main/java/org/arbutusstack/http/server/ResponseStream.java
+++ b/http/src/main/java/org/arbutusstack/http/server/ResponseStream.java
@@ -34,6 +34,8 @@
 
     private boolean flushScheduled;
 
+    private boolean opened;
+
     private StreamSinkChannel channel;
 
     private Runnable closeTask;
@@ -56,7 +58,15 @@
         Assert.notNull(exchange, "exchange");
         ResponseStream stream = new ResponseStream(exchange);
         ConnectionWatch.follow(exchange, stream);
-        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> opened.accept(stream));
+        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
+            stream.markOpened();
+            opened.accept(stream);
+        });
+    }
+
+    /** Lets parts be written at once; until then the exchange is still being dispatched. */
+    private synchronized void markOpened() {
+        this.opened = true;
     }
 
     private synchronized void markClosed() {
@@ -111,6 +121,16 @@
         header("Content-Type", contentType);
     }
 
+    @Override
+    public void status(int status) {
+        exchange.setStatusCode(status);
+    }
+
+    @Override
+    public void lastOnConnection() {
+        exchange.setPersistent(false);
+    }
+
     @Override
     public void header(String name, String value) {
         exchange.getResponseHeaders().put(new HttpString(name), value);
@@ -153,13 +173,17 @@
     @Override
     public synchronized void onClose(Runnable task) {
         closeTask = task;
-        ConnectionWatch.probe(exchange, this);
+        ConnectionWatch.awaitEnd(exchange, this);
     }
 
     private void schedule() {
         if (flushScheduled) {
             return;
         }
+        if (exchange.isInIoThread() && opened) {
+            flush();
+            return;
+        }
         flushScheduled = true;
         exchange.getIoThread().execute(this::flush);
     }
--- a/model/src/main/java/org/arbutusstack/model/request/Refusal.java
+++ b/model/src/main/java/org/arbutusstack/model/request/Refusal.java
@@ -68,4 +68,16 @@
     public static Refusal rejected(RefusalReason reason, String detail) {
         return new Refusal(RefusalKind.REJECTED, reason, detail, 0);
     }
+
+    /**
+     * Takes back that a request did not run if an earlier attempt may have run.
+     *
+     * @param maybeRan whether one may have
+     * @return what is true of all attempts
+     */
+    public Refusal afterAttempts(boolean maybeRan) {
+        return kind == RefusalKind.NOT_RUN && maybeRan
+                ? outcomeUnknown(reason, detail + "; an earlier attempt may have run")
+                : this;
+    }
 }
--- a/model/src/main/java/org/arbutusstack/model/request/RefusalKind.java
+++ b/model/src/main/java/org/arbutusstack/model/request/RefusalKind.java
@@ -26,6 +26,16 @@
         return status;
     }
 
+    /**
+     * Tells whether a request that an attempt ended with may be sent again.
+     *
+     * @param idempotent whether the request may run more than once
+     * @return whether it may
+     */
+    public boolean mayRepeat(boolean idempotent) {
+        return this == NOT_RUN || this == OUTCOME_UNKNOWN && idempotent;
+    }
+
     /**
      * Names the kind to callers.
      *
--- /dev/null
+++ b/placement/src/main/java/org/arbutusstack/placement/FleetPlanner.java
@@ -0,0 +1,203 @@
+package org.arbutusstack.placement;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.arbutusstack.kernel.Assert;
+
+/**
+ * Decides which engine loads which model next, where not all models with the copies that they want fit at once.
+ *
+ * <p>A model that requests wait for and that no runner holds goes first; then those whose copies have the most requests
+ * above what a copy serves well. Room comes from copies beyond what their model needs, the least busy first, and from
+ * models that nobody has asked for lately. Stateless; does no I/O.
+ */
+public final class FleetPlanner {
+
+    /** The requests in hand that one copy serves well. */
+    private final double requestsPerCopy;
+
+    /** How long nothing must have been asked of a model before its last copy yields. */
+    private final long idleMillis;
+
+    /** A further copy is worth a load only when the copies have this many times the requests they serve well. */
+    private static final double EXCESS_FACTOR = 1.25;
+
+    /** The price of giving up a model's last copy, in requests. */
+    private static final double LAST_COPY_PRICE = 4;
+
+    /**
+     * Creates a planner.
+     *
+     * @param requestsPerCopy the requests in hand that one copy serves well
+     * @param idleMillis how long nothing must have been asked of a model before its last copy yields
+     */
+    public FleetPlanner(double requestsPerCopy, long idleMillis) {
+        Assert.isTrue(requestsPerCopy > 0, "'requestsPerCopy' must be positive");
+        this.requestsPerCopy = requestsPerCopy;
+        this.idleMillis = Assert.atLeast(idleMillis, 0, "idleMillis");
+    }
+
+    /**
+     * Decides.
+     *
+     * @param fleet the engines and what is asked of them
+     * @param mostFromStore the loads from the weight store that may begin now
+     * @return what to load, at most one model a runner
+     */
+    public List<ModelMove> decide(EngineFleet fleet, int mostFromStore) {
+        Board board = new Board(fleet);
+        List<ModelMove> moves = new ArrayList<>();
+        int left = mostFromStore;
+        for (String model : wanted(board)) {
+            Optional<ModelMove> move = place(board, model, left > 0);
+            if (move.isPresent()) {
+                moves.add(move.get());
+                board.apply(move.get());
+                left -= move.get().fromStore() ? 1 : 0;
+            }
+        }
+        return moves;
+    }
+
+    /** Lists the models that want a further copy, the most urgent first. */
+    private List<String> wanted(Board board) {
+        List<String> wanted = new ArrayList<>();
+        for (String model : board.fleet.models().keySet()) {
+            EngineFleet.ModelDemand demand = board.fleet.demandFor(model);
+            int copies = board.copiesOf(model);
+            boolean missing = copies == 0 && (demand.waiting() > 0 || demand.requests() > 0);
+            boolean crowded = copies > 0 && demand.requests() > copies * requestsPerCopy * EXCESS_FACTOR;
+            if (missing || crowded) {
+                wanted.add(model);
+            }
+        }
+        wanted.sort(Comparator.<String, Boolean>comparing(model -> board.copiesOf(model) > 0)
+                .thenComparing(Comparator.comparingDouble((String model) -> excess(board, model))
+                        .reversed())
+                .thenComparing(Comparator.naturalOrder()));
+        return wanted;
+    }
+
+    private double excess(Board board, String model) {
+        EngineFleet.ModelDemand demand = board.fleet.demandFor(model);
+        return Math.max(demand.waiting(), demand.requests()) - board.copiesOf(model) * requestsPerCopy;
+    }
+
+    private Optional<ModelMove> place(Board board, String model, boolean mayUseStore) {
+        double gain = board.copiesOf(model) == 0 ? Double.MAX_VALUE : excess(board, model) / 2;
+        Candidate best = null;
+        for (EngineFleet.Runner runner : board.fleet.runners()) {
+            Candidate candidate = candidate(board, runner, model);
+            boolean permitted = candidate != null && candidate.price() < gain
+                    && (mayUseStore || !candidate.move().fromStore());
+            if (permitted && (best == null || candidate.price() < best.price())) {
+                best = candidate;
+            }
+        }
+        return Optional.ofNullable(best).map(Candidate::move);
+    }
+
+    /** Works out the room that a runner could make; null if it cannot. */
+    private Candidate candidate(Board board, EngineFleet.Runner runner, String model) {
+        if (runner.busy() || board.isTaken(runner) || board.heldBy(runner).contains(model)) {
+            return null;
+        }
+        double missingMb = board.fleet.models().get(model).memoryMb() - board.freeMb(runner);
+        double price = runner.requests() * 0.02;
+        List<String> victims = new ArrayList<>();
+        List<String> held = new ArrayList<>(board.heldBy(runner));
+        held.sort(Comparator.<String>comparingDouble(victim -> priceOf(board, victim))
+                .thenComparing(Comparator.naturalOrder()));
+        for (String victim : held) {
+            if (missingMb <= 0) {
+                break;
+            }
+            double victimPrice = priceOf(board, victim);
+            if (victimPrice == Double.MAX_VALUE || !board.fleet.models().containsKey(victim)) {
+                continue;
+            }
+            victims.add(victim);
+            price += victimPrice;
+            missingMb -= board.fleet.models().get(victim).memoryMb();
+        }
+        if (missingMb > 0) {
+            return null;
+        }
+        boolean fromStore = !runner.warmMillis().containsKey(model);
+        double slowness = fromStore ? 1 : 0;
+        return new Candidate(new ModelMove(runner.name(), model, victims, fromStore), price + slowness);
+    }
+
+    /** Tells what giving up one copy of a model costs, in requests that it would serve; the maximum if it must stay. */
+    private double priceOf(Board board, String model) {
+        EngineFleet.ModelDemand demand = board.fleet.demandFor(model);
+        int copies = board.copiesOf(model);
+        if (copies > 1) {
+            boolean needed = demand.requests() > (copies - 1) * requestsPerCopy;
+            return needed ? Double.MAX_VALUE : demand.requests() / copies;
+        }
+        boolean idle = demand.waiting() == 0 && demand.idleMillis() >= idleMillis;
+        return idle ? LAST_COPY_PRICE + idleMillis / (double) Math.max(idleMillis, demand.idleMillis()) : Double.MAX_VALUE;
+    }
+
+    /** Holds a possible move and what it costs. */
+    private record Candidate(ModelMove move, double price) {}
+
+    /** Follows what runners hold while moves are decided. */
+    private static final class Board {
+
+        private final EngineFleet fleet;
+
+        private final Map<String, Set<String>> heldByRunner = new HashMap<>();
+
+        private final Map<String, Integer> copies = new HashMap<>();
+
+        private final Set<String> taken = new HashSet<>();
+
+        Board(EngineFleet fleet) {
+            this.fleet = fleet;
+            for (EngineFleet.Runner runner : fleet.runners()) {
+                heldByRunner.put(runner.name(), new HashSet<>(runner.held()));
+                runner.held().forEach(model -> copies.merge(model, 1, Integer::sum));
+            }
+        }
+
+        int copiesOf(String model) {
+            return copies.getOrDefault(model, 0);
+        }
+
+        Set<String> heldBy(EngineFleet.Runner runner) {
+            return heldByRunner.get(runner.name());
+        }
+
+        boolean isTaken(EngineFleet.Runner runner) {
+            return taken.contains(runner.name());
+        }
+
+        double freeMb(EngineFleet.Runner runner) {
+            double used = runner.adaptersMb();
+            for (String model : heldBy(runner)) {
+                EngineFleet.Model known = fleet.models().get(model);
+                used += known == null ? runner.memoryMb() : known.memoryMb();
+            }
+            return runner.memoryMb() - used;
+        }
+
+        void apply(ModelMove move) {
+            taken.add(move.runner());
+            Set<String> held = heldByRunner.get(move.runner());
+            for (String victim : move.unload()) {
+                held.remove(victim);
+                copies.merge(victim, -1, Integer::sum);
+            }
+            held.add(move.load());
+            copies.merge(move.load(), 1, Integer::sum);
+        }
+    }
+}
--- a/routing/src/main/java/org/arbutusstack/routing/RetryBudget.java
+++ b/routing/src/main/java/org/arbutusstack/routing/RetryBudget.java
@@ -32,6 +32,19 @@
         this.available = reserve;
     }
 
+    /**
+     * Creates a budget that has earned nothing yet, so that restarts add no retries.
+     *
+     * @param percentOfRequests the retries permitted for a hundred requests
+     * @param reserve the retries that can be saved up
+     * @return the budget
+     */
+    public static RetryBudget empty(int percentOfRequests, int reserve) {
+        RetryBudget budget = new RetryBudget(percentOfRequests, reserve);
+        budget.available = 0;
+        return budget;
+    }
+
     /** Counts a request. */
     public void requestArrived() {
         available = Math.min(reserve, available + shareOfRequests);
--- /dev/null
+++ b/store/src/main/java/org/arbutusstack/store/PrefixFollower.java
@@ -0,0 +1,157 @@
+package org.arbutusstack.store;
+
+import java.util.concurrent.locks.LockSupport;
+import org.arbutusstack.kernel.Assert;
+import org.arbutusstack.kernel.service.Service;
+import org.arbutusstack.kernel.time.Clock;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Keeps a listener up to date on the keys with a prefix, through outages, lost history and connections that went silent.
+ *
+ * <p>What was told stands while the service is away. Runs on a duty of its own.
+ *
+ * @see PrefixReader
+ */
+public final class PrefixFollower implements Service {
+
+    private static final Logger logger = LoggerFactory.getLogger(PrefixFollower.class);
+
+    /** How long one call waits for a change; a silent connection shows after this and the slack. */
+    private static final long WAIT_MILLIS = 1_000;
+
+    private static final long SLACK_MILLIS = 250;
+
+    private static final long READ_MILLIS = 1_000;
+
+    /** The pause after a failed call: four calls a second for a process while the service is away. */
+    private static final long RETRY_MILLIS = 250;
+
+    private final PrefixReader reader;
+
+    private final String prefix;
+
+    private final long gatherMillis;
+
+    private final PrefixListener listener;
+
+    private final Clock clock;
+
+    private final Thread thread;
+
+    private volatile boolean running;
+
+    private boolean lost;
+
+    private long revision;
+
+    private boolean current;
+
+    /**
+     * Creates a follower.
+     *
+     * @param reader reads the service
+     * @param prefix the prefix
+     * @param gatherMillis the pause after changes in which further ones are gathered, to save calls
+     * @param listener is kept up to date
+     * @param clock the clock of the process
+     */
+    public PrefixFollower(
+            PrefixReader reader, String prefix, long gatherMillis, PrefixListener listener, Clock clock) {
+        this.reader = Assert.notNull(reader, "reader");
+        this.prefix = Assert.notNull(prefix, "prefix");
+        this.gatherMillis = Assert.atLeast(gatherMillis, 0, "gatherMillis");
+        this.listener = Assert.notNull(listener, "listener");
+        this.clock = Assert.notNull(clock, "clock");
+        this.thread = new Thread(this::run, "store-follower");
+        this.thread.setDaemon(true);
+    }
+
+    @Override
+    public String name() {
+        return "store-follower";
+    }
+
+    @Override
+    public void start() {
+        running = true;
+        thread.start();
+    }
+
+    @Override
+    public void stop() {
+        running = false;
+        LockSupport.unpark(thread);
+    }
+
+    private void run() {
+        while (running) {
+            try {
+                step();
+            } catch (RuntimeException failure) {
+                logger.error("event=duty-failure duty=store-follower", failure);
+                clock.pause(RETRY_MILLIS);
+            }
+        }
+    }
+
+    /** Makes one call and hands on what it told. */
+    void step() {
+        boolean told = current ? follow() : read();
+        if (!told) {
+            reader.reconnect();
+            clock.pause(RETRY_MILLIS);
+        }
+    }
+
+    private boolean read() {
+        StoreResult<PrefixSnapshot> read = reader.snapshot(prefix, clock.deadlineNanos(READ_MILLIS));
+        if (!(read instanceof StoreResult.Done<PrefixSnapshot> done)) {
+            lost(read);
+            return false;
+        }
+        regained();
+        revision = done.value().revision();
+        current = true;
+        listener.onSnapshot(done.value());
+        return true;
+    }
+
+    private boolean follow() {
+        StoreResult<PrefixChanges> result = reader.changesAfter(
+                prefix, revision, WAIT_MILLIS, clock.deadlineNanos(WAIT_MILLIS + SLACK_MILLIS));
+        if (!(result instanceof StoreResult.Done<PrefixChanges> done)) {
+            lost(result);
+            return false;
+        }
+        regained();
+        if (done.value() instanceof PrefixChanges.Known known) {
+            revision = Math.max(revision, known.revision());
+            if (!known.items().isEmpty()) {
+                listener.onChanges(known.items());
+                clock.pause(gatherMillis);
+            }
+            return true;
+        }
+        logger.warn("event=store-history-lost prefix={} revision={}", prefix, revision);
+        current = false;
+        return true;
+    }
+
+    private void lost(StoreResult<?> result) {
+        if (!lost) {
+            lost = true;
+            logger.warn("event=store-lost prefix={} revision={} result={}", prefix, revision, result);
+            listener.onStoreLost();
+        }
+    }
+
+    private void regained() {
+        if (lost) {
+            lost = false;
+            logger.info("event=store-regained prefix={} revision={}", prefix, revision);
+            listener.onStoreRegained();
+        }
+    }
+}
--- a/entry/src/main/java/org/arbutusstack/entry/plan/PlannerLease.java
+++ b/store/src/main/java/org/arbutusstack/store/StoreLease.java
@@ -1,18 +1,19 @@
-package org.arbutusstack.entry.plan;
+package org.arbutusstack.store;
 
 import org.arbutusstack.kernel.Assert;
 import org.arbutusstack.kernel.time.Clock;
-import org.arbutusstack.store.KeyValueStore;
-import org.arbutusstack.store.StoreResult;
 
 /**
- * Keeps the lease under which this process plans, and tells by the local clock whether it may still be relied on.
+ * Keeps a lease at the key-value service, and tells by the local clock whether it may still be relied on.
  *
  * <p>To be used by one thread.
+ *
+ * @see KeyValueStore
  */
-final class PlannerLease {
+public final class StoreLease {
 
-    static final long TIME_TO_LIVE_SECONDS = 3;
+    /** How long the lease lives after each renewal; the time for which deployments let a holder be silent. */
+    public static final long TIME_TO_LIVE_SECONDS = 3;
 
     private static final long RENEW_MILLIS = 1_000;
 
@@ -30,23 +31,43 @@
 
     private long renewAtNanos;
 
-    PlannerLease(KeyValueStore store, Clock clock, long callMillis) {
+    /**
+     * Creates a lease that is not held.
+     *
+     * @param store the key-value service
+     * @param clock the clock of the process
+     * @param callMillis how long a call may take
+     */
+    public StoreLease(KeyValueStore store, Clock clock, long callMillis) {
         this.store = Assert.notNull(store, "store");
         this.clock = Assert.notNull(clock, "clock");
         this.callMillis = callMillis;
     }
 
-    long id() {
+    /**
+     * Names the lease.
+     *
+     * @return its identifier, or {@link KeyValueStore#NO_LEASE}
+     */
+    public long id() {
         return leaseId;
     }
 
-    /** Tells whether the lease lives for certain: less than its time to live has passed since it was asked for. */
-    boolean isValid() {
+    /**
+     * Tells whether the lease lives for certain: less than its time to live has passed since it was asked for.
+     *
+     * @return whether it does
+     */
+    public boolean isValid() {
         return leaseId != KeyValueStore.NO_LEASE && !clock.isPast(validUntilNanos);
     }
 
-    /** Renews the lease if that is due; returns whether it is valid. */
-    boolean renew() {
+    /**
+     * Renews the lease if that is due.
+     *
+     * @return whether it is valid
+     */
+    public boolean renew() {
         if (!isValid()) {
             leaseId = KeyValueStore.NO_LEASE;
             return false;
@@ -64,8 +85,12 @@
         return isValid();
     }
 
-    /** Obtains a lease if there is none; returns whether one is valid. */
-    boolean obtain() {
+    /**
+     * Obtains a lease if there is none.
+     *
+     * @return whether one is valid
+     */
+    public boolean obtain() {
         if (isValid()) {
             return true;
         }
@@ -79,7 +104,13 @@
         return isValid();
     }
 
-    void revoke() {
+    /** Relies on the lease no longer, without a call: the process may have stood still for longer than it lives. */
+    public void abandon() {
+        leaseId = KeyValueStore.NO_LEASE;
+    }
+
+    /** Ends the lease at the service, so that another process need not wait for it. */
+    public void revoke() {
         if (isValid()) {
             store.revokeLease(leaseId, clock.deadlineNanos(callMillis));
             leaseId = KeyValueStore.NO_LEASE;
--- a/wire/src/main/java/org/arbutusstack/wire/frame/Frame.java
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/Frame.java
@@ -30,6 +30,11 @@
                 SideReportFrame,
                 LoadFrame,
                 StrikeFrame,
+                RunnerStatusFrame,
+                EngineCatalogFrame,
+                AdapterUseFrame,
+                ModelOrderFrame,
+                ModelDemandFrame,
                 ProtocolErrorFrame {
 
     /**
--- a/wire/src/main/java/org/arbutusstack/wire/frame/FrameType.java
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/FrameType.java
@@ -45,7 +45,22 @@
     /** See {@link ProtocolErrorFrame}. */
     PROTOCOL_ERROR(13, ProtocolErrorFrame::read),
     /** See {@link StrikeFrame}. */
-    STRIKE(42, StrikeFrame::read);
+    STRIKE(42, StrikeFrame::read),
+
+    /** What is known of a runner, from the process beside it. */
+    RUNNER_STATUS(60, RunnerStatusFrame::read),
+
+    /** What a runner's engine may hold. */
+    ENGINE_CATALOG(61, EngineCatalogFrame::read),
+
+    /** An adapter is used or waited for. */
+    ADAPTER_USE(62, AdapterUseFrame::read),
+
+    /** A model is to be loaded. */
+    MODEL_ORDER(63, ModelOrderFrame::read),
+
+    /** The models that an entry has requests for. */
+    MODEL_DEMAND(64, ModelDemandFrame::read);
 
     private final int code;
 
--- /dev/null
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/RunnerStatusFrame.java
@@ -0,0 +1,113 @@
+package org.arbutusstack.wire.frame;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * Tells what the process beside a runner has just read of it.
+ *
+ * @param startedAtMillis when the runner started, in Unix milliseconds; tells its incarnations apart
+ * @param orderSequence the orders that the runner has accepted since then
+ * @param takesWork whether it takes new requests
+ * @param remainingMillis the time until it is taken away, negative if that is not announced
+ * @param queued the requests that wait there
+ * @param running the requests that run there
+ * @param usedTokens the tokens in memory that cannot yield
+ * @param capacityTokens the tokens that fit in memory
+ * @param models the models that it holds
+ * @param pendingAdapters the adapters on their way, as model, slash, adapter
+ * @param warmModels how long a load of a model not held would take, in milliseconds, where a copy lies at the runner
+ * @param loadingModel the model that the last order asked for and that is not there yet; empty for none
+ */
+public record RunnerStatusFrame(
+        long startedAtMillis,
+        long orderSequence,
+        boolean takesWork,
+        long remainingMillis,
+        int queued,
+        int running,
+        long usedTokens,
+        long capacityTokens,
+        List<HeldModel> models,
+        List<String> pendingAdapters,
+        Map<String, Integer> warmModels,
+        String loadingModel)
+        implements Frame {
+
+    /** Copies the collections. */
+    public RunnerStatusFrame {
+        models = List.copyOf(models);
+        pendingAdapters = List.copyOf(pendingAdapters);
+        warmModels = Map.copyOf(warmModels);
+    }
+
+    /**
+     * Names a model that a runner holds.
+     *
+     * @param name the model's name
+     * @param version the version of its weights
+     * @param adapters the adapters of it that are ready
+     */
+    public record HeldModel(String name, long version, List<String> adapters) {
+
+        /** Copies the list. */
+        public HeldModel {
+            adapters = List.copyOf(adapters);
+        }
+    }
+
+    static RunnerStatusFrame read(MessageUnpacker unpacker) throws IOException {
+        return new RunnerStatusFrame(
+                unpacker.unpackLong(),
+                unpacker.unpackLong(),
+                unpacker.unpackBoolean(),
+                unpacker.unpackLong(),
+                unpacker.unpackInt(),
+                unpacker.unpackInt(),
+                unpacker.unpackLong(),
+                unpacker.unpackLong(),
+                readModels(unpacker),
+                Frames.unpackStrings(unpacker),
+                Frames.unpackCounts(unpacker),
+                unpacker.unpackString());
+    }
+
+    private static List<HeldModel> readModels(MessageUnpacker unpacker) throws IOException {
+        int count = unpacker.unpackArrayHeader();
+        List<HeldModel> models = new ArrayList<>();
+        for (int index = 0; index < count; index++) {
+            models.add(new HeldModel(unpacker.unpackString(), unpacker.unpackLong(), Frames.unpackStrings(unpacker)));
+        }
+        return models;
+    }
+
+    @Override
+    public FrameType type() {
+        return FrameType.RUNNER_STATUS;
+    }
+
+    @Override
+    public void write(MessagePacker packer) throws IOException {
+        packer.packLong(startedAtMillis);
+        packer.packLong(orderSequence);
+        packer.packBoolean(takesWork);
+        packer.packLong(remainingMillis);
+        packer.packInt(queued);
+        packer.packInt(running);
+        packer.packLong(usedTokens);
+        packer.packLong(capacityTokens);
+        packer.packArrayHeader(models.size());
+        for (HeldModel model : models) {
+            packer.packString(model.name());
+            packer.packLong(model.version());
+            Frames.packStrings(packer, model.adapters());
+        }
+        Frames.packStrings(packer, pendingAdapters);
+        Frames.packCounts(packer, warmModels);
+        packer.packString(loadingModel);
+    }
+}
