--- a/gateway/src/main/java/org/arbutusstack/gateway/attend/OrderDesk.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/attend/OrderDesk.java
@@ -148,6 +148,9 @@
     }
 
     private Optional<RunnerOrder> nextAdapter(RunnerReading reading) {
+        if (reading.busy()) {
+            return Optional.empty();
+        }
         for (String key : wantedUntilNanos.keySet()) {
             int slash = key.lastIndexOf('/');
             String model = key.substring(0, slash);
@@ -171,16 +174,15 @@
     /** Chooses the adapter that yields: the one not used for longest, if no request named it a moment ago. */
     private Optional<RunnerOrder> leastUsed(RunnerReading reading) {
         String oldest = null;
-        long oldestNanos = Long.MAX_VALUE;
+        long oldestNanos = RECENT_USE_MILLIS * Clock.NANOS_PER_MILLI;
         for (Map.Entry<String, Set<String>> held : reading.adapters().entrySet()) {
             for (String adapter : new TreeSet<>(held.getValue())) {
                 String key = keyOf(held.getKey(), adapter);
-                long sinceNanos = clock.nowNanos() - usedAtNanos.getOrDefault(key, Long.MIN_VALUE / 2);
-                boolean recent = usedAtNanos.containsKey(key)
-                        && sinceNanos < RECENT_USE_MILLIS * Clock.NANOS_PER_MILLI;
-                if (!recent && (oldest == null || -sinceNanos < oldestNanos)) {
+                long unusedNanos =
+                        usedAtNanos.containsKey(key) ? clock.nowNanos() - usedAtNanos.get(key) : Long.MAX_VALUE;
+                if (unusedNanos > oldestNanos) {
                     oldest = key;
-                    oldestNanos = -sinceNanos;
+                    oldestNanos = unusedNanos;
                 }
             }
         }
--- a/gateway/src/main/java/org/arbutusstack/gateway/config/Route.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/config/Route.java
@@ -12,6 +12,7 @@
  * @param kind what may be repeated
  * @param timeoutMillis the longest time until the final answer
  * @param targetMillis the time within which an answer, or its first event, is in time
+ * @param targetGapMillis the longest pause between events for which a stream is in time; zero if it is no stream
  * @param priority the rank among routes, zero first
  * @param backends the services, with the share of each
  * @param mostAttempts the runners that one request may be sent to
@@ -25,12 +26,15 @@
         RouteKind kind,
         long timeoutMillis,
         long targetMillis,
+        long targetGapMillis,
         int priority,
         List<WeightedService> backends,
         int mostAttempts,
         boolean sticky,
         boolean resumable) {
 
+    private static final long LEAST_PATIENCE_MILLIS = 2_000;
+
     /** Checks the route. */
     public Route {
         Assert.hasText(name, "name");
@@ -51,6 +55,15 @@
         return kind.mayRepeat(resumable);
     }
 
+    /**
+     * Tells how long a caller waits for the next event before it leaves.
+     *
+     * @return the time in milliseconds: two seconds, four targets or eight pauses, whichever is longest
+     */
+    public long patienceMillis() {
+        return Math.max(LEAST_PATIENCE_MILLIS, Math.max(4 * targetMillis, 8 * targetGapMillis));
+    }
+
     /**
      * Chooses the service for one request.
      *
--- a/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
@@ -37,8 +37,8 @@
     /** The requests in hand that one copy of a model serves well: a third of an engine's batch. */
     private static final double REQUESTS_PER_COPY = 12;
 
-    /** A model that nobody asked for as long yields its last copy. */
-    private static final long IDLE_MILLIS = 2_500;
+    /** The idle time of a model at which its last copy is half as dear as one asked for just now. */
+    private static final long IDLE_MILLIS = 4_000;
 
     private final EntryParts parts;
 
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDesk.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDesk.java
@@ -43,6 +43,8 @@
 
     private final Map<String, RetryBudget> retriesByService = new HashMap<>();
 
+    private final ModelWaits modelWaits;
+
     private boolean tickHasWork;
 
     /**
@@ -69,6 +71,7 @@
         this.limits = Assert.notNull(limits, "limits");
         this.metrics = Assert.notNull(metrics, "metrics");
         this.log = new DecisionLog(clock);
+        this.modelWaits = new ModelWaits(clock);
     }
 
     /**
@@ -113,12 +116,29 @@
             send(active, send.runner());
         } else if (choice instanceof RunnerChooser.Choice.AwaitAdapter await) {
             awaitAdapter(active, await.runner());
+        } else if (choice instanceof RunnerChooser.Choice.AwaitModel) {
+            awaitModel(active);
         } else if (choice instanceof RunnerChooser.Choice.NoRunner) {
             String detail = "no runner of the service takes work";
             refuse(active, Refusal.notRun(RefusalReason.NO_RUNNER, detail), limits.returnMillis());
         }
     }
 
+    /** Lets a request wait for a load that ends before its caller leaves; sends others away until it has ended. */
+    private void awaitModel(ActiveRequest active) {
+        InboundRequest request = active.request();
+        long loadMillis = modelWaits.remainingMillis(request, chooser.isBeingLoaded(request));
+        long patienceUntilNanos =
+                request.arrivedNanos() + request.route().patienceMillis() * Clock.NANOS_PER_MILLI;
+        long leftMillis = Math.min(
+                clock.millisUntil(patienceUntilNanos), clock.millisUntil(request.deadlineNanos()));
+        if (loadMillis >= leftMillis) {
+            modelWaits.sentAway(request);
+            String detail = "no runner holds the model, and a load ends after the caller has left";
+            refuse(active, Refusal.notRun(RefusalReason.DEADLINE_UNREACHABLE, detail), loadMillis);
+        }
+    }
+
     private void awaitAdapter(ActiveRequest active, KnownRunner runner) {
         boolean stillAwaited = active.adapterRunner() != null && !clock.isPast(active.adapterUntilNanos());
         if (stillAwaited && active.adapterRunner().takesWork()) {
@@ -379,6 +399,8 @@
                 uses.merge(request.model(), new ModelUse(1, waits ? 1 : 0), ModelUse::plus);
             }
         }
+        modelWaits.expected(service).forEach((model, count) ->
+                uses.merge(model, new ModelUse(count, count), ModelUse::plus));
         return uses;
     }
 
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
@@ -86,9 +86,25 @@
         if (chosen.isEmpty()) {
             return new Choice.AwaitModel();
         }
-        KnownRunner runner = runners.byId(chosen.get().name());
         boolean ready = request.adapter().isEmpty() || needs.hasAdapterOn(chosen.get());
-        return ready ? new Choice.Send(runner) : new Choice.AwaitAdapter(runner);
+        return ready
+                ? new Choice.Send(runners.byId(chosen.get().name()))
+                : new Choice.AwaitAdapter(runners.byId(adapterLoader(needs, preferred, chosen.get())));
+    }
+
+    /** Chooses who loads an adapter: a runner that carries out another order cannot before that is done. */
+    private String adapterLoader(RoutingRequest needs, List<KnownRunner> holders, RunnerView chosen) {
+        List<RunnerView> free = holders.stream()
+                .filter(runner -> runner.hasStatus() && runner.loadingModel().isEmpty())
+                .map(KnownRunner::view)
+                .toList();
+        return engineSelector.select(needs, free).orElse(chosen).name();
+    }
+
+    /** Tells whether a runner is loading a model, or about to. */
+    boolean isBeingLoaded(InboundRequest request) {
+        return runners.takingWork(request.service()).stream()
+                .anyMatch(runner -> runner.loadingModel().equals(request.model()));
     }
 
     /** Leaves out the runners that failed the request or are in doubt, as long as others are left. */
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/KnownRunner.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/KnownRunner.java
@@ -218,6 +218,15 @@
                 entry.id(), entry.service(), entry.zone(), models, adapters, reported, outstanding);
     }
 
+    /**
+     * Names the model that the runner is loading or about to load.
+     *
+     * @return the model; empty if it is not known to load any
+     */
+    public String loadingModel() {
+        return hasStatus() ? status.loadingModel() : "";
+    }
+
     /**
      * Tells whether the runner holds a model.
      *
--- a/placement/src/main/java/org/arbutusstack/placement/FleetPlanner.java
+++ b/placement/src/main/java/org/arbutusstack/placement/FleetPlanner.java
@@ -22,20 +22,26 @@
     /** The requests in hand that one copy serves well. */
     private final double requestsPerCopy;
 
-    /** How long nothing must have been asked of a model before its last copy yields. */
+    /** The idle time at which a model's last copy costs twice what it costs after a long one. */
     private final long idleMillis;
 
     /** A further copy is worth a load only when the copies have this many times the requests they serve well. */
     private static final double EXCESS_FACTOR = 1.25;
 
-    /** The price of giving up a model's last copy, in requests. */
+    /** The price of giving up the last copy of a model long idle, in requests; twice that once it is idle as long. */
     private static final double LAST_COPY_PRICE = 4;
 
+    /** Fewer requests than this in hand, smoothed, are what is left of earlier ones. */
+    private static final double NEGLIGIBLE_REQUESTS = 0.3;
+
+    /** What one more request at a runner adds to the price of loading there, in requests. */
+    private static final double BUSYNESS_PRICE = 0.02;
+
     /**
      * Creates a planner.
      *
      * @param requestsPerCopy the requests in hand that one copy serves well
-     * @param idleMillis how long nothing must have been asked of a model before its last copy yields
+     * @param idleMillis the idle time at which a model's last copy costs twice what it costs after a long one
      */
     public FleetPlanner(double requestsPerCopy, long idleMillis) {
         Assert.isTrue(requestsPerCopy > 0, "'requestsPerCopy' must be positive");
@@ -71,7 +77,7 @@
         for (String model : board.fleet.models().keySet()) {
             EngineFleet.ModelDemand demand = board.fleet.demandFor(model);
             int copies = board.copiesOf(model);
-            boolean missing = copies == 0 && (demand.waiting() > 0 || demand.requests() > 0);
+            boolean missing = copies == 0 && demand.waiting() > 0;
             boolean crowded = copies > 0 && demand.requests() > copies * requestsPerCopy * EXCESS_FACTOR;
             if (missing || crowded) {
                 wanted.add(model);
@@ -109,7 +115,7 @@
             return null;
         }
         double missingMb = board.fleet.models().get(model).memoryMb() - board.freeMb(runner);
-        double price = runner.requests() * 0.02;
+        double price = runner.requests() * BUSYNESS_PRICE;
         List<String> victims = new ArrayList<>();
         List<String> held = new ArrayList<>(board.heldBy(runner));
         held.sort(Comparator.<String>comparingDouble(victim -> priceOf(board, victim))
@@ -142,8 +148,8 @@
             boolean needed = demand.requests() > (copies - 1) * requestsPerCopy;
             return needed ? Double.MAX_VALUE : demand.requests() / copies;
         }
-        boolean idle = demand.waiting() == 0 && demand.idleMillis() >= idleMillis;
-        return idle ? LAST_COPY_PRICE + idleMillis / (double) Math.max(idleMillis, demand.idleMillis()) : Double.MAX_VALUE;
+        boolean asked = demand.waiting() > 0 || demand.requests() >= NEGLIGIBLE_REQUESTS;
+        return asked ? Double.MAX_VALUE : LAST_COPY_PRICE * (1 + idleMillis / (1.0 + demand.idleMillis()));
     }
 
     /** Holds a possible move and what it costs. */
