--- a/daemon/src/main/java/org/arbutusstack/daemon/PlatformCommand.java
+++ b/daemon/src/main/java/org/arbutusstack/daemon/PlatformCommand.java
@@ -68,10 +68,21 @@
             fail(invalid.mistakes());
         } else if (result instanceof PlatformSettings.Result.Valid valid) {
             start(valid.settings(), new LinkKey(linkKey));
+            ReloadSignal.onReload(() -> reload(Path.of(file), valid.settings()));
             stopped.await();
         }
     }
 
+    /** Reads the settings anew; addresses and bounds of a running process stay as they are until its next start. */
+    private void reload(Path file, PlatformSettings inForce) {
+        PlatformSettings.Result result = PlatformSettings.read(file, role.servesCallers());
+        if (result instanceof PlatformSettings.Result.Valid valid) {
+            logger.info("event=reload changed={}", !valid.settings().equals(inForce));
+        } else if (result instanceof PlatformSettings.Result.Invalid invalid) {
+            logger.warn("event=reload-refused mistakes={}", invalid.mistakes());
+        }
+    }
+
     private static void fail(List<String> mistakes) {
         mistakes.forEach(mistake -> System.err.println("arbutusd: " + mistake));
         System.exit(SETTINGS_EXIT_CODE);
--- a/gateway/src/main/java/org/arbutusstack/gateway/attend/Attendant.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/attend/Attendant.java
@@ -197,7 +197,9 @@
         reading.versions().forEach((model, version) -> {
             if (!model.equals(desk.unloading())) {
                 models.add(new RunnerStatusFrame.HeldModel(
-                        model, version, reading.adaptersOf(model).stream().sorted().toList()));
+                        model,
+                        version,
+                        reading.adaptersOf(model).stream().sorted().toList()));
             }
         });
         models.sort(java.util.Comparator.comparing(RunnerStatusFrame.HeldModel::name));
--- a/gateway/src/main/java/org/arbutusstack/gateway/attend/OrderDesk.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/attend/OrderDesk.java
@@ -84,10 +84,14 @@
 
     /** Takes an order of the planner; one that is older than the last is passed over. */
     void modelOrdered(ModelOrderFrame order) {
-        boolean newer = order.fence() > highestFence
-                || order.fence() == highestFence && order.sequence() > lastSequence;
+        boolean newer =
+                order.fence() > highestFence || order.fence() == highestFence && order.sequence() > lastSequence;
         if (!newer) {
-            logger.warn("event=order-outdated fence={} sequence={} known={}", order.fence(), order.sequence(), highestFence);
+            logger.warn(
+                    "event=order-outdated fence={} sequence={} known={}",
+                    order.fence(),
+                    order.sequence(),
+                    highestFence);
             return;
         }
         highestFence = order.fence();
@@ -123,12 +127,14 @@
 
     /** Drops what has come about or can no longer be. */
     private void settle(RunnerReading reading) {
-        lateOrders.removeIf(late -> late.isVoid(reading) || clock.isPast(late.untilNanos()));
+        lateOrders.removeIf(late -> clock.isPast(late.untilNanos()));
         if (!reading.busy()) {
             unloading = "";
             loading = "";
         }
-        wantedUntilNanos.entrySet().removeIf(wanted -> clock.isPast(wanted.getValue()) || isHeld(reading, wanted.getKey()));
+        wantedUntilNanos
+                .entrySet()
+                .removeIf(wanted -> clock.isPast(wanted.getValue()) || isHeld(reading, wanted.getKey()));
         boolean done = modelOrder != null && reading.holds(modelOrder.load());
         boolean stale = modelOrder != null
                 && (clock.isPast(modelOrderUntilNanos) || modelOrder.startedAtMillis() != reading.startedAtMillis());
@@ -159,11 +165,10 @@
                 continue;
             }
             int sizeMb = catalog.adapterMb().getOrDefault(model, Integer.MAX_VALUE);
-            boolean fits = reading.adapterCount() + lateAdapters() < catalog.adapterSlots()
+            boolean fits = reading.adapterCount() + lateAdapters(reading) < catalog.adapterSlots()
                     && freeMb(reading) >= sizeMb;
-            Optional<RunnerOrder> order = fits
-                    ? Optional.of(order(reading, true, model, key.substring(slash + 1)))
-                    : leastUsed(reading);
+            Optional<RunnerOrder> order =
+                    fits ? Optional.of(order(reading, true, model, key.substring(slash + 1))) : leastUsed(reading);
             if (order.isPresent()) {
                 return order;
             }
@@ -204,11 +209,14 @@
         }
         int sizeMb = catalog.modelMb().getOrDefault(modelOrder.load(), Integer.MAX_VALUE);
         if (freeMb(reading) < sizeMb) {
-            Optional<RunnerOrder> room = freeMb(reading) + adaptersMb(reading) >= sizeMb
-                    ? leastUsed(reading)
-                    : Optional.empty();
+            Optional<RunnerOrder> room =
+                    freeMb(reading) + adaptersMb(reading) >= sizeMb ? leastUsed(reading) : Optional.empty();
             if (room.isEmpty()) {
-                logger.warn("event=load-given-up model={} free_mb={} size_mb={}", modelOrder.load(), freeMb(reading), sizeMb);
+                logger.warn(
+                        "event=load-given-up model={} free_mb={} size_mb={}",
+                        modelOrder.load(),
+                        freeMb(reading),
+                        sizeMb);
                 modelOrder = null;
             }
             return room;
@@ -223,8 +231,8 @@
     /** Notes what became of an order. */
     void ordered(RunnerOrder order, OrderOutcome outcome, RunnerReading reading) {
         if (outcome == OrderOutcome.UNKNOWN && order.load()) {
-            lateOrders.add(new LateOrder(
-                    reading.startedAtMillis(), order, sizeOf(order), clock.deadlineNanos(LATE_MILLIS)));
+            lateOrders.add(
+                    new LateOrder(reading.startedAtMillis(), order, sizeOf(order), clock.deadlineNanos(LATE_MILLIS)));
         }
         if (!outcome.mayTakeEffect()) {
             if (outcome == OrderOutcome.REFUSED) {
@@ -245,8 +253,10 @@
         return sizes.getOrDefault(order.model(), 0);
     }
 
-    private long lateAdapters() {
-        return lateOrders.stream().filter(late -> late.order().isForAdapter()).count();
+    private long lateAdapters(RunnerReading reading) {
+        return lateOrders.stream()
+                .filter(late -> late.order().isForAdapter() && late.isOfEarlierIncarnation(reading))
+                .count();
     }
 
     private double adaptersMb(RunnerReading reading) {
@@ -270,18 +280,19 @@
         boolean uncounted = !loading.isEmpty() && !reading.holds(loading);
         usedMb += uncounted ? catalog.modelMb().getOrDefault(loading, 0) : 0;
         for (LateOrder late : lateOrders) {
-            usedMb += late.startedAtMillis() == reading.startedAtMillis() ? 0 : late.sizeMb();
+            usedMb += late.isOfEarlierIncarnation(reading) ? late.sizeMb() : 0;
         }
         return catalog.memoryMb() - usedMb;
     }
 
-    /** Holds a load whose fate is not known. */
+    /**
+     * Holds a load whose fate is not known. While its incarnation lives, its sequence keeps it from overcommitting the
+     * runner; a later incarnation that bears the same identifier counts its orders from zero again.
+     */
     private record LateOrder(long startedAtMillis, RunnerOrder order, int sizeMb, long untilNanos) {
 
-        /** Tells whether the runner has accepted another order since, which makes this one void. */
-        boolean isVoid(RunnerReading reading) {
-            return reading.startedAtMillis() == startedAtMillis
-                    && reading.orderSequence() > order.expectedSequence();
+        boolean isOfEarlierIncarnation(RunnerReading reading) {
+            return startedAtMillis != reading.startedAtMillis();
         }
     }
 }
--- a/gateway/src/main/java/org/arbutusstack/gateway/config/ServingConfig.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/config/ServingConfig.java
@@ -42,8 +42,9 @@
                     .computeIfAbsent(route.host().toLowerCase(Locale.ROOT), host -> new ArrayList<>())
                     .add(route);
         }
-        Comparator<Route> longestFirst =
-                Comparator.comparingInt((Route route) -> route.pathPrefix().length()).reversed();
+        Comparator<Route> longestFirst = Comparator.comparingInt(
+                        (Route route) -> route.pathPrefix().length())
+                .reversed();
         routesByHost.values().forEach(list -> list.sort(longestFirst));
         services.forEach(service -> this.services.put(service.name(), service));
     }
--- a/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
@@ -74,17 +74,12 @@
         this.metrics = new GatewayMetrics(parts.metrics());
         this.desk = RequestDesks.create(
                 runners, parts.runners(), parts.callers(), parts.zone(), clock, parts.retries(), metrics);
-        this.sides = new SideLinks(
-                parts.transport(), parts.sidePort(), runners, parts.loop(), clock, desk::runnersChanged);
+        this.sides =
+                new SideLinks(parts.transport(), parts.sidePort(), runners, parts.loop(), clock, desk::runnersChanged);
         this.identity = parts.address() + ":" + parts.entryPort() + " " + UUID.randomUUID();
         this.election = new PlannerElection(parts.store(), identity, clock);
         this.planner = new ModelPlanner(
-                parts.name(),
-                runners,
-                desk,
-                election,
-                new FleetPlanner(REQUESTS_PER_COPY, IDLE_MILLIS),
-                clock);
+                parts.name(), runners, desk, election, new FleetPlanner(REQUESTS_PER_COPY, IDLE_MILLIS), clock);
         this.plannerLink = new PlannerLink(parts.transport(), planner, parts.loop(), clock);
     }
 
--- a/gateway/src/main/java/org/arbutusstack/gateway/plan/DemandBook.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/plan/DemandBook.java
@@ -34,8 +34,7 @@
     }
 
     void told(ModelDemandFrame frame) {
-        toldByEntry.put(
-                frame.entry() + '\n' + frame.service(), new Told(frame, clock.deadlineNanos(VALID_MILLIS)));
+        toldByEntry.put(frame.entry() + '\n' + frame.service(), new Told(frame, clock.deadlineNanos(VALID_MILLIS)));
     }
 
     /** Takes the time passed into account and tells the demand for the models of a service. */
@@ -56,9 +55,7 @@
             Smoothed state = smoothed.computeIfAbsent(model, name -> new Smoothed(clock.nowNanos()));
             state.update(inHand.getOrDefault(model, 0), passedMillis, clock.nowNanos());
             long idleMillis = (clock.nowNanos() - state.askedAtNanos) / Clock.NANOS_PER_MILLI;
-            demand.put(
-                    model,
-                    new EngineFleet.ModelDemand(state.requests, waiting.getOrDefault(model, 0), idleMillis));
+            demand.put(model, new EngineFleet.ModelDemand(state.requests, waiting.getOrDefault(model, 0), idleMillis));
         }
         return demand;
     }
--- a/gateway/src/main/java/org/arbutusstack/gateway/plan/ModelPlanner.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/plan/ModelPlanner.java
@@ -170,8 +170,7 @@
                 able.add(describe(runner, spec));
             }
         }
-        EngineFleet fleet =
-                new EngineFleet(models, able, demand.demand(service.name(), models.keySet()));
+        EngineFleet fleet = new EngineFleet(models, able, demand.demand(service.name(), models.keySet()));
         for (ModelMove move : planner.decide(fleet, pacer.available())) {
             give(move, fleet.demand().get(move.load()));
         }
@@ -190,10 +189,8 @@
         if (!loading.isEmpty()) {
             held.add(loading);
         }
-        double adapterMb = spec.models().stream()
-                .mapToDouble(EngineModel::adapterMb)
-                .max()
-                .orElse(0);
+        double adapterMb =
+                spec.models().stream().mapToDouble(EngineModel::adapterMb).max().orElse(0);
         boolean leaving = status.remainingMillis() >= 0;
         return new EngineFleet.Runner(
                 runner.entry().id(),
--- a/gateway/src/main/java/org/arbutusstack/gateway/plan/PlannerElection.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/plan/PlannerElection.java
@@ -153,8 +153,7 @@
             return;
         }
         byte[] value = identity.getBytes(StandardCharsets.UTF_8);
-        StoreResult<Long> written =
-                store.compareAndSwap(KEY, 0, value, lease.id(), clock.deadlineNanos(CALL_MILLIS));
+        StoreResult<Long> written = store.compareAndSwap(KEY, 0, value, lease.id(), clock.deadlineNanos(CALL_MILLIS));
         if (written instanceof StoreResult.Done<Long> done) {
             taken(done.value());
         } else if (written instanceof StoreResult.Conflict) {
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/EventBuffer.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/EventBuffer.java
@@ -47,8 +47,7 @@
     private static int endOfLastEvent(byte[] bytes) {
         for (int index = bytes.length - 1; index > 0; index--) {
             boolean blank = bytes[index] == '\n'
-                    && (bytes[index - 1] == '\n'
-                            || bytes[index - 1] == '\r' && index > 1 && bytes[index - 2] == '\n');
+                    && (bytes[index - 1] == '\n' || bytes[index - 1] == '\r' && index > 1 && bytes[index - 2] == '\n');
             if (blank) {
                 return index + 1;
             }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDesk.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDesk.java
@@ -128,10 +128,8 @@
     private void awaitModel(ActiveRequest active) {
         InboundRequest request = active.request();
         long loadMillis = modelWaits.remainingMillis(request, chooser.isBeingLoaded(request));
-        long patienceUntilNanos =
-                request.arrivedNanos() + request.route().patienceMillis() * Clock.NANOS_PER_MILLI;
-        long leftMillis = Math.min(
-                clock.millisUntil(patienceUntilNanos), clock.millisUntil(request.deadlineNanos()));
+        long patienceUntilNanos = request.arrivedNanos() + request.route().patienceMillis() * Clock.NANOS_PER_MILLI;
+        long leftMillis = Math.min(clock.millisUntil(patienceUntilNanos), clock.millisUntil(request.deadlineNanos()));
         if (loadMillis >= leftMillis) {
             modelWaits.sentAway(request);
             String detail = "no runner holds the model, and a load ends after the caller has left";
@@ -265,7 +263,8 @@
         if (attempt.head().claim() == AnswerClaim.NOT_HELD) {
             attempt.runner().holdsNo(active.request().model(), active.request().adapter());
         }
-        String detail = "the runner did not run it and answered with status " + attempt.head().status();
+        String detail = "the runner did not run it and answered with status "
+                + attempt.head().status();
         failed(active, Refusal.notRun(reason, detail));
     }
 
@@ -399,8 +398,9 @@
                 uses.merge(request.model(), new ModelUse(1, waits ? 1 : 0), ModelUse::plus);
             }
         }
-        modelWaits.expected(service).forEach((model, count) ->
-                uses.merge(model, new ModelUse(count, count), ModelUse::plus));
+        modelWaits
+                .expected(service)
+                .forEach((model, count) -> uses.merge(model, new ModelUse(count, count), ModelUse::plus));
         return uses;
     }
 
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RetryLimits.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RetryLimits.java
@@ -11,8 +11,7 @@
  * @param adapterMillis how long a runner may take to load an adapter before another one is asked
  * @param returnMillis when a refused caller may come back
  */
-public record RetryLimits(
-        int percentOfRequests, int reserve, int mostSends, long adapterMillis, long returnMillis) {
+public record RetryLimits(int percentOfRequests, int reserve, int mostSends, long adapterMillis, long returnMillis) {
 
     /** Ten times the longest load of an adapter that the users name, so that a queue of them counts as none lost. */
     private static final long ADAPTER_MILLIS = 300;
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/KnownRunner.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/KnownRunner.java
@@ -214,8 +214,7 @@
      */
     public RunnerView view() {
         int reported = hasStatus() ? status.queued() + status.running() + sentSinceStatus : outstanding;
-        return new RunnerView(
-                entry.id(), entry.service(), entry.zone(), models, adapters, reported, outstanding);
+        return new RunnerView(entry.id(), entry.service(), entry.zone(), models, adapters, reported, outstanding);
     }
 
     /**
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/RunnerTable.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/RunnerTable.java
@@ -128,7 +128,11 @@
         missingUntilNanos.remove(id);
         if (known != null) {
             known.goneForGood();
-            logger.info("event=runner-gone runner={} service={} cause={}", id, known.entry().service(), cause);
+            logger.info(
+                    "event=runner-gone runner={} service={} cause={}",
+                    id,
+                    known.entry().service(),
+                    cause);
         }
     }
 
@@ -138,7 +142,8 @@
             return;
         }
         List<String> overdue = new ArrayList<>();
-        Iterator<Map.Entry<String, Long>> iterator = missingUntilNanos.entrySet().iterator();
+        Iterator<Map.Entry<String, Long>> iterator =
+                missingUntilNanos.entrySet().iterator();
         while (iterator.hasNext()) {
             Map.Entry<String, Long> missing = iterator.next();
             if (clock.isPast(missing.getValue())) {
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/SideLinks.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/SideLinks.java
@@ -98,7 +98,10 @@
                 needed.add(runner.entry().address().address());
             }
         }
-        sidesByHost.entrySet().removeIf(side -> !needed.contains(side.getKey()) && side.getValue().close());
+        sidesByHost
+                .entrySet()
+                .removeIf(side ->
+                        !needed.contains(side.getKey()) && side.getValue().close());
         for (String host : needed) {
             sidesByHost.computeIfAbsent(host, Side::new).tick();
         }
@@ -161,8 +164,7 @@
         }
 
         private void tick() {
-            boolean silent = link != null
-                    && clock.isPast(link.heardAtNanos() + SILENCE_MILLIS * Clock.NANOS_PER_MILLI);
+            boolean silent = link != null && clock.isPast(link.heardAtNanos() + SILENCE_MILLIS * Clock.NANOS_PER_MILLI);
             if (silent) {
                 logger.warn("event=side-silent host={}", host);
                 link.close();
@@ -174,7 +176,8 @@
         }
 
         private void tell(KnownRunner runner, EngineSpec spec) {
-            String wanted = config.version() + "/" + runner.entry().id() + "/" + runner.entry().startedAtMillis();
+            String wanted = config.version() + "/" + runner.entry().id() + "/"
+                    + runner.entry().startedAtMillis();
             if (open && !wanted.equals(told) && link.send(catalogOf(runner, spec))) {
                 told = wanted;
             }
--- /dev/null
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/DeskHarness.java
@@ -0,0 +1,106 @@
+package org.arbutusstack.gateway.request;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.arbutusstack.gateway.config.Route;
+import org.arbutusstack.gateway.config.RouteKind;
+import org.arbutusstack.gateway.runner.RunnerEntry;
+import org.arbutusstack.gateway.runner.RunnerTable;
+import org.arbutusstack.http.client.HttpTarget;
+import org.arbutusstack.kernel.time.ManualClock;
+
+/** Runs a desk between fake callers and fake runners on a manual clock. */
+final class DeskHarness {
+
+    static final String PLAIN = "orderdesk";
+
+    static final String ENGINE = "stitch-lm";
+
+    private static final long TIMEOUT_MILLIS = 1_000;
+
+    final ManualClock clock = new ManualClock(1_000_000_000L);
+
+    final RunnerTable table = new RunnerTable(clock);
+
+    final FakeRunners runners = new FakeRunners();
+
+    final RequestDesk desk;
+
+    private int number;
+
+    DeskHarness() {
+        this(RetryLimits.ofFleet(1, 160));
+    }
+
+    DeskHarness(RetryLimits limits) {
+        desk = RequestDesks.create(
+                table, runners, FakeCaller.PORT, "regina", clock, limits, new GatewayMetrics(new PrometheusRegistry()));
+    }
+
+    RunnerEntry runner(String id, String service, String... models) {
+        RunnerEntry entry = new RunnerEntry(
+                id, service, new HttpTarget("10.0.0." + (table.all().size() + 1), 80), "regina", 1, 8, false, Map.of());
+        if (models.length > 0) {
+            Map<String, Set<String>> held = new java.util.HashMap<>();
+            for (String model : models) {
+                held.put(model, Set.of());
+            }
+            entry = new RunnerEntry(id, service, entry.address(), entry.zone(), 1, 8, false, held);
+        }
+        table.put(entry);
+        return entry;
+    }
+
+    static Route route(RouteKind kind, String service, int mostAttempts, boolean resumable) {
+        return new Route(
+                "r",
+                "h",
+                "/p/",
+                kind,
+                TIMEOUT_MILLIS,
+                100,
+                100,
+                1,
+                List.of(new Route.WeightedService(service, 1)),
+                mostAttempts,
+                false,
+                resumable);
+    }
+
+    FakeCaller send(RouteKind kind, boolean resumable) {
+        return send(route(kind, PLAIN, 2, resumable), "");
+    }
+
+    FakeCaller send(Route route, String model) {
+        number++;
+        FakeCaller caller = new FakeCaller();
+        desk.arrived(
+                new InboundRequest(
+                        "q" + number,
+                        "POST",
+                        "/p/x",
+                        Map.of(),
+                        new byte[0],
+                        route,
+                        route.serviceFor(0),
+                        model,
+                        "",
+                        100,
+                        10,
+                        0,
+                        clock.nowNanos(),
+                        clock.deadlineNanos(route.timeoutMillis())),
+                caller);
+        return caller;
+    }
+
+    /** Earns retries by requests that are answered at once. */
+    void earnRetries(int count) {
+        for (int index = 0; index < count; index++) {
+            send(RouteKind.SAFE, false);
+            runners.last().answer(200, AnswerClaim.ATTESTED, "ok");
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/FakeCaller.java
@@ -0,0 +1,81 @@
+package org.arbutusstack.gateway.request;
+
+import java.nio.charset.StandardCharsets;
+import org.arbutusstack.http.server.ResponseSink;
+import org.arbutusstack.model.request.Refusal;
+
+/** Takes the answer to one request. */
+final class FakeCaller implements ResponseSink {
+
+    final StringBuilder body = new StringBuilder();
+
+    Refusal refusal;
+
+    long retryAfterMillis;
+
+    int status;
+
+    boolean ended;
+
+    boolean aborted;
+
+    private Runnable closeTask;
+
+    /** Writes answers and refusals to fake callers. */
+    static final CallerPort PORT = new CallerPort() {
+        @Override
+        public void refuse(ResponseSink response, String requestId, Refusal refusal, long retryAfterMillis) {
+            FakeCaller caller = (FakeCaller) response;
+            caller.refusal = refusal;
+            caller.retryAfterMillis = retryAfterMillis;
+        }
+
+        @Override
+        public void open(ResponseSink response, AnswerHead head, long lengthBytes) {
+            ((FakeCaller) response).status = head.status();
+        }
+    };
+
+    @Override
+    public void head(int answered, String contentType) {
+        status = answered;
+    }
+
+    @Override
+    public void header(String name, String value) {}
+
+    @Override
+    public boolean write(byte[] bytes) {
+        body.append(new String(bytes, StandardCharsets.UTF_8));
+        return true;
+    }
+
+    @Override
+    public void end() {
+        ended = true;
+    }
+
+    @Override
+    public void abort() {
+        aborted = true;
+    }
+
+    @Override
+    public boolean isClosed() {
+        return ended || aborted;
+    }
+
+    @Override
+    public void onClose(Runnable task) {
+        closeTask = task;
+    }
+
+    void leave() {
+        closeTask.run();
+    }
+
+    /** Tells whether anything was said to the caller. */
+    boolean isAnswered() {
+        return refusal != null || ended || aborted;
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/RequestDeskTests.java
@@ -0,0 +1,223 @@
+package org.arbutusstack.gateway.request;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+import org.arbutusstack.gateway.config.RouteKind;
+import org.arbutusstack.model.request.RefusalKind;
+import org.arbutusstack.model.request.RefusalReason;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests what becomes of requests whose attempts fail in each way. */
+public class RequestDeskTests {
+
+    private static DeskHarness plainHarness() {
+        DeskHarness harness = new DeskHarness();
+        harness.runner("a", DeskHarness.PLAIN);
+        harness.runner("b", DeskHarness.PLAIN);
+        harness.earnRetries(4);
+        return harness;
+    }
+
+    @Test
+    public void shouldPassAnswerOnWhenAttested() {
+        DeskHarness harness = plainHarness();
+        FakeCaller caller = harness.send(RouteKind.UNSAFE, false);
+        harness.runners.last().answer(200, AnswerClaim.ATTESTED, "done");
+        assertEquals(caller.body.toString(), "done");
+        assertTrue(caller.ended);
+        assertEquals(harness.desk.size(), 0);
+    }
+
+    @Test
+    public void shouldNotSendAgainWhenUnsafeRequestMayHaveRun() {
+        DeskHarness harness = plainHarness();
+        FakeCaller caller = harness.send(RouteKind.UNSAFE, false);
+        int sends = harness.runners.sent.size();
+        harness.runners.last().broken(true);
+        assertEquals(harness.runners.sent.size(), sends);
+        assertEquals(caller.refusal.kind(), RefusalKind.OUTCOME_UNKNOWN);
+    }
+
+    @Test
+    public void shouldSendAgainWhenNoByteWasSent() {
+        DeskHarness harness = plainHarness();
+        FakeCaller caller = harness.send(RouteKind.UNSAFE, false);
+        String first = harness.runners.last().runner.id();
+        harness.runners.last().broken(false);
+        assertNotEquals(harness.runners.last().runner.id(), first);
+        harness.runners.last().answer(200, AnswerClaim.ATTESTED, "done");
+        assertEquals(caller.body.toString(), "done");
+    }
+
+    @Test
+    public void shouldPromiseNotRunOnlyWhenEachRunnerSaidSo() {
+        DeskHarness harness = plainHarness();
+        FakeCaller caller = harness.send(RouteKind.UNSAFE, false);
+        while (!caller.isAnswered()) {
+            harness.runners.last().answer(503, AnswerClaim.NOT_RUN, "");
+        }
+        assertEquals(caller.refusal.kind(), RefusalKind.NOT_RUN);
+    }
+
+    @Test
+    public void shouldNotPromiseNotRunWhenEarlierAttemptMayHaveRun() {
+        DeskHarness harness = plainHarness();
+        FakeCaller caller = harness.send(RouteKind.SAFE, false);
+        harness.runners.last().broken(true);
+        while (!caller.isAnswered()) {
+            harness.runners.last().answer(503, AnswerClaim.NOT_RUN, "");
+        }
+        assertEquals(caller.refusal.kind(), RefusalKind.OUTCOME_UNKNOWN);
+    }
+
+    @Test
+    public void shouldAnswerNobodyWithAnUnattestedAnswer() {
+        DeskHarness harness = plainHarness();
+        FakeCaller caller = harness.send(RouteKind.UNSAFE, false);
+        FakeRunners.Sent stray = harness.runners.last();
+        stray.head(200, AnswerClaim.UNATTESTED, false);
+        assertTrue(stray.cancelled);
+        stray.bytes("other");
+        stray.end();
+        assertEquals(caller.refusal.kind(), RefusalKind.OUTCOME_UNKNOWN);
+        assertEquals(caller.body.length(), 0);
+    }
+
+    @Test
+    public void shouldForgetIncarnationWhenAnotherAnswers() {
+        DeskHarness harness = plainHarness();
+        harness.send(RouteKind.UNSAFE, false);
+        String replaced = harness.runners.last().runner.id();
+        harness.runners.last().answer(421, AnswerClaim.OTHER_INCARNATION, "");
+        assertTrue(harness.runners.forgotten.contains(replaced));
+        for (int index = 0; index < 10; index++) {
+            harness.send(RouteKind.UNSAFE, false);
+            assertNotEquals(harness.runners.last().runner.id(), replaced);
+        }
+    }
+
+    @Test
+    public void shouldPassFailureOnWhenSafeRequestFailsTwice() {
+        DeskHarness harness = plainHarness();
+        FakeCaller caller = harness.send(RouteKind.SAFE, false);
+        harness.runners.last().answer(500, AnswerClaim.ATTESTED, "first");
+        assertFalse(caller.isAnswered());
+        harness.runners.last().answer(500, AnswerClaim.ATTESTED, "second");
+        assertEquals(caller.status, 500);
+        assertEquals(caller.body.toString(), "second");
+    }
+
+    @Test
+    public void shouldSayLateWhenDeadlinePassesAfterSending() {
+        DeskHarness harness = plainHarness();
+        FakeCaller caller = harness.send(RouteKind.UNSAFE, false);
+        harness.clock.advanceMillis(1_001);
+        harness.desk.tick();
+        assertEquals(caller.refusal.kind(), RefusalKind.OUTCOME_UNKNOWN);
+        assertEquals(caller.refusal.reason(), RefusalReason.DEADLINE_PASSED);
+        assertTrue(harness.runners.last().cancelled);
+    }
+
+    @DataProvider
+    public Object[][] leavers() {
+        return new Object[][] {{RouteKind.SAFE, true}, {RouteKind.STREAMING, true}, {RouteKind.UNSAFE, false}};
+    }
+
+    @Test(dataProvider = "leavers")
+    public void shouldCancelOnlyWhatNeedNotFinishWhenCallerLeaves(RouteKind kind, boolean cancelled) {
+        DeskHarness harness = plainHarness();
+        FakeCaller caller = harness.send(kind, false);
+        caller.leave();
+        assertEquals(harness.runners.last().cancelled, cancelled);
+        assertEquals(harness.desk.size(), 0);
+        harness.runners.last().answer(200, AnswerClaim.ATTESTED, "late");
+        assertFalse(caller.isAnswered());
+    }
+
+    @Test
+    public void shouldPassWholeEventsOnAsTheyCome() {
+        DeskHarness harness = plainHarness();
+        FakeCaller caller = harness.send(RouteKind.STREAMING, false);
+        harness.runners.last().head(200, AnswerClaim.ATTESTED, true);
+        harness.runners.last().bytes("id: 1\ndata: a\n\nid: 2\nda");
+        assertEquals(caller.body.toString(), "id: 1\ndata: a\n\n");
+        harness.runners.last().bytes("ta: b\n\n");
+        harness.runners.last().end();
+        assertEquals(caller.body.toString(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+        assertTrue(caller.ended);
+    }
+
+    @Test
+    public void shouldResumeAtLastWholeEventWhenStreamBreaks() {
+        DeskHarness harness = plainHarness();
+        FakeCaller caller = harness.send(RouteKind.STREAMING, true);
+        harness.runners.last().head(200, AnswerClaim.ATTESTED, true);
+        harness.runners.last().bytes("id: 1\ndata: a\n\nid: 2\nda");
+        harness.runners.last().broken(true);
+        assertEquals(harness.runners.last().lastEventId, "1");
+        harness.runners.last().head(200, AnswerClaim.ATTESTED, true);
+        harness.runners.last().bytes("id: 2\ndata: b\n\n");
+        harness.runners.last().end();
+        assertEquals(caller.body.toString(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+        assertTrue(caller.ended);
+    }
+
+    @Test
+    public void shouldBreakOffWhenStreamMayNotBeResumed() {
+        DeskHarness harness = plainHarness();
+        FakeCaller caller = harness.send(RouteKind.STREAMING, false);
+        harness.runners.last().head(200, AnswerClaim.ATTESTED, true);
+        harness.runners.last().bytes("id: 1\ndata: a\n\n");
+        harness.runners.last().broken(true);
+        assertTrue(caller.aborted);
+        assertFalse(caller.ended);
+    }
+
+    @Test
+    public void shouldNotLookCompleteWhenUnframedStreamEndsWithinAnEvent() {
+        DeskHarness harness = plainHarness();
+        FakeCaller caller = harness.send(RouteKind.STREAMING, false);
+        harness.runners.last().unframedHead();
+        harness.runners.last().bytes("id: 1\ndata: a\n\nid: 2\nda");
+        harness.runners.last().end();
+        assertTrue(caller.aborted);
+        assertFalse(caller.ended);
+    }
+
+    @Test
+    public void shouldSpendNoRetryWhenNoneWasEarned() {
+        DeskHarness harness = new DeskHarness(new RetryLimits(0, 1, 3, 300, 700));
+        harness.runner("a", DeskHarness.PLAIN);
+        harness.runner("b", DeskHarness.PLAIN);
+        FakeCaller caller = harness.send(RouteKind.SAFE, false);
+        harness.runners.last().answer(503, AnswerClaim.NOT_RUN, "");
+        assertEquals(caller.refusal.kind(), RefusalKind.NOT_RUN);
+        assertEquals(harness.runners.sent.size(), 1);
+    }
+
+    @Test
+    public void shouldRefuseAtOnceWhenLoadEndsAfterCallerHasLeft() {
+        DeskHarness harness = new DeskHarness();
+        harness.runner("a", DeskHarness.ENGINE, "held");
+        FakeCaller caller =
+                harness.send(DeskHarness.route(RouteKind.STREAMING, DeskHarness.ENGINE, 1, false), "missing");
+        assertEquals(caller.refusal.kind(), RefusalKind.NOT_RUN);
+        assertTrue(caller.retryAfterMillis > 0);
+        assertEquals(harness.desk.modelUse(DeskHarness.ENGINE).get("missing").waiting(), 1);
+    }
+
+    @Test
+    public void shouldSendToHolderOfTheModel() {
+        DeskHarness harness = new DeskHarness();
+        harness.runner("a", DeskHarness.ENGINE, "m1");
+        harness.runner("b", DeskHarness.ENGINE, "m2");
+        FakeCaller caller = harness.send(DeskHarness.route(RouteKind.STREAMING, DeskHarness.ENGINE, 1, false), "m2");
+        assertEquals(harness.runners.last().runner.id(), "b");
+        assertNull(caller.refusal);
+    }
+}
--- a/placement/src/main/java/org/arbutusstack/placement/FleetPlanner.java
+++ b/placement/src/main/java/org/arbutusstack/placement/FleetPlanner.java
@@ -31,9 +31,15 @@
     /** The price of giving up the last copy of a model long idle, in requests; twice that once it is idle as long. */
     private static final double LAST_COPY_PRICE = 4;
 
+    /** An unload waits for the requests that run, while the model that makes room for is missing. */
+    private static final double DRAIN_PRICE = 6;
+
     /** Fewer requests than this in hand, smoothed, are what is left of earlier ones. */
     private static final double NEGLIGIBLE_REQUESTS = 0.3;
 
+    /** The price of any unload, so that free room goes first, in requests. */
+    private static final double UNLOAD_PRICE = 0.5;
+
     /** What one more request at a runner adds to the price of loading there, in requests. */
     private static final double BUSYNESS_PRICE = 0.02;
 
@@ -100,7 +106,8 @@
         Candidate best = null;
         for (EngineFleet.Runner runner : board.fleet.runners()) {
             Candidate candidate = candidate(board, runner, model);
-            boolean permitted = candidate != null && candidate.price() < gain
+            boolean permitted = candidate != null
+                    && candidate.price() < gain
                     && (mayUseStore || !candidate.move().fromStore());
             if (permitted && (best == null || candidate.price() < best.price())) {
                 best = candidate;
@@ -129,7 +136,7 @@
                 continue;
             }
             victims.add(victim);
-            price += victimPrice;
+            price += victimPrice + UNLOAD_PRICE;
             missingMb -= board.fleet.models().get(victim).memoryMb();
         }
         if (missingMb > 0) {
@@ -146,7 +153,8 @@
         int copies = board.copiesOf(model);
         if (copies > 1) {
             boolean needed = demand.requests() > (copies - 1) * requestsPerCopy;
-            return needed ? Double.MAX_VALUE : demand.requests() / copies;
+            double share = demand.requests() / copies;
+            return needed ? Double.MAX_VALUE : share + (share < NEGLIGIBLE_REQUESTS ? 0 : DRAIN_PRICE);
         }
         boolean asked = demand.waiting() > 0 || demand.requests() >= NEGLIGIBLE_REQUESTS;
         return asked ? Double.MAX_VALUE : LAST_COPY_PRICE * (1 + idleMillis / (1.0 + demand.idleMillis()));
--- /dev/null
+++ b/placement/src/test/java/org/arbutusstack/placement/FleetPlannerTests.java
@@ -0,0 +1,90 @@
+package org.arbutusstack.placement;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.testng.annotations.Test;
+
+/** Tests which engine loads what when models want more room than there is. */
+public class FleetPlannerTests {
+
+    private static final long LONG_IDLE_MILLIS = 60_000;
+
+    private static final Map<String, EngineFleet.Model> MODELS =
+            Map.of("a", model("a"), "b", model("b"), "c", model("c"), "d", model("d"), "e", model("e"));
+
+    private final FleetPlanner planner = new FleetPlanner(12, 4_000);
+
+    private static EngineFleet.Model model(String name) {
+        return new EngineFleet.Model(name, 70);
+    }
+
+    private static EngineFleet.Runner runner(String name, boolean busy, String... held) {
+        return new EngineFleet.Runner(name, "z", 230, 8, Set.of(held), busy, 0, Map.of());
+    }
+
+    private static EngineFleet.ModelDemand asked(double requests, int waiting) {
+        return new EngineFleet.ModelDemand(requests, waiting, 0);
+    }
+
+    private static EngineFleet.ModelDemand idle(long idleMillis) {
+        return new EngineFleet.ModelDemand(0, 0, idleMillis);
+    }
+
+    private List<ModelMove> decide(List<EngineFleet.Runner> runners, Map<String, EngineFleet.ModelDemand> demand) {
+        return planner.decide(new EngineFleet(MODELS, runners, demand), 3);
+    }
+
+    @Test
+    public void shouldLoadMissingModelWhereRoomIs() {
+        List<ModelMove> moves =
+                decide(List.of(runner("r1", false, "a", "b", "c"), runner("r2", false, "a")), Map.of("d", asked(1, 1)));
+        assertEquals(moves, List.of(new ModelMove("r2", "d", List.of(), true)));
+    }
+
+    @Test
+    public void shouldMoveNothingWhenNobodyWaitsAndCopiesSuffice() {
+        assertTrue(decide(List.of(runner("r1", false, "a", "b")), Map.of("a", asked(14, 0)))
+                .isEmpty());
+    }
+
+    @Test
+    public void shouldTakeRoomOfTheModelIdleForLongestWhenNoneIsSpare() {
+        Map<String, EngineFleet.ModelDemand> demand =
+                Map.of("a", asked(5, 0), "b", idle(1_000), "c", idle(LONG_IDLE_MILLIS), "d", asked(0, 3));
+        List<ModelMove> moves = decide(List.of(runner("r1", false, "a", "b", "c")), demand);
+        assertEquals(moves, List.of(new ModelMove("r1", "d", List.of("c"), true)));
+    }
+
+    @Test
+    public void shouldNeverTakeLastCopyOfAModelInUse() {
+        Map<String, EngineFleet.ModelDemand> demand =
+                Map.of("a", asked(5, 0), "b", asked(1, 0), "c", asked(2, 0), "d", asked(9, 9));
+        assertTrue(decide(List.of(runner("r1", false, "a", "b", "c")), demand).isEmpty());
+    }
+
+    @Test
+    public void shouldAddCopyWhenCopiesAreCrowded() {
+        Map<String, EngineFleet.ModelDemand> demand = Map.of("a", asked(40, 0), "b", idle(LONG_IDLE_MILLIS));
+        List<ModelMove> moves = decide(List.of(runner("r1", false, "a"), runner("r2", false, "b", "c", "d")), demand);
+        assertEquals(moves.get(0).load(), "a");
+    }
+
+    /** Replays a shift of demand: unloading a busy copy holds up the load until its requests have ended. */
+    @Test
+    public void shouldRatherTakeIdleModelThanBusySpareCopy() {
+        Map<String, EngineFleet.ModelDemand> demand =
+                Map.of("a", asked(10, 0), "b", idle(LONG_IDLE_MILLIS), "c", asked(2, 0), "d", asked(0, 4));
+        List<ModelMove> moves = decide(List.of(runner("r1", false, "a", "b", "c"), runner("r2", true, "a")), demand);
+        assertEquals(moves, List.of(new ModelMove("r1", "d", List.of("b"), true)));
+    }
+
+    @Test
+    public void shouldWaitWhenTheWeightStoreIsAtItsRate() {
+        EngineFleet fleet = new EngineFleet(MODELS, List.of(runner("r1", false, "a")), Map.of("d", asked(0, 1)));
+        assertTrue(planner.decide(fleet, 0).isEmpty());
+    }
+}
--- a/store/src/main/java/org/arbutusstack/store/PrefixFollower.java
+++ b/store/src/main/java/org/arbutusstack/store/PrefixFollower.java
@@ -57,8 +57,7 @@
      * @param listener is kept up to date
      * @param clock the clock of the process
      */
-    public PrefixFollower(
-            PrefixReader reader, String prefix, long gatherMillis, PrefixListener listener, Clock clock) {
+    public PrefixFollower(PrefixReader reader, String prefix, long gatherMillis, PrefixListener listener, Clock clock) {
         this.reader = Assert.notNull(reader, "reader");
         this.prefix = Assert.notNull(prefix, "prefix");
         this.gatherMillis = Assert.atLeast(gatherMillis, 0, "gatherMillis");
@@ -119,8 +118,8 @@
     }
 
     private boolean follow() {
-        StoreResult<PrefixChanges> result = reader.changesAfter(
-                prefix, revision, WAIT_MILLIS, clock.deadlineNanos(WAIT_MILLIS + SLACK_MILLIS));
+        StoreResult<PrefixChanges> result =
+                reader.changesAfter(prefix, revision, WAIT_MILLIS, clock.deadlineNanos(WAIT_MILLIS + SLACK_MILLIS));
         if (!(result instanceof StoreResult.Done<PrefixChanges> done)) {
             lost(result);
             return false;
--- a/wire/src/main/java/org/arbutusstack/wire/frame/ModelDemandFrame.java
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/ModelDemandFrame.java
@@ -13,8 +13,8 @@
  * @param inHand the requests in hand by model
  * @param waiting those of them that wait for a runner that holds the model
  */
-public record ModelDemandFrame(
-        String entry, String service, Map<String, Integer> inHand, Map<String, Integer> waiting) implements Frame {
+public record ModelDemandFrame(String entry, String service, Map<String, Integer> inHand, Map<String, Integer> waiting)
+        implements Frame {
 
     /** Copies the maps. */
     public ModelDemandFrame {
