--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDesk.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDesk.java
@@ -47,6 +47,8 @@
 
     private boolean tickHasWork;
 
+    private boolean leaving;
+
     /**
      * Creates a desk.
      *
@@ -112,6 +114,10 @@
             return;
         }
         RunnerChooser.Choice choice = chooser.choose(active);
+        if (leaving && !(choice instanceof RunnerChooser.Choice.Send)) {
+            refuse(active, leavingRefusal(), 0);
+            return;
+        }
         if (choice instanceof RunnerChooser.Choice.Send send) {
             send(active, send.runner());
         } else if (choice instanceof RunnerChooser.Choice.AwaitAdapter await) {
@@ -341,6 +347,32 @@
         end(active, "caller-gone");
     }
 
+    /** Refuses what waits and takes no more of it, since this entry is leaving and others can serve it. */
+    public void leave() {
+        leaving = true;
+        for (ActiveRequest active : new ArrayList<>(inHand)) {
+            if (active.attempt() == null) {
+                refuse(active, leavingRefusal(), 0);
+            }
+        }
+    }
+
+    private static Refusal leavingRefusal() {
+        return Refusal.notRun(RefusalReason.LEAVING, "this entry is leaving");
+    }
+
+    /** Ends all that is still in hand, so that each caller is told before the process ends. */
+    public void endAll() {
+        for (ActiveRequest active : new ArrayList<>(inHand)) {
+            if (active.attempt() != null) {
+                active.attempt().cancel();
+                String detail = "this entry had to end before the answer";
+                active.attemptEnded(Refusal.outcomeUnknown(RefusalReason.LEAVING, detail));
+            }
+            refuse(active, active.lastRefusal() == null ? leavingRefusal() : active.lastRefusal(), 0);
+        }
+    }
+
     /** Ends what is past its deadline and looks again after what waits. */
     public void tick() {
         int waitingCount = 0;
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
@@ -112,7 +112,7 @@
         List<KnownRunner> fresh = new ArrayList<>(able);
         fresh.removeIf(runner -> active.avoids(runner.entry().id()));
         List<KnownRunner> sound = new ArrayList<>(fresh);
-        sound.removeIf(runner -> runner.health().isDoubtful(clock.nowNanos()));
+        sound.removeIf(runner -> runner.health().isDoubtful(clock.nowNanos()) || runner.isSideSilent());
         if (!sound.isEmpty()) {
             return sound;
         }
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/KnownRunner.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/KnownRunner.java
@@ -16,8 +16,8 @@
  */
 public final class KnownRunner {
 
-    /** How long a status counts: five of the side's periods, so that a few lost ones change nothing. */
-    private static final long STATUS_MILLIS = 1_500;
+    /** How long a status counts: over three of the side's periods, so that a few lost ones change nothing. */
+    private static final long STATUS_MILLIS = 1_000;
 
     private final Clock clock;
 
@@ -125,6 +125,15 @@
         return status != null && !clock.isPast(statusUntilNanos);
     }
 
+    /**
+     * Tells whether the process beside the runner has fallen silent, which may be the fate of the whole host.
+     *
+     * @return whether a status came once and none has come of late
+     */
+    public boolean isSideSilent() {
+        return status != null && !hasStatus();
+    }
+
     /**
      * Tells the last status.
      *
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/RequestDeskTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/RequestDeskTests.java
@@ -6,6 +6,8 @@
 import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 
+import java.util.List;
+import org.arbutusstack.gateway.config.Route;
 import org.arbutusstack.gateway.config.RouteKind;
 import org.arbutusstack.model.request.RefusalKind;
 import org.arbutusstack.model.request.RefusalReason;
@@ -220,4 +222,32 @@
         assertEquals(harness.runners.last().runner.id(), "b");
         assertNull(caller.refusal);
     }
+
+    @Test
+    public void shouldTellEachCallerBeforeTheProcessEnds() {
+        DeskHarness harness = plainHarness();
+        harness.runner("e", DeskHarness.ENGINE, "held");
+        Route slow = new Route(
+                "r",
+                "h",
+                "/p/",
+                RouteKind.STREAMING,
+                20_000,
+                2_000,
+                300,
+                1,
+                List.of(new Route.WeightedService(DeskHarness.ENGINE, 1)),
+                1,
+                false,
+                false);
+        FakeCaller waiting = harness.send(slow, "missing");
+        FakeCaller sent = harness.send(RouteKind.UNSAFE, false);
+        assertFalse(waiting.isAnswered());
+        harness.desk.leave();
+        assertEquals(waiting.refusal.kind(), RefusalKind.NOT_RUN);
+        assertFalse(sent.isAnswered());
+        harness.desk.endAll();
+        assertEquals(sent.refusal.kind(), RefusalKind.OUTCOME_UNKNOWN);
+        assertEquals(harness.desk.size(), 0);
+    }
 }
--- a/http/src/main/java/org/arbutusstack/http/client/UndertowExchange.java
+++ b/http/src/main/java/org/arbutusstack/http/client/UndertowExchange.java
@@ -15,9 +15,12 @@
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
+import org.xnio.Options;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioWorker;
 import org.xnio.channels.StreamSinkChannel;
@@ -30,6 +33,8 @@
  */
 final class UndertowExchange implements HttpClient.Cancellable {
 
+    private static final Logger logger = LoggerFactory.getLogger(UndertowExchange.class);
+
     private static final int READ_BYTES = 8_192;
 
     private static final long MILLIS_PER_SECOND = 1_000;
@@ -264,12 +269,25 @@
         if (ended.compareAndSet(false, true)) {
             cancel(expiry);
             cancel(connectExpiry);
-            IoUtils.safeClose(connection);
+            reset(connection);
             String message = what + ": " + call.method() + " " + call.path() + " at " + target;
             listener.onFailure(new HttpException(message, maybeSent, cause));
         }
     }
 
+    /** Closes by a reset, so that a server which was frozen or cut off does not read the request afterwards. */
+    private static void reset(ClientConnection open) {
+        if (open == null) {
+            return;
+        }
+        try {
+            open.setOption(Options.CLOSE_ABORT, true);
+        } catch (IOException | IllegalArgumentException unsupported) {
+            logger.debug("event=close-abort-unavailable detail={}", unsupported.getMessage());
+        }
+        IoUtils.safeClose(open);
+    }
+
     @Override
     public void cancel() {
         fail("Was cancelled", null);
