--- a/daemon/src/main/java/org/arbutusstack/daemon/ArbutusDaemon.java
+++ b/daemon/src/main/java/org/arbutusstack/daemon/ArbutusDaemon.java
@@ -1,6 +1,7 @@
 package org.arbutusstack.daemon;
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.IOException;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
@@ -53,6 +54,10 @@
      * @throws InterruptedException if the main thread is interrupted
      */
     public static void main(String[] arguments) throws InterruptedException {
+        if (arguments.length == 1 && Rehearsal.COMMAND.equals(arguments[0])) {
+            rehearse();
+            return;
+        }
         Optional<PlatformCommand> platform = PlatformCommand.find(arguments, System.getenv());
         if (platform.isPresent()) {
             platform.get().run();
@@ -68,6 +73,16 @@
         }
     }
 
+    private static void rehearse() throws InterruptedException {
+        try {
+            Rehearsal.run();
+            System.exit(0);
+        } catch (IOException | IllegalStateException failure) {
+            logger.error("event=rehearsal-failed", failure);
+            System.exit(START_EXIT_CODE);
+        }
+    }
+
     private static void fail(List<String> mistakes) {
         mistakes.forEach(mistake -> System.err.println("arbutusd: " + mistake));
         System.exit(SETTINGS_EXIT_CODE);
--- a/gateway/src/main/java/org/arbutusstack/gateway/attend/OrderDesk.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/attend/OrderDesk.java
@@ -255,7 +255,7 @@
 
     private long lateAdapters(RunnerReading reading) {
         return lateOrders.stream()
-                .filter(late -> late.order().isForAdapter() && late.isOfEarlierIncarnation(reading))
+                .filter(late -> late.order().isForAdapter() && late.mayMeet(reading, catalog.runnerId()))
                 .count();
     }
 
@@ -280,7 +280,7 @@
         boolean uncounted = !loading.isEmpty() && !reading.holds(loading);
         usedMb += uncounted ? catalog.modelMb().getOrDefault(loading, 0) : 0;
         for (LateOrder late : lateOrders) {
-            usedMb += late.isOfEarlierIncarnation(reading) ? late.sizeMb() : 0;
+            usedMb += late.mayMeet(reading, catalog.runnerId()) ? late.sizeMb() : 0;
         }
         return catalog.memoryMb() - usedMb;
     }
@@ -291,8 +291,9 @@
      */
     private record LateOrder(long startedAtMillis, RunnerOrder order, int sizeMb, long untilNanos) {
 
-        boolean isOfEarlierIncarnation(RunnerReading reading) {
-            return startedAtMillis != reading.startedAtMillis();
+        boolean mayMeet(RunnerReading reading, String runnerId) {
+            return startedAtMillis != reading.startedAtMillis()
+                    && order.runnerId().equals(runnerId);
         }
     }
 }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/DecisionLog.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/DecisionLog.java
@@ -77,8 +77,19 @@
     }
 
     void callerGone(ActiveRequest active) {
-        if (logger.isDebugEnabled()) {
-            logger.debug("event=caller-gone {}", describe(active));
+        if (throttle.admits()) {
+            KnownRunner runner = active.attempt() == null
+                    ? active.adapterRunner()
+                    : active.attempt().runner();
+            long heldMillis = (clock.nowNanos() - active.request().arrivedNanos()) / Clock.NANOS_PER_MILLI;
+            logger.info(
+                    "event=caller-gone {} {} sent={} opened={} events={} held_ms={}",
+                    describe(active),
+                    stateOf(runner),
+                    active.attempt() != null,
+                    active.isOpened(),
+                    active.events().events(),
+                    heldMillis);
         }
     }
 }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
@@ -52,7 +52,8 @@
 
     Choice choose(ActiveRequest active) {
         InboundRequest request = active.request();
-        List<KnownRunner> able = runners.takingWork(request.service());
+        List<KnownRunner> able = new ArrayList<>(runners.takingWork(request.service()));
+        able.removeIf(runner -> runner.health().isUnreachable(clock.nowNanos()));
         if (able.isEmpty()) {
             return new Choice.NoRunner();
         }
--- a/gateway/src/test/java/org/arbutusstack/gateway/attend/OrderDeskTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/attend/OrderDeskTests.java
@@ -99,6 +99,34 @@
         assertEquals(desk.next(reading(1, false, room)), Optional.of(new RunnerOrder(true, "m3", "", 1, "i-1")));
     }
 
+    /** Replays a runner that came back empty under another identifier while orders to the former one were lost. */
+    @Test
+    public void shouldKeepNoRoomForOrdersToAnotherIdentifier() {
+        OrderDesk desk = desk();
+        desk.modelOrdered(new ModelOrderFrame(7, 1, 1, 9_000, "m3", List.of()));
+        RunnerReading former = reading(0, false, Map.of());
+        desk.ordered(desk.next(former).orElseThrow(), OrderOutcome.UNKNOWN, former);
+        EngineCatalogFrame same = catalog(1);
+        desk.catalog(new EngineCatalogFrame(1, "i-2", 2, MEMORY_MB, ADAPTER_SLOTS, same.modelMb(), same.adapterMb()));
+        RunnerReading next = new RunnerReading(
+                2,
+                0,
+                false,
+                -1,
+                false,
+                0,
+                0,
+                0,
+                1,
+                Map.of("m0", 1L, "m1", 1L),
+                Map.of(),
+                List.of(),
+                Set.of(),
+                Set.of());
+        desk.modelOrdered(new ModelOrderFrame(7, 2, 2, 9_000, "m4", List.of()));
+        assertEquals(desk.next(next), Optional.of(new RunnerOrder(true, "m4", "", 0, "i-2")));
+    }
+
     /** Loses, delays and repeats orders, restarts the runner under its old identifier, and asks for far too much. */
     @Test
     public void shouldNeverOvercommitWhenOrdersAreLostOrLate() {
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/RequestDeskTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/RequestDeskTests.java
@@ -250,4 +250,20 @@
         assertEquals(sent.refusal.kind(), RefusalKind.OUTCOME_UNKNOWN);
         assertEquals(harness.desk.size(), 0);
     }
+
+    /** Replays a crash of the only runner that holds a model: each request tried it again and again at once. */
+    @Test
+    public void shouldNotHammerTheOnlyHolderWhenItCannotBeReached() {
+        DeskHarness harness = new DeskHarness();
+        harness.runner("a", DeskHarness.ENGINE, "m1");
+        harness.send(DeskHarness.route(RouteKind.STREAMING, DeskHarness.ENGINE, 1, false), "m1");
+        for (int index = 0; index < 5; index++) {
+            harness.runners.last().broken(false);
+            harness.desk.tick();
+        }
+        assertEquals(harness.runners.sent.size(), 1);
+        harness.clock.advanceMillis(600);
+        harness.send(DeskHarness.route(RouteKind.STREAMING, DeskHarness.ENGINE, 1, false), "m1");
+        assertEquals(harness.runners.sent.size(), 2);
+    }
 }
--- a/routing/src/main/java/org/arbutusstack/routing/RunnerHealth.java
+++ b/routing/src/main/java/org/arbutusstack/routing/RunnerHealth.java
@@ -17,6 +17,8 @@
 
     private double failures;
 
+    private boolean unreachable;
+
     private boolean probed;
 
     private long probeAtNanos;
@@ -24,6 +26,7 @@
     /** Notes that the runner answered as it should. */
     public void succeeded() {
         failures *= 1 - WEIGHT_OF_LATEST;
+        unreachable = false;
     }
 
     /**
@@ -44,6 +47,7 @@
      */
     public void unreachable(long nowNanos) {
         failures = 1;
+        unreachable = true;
         probed = true;
         probeAtNanos = nowNanos + PROBE_NANOS;
     }
@@ -59,6 +63,16 @@
         return failures > DOUBT_SHARE && !probeDue;
     }
 
+    /**
+     * Tells whether the runner is not to be tried, since it could not be reached a moment ago.
+     *
+     * @param nowNanos the present instant
+     * @return whether that is so and no probe is due
+     */
+    public boolean isUnreachable(long nowNanos) {
+        return unreachable && nowNanos - probeAtNanos < 0;
+    }
+
     /**
      * Notes that a request is sent; the next probe waits for its outcome.
      *
