--- a/gateway/src/main/java/org/arbutusstack/gateway/attend/RunnerReading.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/attend/RunnerReading.java
@@ -12,7 +12,7 @@
  * @param leaving whether it takes no new work
  * @param remainingMillis the time until it is taken away, negative if that is not announced
  * @param busy whether it carries out an order for a model
- * @param queued the requests that wait
+ * @param queued the requests without a first event, whether they wait or their prompts are being read
  * @param running the requests that run
  * @param usedTokens the tokens in memory that cannot yield
  * @param capacityTokens the tokens that fit
--- a/gateway/src/main/java/org/arbutusstack/gateway/config/Route.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/config/Route.java
@@ -35,6 +35,9 @@
 
     private static final long LEAST_PATIENCE_MILLIS = 2_000;
 
+    /** Targets above a second are of work that nobody watches. */
+    private static final long LATE_TARGET_MILLIS = 1_000;
+
     /** Checks the route. */
     public Route {
         Assert.hasText(name, "name");
@@ -64,6 +67,15 @@
         return Math.max(LEAST_PATIENCE_MILLIS, Math.max(4 * targetMillis, 8 * targetGapMillis));
     }
 
+    /**
+     * Tells how urgent the route's requests are among those of an engine: by rank, then by how soon they are due.
+     *
+     * @return the urgency, zero first
+     */
+    public int urgency() {
+        return 2 * priority + (targetMillis > LATE_TARGET_MILLIS ? 1 : 0);
+    }
+
     /**
      * Chooses the service for one request.
      *
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/CurrentAttempt.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/CurrentAttempt.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import org.arbutusstack.gateway.runner.KnownRunner;
+import org.arbutusstack.kernel.time.Clock;
 
 /** Follows one attempt and hands what the runner says to the desk. Used by the entry's loop only. */
 final class CurrentAttempt implements AnswerListener {
@@ -22,11 +23,14 @@
 
     private boolean cancelled;
 
+    private final int unstartedBefore;
+
     CurrentAttempt(RequestDesk desk, ActiveRequest owner, KnownRunner runner, long sentAtNanos) {
         this.desk = desk;
         this.owner = owner;
         this.runner = runner;
         this.sentAtNanos = sentAtNanos;
+        this.unstartedBefore = runner.unstarted();
     }
 
     void handle(RunnerPort.Attempt sent) {
@@ -44,6 +48,11 @@
         return sentAtNanos;
     }
 
+    /** Lets the estimate for the runner learn from the first event. */
+    void firstEventAt(long nowNanos) {
+        runner.firstEvent(unstartedBefore, (nowNanos - sentAtNanos) / Clock.NANOS_PER_MILLI);
+    }
+
     AnswerHead head() {
         return head;
     }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDesk.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDesk.java
@@ -122,6 +122,10 @@
             send(active, send.runner());
         } else if (choice instanceof RunnerChooser.Choice.AwaitAdapter await) {
             awaitAdapter(active, await.runner());
+        } else if (choice instanceof RunnerChooser.Choice.Crowded crowded) {
+            String detail = "the runners of the model would begin after " + crowded.firstEventMillis() + " ms";
+            long returnMillis = limits.spreadReturnMillis(request.id());
+            refuse(active, Refusal.notRun(RefusalReason.DEADLINE_UNREACHABLE, detail), returnMillis);
         } else if (choice instanceof RunnerChooser.Choice.AwaitModel) {
             awaitModel(active);
         } else if (choice instanceof RunnerChooser.Choice.NoRunner) {
@@ -200,6 +204,7 @@
         if (!active.isOpened()) {
             active.opened();
             attempt.runner().health().succeeded();
+            attempt.firstEventAt(clock.nowNanos());
             metrics.answered(active.request(), clock.nowNanos());
             callers.open(active.response(), attempt.head(), -1);
         }
@@ -342,8 +347,8 @@
         } else if (attempt != null) {
             attempt.cancel();
         }
-        active.attemptDone();
         log.callerGone(active);
+        active.attemptDone();
         end(active, "caller-gone");
     }
 
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RetryLimits.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RetryLimits.java
@@ -19,6 +19,9 @@
     /** The time in which a runner's state is told anew several times. */
     private static final long RETURN_MILLIS = 700;
 
+    /** Several times what an engine's queue may hold, so that those refused together do not return together. */
+    private static final int SPREAD_MILLIS = 2_000;
+
     private static final int MOST_SENDS = 3;
 
     /** The entries among which the fleet's reserve is divided; several times as many as a deployment has today. */
@@ -35,6 +38,16 @@
         Assert.atLeast(reserve, 1, "reserve");
     }
 
+    /**
+     * Spreads the return of callers who were refused at the same time.
+     *
+     * @param requestId the caller's name for its request
+     * @return when it may come back, in milliseconds
+     */
+    public long spreadReturnMillis(String requestId) {
+        return returnMillis + Math.floorMod(requestId.hashCode(), SPREAD_MILLIS);
+    }
+
     /**
      * Takes one entry's part of what the fleet is permitted.
      *
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
@@ -19,6 +19,9 @@
  */
 final class RunnerChooser {
 
+    /** A request that has waited past its target is still sent where it begins within so long. */
+    private static final long LEAST_WAIT_MILLIS = 300;
+
     private final RunnerTable runners;
 
     private final RunnerSelector engineSelector;
@@ -43,6 +46,9 @@
         /** Have its adapter loaded by a runner that holds its model. */
         record AwaitAdapter(KnownRunner runner) implements Choice {}
 
+        /** All runners that hold its model would begin too late. */
+        record Crowded(long firstEventMillis) implements Choice {}
+
         /** No runner holds its model. */
         record AwaitModel() implements Choice {}
 
@@ -87,12 +93,37 @@
         if (chosen.isEmpty()) {
             return new Choice.AwaitModel();
         }
+        KnownRunner quickest =
+                quickestWithin(active, preferred, runners.byId(chosen.get().name()));
+        if (quickest == null) {
+            long soonestMillis = preferred.stream()
+                    .mapToLong(KnownRunner::firstEventMillis)
+                    .min()
+                    .orElse(0);
+            return new Choice.Crowded(soonestMillis);
+        }
+        if (!quickest.entry().id().equals(chosen.get().name())) {
+            chosen = Optional.of(quickest.view());
+        }
         boolean ready = request.adapter().isEmpty() || needs.hasAdapterOn(chosen.get());
         return ready
                 ? new Choice.Send(runners.byId(chosen.get().name()))
                 : new Choice.AwaitAdapter(runners.byId(adapterLoader(needs, preferred, chosen.get())));
     }
 
+    /** Keeps the chosen runner, or takes the quickest, if its first event comes in time; null if none does. */
+    private KnownRunner quickestWithin(ActiveRequest active, List<KnownRunner> holders, KnownRunner chosen) {
+        long waitedMillis = (clock.nowNanos() - active.request().arrivedNanos()) / Clock.NANOS_PER_MILLI;
+        long limitMillis = Math.max(LEAST_WAIT_MILLIS, active.request().route().targetMillis() - waitedMillis);
+        if (chosen.firstEventMillis() <= limitMillis) {
+            return chosen;
+        }
+        return holders.stream()
+                .filter(runner -> runner.firstEventMillis() <= limitMillis)
+                .min(Comparator.comparingLong(KnownRunner::firstEventMillis))
+                .orElse(null);
+    }
+
     /** Chooses who loads an adapter: a runner that carries out another order cannot before that is done. */
     private String adapterLoader(RoutingRequest needs, List<KnownRunner> holders, RunnerView chosen) {
         List<RunnerView> free = holders.stream()
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/KnownRunner.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/KnownRunner.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.arbutusstack.kernel.time.Clock;
+import org.arbutusstack.routing.FirstEventEstimate;
 import org.arbutusstack.routing.RunnerHealth;
 import org.arbutusstack.routing.RunnerView;
 import org.arbutusstack.wire.frame.AdapterUseFrame;
@@ -23,6 +24,8 @@
 
     private final RunnerHealth health = new RunnerHealth();
 
+    private final FirstEventEstimate firstEvent = new FirstEventEstimate();
+
     private RunnerEntry entry;
 
     private RunnerStatusFrame status;
@@ -216,6 +219,35 @@
         return outstanding;
     }
 
+    /**
+     * Counts the requests there that have made no event yet, as far as this entry knows.
+     *
+     * @return their number
+     */
+    public int unstarted() {
+        return (hasStatus() ? status.queued() : 0) + sentSinceStatus;
+    }
+
+    /**
+     * Learns when a request made its first event.
+     *
+     * @param unstartedBefore the requests without one when it was sent
+     * @param millis the time that it took
+     */
+    public void firstEvent(int unstartedBefore, long millis) {
+        firstEvent.observed(unstartedBefore, millis);
+    }
+
+    /**
+     * Estimates when one more request would make its first event.
+     *
+     * @return the time in milliseconds
+     */
+    public long firstEventMillis() {
+        boolean slotsTaken = hasStatus() && status.running() >= entry.slots();
+        return firstEvent.millis(unstarted(), slotsTaken);
+    }
+
     /**
      * Describes the runner for the choice between runners.
      *
--- a/placement/src/main/java/org/arbutusstack/placement/FleetPlanner.java
+++ b/placement/src/main/java/org/arbutusstack/placement/FleetPlanner.java
@@ -41,7 +41,7 @@
     private static final double UNLOAD_PRICE = 0.5;
 
     /** What one more request at a runner adds to the price of loading there, in requests. */
-    private static final double BUSYNESS_PRICE = 0.02;
+    private static final double BUSYNESS_PRICE = 0.15;
 
     /**
      * Creates a planner.
--- /dev/null
+++ b/routing/src/test/java/org/arbutusstack/routing/FirstEventEstimateTests.java
@@ -0,0 +1,51 @@
+package org.arbutusstack.routing;
+
+import static org.testng.Assert.assertTrue;
+
+import org.testng.annotations.Test;
+
+/** Tests the estimate of the first event against an engine that reads prompts one after the other. */
+public class FirstEventEstimateTests {
+
+    private static final int ARRIVALS = 400;
+
+    private static final double GAP_MILLIS = 50;
+
+    private static final double PROMPT_MILLIS = 90;
+
+    private static final long TARGET_MILLIS = 500;
+
+    /** Replays nearly twice what an engine can read: without admission nobody is in time, with it most of its work is. */
+    @Test
+    public void shouldKeepServedRequestsInTimeWhenTwiceTheCapacityArrives() {
+        int open = inTime(false);
+        int admitted = inTime(true);
+        double capacity = ARRIVALS * GAP_MILLIS / PROMPT_MILLIS;
+        assertTrue(open < capacity * 0.1, "in time without admission: " + open);
+        assertTrue(admitted > capacity * 0.85, "in time with admission: " + admitted + " of " + capacity);
+    }
+
+    private static int inTime(boolean admits) {
+        FirstEventEstimate estimate = new FirstEventEstimate();
+        double freeAtMillis = 0;
+        int inTime = 0;
+        for (int index = 0; index < ARRIVALS; index++) {
+            double nowMillis = index * GAP_MILLIS;
+            int ahead = (int) Math.ceil(Math.max(0, freeAtMillis - nowMillis) / PROMPT_MILLIS);
+            if (admits && estimate.millis(ahead, false) > TARGET_MILLIS) {
+                continue;
+            }
+            freeAtMillis = Math.max(freeAtMillis, nowMillis) + PROMPT_MILLIS;
+            long tookMillis = Math.round(freeAtMillis - nowMillis);
+            estimate.observed(ahead, tookMillis);
+            inTime += tookMillis <= TARGET_MILLIS ? 1 : 0;
+        }
+        return inTime;
+    }
+
+    @Test
+    public void shouldExpectLongerWaitWhenAllSlotsAreTaken() {
+        FirstEventEstimate estimate = new FirstEventEstimate();
+        assertTrue(estimate.millis(0, true) > estimate.millis(0, false));
+    }
+}
--- a/wire/src/main/java/org/arbutusstack/wire/frame/RunnerStatusFrame.java
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/RunnerStatusFrame.java
@@ -14,7 +14,7 @@
  * @param orderSequence the orders that the runner has accepted since then
  * @param takesWork whether it takes new requests
  * @param remainingMillis the time until it is taken away, negative if that is not announced
- * @param queued the requests that wait there
+ * @param queued the requests without a first event, whether they wait or their prompts are being read
  * @param running the requests that run there
  * @param usedTokens the tokens in memory that cannot yield
  * @param capacityTokens the tokens that fit in memory
