--- a/gateway/src/main/java/org/arbutusstack/gateway/request/CurrentAttempt.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/CurrentAttempt.java
@@ -81,6 +81,7 @@
     @Override
     public void onHead(AnswerHead answered) {
         if (isCurrent()) {
+            runner.heard();
             head = answered;
             desk.head(owner, this);
         }
@@ -91,6 +92,7 @@
         if (!isCurrent()) {
             return;
         }
+        runner.heard();
         if (passesOn()) {
             desk.streamed(owner, this, bytes);
         } else {
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
@@ -144,7 +144,7 @@
         List<KnownRunner> fresh = new ArrayList<>(able);
         fresh.removeIf(runner -> active.avoids(runner.entry().id()));
         List<KnownRunner> sound = new ArrayList<>(fresh);
-        sound.removeIf(runner -> runner.health().isDoubtful(clock.nowNanos()) || runner.isSideSilent());
+        sound.removeIf(runner -> runner.health().isDoubtful(clock.nowNanos()));
         if (!sound.isEmpty()) {
             return sound;
         }
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/KnownRunner.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/KnownRunner.java
@@ -20,6 +20,9 @@
     /** How long a status counts: over three of the side's periods, so that a few lost ones change nothing. */
     private static final long STATUS_MILLIS = 1_000;
 
+    /** Two periods of the side, so that one lost status changes nothing. */
+    private static final long SILENCE_MILLIS = 650;
+
     private final Clock clock;
 
     private final RunnerHealth health = new RunnerHealth();
@@ -34,6 +37,12 @@
 
     private Link link;
 
+    private boolean linkOpen;
+
+    private boolean givenUp;
+
+    private long heardAtNanos;
+
     private int outstanding;
 
     private int sentSinceStatus;
@@ -85,6 +94,9 @@
         }
         status = next;
         link = from;
+        linkOpen = true;
+        givenUp = false;
+        heard();
         sentSinceStatus = 0;
         statusUntilNanos = clock.deadlineNanos(STATUS_MILLIS);
         refreshHoldings();
@@ -128,15 +140,6 @@
         return status != null && !clock.isPast(statusUntilNanos);
     }
 
-    /**
-     * Tells whether the process beside the runner has fallen silent, which may be the fate of the whole host.
-     *
-     * @return whether a status came once and none has come of late
-     */
-    public boolean isSideSilent() {
-        return status != null && !hasStatus();
-    }
-
     /**
      * Tells the last status.
      *
@@ -164,7 +167,33 @@
      */
     public boolean takesWork() {
         boolean statusAllows = !hasStatus() || status.takesWork();
-        return !gone && !entry.leaving() && statusAllows;
+        return !gone && !entry.leaving() && statusAllows && !isHostSilent();
+    }
+
+    /** Notes that the runner or the process beside it has sent something. */
+    public void heard() {
+        heardAtNanos = clock.nowNanos();
+    }
+
+    /**
+     * Tells whether the whole host seems to stand still or to be cut off: the link to the process beside the runner is
+     * open, or was given up for its silence, and nothing comes. A process that died closes its link instead, and its
+     * runner goes on.
+     *
+     * @return whether nothing was heard of late
+     */
+    public boolean isHostSilent() {
+        return givenUp || linkOpen && clock.isPast(heardAtNanos + SILENCE_MILLIS * Clock.NANOS_PER_MILLI);
+    }
+
+    void sideClosed() {
+        linkOpen = false;
+        givenUp = false;
+    }
+
+    void sideGivenUp() {
+        linkOpen = false;
+        givenUp = true;
     }
 
     void goneForGood() {
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/SideLinks.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/SideLinks.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import org.arbutusstack.gateway.config.EngineModel;
 import org.arbutusstack.gateway.config.EngineSpec;
 import org.arbutusstack.gateway.config.ServedService;
@@ -33,6 +34,9 @@
 
     private static final long RECONNECT_MILLIS = 300;
 
+    /** A live host refuses a connection within one round trip; a silent one does not answer at all. */
+    private static final long REFUSED_MILLIS = 200;
+
     /** A side tells its status at least every 300 ms. */
     private static final long SILENCE_MILLIS = 1_500;
 
@@ -158,6 +162,8 @@
 
         private String told = "";
 
+        private long connectedAtNanos;
+
         Side(String host) {
             this.host = host;
             this.reconnectAtNanos = clock.nowNanos();
@@ -167,10 +173,13 @@
             boolean silent = link != null && clock.isPast(link.heardAtNanos() + SILENCE_MILLIS * Clock.NANOS_PER_MILLI);
             if (silent) {
                 logger.warn("event=side-silent host={}", host);
-                link.close();
-                lost(link);
+                Link silentLink = link;
+                lost(silentLink);
+                forHost(KnownRunner::sideGivenUp);
+                silentLink.close();
             }
             if (link == null && clock.isPast(reconnectAtNanos)) {
+                connectedAtNanos = clock.nowNanos();
                 link = transport.connect(new InetSocketAddress(host, port), this);
             }
         }
@@ -199,6 +208,22 @@
             }
         }
 
+        /** Tells an end that the other host has sent, or its refusal of a connection, from silence. */
+        private void closed(Link closed) {
+            boolean wasOpen = open;
+            boolean refused = !clock.isPast(connectedAtNanos + REFUSED_MILLIS * Clock.NANOS_PER_MILLI);
+            if (link == closed && (wasOpen || refused)) {
+                forHost(KnownRunner::sideClosed);
+            }
+            lost(closed);
+        }
+
+        private void forHost(Consumer<KnownRunner> action) {
+            runners.all().stream()
+                    .filter(runner -> runner.entry().address().address().equals(host))
+                    .forEach(action);
+        }
+
         private void opened(Link opened) {
             if (link == opened) {
                 open = true;
@@ -220,7 +245,7 @@
 
         @Override
         public void onClosed(Link closed) {
-            loop.offer(() -> lost(closed));
+            loop.offer(() -> closed(closed));
         }
     }
 }
--- /dev/null
+++ b/gateway/src/test/java/org/arbutusstack/gateway/runner/KnownRunnerTests.java
@@ -0,0 +1,71 @@
+package org.arbutusstack.gateway.runner;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.arbutusstack.http.client.HttpTarget;
+import org.arbutusstack.kernel.time.ManualClock;
+import org.arbutusstack.wire.frame.RunnerStatusFrame;
+import org.testng.annotations.Test;
+
+/** Tests what is believed of a runner whose side tells, falls silent or dies. */
+public class KnownRunnerTests {
+
+    private final ManualClock clock = new ManualClock(1_000_000_000L);
+
+    private final KnownRunner runner = new KnownRunner(
+            new RunnerEntry("a", "s", new HttpTarget("10.0.0.1", 80), "z", 7, 8, false, Map.of("m0", Set.of())), clock);
+
+    private static RunnerStatusFrame status(long startedAtMillis, String... models) {
+        List<RunnerStatusFrame.HeldModel> held = new java.util.ArrayList<>();
+        for (String model : models) {
+            held.add(new RunnerStatusFrame.HeldModel(model, 1, List.of("a1")));
+        }
+        return new RunnerStatusFrame(startedAtMillis, 0, true, -1, 2, 3, 0, 1, held, List.of(), Map.of(), "");
+    }
+
+    @Test
+    public void shouldBelieveSideBeforeDirectory() {
+        runner.status(status(7, "m1"), null);
+        assertTrue(runner.holds("m1"));
+        assertFalse(runner.holds("m0"));
+        assertEquals(runner.unstarted(), 2);
+    }
+
+    @Test
+    public void shouldPassOverStatusOfAnotherIncarnation() {
+        runner.status(status(6, "m1"), null);
+        assertFalse(runner.holds("m1"));
+    }
+
+    @Test
+    public void shouldSendNothingWhenHostFallsSilent() {
+        runner.status(status(7, "m1"), null);
+        clock.advanceMillis(700);
+        assertFalse(runner.takesWork());
+        runner.heard();
+        assertTrue(runner.takesWork());
+    }
+
+    @Test
+    public void shouldGoOnWhenOnlyTheSideDied() {
+        runner.status(status(7, "m1"), null);
+        runner.sideClosed();
+        clock.advanceMillis(5_000);
+        assertTrue(runner.takesWork());
+    }
+
+    @Test
+    public void shouldStayOutWhenSideWasGivenUpForSilence() {
+        runner.status(status(7, "m1"), null);
+        runner.sideGivenUp();
+        clock.advanceMillis(5_000);
+        assertFalse(runner.takesWork());
+        runner.status(status(7, "m1"), null);
+        assertTrue(runner.takesWork());
+    }
+}
