--- a/daemon/src/main/java/org/arbutusstack/daemon/Rehearsal.java
+++ b/daemon/src/main/java/org/arbutusstack/daemon/Rehearsal.java
@@ -5,6 +5,7 @@
 import io.undertow.server.HttpServerExchange;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -37,7 +38,10 @@
 
     private static final String LOOPBACK = "127.0.0.1";
 
-    private static final int FIRST_PORT = 17_380;
+    /** The ports that the settings name one after the other. */
+    private static final int PORTS = 4;
+
+    private static final int MOST_TRIES = 50;
 
     private static final long RUN_MILLIS = 1_500;
 
@@ -52,7 +56,7 @@
         int port = ((InetSocketAddress) outside.getListenerInfo().get(0).getAddress()).getPort();
         Path file = Files.createTempFile("arbutus-rehearsal", ".json");
         try {
-            Files.writeString(file, settings(port));
+            Files.writeString(file, settings(port, firstFreePort()));
             for (PlatformRole role : PlatformRole.values()) {
                 rehearse(role, file);
             }
@@ -68,11 +72,35 @@
                         (received, body) -> Responses.json(received, 200, ANSWER.getBytes(StandardCharsets.UTF_8)));
     }
 
-    private static String settings(int port) {
-        String outside = "\"" + LOOPBACK + ":" + port + "\"";
+    /** Finds ports one after the other that nobody listens on, so that builds can run side by side. */
+    private static int firstFreePort() throws IOException {
+        for (int attempt = 0; attempt < MOST_TRIES; attempt++) {
+            try (ServerSocket probe = new ServerSocket(0)) {
+                if (areFree(probe.getLocalPort() + 1)) {
+                    return probe.getLocalPort() + 1;
+                }
+            }
+        }
+        throw new IOException("Could not find " + PORTS + " free ports one after the other");
+    }
+
+    private static boolean areFree(int first) {
+        for (int port = first; port < first + PORTS; port++) {
+            try (ServerSocket probe = new ServerSocket()) {
+                probe.bind(new InetSocketAddress(LOOPBACK, port));
+            } catch (IOException taken) {
+                logger.debug("event=port-taken port={} detail={}", port, taken.getMessage());
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static String settings(int outsidePort, int firstPort) {
+        String outside = "\"" + LOOPBACK + ":" + outsidePort + "\"";
         return "{\"node-name\":\"rehearsal\",\"ip\":\"" + LOOPBACK + "\",\"zone\":\"z\",\"listen\":{\"front\":\""
-                + LOOPBACK + ":" + (FIRST_PORT + 3) + "\",\"ready\":\"" + LOOPBACK + ":" + (FIRST_PORT + 4)
-                + "\"},\"internal-ports\":[" + FIRST_PORT + "," + (FIRST_PORT + 9) + "],\"app\":" + outside
+                + LOOPBACK + ":" + (firstPort + 2) + "\",\"ready\":\"" + LOOPBACK + ":" + (firstPort + 3)
+                + "\"},\"internal-ports\":[" + firstPort + "," + (firstPort + 1) + "],\"app\":" + outside
                 + ",\"platform\":{\"address\":" + outside
                 + "},\"bounds\":{\"grace-s\":0,\"retry-budget-ratio\":0.2,\"retry-burst\":50}}";
     }
--- a/gateway/src/main/java/org/arbutusstack/gateway/attend/Attendant.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/attend/Attendant.java
@@ -37,13 +37,13 @@
     private static final int RING_SIZE = 1_024;
 
     /** How often the runner is read while nothing is under way. */
-    private static final long IDLE_MILLIS = 200;
+    private static final long IDLE_MILLIS = 120;
 
     /** How often it is read while an adapter or a model is on its way: a fraction of an adapter's load. */
     private static final long ACTIVE_MILLIS = 12;
 
-    /** The longest pause between two statuses though nothing changed; entries doubt after five of them. */
-    private static final long STATUS_MILLIS = 300;
+    /** The longest pause between two statuses though nothing changed, give or take a period. */
+    private static final long STATUS_MILLIS = 150;
 
     private final AttendedRunner runner;
 
--- a/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
@@ -11,6 +11,7 @@
 import org.arbutusstack.gateway.request.GatewayMetrics;
 import org.arbutusstack.gateway.request.RequestDesk;
 import org.arbutusstack.gateway.request.RequestDesks;
+import org.arbutusstack.gateway.runner.KnownRunner;
 import org.arbutusstack.gateway.runner.RunnerEntry;
 import org.arbutusstack.gateway.runner.RunnerTable;
 import org.arbutusstack.gateway.runner.SideLinks;
@@ -34,6 +35,9 @@
 
     private static final long PLAN_MILLIS = 200;
 
+    /** A tick that comes so late shows that the loop itself was held up. */
+    private static final long STALL_MILLIS = 200;
+
     /** The requests in hand that one copy of a model serves well: a third of an engine's batch. */
     private static final double REQUESTS_PER_COPY = 12;
 
@@ -62,6 +66,8 @@
 
     private volatile ServingConfig config;
 
+    private long tickedAtNanos;
+
     /**
      * Creates an entry.
      *
@@ -91,6 +97,7 @@
     @Override
     public void start() {
         plannerLink.listen(new InetSocketAddress(parts.address(), parts.entryPort()));
+        tickedAtNanos = clock.nowNanos();
         election.start();
         parts.loop().every(TICK_MILLIS, this::tick);
         parts.loop().every(PLAN_MILLIS, this::plan);
@@ -103,6 +110,12 @@
     }
 
     private void tick() {
+        boolean stoodStill = clock.isPast(tickedAtNanos + STALL_MILLIS * Clock.NANOS_PER_MILLI);
+        tickedAtNanos = clock.nowNanos();
+        if (stoodStill) {
+            // What others sent meanwhile is not read yet: their silence is this process's own.
+            runners.all().forEach(KnownRunner::heard);
+        }
         runners.tick();
         sides.tick();
         desk.tick();
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/KnownRunner.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/KnownRunner.java
@@ -20,8 +20,8 @@
     /** How long a status counts: over three of the side's periods, so that a few lost ones change nothing. */
     private static final long STATUS_MILLIS = 1_000;
 
-    /** Two periods of the side, so that one lost status changes nothing. */
-    private static final long SILENCE_MILLIS = 650;
+    /** Two and a half periods of the side, so that one late status changes nothing. */
+    private static final long SILENCE_MILLIS = 400;
 
     private final Clock clock;
 
--- a/gateway/src/test/java/org/arbutusstack/gateway/runner/KnownRunnerTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/runner/KnownRunnerTests.java
@@ -10,6 +10,7 @@
 import org.arbutusstack.http.client.HttpTarget;
 import org.arbutusstack.kernel.time.ManualClock;
 import org.arbutusstack.wire.frame.RunnerStatusFrame;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /** Tests what is believed of a runner whose side tells, falls silent or dies. */
@@ -17,8 +18,13 @@
 
     private final ManualClock clock = new ManualClock(1_000_000_000L);
 
-    private final KnownRunner runner = new KnownRunner(
-            new RunnerEntry("a", "s", new HttpTarget("10.0.0.1", 80), "z", 7, 8, false, Map.of("m0", Set.of())), clock);
+    private KnownRunner runner;
+
+    @BeforeMethod
+    public void createRunner() {
+        HttpTarget address = new HttpTarget("10.0.0.1", 80);
+        runner = new KnownRunner(new RunnerEntry("a", "s", address, "z", 7, 8, false, Map.of("m0", Set.of())), clock);
+    }
 
     private static RunnerStatusFrame status(long startedAtMillis, String... models) {
         List<RunnerStatusFrame.HeldModel> held = new java.util.ArrayList<>();
