--- a/testkit/src/main/java/org/arbutusstack/testkit/StandIn.java
+++ b/testkit/src/main/java/org/arbutusstack/testkit/StandIn.java
@@ -16,6 +16,8 @@
 import org.arbutusstack.testkit.hosts.HostListStandIn;
 import org.arbutusstack.testkit.kv.KeyValueStandIn;
 import org.arbutusstack.testkit.plain.PlainServiceStandIn;
+import org.arbutusstack.testkit.platform.PlatformRunnerStandIn;
+import org.arbutusstack.testkit.platform.PlatformStoreStandIn;
 import org.arbutusstack.testkit.weights.WeightStoreSpeed;
 import org.arbutusstack.testkit.weights.WeightStoreStandIn;
 
@@ -51,7 +53,8 @@
             run(valid.arguments().get(0), valid.settings());
             return;
         }
-        System.err.println("usage: standin kv|engine|plain|hosts|weights [flags]: " + result);
+        System.err.println(
+                "usage: standin kv|engine|plain|hosts|weights|platform-store|platform-runner [flags]: " + result);
         System.exit(USAGE_EXIT_CODE);
     }
 
@@ -74,6 +77,8 @@
             case "plain" -> new PlainServiceStandIn(port);
             case "hosts" -> new HostListStandIn(port, settings.number(LAG));
             case "weights" -> new WeightStoreStandIn(port, speedOf(settings));
+            case "platform-store" -> new PlatformStoreStandIn(port);
+            case "platform-runner" -> new PlatformRunnerStandIn(port, "i-" + port, port, List.of("boots"));
             case "engine" -> new EngineStandIn(port, shapeOf(settings), client, weightStoreOf(settings));
             default -> throw new IllegalArgumentException("'kind' is unknown: " + kind);
         };
--- /dev/null
+++ b/testkit/src/main/java/org/arbutusstack/testkit/platform/PlatformRunnerStandIn.java
@@ -0,0 +1,183 @@
+package org.arbutusstack.testkit.platform;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HttpString;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.ConcurrentSkipListSet;
+import java.util.concurrent.atomic.AtomicLong;
+import org.arbutusstack.http.server.ResponseStream;
+import org.arbutusstack.http.server.Responses;
+import org.arbutusstack.testkit.AbstractStandIn;
+import org.arbutusstack.testkit.Json;
+
+/** Stands in for a model runner of the platform: events, report and orders. */
+public final class PlatformRunnerStandIn extends AbstractStandIn {
+
+    private static final int ACCEPTED = 202;
+
+    private static final int CONFLICT = 409;
+
+    private static final int MISDIRECTED = 421;
+
+    private static final int UNAVAILABLE = 503;
+
+    private static final int EVENTS = 5;
+
+    private static final HttpString REQUEST_ID = new HttpString("Request-Id");
+
+    private static final HttpString SEAL = new HttpString("Response-Seal");
+
+    private final String id;
+
+    private final long startedAtMillis;
+
+    private final Set<String> models = new ConcurrentSkipListSet<>();
+
+    private final AtomicLong sequence = new AtomicLong();
+
+    private final List<String> runs = Collections.synchronizedList(new ArrayList<>());
+
+    private volatile RunnerFault fault = RunnerFault.NONE;
+
+    /**
+     * Creates a runner.
+     *
+     * @param port the port, zero for any free one
+     * @param id the identifier of its incarnation
+     * @param startedAtMillis when it started, in Unix milliseconds
+     * @param models the models that it holds
+     */
+    public PlatformRunnerStandIn(int port, String id, long startedAtMillis, List<String> models) {
+        super(port);
+        this.id = id;
+        this.startedAtMillis = startedAtMillis;
+        this.models.addAll(models);
+    }
+
+    /**
+     * Lets the runner fail from now on.
+     *
+     * @param next what it does wrong
+     */
+    public void fault(RunnerFault next) {
+        fault = next;
+    }
+
+    /**
+     * Lists the requests that it began to run.
+     *
+     * @return their names, in order
+     */
+    public List<String> runs() {
+        return List.copyOf(runs);
+    }
+
+    /**
+     * Lists the models that it holds.
+     *
+     * @return their names
+     */
+    public Set<String> models() {
+        return new TreeSet<>(models);
+    }
+
+    /**
+     * Describes what the runner registers of itself.
+     *
+     * @param service its service
+     * @param state ready or draining
+     * @return the entry of the directory
+     */
+    public String entry(String service, String state) {
+        ObjectNode entry = Json.object();
+        entry.put("service", service).put("address", address()).put("zone", "z1");
+        entry.put("version", "v1").put("slots", 8).put("state", state).put("born", startedAtMillis);
+        putModels(entry);
+        return entry.toString();
+    }
+
+    private void putModels(ObjectNode node) {
+        var list = node.putArray("models");
+        models.forEach(
+                model -> list.addObject().put("name", model).put("version", 1).putArray("adapters"));
+    }
+
+    @Override
+    protected void handle(HttpServerExchange exchange, String path, byte[] body) {
+        if (path.equals("/report")) {
+            Responses.json(exchange, OK, report());
+        } else if (path.equals("/order")) {
+            order(exchange, new String(body, StandardCharsets.UTF_8));
+        } else {
+            work(exchange);
+        }
+    }
+
+    private String report() {
+        ObjectNode report = Json.object();
+        report.put("stage", "unified")
+                .put("busy", false)
+                .put("seq", sequence.get())
+                .put("queue-depth", 0);
+        report.put("active", 0).put("kv-used", 0).put("kv-total", 1_000).put("born", startedAtMillis);
+        putModels(report);
+        return report.toString();
+    }
+
+    private void order(HttpServerExchange exchange, String text) {
+        boolean current = text.contains("\"precondition\":" + sequence.get() + ",");
+        if (!current) {
+            Responses.text(exchange, CONFLICT, "another sequence");
+            return;
+        }
+        String model = text.replaceAll(".*\"model\":\"([^\"]*)\".*", "$1");
+        if (text.contains("\"operation\":\"load\"")) {
+            models.add(model);
+        } else {
+            models.remove(model);
+        }
+        sequence.incrementAndGet();
+        Responses.text(exchange, ACCEPTED, "");
+    }
+
+    private void work(HttpServerExchange exchange) {
+        String target = exchange.getRequestHeaders().getFirst("Target-Instance");
+        String request = exchange.getRequestHeaders().getFirst(REQUEST_ID);
+        if (fault == RunnerFault.OTHER_INCARNATION || !id.equals(target)) {
+            exchange.getResponseHeaders().put(new HttpString("Instance-Id"), id + "-other");
+            Responses.text(exchange, MISDIRECTED, "");
+            return;
+        }
+        if (fault == RunnerFault.FULL) {
+            exchange.getResponseHeaders().put(new HttpString("Not-Executed"), "1");
+            Responses.text(exchange, UNAVAILABLE, "");
+            return;
+        }
+        runs.add(request);
+        exchange.getResponseHeaders().put(REQUEST_ID, fault == RunnerFault.STRAY ? "another" : request);
+        if (fault != RunnerFault.UNATTESTED) {
+            exchange.getResponseHeaders().put(SEAL, "seal");
+        }
+        String last = exchange.getRequestHeaders().getFirst("Last-Event-Id");
+        ResponseStream.open(exchange, stream -> stream(stream, last == null ? 0 : Integer.parseInt(last)));
+    }
+
+    private void stream(ResponseStream stream, int after) {
+        stream.head(OK, "text/event-stream");
+        for (int event = after + 1; event <= EVENTS; event++) {
+            if (fault == RunnerFault.CUT && event == after + 3) {
+                stream.write(("id: " + event + "\nda").getBytes(StandardCharsets.UTF_8));
+                stream.abort();
+                return;
+            }
+            stream.write(("id: " + event + "\ndata: " + event + "\n\n").getBytes(StandardCharsets.UTF_8));
+        }
+        stream.end();
+    }
+}
--- /dev/null
+++ b/testkit/src/main/java/org/arbutusstack/testkit/platform/PlatformStoreStandIn.java
@@ -0,0 +1,159 @@
+package org.arbutusstack.testkit.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.SameThreadExecutor;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+import org.arbutusstack.http.server.Responses;
+import org.arbutusstack.testkit.AbstractStandIn;
+import org.arbutusstack.testkit.Json;
+
+/** Stands in for the platform's metadata store. */
+public final class PlatformStoreStandIn extends AbstractStandIn {
+
+    private static final int NOT_FOUND = 404;
+
+    private static final int GONE = 410;
+
+    private static final int BUSY = 429;
+
+    private static final int UNAVAILABLE = 503;
+
+    private static final int PAGE_SIZE = 3;
+
+    private static final long POLL_MILLIS = 10;
+
+    private static final long LEASE_MILLIS = 3_000;
+
+    private final StoreState state = new StoreState();
+
+    private volatile StoreFault fault = StoreFault.NONE;
+
+    /**
+     * Creates a store.
+     *
+     * @param port the port, zero for any free one
+     */
+    public PlatformStoreStandIn(int port) {
+        super(port);
+    }
+
+    /**
+     * Lets the store fail from now on.
+     *
+     * @param next what it does wrong
+     */
+    public void fault(StoreFault next) {
+        fault = next;
+    }
+
+    /**
+     * Writes a key as an operator or a runner would.
+     *
+     * @param key the key
+     * @param value the value
+     */
+    public void put(String key, String value) {
+        state.put(key, value, 0);
+    }
+
+    /**
+     * Removes a key.
+     *
+     * @param key the key
+     */
+    public void remove(String key) {
+        state.remove(key);
+    }
+
+    /** Drops the history of changes. */
+    public void forgetHistory() {
+        state.forgetHistory();
+    }
+
+    /**
+     * Reads a key.
+     *
+     * @param key the key
+     * @return whether it exists
+     */
+    public boolean holds(String key) {
+        return state.item(key) != null;
+    }
+
+    @Override
+    protected void handle(HttpServerExchange exchange, String path, byte[] body) {
+        switch (fault) {
+            case DOWN -> Responses.text(exchange, UNAVAILABLE, "down");
+            case BUSY -> Responses.text(exchange, BUSY, "busy");
+            case SILENT -> keepSilent(exchange);
+            default -> answer(exchange, path, body);
+        }
+    }
+
+    /** Leaves the call without an answer; its connection stays open. */
+    private static void keepSilent(HttpServerExchange exchange) {
+        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {});
+    }
+
+    private void answer(HttpServerExchange exchange, String path, byte[] body) {
+        if (path.startsWith("/kv-watch")) {
+            long waitMillis = Long.parseLong(query(exchange, "wait-ms"));
+            exchange.dispatch(SameThreadExecutor.INSTANCE, () -> watch(exchange, waitMillis));
+            return;
+        }
+        ObjectNode answer = Json.object();
+        int status = carryOut(exchange, path, Json.read(body), answer);
+        if (fault == StoreFault.ANSWER_LOST) {
+            keepSilent(exchange);
+        } else {
+            Responses.json(exchange, status, answer.toString());
+        }
+    }
+
+    private int carryOut(HttpServerExchange exchange, String path, JsonNode body, ObjectNode answer) {
+        if (path.equals("/kv-key")) {
+            ObjectNode item = state.item(query(exchange, "key"));
+            if (item != null) {
+                answer.setAll(item);
+            }
+            return item == null ? NOT_FOUND : OK;
+        }
+        if (path.equals("/kv-range")) {
+            answer.setAll(state.page(query(exchange, "path-prefix"), query(exchange, "after"), PAGE_SIZE));
+            return OK;
+        }
+        if (path.equals("/kv-txn")) {
+            return state.transact(body, answer);
+        }
+        if (path.equals("/kv-lease")) {
+            answer.put("lease", state.grant(body.path("ttl-ms").asLong())).put("ttl-ms", LEASE_MILLIS);
+            return OK;
+        }
+        long lease = Long.parseLong(path.substring(path.lastIndexOf('/') + 1));
+        boolean known = path.startsWith("/kv-keep") ? state.keep(lease, LEASE_MILLIS) : state.end(lease);
+        return known ? OK : NOT_FOUND;
+    }
+
+    private void watch(HttpServerExchange exchange, long waitMillis) {
+        if (fault == StoreFault.SILENT || exchange.isResponseStarted()) {
+            return;
+        }
+        ObjectNode changes = state.changes(query(exchange, "path-prefix"), Long.parseLong(query(exchange, "after")));
+        if (changes == null) {
+            Responses.text(exchange, GONE, "history dropped");
+        } else if (!changes.path("events").isEmpty() || waitMillis <= 0) {
+            Responses.json(exchange, OK, changes.toString());
+        } else {
+            exchange.getIoThread()
+                    .executeAfter(() -> watch(exchange, waitMillis - POLL_MILLIS), POLL_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private static String query(HttpServerExchange exchange, String name) {
+        Deque<String> values = exchange.getQueryParameters().get(name);
+        return values == null ? "" : values.getFirst();
+    }
+}
--- /dev/null
+++ b/testkit/src/main/java/org/arbutusstack/testkit/platform/StoreState.java
@@ -0,0 +1,153 @@
+package org.arbutusstack.testkit.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.arbutusstack.testkit.Json;
+
+/** Keeps the items, leases and history of the stand-in store. Safe for use by any thread. */
+final class StoreState {
+
+    private static final String KEY = "key";
+
+    private static final String REVISION = "revision";
+
+    private final TreeMap<String, ObjectNode> items = new TreeMap<>();
+
+    private final List<ObjectNode> history = new ArrayList<>();
+
+    private final Map<Long, Long> leaseEndsAtNanos = new HashMap<>();
+
+    private long revision = 1;
+
+    private long forgottenRevision;
+
+    private long lastLease;
+
+    synchronized long put(String key, String value, long lease) {
+        revision++;
+        ObjectNode item = Json.object();
+        item.put(KEY, key).put("value", Base64.getEncoder().encodeToString(value.getBytes(StandardCharsets.UTF_8)));
+        item.put(REVISION, revision).put("created", revision).put("lease", lease);
+        items.put(key, item);
+        history.add(item);
+        return revision;
+    }
+
+    synchronized void remove(String key) {
+        if (items.remove(key) != null) {
+            revision++;
+            history.add(Json.object().put(KEY, key).put(REVISION, revision).put("deleted", true));
+        }
+    }
+
+    synchronized void forgetHistory() {
+        history.clear();
+        forgottenRevision = revision;
+    }
+
+    synchronized ObjectNode item(String key) {
+        expireLeases();
+        ObjectNode item = items.get(key);
+        return item == null ? null : item.deepCopy().put("current-rev", revision);
+    }
+
+    synchronized ObjectNode page(String prefix, String after, int pageSize) {
+        expireLeases();
+        ObjectNode page = Json.object();
+        ArrayNode list = page.putArray("items");
+        boolean more = false;
+        for (Map.Entry<String, ObjectNode> entry : items.tailMap(after, false).entrySet()) {
+            if (!entry.getKey().startsWith(prefix)) {
+                continue;
+            }
+            if (list.size() == pageSize) {
+                more = true;
+                break;
+            }
+            list.add(entry.getValue());
+        }
+        return page.put("more-pages", more).put("current-rev", revision);
+    }
+
+    /** Lists the events after a revision; null if that history was dropped. */
+    synchronized ObjectNode changes(String prefix, long after) {
+        expireLeases();
+        if (after < forgottenRevision) {
+            return null;
+        }
+        ObjectNode answer = Json.object();
+        ArrayNode events = answer.putArray("events");
+        for (ObjectNode event : history) {
+            if (event.get(REVISION).asLong() > after && event.get(KEY).asText().startsWith(prefix)) {
+                events.add(event);
+            }
+        }
+        return answer.put("current-rev", revision);
+    }
+
+    /** Carries a transaction out; returns the status and puts the answer's fields into the node given. */
+    synchronized int transact(JsonNode body, ObjectNode answer) {
+        expireLeases();
+        for (JsonNode row : body.path("precondition")) {
+            ObjectNode item = items.get(row.path(KEY).asText());
+            long present = item == null ? 0 : item.get(REVISION).asLong();
+            if (present != row.path(REVISION).asLong()) {
+                answer.putArray("items");
+                return 412;
+            }
+        }
+        for (JsonNode set : body.path("set-keys")) {
+            long lease = set.path("lease").asLong();
+            if (lease != 0 && !leaseEndsAtNanos.containsKey(lease)) {
+                return 404;
+            }
+        }
+        for (JsonNode set : body.path("set-keys")) {
+            byte[] value = Base64.getDecoder().decode(set.path("value").asText());
+            put(
+                    set.path(KEY).asText(),
+                    new String(value, StandardCharsets.UTF_8),
+                    set.path("lease").asLong());
+        }
+        body.path("remove").forEach(key -> remove(key.asText()));
+        answer.put(REVISION, revision);
+        return 200;
+    }
+
+    synchronized long grant(long millis) {
+        lastLease++;
+        leaseEndsAtNanos.put(lastLease, System.nanoTime() + millis * 1_000_000L);
+        return lastLease;
+    }
+
+    synchronized boolean keep(long lease, long millis) {
+        expireLeases();
+        return leaseEndsAtNanos.computeIfPresent(lease, (id, end) -> System.nanoTime() + millis * 1_000_000L) != null;
+    }
+
+    synchronized boolean end(long lease) {
+        boolean known = leaseEndsAtNanos.remove(lease) != null;
+        for (ObjectNode item : List.copyOf(items.values())) {
+            if (item.get("lease").asLong() == lease) {
+                remove(item.get(KEY).asText());
+            }
+        }
+        return known;
+    }
+
+    private void expireLeases() {
+        for (Map.Entry<Long, Long> lease : Map.copyOf(leaseEndsAtNanos).entrySet()) {
+            if (System.nanoTime() - lease.getValue() >= 0) {
+                end(lease.getKey());
+            }
+        }
+    }
+}
