--- a/daemon/src/main/java/org/arbutusstack/daemon/PlatformCommand.java
+++ b/daemon/src/main/java/org/arbutusstack/daemon/PlatformCommand.java
@@ -14,6 +14,7 @@
 import org.arbutusstack.kernel.time.SystemClock;
 import org.arbutusstack.platform.PlatformRole;
 import org.arbutusstack.platform.PlatformSettings;
+import org.arbutusstack.platform.RoleView;
 import org.arbutusstack.wire.link.LinkKey;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -38,6 +39,8 @@
 
     private static final String LINK_KEY_VARIABLE = "ARBUTUS_LINK_KEY";
 
+    private static final String ADMIN_PORT_VARIABLE = "ARBUTUS_ADMIN_PORT";
+
     private final PlatformRole role;
 
     private final Map<String, String> environment;
@@ -83,6 +86,17 @@
         }
     }
 
+    /** Reads the port of metrics and state; the process has none if the variable is absent. */
+    private Optional<Integer> adminPort() {
+        String text = environment.get(ADMIN_PORT_VARIABLE);
+        try {
+            return text == null ? Optional.empty() : Optional.of(Integer.parseInt(text));
+        } catch (NumberFormatException malformed) {
+            throw new IllegalArgumentException(
+                    "'" + ADMIN_PORT_VARIABLE + "' must be a port but is " + text, malformed);
+        }
+    }
+
     private static void fail(List<String> mistakes) {
         mistakes.forEach(mistake -> System.err.println("arbutusd: " + mistake));
         System.exit(SETTINGS_EXIT_CODE);
@@ -93,7 +107,11 @@
         ServiceRegistry registry = new DefaultServiceRegistry();
         Kernel kernel = new Kernel(registry, clock);
         try {
-            role.register(registry, settings, linkKey, clock, new PrometheusRegistry());
+            PrometheusRegistry metrics = new PrometheusRegistry();
+            RoleView view = role.register(registry, settings, linkKey, clock, metrics);
+            adminPort()
+                    .ifPresent(port -> registry.register(
+                            new AdminListener(settings.address(), port, metrics, view.ready(), view.state())));
             kernel.start();
         } catch (ServiceException | IllegalArgumentException failure) {
             logger.error("event=start-failed role={}", role, failure);
--- a/gateway/src/main/java/org/arbutusstack/gateway/attend/Attendant.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/attend/Attendant.java
@@ -1,9 +1,12 @@
 package org.arbutusstack.gateway.attend;
 
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -63,11 +66,13 @@
 
     private final Map<String, Integer> warmMillis = new HashMap<>();
 
+    private final Counter orders;
+
     private volatile boolean running;
 
-    private boolean silent;
+    private volatile boolean silent;
 
-    private RunnerStatusFrame lastStatus;
+    private volatile RunnerStatusFrame lastStatus;
 
     private long statusDueNanos;
 
@@ -78,13 +83,24 @@
      * @param transport opens and accepts links
      * @param address where entries link to
      * @param clock the clock of the process
+     * @param metrics the process's metrics
      */
-    public Attendant(AttendedRunner runner, LinkTransport transport, InetSocketAddress address, Clock clock) {
+    public Attendant(
+            AttendedRunner runner,
+            LinkTransport transport,
+            InetSocketAddress address,
+            Clock clock,
+            PrometheusRegistry metrics) {
         this.runner = Assert.notNull(runner, "runner");
         this.transport = Assert.notNull(transport, "transport");
         this.address = Assert.notNull(address, "address");
         this.clock = Assert.notNull(clock, "clock");
         this.desk = new OrderDesk(clock);
+        this.orders = Counter.builder()
+                .name("arbutus_attendant_orders_total")
+                .help("orders given to the runner by outcome")
+                .labelNames("outcome")
+                .register(metrics);
         this.thread = new Thread(this::run, "attendant");
         this.thread.setDaemon(true);
     }
@@ -107,6 +123,33 @@
         transport.stop();
     }
 
+    /**
+     * Tells whether the runner answered when it was read last.
+     *
+     * @return whether it did
+     */
+    public boolean isRunnerAnswering() {
+        return !silent && lastStatus != null;
+    }
+
+    /**
+     * Counts the entries linked.
+     *
+     * @return their number
+     */
+    public int linkCount() {
+        return links.size();
+    }
+
+    /**
+     * Tells what the entries were told last.
+     *
+     * @return the status; null if none was told
+     */
+    public RunnerStatusFrame lastStatus() {
+        return lastStatus;
+    }
+
     private void run() {
         while (running) {
             try {
@@ -172,6 +215,7 @@
     private boolean give(RunnerOrder order, RunnerReading reading) {
         OrderOutcome outcome = runner.order(order);
         desk.ordered(order, outcome, reading);
+        orders.labelValues(outcome.name().toLowerCase(Locale.ROOT)).inc();
         logger.info(
                 "event=order load={} model={} adapter={} expected={} outcome={}",
                 order.load(),
--- a/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
@@ -219,6 +219,24 @@
         plannerLink.holder(other ? holder.substring(0, space) : "");
     }
 
+    /**
+     * Lists the runners known.
+     *
+     * @return the runners
+     */
+    public Collection<KnownRunner> runners() {
+        return runners.all();
+    }
+
+    /**
+     * Tells whether this entry plans which runners hold which models.
+     *
+     * @return whether it holds the planner's lease
+     */
+    public boolean isPlanning() {
+        return election.isHolding();
+    }
+
     /**
      * Lists the requests in hand, for the dump of the process's state.
      *
