--- a/gateway/src/main/java/org/arbutusstack/gateway/attend/Attendant.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/attend/Attendant.java
@@ -29,9 +29,11 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Reads the runner on the own host several times a second, tells all entries linked to it, and gives the runner's orders.
+ * Reads the runner on the own host several times a second, tells all entries linked to it, and gives the runner's
+ * orders.
  *
- * <p>It is not on the way of requests: while it is away, its runner goes on with what it holds. Runs on a duty of its own.
+ * <p>It is not on the way of requests: while it is away, its runner goes on with what it holds. Runs on a duty of its
+ * own.
  */
 public final class Attendant implements Service {
 
--- a/gateway/src/main/java/org/arbutusstack/gateway/attend/OrderDesk.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/attend/OrderDesk.java
@@ -18,9 +18,10 @@
 /**
  * Decides which order a runner gets next. Does no I/O; used by the attendant's duty only.
  *
- * <p>Each order names the sequence of the reading that it was decided on, so that it can only be carried out on just the
- * holdings that were read: orders lost, late or repeated cannot make the runner hold more than fits. Orders of an earlier
- * incarnation whose fate is unknown keep their memory reserved until they can no longer arrive.
+ * <p>Each order names the sequence of the reading that it was decided on, so that it can only be carried out on just
+ * the holdings that were read: orders lost, late or repeated cannot make the runner hold more than fits. Loads whose
+ * fate is unknown keep their memory reserved against later incarnations of the same identifier until they can no longer
+ * arrive.
  */
 final class OrderDesk {
 
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/DecisionLog.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/DecisionLog.java
@@ -63,7 +63,8 @@
             InboundRequest request = active.request();
             long heldMillis = (clock.nowNanos() - request.arrivedNanos()) / Clock.NANOS_PER_MILLI;
             logger.info(
-                    "event=refused {} kind={} reason={} opened={} events={} held_ms={} left_ms={} dropped={} detail=\"{}\"",
+                    "event=refused {} kind={} reason={} opened={} events={} held_ms={} left_ms={} dropped={}"
+                            + " detail=\"{}\"",
                     describe(active),
                     truth.kind().label(),
                     truth.reason().label(),
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/ModelWaits.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/ModelWaits.java
@@ -9,12 +9,12 @@
 import org.arbutusstack.kernel.time.Clock;
 
 /**
- * Estimates when a model that no runner holds will be loaded, and remembers the callers who were asked to come back then,
- * so that the planner counts them. Used by the entry's loop only.
+ * Estimates when a model that no runner holds will be loaded, and remembers the callers who were asked to come back
+ * then, so that the planner counts them. Used by the entry's loop only.
  */
 final class ModelWaits {
 
-    /** A load from the weight store with the time to plan it and to make room: the longest load that users name, and half. */
+    /** A load with the time to plan it and to make room: the longest load that users name, and a third. */
     private static final long LOAD_MILLIS = 3_300;
 
     /** A load that takes longer than planned is expected to end soon. */
--- a/placement/src/main/java/org/arbutusstack/placement/LoadPacer.java
+++ b/placement/src/main/java/org/arbutusstack/placement/LoadPacer.java
@@ -6,7 +6,8 @@
 /**
  * Bounds how often loads from the weight store begin, for the one process that plans.
  *
- * <p>A new planner begins with nothing in hand, since its predecessor may just have spent all. To be used by one thread.
+ * <p>A new planner begins with nothing in hand, since its predecessor may just have spent all. To be used by one
+ * thread.
  */
 public final class LoadPacer {
 
--- a/routing/src/test/java/org/arbutusstack/routing/FirstEventEstimateTests.java
+++ b/routing/src/test/java/org/arbutusstack/routing/FirstEventEstimateTests.java
@@ -15,7 +15,7 @@
 
     private static final long TARGET_MILLIS = 500;
 
-    /** Replays nearly twice what an engine can read: without admission nobody is in time, with it most of its work is. */
+    /** Replays nearly twice what an engine can read: only with admission is what it reads in time. */
     @Test
     public void shouldKeepServedRequestsInTimeWhenTwiceTheCapacityArrives() {
         int open = inTime(false);
--- a/store/src/main/java/org/arbutusstack/store/PrefixFollower.java
+++ b/store/src/main/java/org/arbutusstack/store/PrefixFollower.java
@@ -8,7 +8,7 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Keeps a listener up to date on the keys with a prefix, through outages, lost history and connections that went silent.
+ * Keeps a listener up to date on the keys with a prefix, through outages, lost history and silent connections.
  *
  * <p>What was told stands while the service is away. Runs on a duty of its own.
  *
