--- /dev/null
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
@@ -0,0 +1,155 @@
+package org.arbutusstack.gateway.request;
+
+import org.arbutusstack.kernel.Assert;
+import org.arbutusstack.kernel.time.Clock;
+import org.arbutusstack.model.request.Refusal;
+import org.arbutusstack.model.request.RefusalReason;
+
+/**
+ * Passes on what runners answer, event by event or whole, and tells the desk how each attempt ended.
+ *
+ * <p>Only an answer that the runner attests reaches a caller; one that breaks off never looks complete. Used by the
+ * entry's loop only.
+ *
+ * @see RequestDesk
+ */
+final class AnswerRelay {
+
+    private final RequestDesk desk;
+
+    private final RunnerPort runnerPort;
+
+    private final CallerPort callers;
+
+    private final Clock clock;
+
+    private final GatewayMetrics metrics;
+
+    AnswerRelay(RequestDesk desk, RunnerPort runnerPort, CallerPort callers, Clock clock, GatewayMetrics metrics) {
+        this.desk = Assert.notNull(desk, "desk");
+        this.runnerPort = Assert.notNull(runnerPort, "runnerPort");
+        this.callers = Assert.notNull(callers, "callers");
+        this.clock = Assert.notNull(clock, "clock");
+        this.metrics = Assert.notNull(metrics, "metrics");
+    }
+
+    /** Looks at the head of an answer; the body of one that is of no use is not awaited. */
+    void head(ActiveRequest active, CurrentAttempt attempt) {
+        AnswerHead head = attempt.head();
+        if (head.claim() == AnswerClaim.UNATTESTED) {
+            attempt.cancel();
+            attempt.runner().health().failed(clock.nowNanos());
+            String detail = "an answer with status " + head.status() + " that is not the runner's to this request";
+            desk.failed(active, Refusal.outcomeUnknown(RefusalReason.BACKEND_ERROR, detail));
+        }
+    }
+
+    /** Passes events on as they come. */
+    void streamed(ActiveRequest active, CurrentAttempt attempt, byte[] bytes) {
+        byte[] events = active.events().take(bytes);
+        if (active.events().isTooLong()) {
+            attempt.cancel();
+            desk.failed(active, Refusal.outcomeUnknown(RefusalReason.ANSWER_TOO_LARGE, "an event is too long to hold"));
+            return;
+        }
+        if (events.length > 0) {
+            passOn(active, attempt, events);
+        }
+    }
+
+    private void passOn(ActiveRequest active, CurrentAttempt attempt, byte[] bytes) {
+        openStream(active, attempt);
+        active.response().write(bytes);
+    }
+
+    private void openStream(ActiveRequest active, CurrentAttempt attempt) {
+        if (!active.isOpened()) {
+            active.opened();
+            attempt.runner().health().succeeded();
+            attempt.firstEventAt(clock.nowNanos());
+            metrics.answered(active.request(), clock.nowNanos());
+            callers.open(active.response(), attempt.head(), -1);
+        }
+    }
+
+    /** Takes the end of an answer. */
+    void whole(ActiveRequest active, CurrentAttempt attempt) {
+        switch (attempt.head().claim()) {
+            case ATTESTED -> attested(active, attempt);
+            case NOT_RUN -> notRun(active, attempt, RefusalReason.QUEUE_FULL);
+            case NOT_HELD -> notRun(active, attempt, RefusalReason.NO_RUNNER);
+            case OTHER_INCARNATION -> {
+                attempt.runner().replaced();
+                runnerPort.forget(attempt.runner().entry());
+                notRun(active, attempt, RefusalReason.LEAVING);
+            }
+            default -> throw new IllegalStateException("unattested answers end at their head");
+        }
+    }
+
+    private void attested(ActiveRequest active, CurrentAttempt attempt) {
+        if (attempt.passesOn()) {
+            endStream(active, attempt);
+            return;
+        }
+        ActiveRequest.BufferedAnswer answer = new ActiveRequest.BufferedAnswer(attempt.head(), attempt.body());
+        if (active.isOpened()) {
+            desk.failed(active, Refusal.outcomeUnknown(RefusalReason.BACKEND_ERROR, "the stream was not resumed"));
+        } else if (attempt.head().isSuccess()) {
+            attempt.runner().health().succeeded();
+            answer(active, answer);
+        } else {
+            attempt.runner().health().failed(clock.nowNanos());
+            active.failedAnswer(answer);
+            String detail = "the runner answered with status " + attempt.head().status();
+            desk.failed(active, Refusal.outcomeUnknown(RefusalReason.BACKEND_ERROR, detail));
+        }
+    }
+
+    private void endStream(ActiveRequest active, CurrentAttempt attempt) {
+        byte[] rest = active.events().rest();
+        if (rest.length > 0 && !attempt.head().framed()) {
+            broken(active, attempt, true, "the connection ended within an event");
+            return;
+        }
+        openStream(active, attempt);
+        if (rest.length > 0) {
+            active.response().write(rest);
+        }
+        active.response().end();
+        desk.answered(active, "answered");
+    }
+
+    /** Passes a whole answer on. */
+    void answer(ActiveRequest active, ActiveRequest.BufferedAnswer answer) {
+        metrics.answered(active.request(), clock.nowNanos());
+        callers.open(active.response(), answer.head(), answer.body().length);
+        if (answer.body().length > 0) {
+            active.response().write(answer.body());
+        }
+        active.response().end();
+        desk.answered(active, answer.head().isSuccess() ? "answered" : "failed-at-runner");
+    }
+
+    private void notRun(ActiveRequest active, CurrentAttempt attempt, RefusalReason reason) {
+        if (attempt.head().claim() == AnswerClaim.NOT_HELD) {
+            attempt.runner().holdsNo(active.request().model(), active.request().adapter());
+        }
+        String detail = "the runner did not run it and answered with status "
+                + attempt.head().status();
+        desk.failed(active, Refusal.notRun(reason, detail));
+    }
+
+    /** Takes the end of an attempt without a whole answer. */
+    void broken(ActiveRequest active, CurrentAttempt attempt, boolean maybeSent, String detail) {
+        active.events().dropRest();
+        if (maybeSent) {
+            attempt.runner().health().failed(clock.nowNanos());
+            desk.failed(active, Refusal.outcomeUnknown(RefusalReason.BACKEND_LOST, detail));
+            return;
+        }
+        attempt.runner().health().unreachable(clock.nowNanos());
+        active.neverSent();
+        desk.failed(active, Refusal.notRun(RefusalReason.BACKEND_LOST, detail));
+    }
+}
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/CurrentAttempt.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/CurrentAttempt.java
@@ -4,10 +4,10 @@
 import org.arbutusstack.gateway.runner.KnownRunner;
 import org.arbutusstack.kernel.time.Clock;
 
-/** Follows one attempt and hands what the runner says to the desk. Used by the entry's loop only. */
+/** Follows one attempt and hands what the runner says to the relay. Used by the entry's loop only. */
 final class CurrentAttempt implements AnswerListener {
 
-    private final RequestDesk desk;
+    private final AnswerRelay relay;
 
     private final ActiveRequest owner;
 
@@ -25,8 +25,8 @@
 
     private final int unstartedBefore;
 
-    CurrentAttempt(RequestDesk desk, ActiveRequest owner, KnownRunner runner, long sentAtNanos) {
-        this.desk = desk;
+    CurrentAttempt(AnswerRelay relay, ActiveRequest owner, KnownRunner runner, long sentAtNanos) {
+        this.relay = relay;
         this.owner = owner;
         this.runner = runner;
         this.sentAtNanos = sentAtNanos;
@@ -83,7 +83,7 @@
         if (isCurrent()) {
             runner.heard();
             head = answered;
-            desk.head(owner, this);
+            relay.head(owner, this);
         }
     }
 
@@ -94,7 +94,7 @@
         }
         runner.heard();
         if (passesOn()) {
-            desk.streamed(owner, this, bytes);
+            relay.streamed(owner, this, bytes);
         } else {
             body.writeBytes(bytes);
         }
@@ -108,14 +108,14 @@
     @Override
     public void onEnd() {
         if (isCurrent()) {
-            desk.whole(owner, this);
+            relay.whole(owner, this);
         }
     }
 
     @Override
     public void onFailed(boolean maybeSent, String detail) {
         if (isCurrent()) {
-            desk.broken(owner, this, maybeSent, detail);
+            relay.broken(owner, this, maybeSent, detail);
         }
     }
 }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDesk.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDesk.java
@@ -29,6 +29,8 @@
 
     private final RunnerPort runnerPort;
 
+    private final AnswerRelay relay;
+
     private final CallerPort callers;
 
     private final Clock clock;
@@ -74,6 +76,7 @@
         this.metrics = Assert.notNull(metrics, "metrics");
         this.log = new DecisionLog(clock);
         this.modelWaits = new ModelWaits(clock);
+        this.relay = new AnswerRelay(this, runnerPort, callers, clock, metrics);
     }
 
     /**
@@ -159,7 +162,7 @@
 
     private void send(ActiveRequest active, KnownRunner runner) {
         InboundRequest request = active.request();
-        CurrentAttempt attempt = new CurrentAttempt(this, active, runner, clock.nowNanos());
+        CurrentAttempt attempt = new CurrentAttempt(relay, active, runner, clock.nowNanos());
         active.begin(attempt);
         runner.sent();
         runner.health().sent(clock.nowNanos());
@@ -171,128 +174,14 @@
         attempt.handle(runnerPort.send(runner.entry(), request, lastEventId, request.deadlineNanos(), attempt));
     }
 
-    /** Looks at the head of an answer; the body of one that is of no use is not awaited. */
-    void head(ActiveRequest active, CurrentAttempt attempt) {
-        AnswerHead head = attempt.head();
-        if (head.claim() == AnswerClaim.UNATTESTED) {
-            attempt.cancel();
-            attempt.runner().health().failed(clock.nowNanos());
-            String detail = "an answer with status " + head.status() + " that is not the runner's to this request";
-            failed(active, Refusal.outcomeUnknown(RefusalReason.BACKEND_ERROR, detail));
-        }
-    }
-
-    /** Passes events on as they come. */
-    void streamed(ActiveRequest active, CurrentAttempt attempt, byte[] bytes) {
-        byte[] events = active.events().take(bytes);
-        if (active.events().isTooLong()) {
-            attempt.cancel();
-            failed(active, Refusal.outcomeUnknown(RefusalReason.ANSWER_TOO_LARGE, "an event is too long to hold"));
-            return;
-        }
-        if (events.length > 0) {
-            passOn(active, attempt, events);
-        }
-    }
-
-    private void passOn(ActiveRequest active, CurrentAttempt attempt, byte[] bytes) {
-        openStream(active, attempt);
-        active.response().write(bytes);
-    }
-
-    private void openStream(ActiveRequest active, CurrentAttempt attempt) {
-        if (!active.isOpened()) {
-            active.opened();
-            attempt.runner().health().succeeded();
-            attempt.firstEventAt(clock.nowNanos());
-            metrics.answered(active.request(), clock.nowNanos());
-            callers.open(active.response(), attempt.head(), -1);
-        }
-    }
-
-    /** Takes the end of an answer. */
-    void whole(ActiveRequest active, CurrentAttempt attempt) {
-        switch (attempt.head().claim()) {
-            case ATTESTED -> attested(active, attempt);
-            case NOT_RUN -> notRun(active, attempt, RefusalReason.QUEUE_FULL);
-            case NOT_HELD -> notRun(active, attempt, RefusalReason.NO_RUNNER);
-            case OTHER_INCARNATION -> {
-                attempt.runner().replaced();
-                runnerPort.forget(attempt.runner().entry());
-                notRun(active, attempt, RefusalReason.LEAVING);
-            }
-            default -> throw new IllegalStateException("unattested answers end at their head");
-        }
-    }
-
-    private void attested(ActiveRequest active, CurrentAttempt attempt) {
-        if (attempt.passesOn()) {
-            endStream(active, attempt);
-            return;
-        }
-        ActiveRequest.BufferedAnswer answer = new ActiveRequest.BufferedAnswer(attempt.head(), attempt.body());
-        if (active.isOpened()) {
-            failed(active, Refusal.outcomeUnknown(RefusalReason.BACKEND_ERROR, "the stream was not resumed"));
-        } else if (attempt.head().isSuccess()) {
-            attempt.runner().health().succeeded();
-            answer(active, answer);
-        } else {
-            attempt.runner().health().failed(clock.nowNanos());
-            active.failedAnswer(answer);
-            String detail = "the runner answered with status " + attempt.head().status();
-            failed(active, Refusal.outcomeUnknown(RefusalReason.BACKEND_ERROR, detail));
-        }
-    }
-
-    private void endStream(ActiveRequest active, CurrentAttempt attempt) {
-        byte[] rest = active.events().rest();
-        if (rest.length > 0 && !attempt.head().framed()) {
-            broken(active, attempt, true, "the connection ended within an event");
-            return;
-        }
-        openStream(active, attempt);
-        if (rest.length > 0) {
-            active.response().write(rest);
-        }
-        active.response().end();
-        active.attemptDone();
-        end(active, "answered");
-    }
-
-    private void answer(ActiveRequest active, ActiveRequest.BufferedAnswer answer) {
+    /** Ends a request whose answer was passed on whole. */
+    void answered(ActiveRequest active, String outcome) {
         active.attemptDone();
-        metrics.answered(active.request(), clock.nowNanos());
-        callers.open(active.response(), answer.head(), answer.body().length);
-        if (answer.body().length > 0) {
-            active.response().write(answer.body());
-        }
-        active.response().end();
-        end(active, answer.head().isSuccess() ? "answered" : "failed-at-runner");
-    }
-
-    private void notRun(ActiveRequest active, CurrentAttempt attempt, RefusalReason reason) {
-        if (attempt.head().claim() == AnswerClaim.NOT_HELD) {
-            attempt.runner().holdsNo(active.request().model(), active.request().adapter());
-        }
-        String detail = "the runner did not run it and answered with status "
-                + attempt.head().status();
-        failed(active, Refusal.notRun(reason, detail));
-    }
-
-    /** Takes the end of an attempt without a whole answer. */
-    void broken(ActiveRequest active, CurrentAttempt attempt, boolean maybeSent, String detail) {
-        active.events().dropRest();
-        if (maybeSent) {
-            attempt.runner().health().failed(clock.nowNanos());
-            failed(active, Refusal.outcomeUnknown(RefusalReason.BACKEND_LOST, detail));
-            return;
-        }
-        attempt.runner().health().unreachable(clock.nowNanos());
-        active.neverSent();
-        failed(active, Refusal.notRun(RefusalReason.BACKEND_LOST, detail));
+        end(active, outcome);
     }
 
-    private void failed(ActiveRequest active, Refusal refusal) {
+    /** Ends an attempt without a whole answer, and tries again or tells the caller. */
+    void failed(ActiveRequest active, Refusal refusal) {
         KnownRunner runner = active.attempt() == null ? null : active.attempt().runner();
         active.attemptEnded(refusal);
         if (mayTryAgain(active, refusal)) {
@@ -301,7 +190,7 @@
             route(active);
         } else if (active.failedAnswer() != null && !active.isOpened()) {
             log.refused(active, refusal);
-            answer(active, active.failedAnswer());
+            relay.answer(active, active.failedAnswer());
         } else {
             refuse(active, refusal, limits.returnMillis());
         }
@@ -406,7 +295,7 @@
     private void expire(ActiveRequest active) {
         CurrentAttempt attempt = active.attempt();
         if (attempt == null && active.failedAnswer() != null && !active.isOpened()) {
-            answer(active, active.failedAnswer());
+            relay.answer(active, active.failedAnswer());
             return;
         }
         if (attempt != null) {
