--- a/daemon/src/test/java/org/arbutusstack/daemon/log/BoundedAppenderTests.java
+++ b/daemon/src/test/java/org/arbutusstack/daemon/log/BoundedAppenderTests.java
@@ -7,6 +7,7 @@
 import ch.qos.logback.classic.LoggerContext;
 import ch.qos.logback.classic.encoder.PatternLayoutEncoder;
 import ch.qos.logback.classic.spi.LoggingEvent;
+import ch.qos.logback.classic.util.LogbackMDCAdapter;
 import java.io.ByteArrayOutputStream;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
@@ -54,6 +55,7 @@
     }
 
     private BoundedAppender appender(OutputStream stream) {
+        context.setMDCAdapter(new LogbackMDCAdapter());
         PatternLayoutEncoder encoder = new PatternLayoutEncoder();
         encoder.setContext(context);
         encoder.setPattern("%msg%n");
