--- a/model/src/main/java/org/arbutusstack/model/ticket/DesiredState.java
+++ b/model/src/main/java/org/arbutusstack/model/ticket/DesiredState.java
@@ -147,4 +147,15 @@
                 .sorted(Comparator.comparing(ModelSpec::name))
                 .toList();
     }
+
+    /**
+     * Tells whether the runners of a service are engines.
+     *
+     * @param service the service's name
+     * @return whether it is known and they are
+     */
+    public boolean isEngine(String service) {
+        ServiceSpec spec = services().get(service);
+        return spec != null && spec.kind() == ServiceKind.ENGINE;
+    }
 }
--- a/side/src/main/java/org/arbutusstack/side/SideService.java
+++ b/side/src/main/java/org/arbutusstack/side/SideService.java
@@ -18,15 +18,12 @@
 import org.arbutusstack.model.JsonCodec;
 import org.arbutusstack.model.plan.Plan;
 import org.arbutusstack.model.ticket.DesiredState;
-import org.arbutusstack.model.ticket.ServiceKind;
-import org.arbutusstack.model.ticket.ServiceSpec;
 import org.arbutusstack.side.claim.ClaimLimits;
 import org.arbutusstack.side.claim.ClaimMetrics;
 import org.arbutusstack.store.KeyValueStore;
 import org.arbutusstack.wire.frame.CancelFrame;
 import org.arbutusstack.wire.frame.Frame;
 import org.arbutusstack.wire.frame.HelloFrame;
-import org.arbutusstack.wire.frame.LoadFrame;
 import org.arbutusstack.wire.frame.PlanFrame;
 import org.arbutusstack.wire.frame.SideReportFrame;
 import org.arbutusstack.wire.frame.StrikeFrame;
@@ -55,10 +52,6 @@
 
     private static final long LOAD_PERIOD_MILLIS = 250;
 
-    private static final long LOAD_REPORT_MILLIS = 1_000;
-
-    private static final long QUEUE_REPORT_MILLIS = 250;
-
     private static final int LOADS_MISSED_TO_LEAVE = 3;
 
     private static final long LEAVING_NOTICE_MILLIS = 500;
@@ -97,12 +90,12 @@
 
     private final EventGate gate;
 
+    private final ReportSchedule reports;
+
     private final AtomicBoolean loadAsked = new AtomicBoolean();
 
     private final AtomicReference<SideReportFrame> present = new AtomicReference<>();
 
-    private SideReportFrame lastReport;
-
     private volatile boolean idle = true;
 
     private volatile boolean backendAnswers;
@@ -115,8 +108,6 @@
 
     private long loadAskAtNanos;
 
-    private long reportAtNanos;
-
     /**
      * Creates the service.
      *
@@ -159,6 +150,7 @@
         this.residency = new Residency(identity, engine.ledger(clock.nowNanos()), cache, clock, this::order, open::all);
         WorkMetrics workMetrics = new WorkMetrics(metrics);
         this.gate = new EventGate(duty, workMetrics);
+        this.reports = new ReportSchedule(clock);
         AnswerSender answers =
                 new AnswerSender(identity.name(), () -> replica.state().sequence(), trail, workMetrics);
         this.peers = new SidePeers(replica, clock);
@@ -291,8 +283,7 @@
     }
 
     private boolean isEngine() {
-        ServiceSpec service = state().services().get(identity.service());
-        return service != null && service.kind() == ServiceKind.ENGINE;
+        return state().isEngine(identity.service());
     }
 
     private boolean isReady(Work work) {
@@ -337,14 +328,7 @@
         report(false);
     }
 
-    /** Tells sooner than else that a queue has begun, since entries admit more than can run until they know it. */
-    private boolean isLoadDue(LoadFrame load) {
-        boolean queueBegins = lastReport.queued() == 0 && load.queued() > 0;
-        long soonerMillis = queueBegins ? LOAD_REPORT_MILLIS - QUEUE_REPORT_MILLIS : 0;
-        return clock.isPast(reportAtNanos - soonerMillis * Clock.NANOS_PER_MILLI);
-    }
-
-    /** Tells the entries at once what has changed, but of changes of nothing but the load only a few. */
+    /** Tells the entries what has changed, as soon as that is due. */
     private void report(boolean always) {
         SideReportFrame report = new SideReportFrame(
                 state().sequence(),
@@ -361,14 +345,7 @@
                 residency.demand(),
                 desk.isDraining() || !backendAnswers);
         present.set(report);
-        LoadFrame load = new LoadFrame(desk.queued(), desk.running(), report.demand());
-        boolean onlyLoad = !always && lastReport != null && report.equals(lastReport.withLoad(load));
-        if (onlyLoad && (report.equals(lastReport) || !isLoadDue(load))) {
-            return;
-        }
-        lastReport = report;
-        reportAtNanos = clock.deadlineNanos(LOAD_REPORT_MILLIS);
-        peers.broadcast(onlyLoad ? load : report);
+        reports.due(report, always).ifPresent(peers::broadcast);
     }
 
     /**
