--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
@@ -49,6 +49,9 @@
         /** All runners that hold its model would begin too late. */
         record Crowded(long firstEventMillis) implements Choice {}
 
+        /** The runners that hold its model are to give a sign of life first. */
+        record AwaitSign() implements Choice {}
+
         /** No runner holds its model. */
         record AwaitModel() implements Choice {}
 
@@ -82,7 +85,12 @@
         if (holders.isEmpty()) {
             return new Choice.AwaitModel();
         }
-        List<KnownRunner> preferred = preferred(active, holders);
+        List<KnownRunner> preferred = preferred(active, holders).stream()
+                .filter(runner -> !runner.isAwaitingSign())
+                .toList();
+        if (preferred.isEmpty()) {
+            return new Choice.AwaitSign();
+        }
         RoutingRequest needs = new RoutingRequest(
                 request.service(),
                 request.model(),
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/KnownRunner.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/KnownRunner.java
@@ -43,6 +43,8 @@
 
     private long heardAtNanos;
 
+    private int sentSinceHeard;
+
     private int outstanding;
 
     private int sentSinceStatus;
@@ -173,6 +175,17 @@
     /** Notes that the runner or the process beside it has sent something. */
     public void heard() {
         heardAtNanos = clock.nowNanos();
+        sentSinceHeard = 0;
+    }
+
+    /**
+     * Tells whether a request would be sent on trust: one was sent since the host last gave a sign of life. Hosts with a
+     * side give several a second, so that few requests lie in the buffers of one that has just frozen.
+     *
+     * @return whether to wait for the next sign or to take another runner
+     */
+    public boolean isAwaitingSign() {
+        return linkOpen && sentSinceHeard > 0;
     }
 
     /**
@@ -229,6 +242,7 @@
     public void sent() {
         outstanding++;
         sentSinceStatus++;
+        sentSinceHeard++;
     }
 
     /** Counts a request that ended. */
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/RequestDeskTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/RequestDeskTests.java
@@ -7,10 +7,12 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
+import java.util.Map;
 import org.arbutusstack.gateway.config.Route;
 import org.arbutusstack.gateway.config.RouteKind;
 import org.arbutusstack.model.request.RefusalKind;
 import org.arbutusstack.model.request.RefusalReason;
+import org.arbutusstack.wire.frame.RunnerStatusFrame;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -266,4 +268,33 @@
         harness.send(DeskHarness.route(RouteKind.STREAMING, DeskHarness.ENGINE, 1, false), "m1");
         assertEquals(harness.runners.sent.size(), 2);
     }
+
+    @Test
+    public void shouldSendTheNextRequestOnlyAfterASignOfLifeFromTheHost() {
+        DeskHarness harness = new DeskHarness();
+        harness.runner("a", DeskHarness.ENGINE, "m1");
+        RunnerStatusFrame status = new RunnerStatusFrame(
+                1,
+                0,
+                true,
+                -1,
+                0,
+                0,
+                0,
+                1,
+                List.of(new RunnerStatusFrame.HeldModel("m1", 1, List.of())),
+                List.of(),
+                Map.of(),
+                "");
+        harness.table.byId("a").status(status, null);
+        Route route = DeskHarness.route(RouteKind.STREAMING, DeskHarness.ENGINE, 1, false);
+        harness.send(route, "m1");
+        FakeCaller second = harness.send(route, "m1");
+        assertEquals(harness.runners.sent.size(), 1);
+        assertFalse(second.isAnswered());
+        harness.desk.tick();
+        harness.table.byId("a").status(status, null);
+        harness.desk.runnersChanged();
+        assertEquals(harness.runners.sent.size(), 2);
+    }
 }
--- a/gateway/src/test/java/org/arbutusstack/gateway/runner/KnownRunnerTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/runner/KnownRunnerTests.java
@@ -74,4 +74,17 @@
         runner.status(status(7, "m1"), null);
         assertTrue(runner.takesWork());
     }
+
+    /** Replays a host that froze under many callers: eight requests lay in its buffers when they left. */
+    @Test
+    public void shouldAwaitASignOfLifeAfterEachRequestWhenSideTells() {
+        runner.sent();
+        assertFalse(runner.isAwaitingSign());
+        runner.status(status(7, "m1"), null);
+        assertFalse(runner.isAwaitingSign());
+        runner.sent();
+        assertTrue(runner.isAwaitingSign());
+        runner.heard();
+        assertFalse(runner.isAwaitingSign());
+    }
 }
