--- a/gateway/src/main/java/org/arbutusstack/gateway/attend/Attendant.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/attend/Attendant.java
@@ -4,6 +4,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -41,6 +42,13 @@
 
     private static final int RING_SIZE = 1_024;
 
+    private static final int IN_MAIN_MEMORY = 1;
+
+    private static final int ON_DISK = 2;
+
+    /** Stands for a model that an order of an earlier run of this process loads or unloads. */
+    private static final String UNKNOWN_MODEL = "?";
+
     /** How often the runner is read while nothing is under way. */
     private static final long IDLE_MILLIS = 120;
 
@@ -66,8 +74,6 @@
 
     private final Thread thread;
 
-    private final Map<String, Integer> warmMillis = new HashMap<>();
-
     private final Counter orders;
 
     private volatile boolean running;
@@ -248,10 +254,10 @@
                         reading.adaptersOf(model).stream().sorted().toList()));
             }
         });
-        models.sort(java.util.Comparator.comparing(RunnerStatusFrame.HeldModel::name));
-        warmMillis.clear();
-        reading.onDisk().forEach(model -> warmMillis.put(model, 2));
-        reading.inMemory().forEach(model -> warmMillis.put(model, 1));
+        models.sort(Comparator.comparing(RunnerStatusFrame.HeldModel::name));
+        Map<String, Integer> storedCopies = new HashMap<>();
+        reading.onDisk().forEach(model -> storedCopies.put(model, ON_DISK));
+        reading.inMemory().forEach(model -> storedCopies.put(model, IN_MAIN_MEMORY));
         return new RunnerStatusFrame(
                 reading.startedAtMillis(),
                 reading.orderSequence(),
@@ -263,8 +269,8 @@
                 reading.capacityTokens(),
                 models,
                 reading.pendingAdapters(),
-                warmMillis,
-                reading.busy() && desk.loading().isEmpty() ? "?" : desk.loading());
+                storedCopies,
+                reading.busy() && desk.loading().isEmpty() ? UNKNOWN_MODEL : desk.loading());
     }
 
     /** Hands frames to the attendant's duty. */
--- a/gateway/src/main/java/org/arbutusstack/gateway/plan/ModelPlanner.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/plan/ModelPlanner.java
@@ -200,7 +200,7 @@
                 held,
                 !loading.isEmpty() || leaving,
                 status.queued() + status.running(),
-                status.warmModels());
+                status.storedCopies());
     }
 
     private void give(ModelMove move, EngineFleet.ModelDemand asked) {
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/EventBuffer.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/EventBuffer.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 
 /**
  * Cuts a stream of events into whole events and remembers the last one's identifier. Used by the entry's loop only.
@@ -32,8 +33,8 @@
             return new byte[0];
         }
         noteEvents(joined, end);
-        rest = java.util.Arrays.copyOfRange(joined, end, joined.length);
-        return end == joined.length ? joined : java.util.Arrays.copyOf(joined, end);
+        rest = Arrays.copyOfRange(joined, end, joined.length);
+        return end == joined.length ? joined : Arrays.copyOf(joined, end);
     }
 
     private byte[] join(byte[] bytes) {
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/KnownRunner.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/KnownRunner.java
@@ -179,8 +179,8 @@
     }
 
     /**
-     * Tells whether a request would be sent on trust: one was sent since the host last gave a sign of life. Hosts with a
-     * side give several a second, so that few requests lie in the buffers of one that has just frozen.
+     * Tells whether a request would be sent on trust: one was sent since the host last gave a sign of life. Hosts with
+     * a side give several a second, so that few requests lie in the buffers of one that has just frozen.
      *
      * @return whether to wait for the next sign or to take another runner
      */
--- a/placement/src/main/java/org/arbutusstack/placement/EngineFleet.java
+++ b/placement/src/main/java/org/arbutusstack/placement/EngineFleet.java
@@ -42,7 +42,8 @@
      * @param held the models that it holds or is loading
      * @param busy whether it carries out an order
      * @param requests the requests that wait or run there
-     * @param warmMillis how long a load takes of the models of which it keeps a copy outside accelerator memory
+     * @param storedCopies the models of which it keeps a copy outside accelerator memory, with the rank of where: 1 in
+     *     main memory, 2 on disk
      */
     public record Runner(
             String name,
@@ -52,12 +53,12 @@
             Set<String> held,
             boolean busy,
             int requests,
-            Map<String, Integer> warmMillis) {
+            Map<String, Integer> storedCopies) {
 
         /** Copies the collections. */
         public Runner {
             held = Set.copyOf(held);
-            warmMillis = Map.copyOf(warmMillis);
+            storedCopies = Map.copyOf(storedCopies);
         }
     }
 
--- a/placement/src/main/java/org/arbutusstack/placement/FleetPlanner.java
+++ b/placement/src/main/java/org/arbutusstack/placement/FleetPlanner.java
@@ -142,7 +142,7 @@
         if (missingMb > 0) {
             return null;
         }
-        boolean fromStore = !runner.warmMillis().containsKey(model);
+        boolean fromStore = !runner.storedCopies().containsKey(model);
         double slowness = fromStore ? 1 : 0;
         return new Candidate(new ModelMove(runner.name(), model, victims, fromStore), price + slowness);
     }
--- a/wire/src/main/java/org/arbutusstack/wire/frame/RunnerStatusFrame.java
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/RunnerStatusFrame.java
@@ -20,7 +20,8 @@
  * @param capacityTokens the tokens that fit in memory
  * @param models the models that it holds
  * @param pendingAdapters the adapters on their way, as model, slash, adapter
- * @param warmModels how long a load of a model not held would take, in milliseconds, where a copy lies at the runner
+ * @param storedCopies the models of which a copy lies at the runner outside accelerator memory, with the rank of where:
+ *     1 in main memory, 2 on disk
  * @param loadingModel the model that the last order asked for and that is not there yet; empty for none
  */
 public record RunnerStatusFrame(
@@ -34,7 +35,7 @@
         long capacityTokens,
         List<HeldModel> models,
         List<String> pendingAdapters,
-        Map<String, Integer> warmModels,
+        Map<String, Integer> storedCopies,
         String loadingModel)
         implements Frame {
 
@@ -42,7 +43,7 @@
     public RunnerStatusFrame {
         models = List.copyOf(models);
         pendingAdapters = List.copyOf(pendingAdapters);
-        warmModels = Map.copyOf(warmModels);
+        storedCopies = Map.copyOf(storedCopies);
     }
 
     /**
@@ -107,7 +108,7 @@
             Frames.packStrings(packer, model.adapters());
         }
         Frames.packStrings(packer, pendingAdapters);
-        Frames.packCounts(packer, warmModels);
+        Frames.packCounts(packer, storedCopies);
         packer.packString(loadingModel);
     }
 }
