Plan at once after a restart at the planner's address; send nothing to earlier runners at an address

The key named an earlier run at the address of an entry that lives: that run must have ended. Besides, entries of ended runners stay listed for some seconds beside their successors at the same address, and each drew a request that was answered 421 (9 retries in that second). Change: PlannerElection swaps the key of its own predecessor by its revision; RunnerTable gives up all but the latest runner at an address. Ruled out: a shorter lease (a slow store would cost the planner its duty); taking over when another entry's link breaks (it may live). Tests: PlannerElectionTests, RunnerTableTests.shouldSendNothingToEarlierRunnerWhenAnotherStartedAtItsAddress (not run on the old code).

--- a/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
@@ -213,7 +213,7 @@
      * @param holder what the planner wrote to its key; empty if nobody holds it
      */
     public void plannerSeen(String holder) {
-        election.seen(holder.isEmpty());
+        election.seen(holder);
         int space = holder.indexOf(' ');
         boolean other = space > 0 && !holder.equals(identity);
         plannerLink.holder(other ? holder.substring(0, space) : "");
--- a/gateway/src/main/java/org/arbutusstack/gateway/plan/PlannerElection.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/plan/PlannerElection.java
@@ -14,8 +14,8 @@
 /**
  * Takes the planner's key in the key-value service if no entry holds it, and keeps it by a lease.
  *
- * <p>The revision of the key's creation is the holder's fencing number. Runs on a duty of its own; the results may be
- * read by any thread.
+ * <p>The revision at which the key was taken is the holder's fencing number. Runs on a duty of its own; the results may
+ * be read by any thread.
  */
 public final class PlannerElection implements Service {
 
@@ -43,7 +43,7 @@
 
     private volatile boolean running;
 
-    private volatile boolean vacant = true;
+    private volatile String holder = "";
 
     private volatile long fence;
 
@@ -91,12 +91,18 @@
     }
 
     /**
-     * Learns whether the key is seen to be free.
+     * Learns what the key holds.
      *
-     * @param isVacant whether no entry holds it
+     * @param identityOfHolder what the planner wrote to it; empty if nobody holds it
      */
-    public void seen(boolean isVacant) {
-        vacant = isVacant;
+    public void seen(String identityOfHolder) {
+        holder = identityOfHolder;
+    }
+
+    /** Tells whether an earlier run at this entry's address holds the key; it must have ended. */
+    private boolean isPredecessor(String other) {
+        int space = identity.indexOf(' ');
+        return space > 0 && !other.equals(identity) && other.startsWith(identity.substring(0, space + 1));
     }
 
     /**
@@ -143,17 +149,32 @@
             logger.warn("event=planner-yielded fence={} cause=lease-lapsed", fence);
             holding = false;
         }
-        if (!holding && vacant) {
-            take();
+        if (!holding && holder.isEmpty()) {
+            take(0);
+        } else if (!holding && isPredecessor(holder)) {
+            succeed();
+        }
+    }
+
+    /** Takes the key from an earlier run of this entry without waiting for the end of its lease. */
+    private void succeed() {
+        StoreResult<KeyValue> read = store.get(KEY, clock.deadlineNanos(CALL_MILLIS));
+        if (!(read instanceof StoreResult.Done<KeyValue> done)) {
+            return;
+        }
+        holder = done.value().text();
+        if (holder.isEmpty() || isPredecessor(holder)) {
+            take(done.value().revision());
         }
     }
 
-    private void take() {
+    private void take(long expectedRevision) {
         if (!lease.obtain()) {
             return;
         }
         byte[] value = identity.getBytes(StandardCharsets.UTF_8);
-        StoreResult<Long> written = store.compareAndSwap(KEY, 0, value, lease.id(), clock.deadlineNanos(CALL_MILLIS));
+        StoreResult<Long> written =
+                store.compareAndSwap(KEY, expectedRevision, value, lease.id(), clock.deadlineNanos(CALL_MILLIS));
         if (written instanceof StoreResult.Done<Long> done) {
             taken(done.value());
         } else if (written instanceof StoreResult.Conflict) {
@@ -165,9 +186,8 @@
     private void settle() {
         StoreResult<KeyValue> read = store.get(KEY, clock.deadlineNanos(CALL_MILLIS));
         if (read instanceof StoreResult.Done<KeyValue> done) {
-            boolean own = done.value().exists() && done.value().text().equals(identity);
-            vacant = !done.value().exists();
-            if (own && lease.isValid()) {
+            holder = done.value().text();
+            if (holder.equals(identity) && lease.isValid()) {
                 taken(done.value().revision());
             }
         }
@@ -178,6 +198,7 @@
             return;
         }
         fence = revision;
+        holder = identity;
         holding = true;
         logger.info("event=planner-lease fence={}", revision);
     }
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/RunnerTable.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/RunnerTable.java
@@ -104,6 +104,23 @@
                 entry.address(),
                 entry.startedAtMillis());
         runners.put(entry.id(), new KnownRunner(entry, clock));
+        supersedeAt(entry);
+    }
+
+    /** Sends nothing more to all but the latest runner at an address: the others have ended. */
+    private void supersedeAt(RunnerEntry entry) {
+        List<KnownRunner> sharing = new ArrayList<>();
+        for (KnownRunner other : runners.values()) {
+            if (other.entry().address().equals(entry.address())) {
+                sharing.add(other);
+            }
+        }
+        long latestMillis = sharing.stream()
+                .mapToLong(other -> other.entry().startedAtMillis())
+                .max()
+                .orElse(entry.startedAtMillis());
+        sharing.removeIf(other -> other.entry().startedAtMillis() == latestMillis);
+        sharing.forEach(KnownRunner::goneForGood);
     }
 
     /**
--- /dev/null
+++ b/gateway/src/test/java/org/arbutusstack/gateway/plan/PlannerElectionTests.java
@@ -0,0 +1,117 @@
+package org.arbutusstack.gateway.plan;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import org.arbutusstack.kernel.time.ManualClock;
+import org.arbutusstack.store.KeyValue;
+import org.arbutusstack.store.KeyValueStore;
+import org.arbutusstack.store.StoreResult;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests who plans after entries have ended and started again. */
+public class PlannerElectionTests {
+
+    private final ManualClock clock = new ManualClock(1);
+
+    private OneKeyStore store;
+
+    @BeforeMethod
+    void emptyStore() {
+        store = new OneKeyStore();
+    }
+
+    private PlannerElection election(String identity) {
+        return new PlannerElection(store, identity, clock);
+    }
+
+    @Test
+    public void shouldPlanAtOnceWhenEarlierRunAtTheSameAddressHeldTheKey() {
+        PlannerElection former = election("10.0.0.1:7000 former");
+        former.step();
+        assertTrue(former.isHolding());
+        PlannerElection next = election("10.0.0.1:7000 next");
+        next.seen("10.0.0.1:7000 former");
+        next.step();
+        assertTrue(next.isHolding());
+        assertTrue(next.fence() > former.fence());
+        assertEquals(store.item.text(), "10.0.0.1:7000 next");
+    }
+
+    @Test
+    public void shouldWaitForTheLeaseWhenAnotherEntryHoldsTheKey() {
+        election("10.0.0.1:7000 former").step();
+        for (String identity : List.of("10.0.0.2:7000 other", "10.0.0.1:70001 other")) {
+            PlannerElection other = election(identity);
+            other.seen("10.0.0.1:7000 former");
+            other.step();
+            assertFalse(other.isHolding(), identity);
+        }
+    }
+
+    @Test
+    public void shouldLeaveTheKeyWhenAnotherEntryTookItMeanwhile() {
+        PlannerElection next = election("10.0.0.1:7000 next");
+        next.seen("10.0.0.1:7000 former");
+        election("10.0.0.2:7000 other").step();
+        next.step();
+        assertFalse(next.isHolding());
+        assertEquals(store.item.text(), "10.0.0.2:7000 other");
+    }
+
+    /** Keeps one key by leases that never end. */
+    private static final class OneKeyStore implements KeyValueStore {
+
+        private KeyValue item = KeyValue.absent(PlannerElection.KEY);
+
+        private long revision = 10;
+
+        @Override
+        public StoreResult<KeyValue> get(String key, long deadlineNanos) {
+            return new StoreResult.Done<>(item);
+        }
+
+        @Override
+        public StoreResult<Long> compareAndSwap(
+                String key, long expectedRevision, byte[] value, long leaseId, long deadlineNanos) {
+            if (item.revision() != expectedRevision) {
+                return new StoreResult.Conflict<>();
+            }
+            item = new KeyValue(key, value, ++revision);
+            return new StoreResult.Done<>(revision);
+        }
+
+        @Override
+        public StoreResult<Long> grantLease(long timeToLiveSeconds, long deadlineNanos) {
+            return new StoreResult.Done<>(1L);
+        }
+
+        @Override
+        public StoreResult<Boolean> renewLease(long leaseId, long deadlineNanos) {
+            return new StoreResult.Done<>(true);
+        }
+
+        @Override
+        public StoreResult<Boolean> revokeLease(long leaseId, long deadlineNanos) {
+            return new StoreResult.Done<>(true);
+        }
+
+        @Override
+        public StoreResult<List<KeyValue>> list(String prefix, long deadlineNanos) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public StoreResult<Long> delete(String key, long expectedRevision, long deadlineNanos) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public Watch watch(String prefix, long fromRevision, long deadlineNanos, WatchListener listener) {
+            throw new UnsupportedOperationException();
+        }
+    }
+}
--- a/gateway/src/test/java/org/arbutusstack/gateway/runner/RunnerTableTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/runner/RunnerTableTests.java
@@ -89,4 +89,21 @@
         table.put(entry("a", 1, true));
         assertTrue(table.takingWork(SERVICE).isEmpty());
     }
+
+    @Test
+    public void shouldSendNothingToEarlierRunnerWhenAnotherStartedAtItsAddress() {
+        RunnerTable table = settledTable();
+        table.put(entry("b", 2, false));
+        assertEquals(ids(table), List.of("b"));
+        RunnerTable reversed = new RunnerTable(clock);
+        reversed.put(entry("b", 2, false));
+        reversed.put(entry("a", 1, false));
+        assertEquals(ids(reversed), List.of("b"));
+    }
+
+    private static List<String> ids(RunnerTable table) {
+        return table.takingWork(SERVICE).stream()
+                .map(runner -> runner.entry().id())
+                .toList();
+    }
 }
