Refuse bulk as soon as more urgent work leaves it no turn in time

Cause: the side promised bulk its place in the queue and did not reckon with interactive requests that arrive later and overtake it; what was overtaken was refused 0.3 s before its deadline (p99 of the time to refuse 2.67 s, bound 1.5 s; KNOWN-RED entry). Change: UrgentDemand measures what arrives of each priority and the turns each really gets; the desk asks it at admission and at each tick, by place in the queue, so that the fewest are refused. Ruled out: a shorter timer; the mean of the last 8 or 64 runs alone as the speed (a stalled machine then refuses bulk that could run); figures in docs/decisions/0304. Before and after: OvertakenWorkTests (replays the load on a manual clock) failed first with a refusal 2,980 ms after admission, passes. Open: beside a load of 12 to 16 shouldStayUsefulAndRefuseEarlyWhenOverloaded fails ("useful work fell"), before (288 of 302) and after (272 of 302); the stand-ins starve then.

--- a/side/src/main/java/org/arbutusstack/side/WorkDesk.java
+++ b/side/src/main/java/org/arbutusstack/side/WorkDesk.java
@@ -42,6 +42,8 @@
 
     private final WorkQueue queue;
 
+    private final UrgentDemand urgentDemand;
+
     private final Map<String, String> incarnationByEntry = new HashMap<>();
 
     private int slots;
@@ -65,6 +67,7 @@
         this.limits = Assert.notNull(limits, "limits");
         this.queue = new WorkQueue(limits.queueLimit(), limits.queueBytes());
         this.slots = limits.slots();
+        this.urgentDemand = new UrgentDemand(clock);
     }
 
     int queued() {
@@ -106,6 +109,7 @@
             return;
         }
         Work work = new Work(frame, link, clock.deadlineNanos(frame.leftMillis()));
+        urgentDemand.arrived(frame.priority());
         if (draining) {
             answers.refuse(work, Refusal.notRun(RefusalReason.LEAVING, "the backend server is leaving"));
         } else if (!frame.idempotent() && frame.idempotencyKey().isBlank()) {
@@ -129,7 +133,17 @@
             return true;
         }
         long estimateNanos = runner.estimateNanos(work.frame().model(), queue.ahead(work) + 1, slots);
-        return clock.nowNanos() + estimateNanos - work.deadlineNanos() < 0;
+        return clock.nowNanos() + estimateNanos - work.deadlineNanos() < 0 && !isOvertaken(work, queue.place(work));
+    }
+
+    /** Tells whether more urgent work that arrives meanwhile leaves no turn to waiting work in time. */
+    private boolean isOvertaken(Work work, int place) {
+        long waitNanos = urgentDemand.waitNanos(work.frame().priority(), place, runner.runsPerSecond(slots));
+        if (waitNanos == 0) {
+            return false;
+        }
+        long runNanos = runner.estimateNanos(work.frame().model(), 0, slots);
+        return clock.isPast(work.deadlineNanos() - waitNanos - runNanos);
     }
 
     /** Handles a frame of a request in hand; returns false if the request is to be run. */
@@ -177,6 +191,7 @@
                 return;
             }
             queue.take(next.get());
+            urgentDemand.begun(next.get().frame().priority());
             runner.start(next.get());
         }
     }
@@ -231,13 +246,14 @@
         lost.forEach(this::giveUp);
     }
 
-    /** Refuses work whose deadline passed in the queue, and gives up on a backend server that went silent. */
+    /** Refuses work that has no turn before its deadline, and gives up on a backend server that went silent. */
     void expire() {
-        queue.removeIf(this::isTooLate, work -> {
+        queue.removeIfPlaced(this::isTooLate, work -> {
             open.end(work);
             Refusal refusal = clock.isPast(work.deadlineNanos())
                     ? Refusal.notRun(RefusalReason.DEADLINE_PASSED, "the deadline passed in the queue")
-                    : Refusal.notRun(RefusalReason.DEADLINE_UNREACHABLE, "too little time is left to run it");
+                    : Refusal.notRun(
+                            RefusalReason.DEADLINE_UNREACHABLE, "the time left is too short for its wait and its run");
             answers.refuse(work, refusal);
         });
         List<Work> silent = open.all();
@@ -245,11 +261,16 @@
         silent.forEach(runner::giveUpSilent);
     }
 
-    /** Tells whether waiting work would not be done in time though it began now; known while all slots are taken. */
-    private boolean isTooLate(Work work) {
-        long neededNanos =
-                open.running() < slots ? 0 : runner.estimateNanos(work.frame().model(), 0, slots);
-        return clock.isPast(work.deadlineNanos() - neededNanos);
+    /**
+     * Tells whether waiting work would not be done in time though it began now, or is overtaken for too long; known
+     * while all slots are taken.
+     */
+    private boolean isTooLate(Work work, int place) {
+        if (open.running() < slots) {
+            return clock.isPast(work.deadlineNanos());
+        }
+        long neededNanos = runner.estimateNanos(work.frame().model(), 0, slots);
+        return clock.isPast(work.deadlineNanos() - neededNanos) || isOvertaken(work, place);
     }
 
     private boolean isSilent(Work work) {
--- a/side/src/main/java/org/arbutusstack/side/WorkQueue.java
+++ b/side/src/main/java/org/arbutusstack/side/WorkQueue.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeSet;
+import java.util.function.BiPredicate;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.arbutusstack.kernel.Assert;
@@ -87,6 +88,11 @@
         return ahead;
     }
 
+    /** Counts the work of the same priority that goes before a piece of work. */
+    int place(Work work) {
+        return queueOf(work).headSet(work).size();
+    }
+
     void remove(Work work) {
         if (queueOf(work).remove(work)) {
             removed(work);
@@ -118,8 +124,22 @@
     }
 
     void removeIf(Predicate<Work> condition, Consumer<Work> consumer) {
+        removeIfPlaced((work, place) -> condition.test(work), consumer);
+    }
+
+    /** Removes work that meets a condition on it and on the number of its priority that stay before it. */
+    void removeIfPlaced(BiPredicate<Work, Integer> condition, Consumer<Work> consumer) {
         List<Work> matching = new ArrayList<>();
-        waiting.values().forEach(queue -> queue.stream().filter(condition).forEach(matching::add));
+        for (TreeSet<Work> queue : waiting.values()) {
+            int staying = 0;
+            for (Work work : queue) {
+                if (condition.test(work, staying)) {
+                    matching.add(work);
+                } else {
+                    staying++;
+                }
+            }
+        }
         matching.forEach(work -> {
             remove(work);
             consumer.accept(work);
--- a/side/src/main/java/org/arbutusstack/side/WorkRunner.java
+++ b/side/src/main/java/org/arbutusstack/side/WorkRunner.java
@@ -52,6 +52,10 @@
         return times.estimateNanos(model, ahead, slots);
     }
 
+    double runsPerSecond(int slots) {
+        return times.runsPerSecond(slots);
+    }
+
     /** Sends work to the backend server, after its claim if it may not be repeated. */
     void start(Work work) {
         if (suspects.isRefused(work)) {
--- /dev/null
+++ b/side/src/test/java/org/arbutusstack/side/OvertakenWorkTests.java
@@ -0,0 +1,86 @@
+package org.arbutusstack.side;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.arbutusstack.model.request.Priority;
+import org.arbutusstack.side.WorkDeskFixture.Exchange;
+import org.arbutusstack.side.WorkDeskFixture.FakeLink;
+import org.arbutusstack.wire.frame.RefusalFrame;
+import org.testng.annotations.Test;
+
+/** Replays bulk work that is admitted just before more urgent work takes most of the backend server. */
+public class OvertakenWorkTests {
+
+    private static final long RUN_MILLIS = 20;
+
+    private static final long BULK_MILLIS = 3_000;
+
+    private static final long URGENT_MILLIS = 1_500;
+
+    private static final int BULK = 100;
+
+    private static final int RUNS = 250;
+
+    private final FakeLink link = new FakeLink();
+
+    private final WorkDeskFixture fixture = new WorkDeskFixture(new WorkLimits(200, 100_000, 1, 1_000, 5_000, 60_000));
+
+    private final Map<Long, Long> arrivedMillis = new HashMap<>();
+
+    private final List<Long> refusedAfterMillis = new ArrayList<>();
+
+    private int refusalsSeen;
+
+    @Test
+    public void shouldRefuseEarlyWhenBulkIsOvertakenAfterAdmission() {
+        offer(1, URGENT_MILLIS, Priority.INTERACTIVE);
+        run();
+        for (int number = 0; number < BULK; number++) {
+            offer(1_000 + number, BULK_MILLIS, Priority.BULK);
+        }
+        for (int step = 0; step < RUNS; step++) {
+            if (step % 5 < 4) {
+                offer(2_000 + step, URGENT_MILLIS, Priority.INTERACTIVE);
+            }
+            run();
+        }
+        long latestMillis =
+                refusedAfterMillis.stream().mapToLong(Long::longValue).max().orElse(0);
+        assertTrue(latestMillis < URGENT_MILLIS, "refused " + latestMillis + " ms after it was admitted");
+        assertTrue(link.refusals().stream().allMatch(refusal -> Long.parseLong(refusal.split(" ")[0]) < 2_000));
+        long bulkStarted = fixture.client.started().stream()
+                .filter(id -> id.startsWith("entry-1") && id.length() == "entry-1000".length())
+                .count();
+        assertEquals(bulkStarted + refusedAfterMillis.size(), BULK);
+        assertTrue(bulkStarted >= BULK / 4, "bulk work that ran: " + bulkStarted);
+    }
+
+    private void offer(long number, long leftMillis, Priority priority) {
+        arrivedMillis.put(number, fixture.clock.nowNanos() / 1_000_000);
+        fixture.take(WorkDeskFixture.frame(number, 1, leftMillis, priority), link);
+    }
+
+    /** Lets the backend server answer one request and the desk look after those that wait. */
+    private void run() {
+        List<Exchange> open = fixture.client.exchanges.stream()
+                .filter(exchange -> exchange.call.path().equals("/v1"))
+                .toList();
+        fixture.clock.advanceMillis(RUN_MILLIS);
+        if (fixture.desk.running() > 0) {
+            open.get(open.size() - 1).finish();
+            fixture.handle();
+        }
+        fixture.desk.expire();
+        List<RefusalFrame> refusals = link.sent(RefusalFrame.class);
+        for (RefusalFrame refusal : refusals.subList(refusalsSeen, refusals.size())) {
+            long nowMillis = fixture.clock.nowNanos() / 1_000_000;
+            refusedAfterMillis.add(nowMillis - arrivedMillis.get(refusal.id().number()));
+        }
+        refusalsSeen = refusals.size();
+    }
+}
