Load first what relieves the most requests; count callers who wait as demand

Change: FleetPlanner orders models by the requests that a copy relieves: 6 + 4 for each request that waits for a missing model, the excess over what copies serve for the others; callers who wait count before the smoothed demand shows them. Ruled out: a wider admission (the estimate hovers at the target; later admission makes all of a hot model's requests late); the pace of loads (it was at its bound). Tests: FleetPlannerTests.shouldRelieveTheMostRequestsWhenLoadsAreFew, shouldAddCopyWhenMoreWaitThanOneCopyServes (not run on the old code).

--- a/placement/src/main/java/org/arbutusstack/placement/FleetPlanner.java
+++ b/placement/src/main/java/org/arbutusstack/placement/FleetPlanner.java
@@ -13,9 +13,9 @@
 /**
  * Decides which engine loads which model next, where not all models with the copies that they want fit at once.
  *
- * <p>A model that requests wait for and that no runner holds goes first; then those whose copies have the most requests
- * above what a copy serves well. Room comes from copies beyond what their model needs, the least busy first, and from
- * models that nobody has asked for lately. Stateless; does no I/O.
+ * <p>Models go by the requests that a copy would relieve: those that wait for a model which no runner holds, and those
+ * above what the copies of a model serve well. Room comes from copies beyond what their model needs, the least busy
+ * first, and from models that nobody has asked for lately. Stateless; does no I/O.
  */
 public final class FleetPlanner {
 
@@ -40,6 +40,12 @@
     /** The price of any unload, so that free room goes first, in requests. */
     private static final double UNLOAD_PRICE = 0.5;
 
+    /** What a model without a copy counts for beside models that are crowded, in requests above what copies serve. */
+    private static final double MISSING_WEIGHT = 6;
+
+    /** What each request for a model without a copy counts for: none of them is served. */
+    private static final double WAITING_WEIGHT = 4;
+
     /** What one more request at a runner adds to the price of loading there, in requests. */
     private static final double BUSYNESS_PRICE = 0.15;
 
@@ -84,21 +90,32 @@
             EngineFleet.ModelDemand demand = board.fleet.demandFor(model);
             int copies = board.copiesOf(model);
             boolean missing = copies == 0 && demand.waiting() > 0;
-            boolean crowded = copies > 0 && demand.requests() > copies * requestsPerCopy * EXCESS_FACTOR;
+            boolean crowded = copies > 0 && asked(demand) > copies * requestsPerCopy * EXCESS_FACTOR;
             if (missing || crowded) {
                 wanted.add(model);
             }
         }
-        wanted.sort(Comparator.<String, Boolean>comparing(model -> board.copiesOf(model) > 0)
-                .thenComparing(Comparator.comparingDouble((String model) -> excess(board, model))
-                        .reversed())
+        wanted.sort(Comparator.comparingDouble((String model) -> urgency(board, model))
+                .reversed()
                 .thenComparing(Comparator.naturalOrder()));
         return wanted;
     }
 
+    /** Weighs a model by the requests that a copy would relieve, since loads are few. */
+    private double urgency(Board board, String model) {
+        boolean missing = board.copiesOf(model) == 0;
+        return missing
+                ? MISSING_WEIGHT + WAITING_WEIGHT * board.fleet.demandFor(model).waiting()
+                : excess(board, model);
+    }
+
+    private static double asked(EngineFleet.ModelDemand demand) {
+        return Math.max(demand.waiting(), demand.requests());
+    }
+
     private double excess(Board board, String model) {
         EngineFleet.ModelDemand demand = board.fleet.demandFor(model);
-        return Math.max(demand.waiting(), demand.requests()) - board.copiesOf(model) * requestsPerCopy;
+        return asked(demand) - board.copiesOf(model) * requestsPerCopy;
     }
 
     private Optional<ModelMove> place(Board board, String model, boolean mayUseStore) {
--- a/placement/src/test/java/org/arbutusstack/placement/FleetPlannerTests.java
+++ b/placement/src/test/java/org/arbutusstack/placement/FleetPlannerTests.java
@@ -87,4 +87,24 @@
         EngineFleet fleet = new EngineFleet(MODELS, List.of(runner("r1", false, "a")), Map.of("d", asked(0, 1)));
         assertTrue(planner.decide(fleet, 0).isEmpty());
     }
+
+    /** Replays a burst on one model while rare ones are asked for: the weight store lets one load begin. */
+    @Test
+    public void shouldRelieveTheMostRequestsWhenLoadsAreFew() {
+        List<EngineFleet.Runner> runners = List.of(runner("r1", false, "a", "b"), runner("r2", false, "b", "c"));
+        Map<String, EngineFleet.ModelDemand> burst = Map.of("a", asked(54, 0), "d", asked(1, 1));
+        List<ModelMove> moves = planner.decide(new EngineFleet(MODELS, runners, burst), 1);
+        assertEquals(moves, List.of(new ModelMove("r2", "a", List.of(), true)));
+        Map<String, EngineFleet.ModelDemand> gathered = Map.of("a", asked(30, 0), "d", asked(4, 4));
+        moves = planner.decide(new EngineFleet(MODELS, runners, gathered), 1);
+        assertEquals(moves.get(0).load(), "d");
+    }
+
+    /** Replays a return from a loss of all hosts: callers gather before the smoothed demand shows them. */
+    @Test
+    public void shouldAddCopyWhenMoreWaitThanOneCopyServes() {
+        Map<String, EngineFleet.ModelDemand> demand = Map.of("a", asked(3, 40));
+        List<ModelMove> moves = decide(List.of(runner("r1", true, "a"), runner("r2", false)), demand);
+        assertEquals(moves, List.of(new ModelMove("r2", "a", List.of(), true)));
+    }
 }
