Forecast loads by where copies lie; serve plain requests while leaving; settle the planner's key in one step

Cause: (1) callers of a model that no runner held were told to come back after 3.3 s, whatever the load: from a runner's disk it takes 1.4 to 1.6 s, from its memory 1.1, and after a power loss all come from disk. Streams may outlast the process, plain requests do not. (3) A restarted entry found its predecessor's key only at its second step, 300 ms later. Change: LoadForecast uses the times of the configuration and the runners' statuses; RequestDesk takes plain requests until a second before the end and tells the truth then; PlannerElection.settle swaps a predecessor's key at once. The refusal at the door moved to the desk. Ruled out: taking streams while leaving (one that outlasts the grace time breaks LOST).

--- a/gateway/src/main/java/org/arbutusstack/gateway/attend/Attendant.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/attend/Attendant.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CopyOnWriteArraySet;
 import java.util.concurrent.TimeUnit;
+import org.arbutusstack.gateway.runner.StoredCopy;
 import org.arbutusstack.kernel.Assert;
 import org.arbutusstack.kernel.service.Service;
 import org.arbutusstack.kernel.time.Clock;
@@ -42,10 +43,6 @@
 
     private static final int RING_SIZE = 1_024;
 
-    private static final int IN_MAIN_MEMORY = 1;
-
-    private static final int ON_DISK = 2;
-
     /** Stands for a model that an order of an earlier run of this process loads or unloads. */
     private static final String UNKNOWN_MODEL = "?";
 
@@ -256,8 +253,8 @@
         });
         models.sort(Comparator.comparing(RunnerStatusFrame.HeldModel::name));
         Map<String, Integer> storedCopies = new HashMap<>();
-        reading.onDisk().forEach(model -> storedCopies.put(model, ON_DISK));
-        reading.inMemory().forEach(model -> storedCopies.put(model, IN_MAIN_MEMORY));
+        reading.onDisk().forEach(model -> storedCopies.put(model, StoredCopy.ON_DISK.rank()));
+        reading.inMemory().forEach(model -> storedCopies.put(model, StoredCopy.IN_MAIN_MEMORY.rank()));
         return new RunnerStatusFrame(
                 reading.startedAtMillis(),
                 reading.orderSequence(),
--- a/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
@@ -138,6 +138,7 @@
         config = next;
         sides.config(next);
         planner.config(next);
+        desk.config(next);
         logger.info("event=config-in-force version={} routes={}", next.version(), next.routeCount());
     }
 
--- a/gateway/src/main/java/org/arbutusstack/gateway/plan/PlannerElection.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/plan/PlannerElection.java
@@ -149,46 +149,39 @@
             logger.warn("event=planner-yielded fence={} cause=lease-lapsed", fence);
             holding = false;
         }
-        if (!holding && holder.isEmpty()) {
-            take(0);
-        } else if (!holding && isPredecessor(holder)) {
-            succeed();
-        }
-    }
-
-    /** Takes the key from an earlier run of this entry without waiting for the end of its lease. */
-    private void succeed() {
-        StoreResult<KeyValue> read = store.get(KEY, clock.deadlineNanos(CALL_MILLIS));
-        if (!(read instanceof StoreResult.Done<KeyValue> done)) {
+        if (holding) {
             return;
         }
-        holder = done.value().text();
-        if (holder.isEmpty() || isPredecessor(holder)) {
-            take(done.value().revision());
+        boolean free = holder.isEmpty();
+        if ((free || isPredecessor(holder)) && lease.obtain()) {
+            if (!free || swap(0) instanceof StoreResult.Conflict) {
+                settle();
+            }
         }
     }
 
-    private void take(long expectedRevision) {
-        if (!lease.obtain()) {
-            return;
-        }
+    private StoreResult<Long> swap(long expectedRevision) {
         byte[] value = identity.getBytes(StandardCharsets.UTF_8);
         StoreResult<Long> written =
                 store.compareAndSwap(KEY, expectedRevision, value, lease.id(), clock.deadlineNanos(CALL_MILLIS));
         if (written instanceof StoreResult.Done<Long> done) {
             taken(done.value());
-        } else if (written instanceof StoreResult.Conflict) {
-            settle();
         }
+        return written;
     }
 
-    /** Finds out whether the key is held by an earlier write of this process whose answer was lost. */
+    /**
+     * Finds out who holds the key: this process by an earlier write whose answer was lost, or an earlier run of this
+     * entry, whose lease need not be waited for.
+     */
     private void settle() {
         StoreResult<KeyValue> read = store.get(KEY, clock.deadlineNanos(CALL_MILLIS));
         if (read instanceof StoreResult.Done<KeyValue> done) {
             holder = done.value().text();
-            if (holder.equals(identity) && lease.isValid()) {
+            if (holder.equals(identity)) {
                 taken(done.value().revision());
+            } else if (isPredecessor(holder)) {
+                swap(done.value().revision());
             }
         }
     }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDesk.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDesk.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.arbutusstack.gateway.config.ServingConfig;
 import org.arbutusstack.gateway.runner.KnownRunner;
 import org.arbutusstack.http.server.ResponseSink;
 import org.arbutusstack.kernel.Assert;
@@ -25,6 +26,12 @@
  */
 public final class RequestDesk {
 
+    /** When a caller may come back to reach another entry. */
+    private static final long LEAVING_MILLIS = 50;
+
+    /** The time that a plain request may need: over twice the longest target that users name for one. */
+    private static final long SHORT_MILLIS = 1_000;
+
     private final RunnerChooser chooser;
 
     private final RunnerPort runnerPort;
@@ -47,8 +54,13 @@
 
     private final ModelWaits modelWaits;
 
+    private final LoadForecast loadForecast;
+
     private boolean tickHasWork;
 
+    /** Until when requests that end soon are taken though this entry is leaving. */
+    private long shortUntilNanos;
+
     private boolean leaving;
 
     /**
@@ -76,9 +88,19 @@
         this.metrics = Assert.notNull(metrics, "metrics");
         this.log = new DecisionLog(clock);
         this.modelWaits = new ModelWaits(clock);
+        this.loadForecast = new LoadForecast(clock);
         this.relay = new AnswerRelay(this, runnerPort, callers, clock, metrics);
     }
 
+    /**
+     * Takes a new configuration.
+     *
+     * @param next the configuration
+     */
+    public void config(ServingConfig next) {
+        loadForecast.config(next);
+    }
+
     /**
      * Takes a request.
      *
@@ -90,9 +112,18 @@
         budgetOf(request.service()).requestArrived();
         inHand.add(active);
         response.onClose(() -> callerGone(active));
+        if (leaving && !endsBeforeLeave(request)) {
+            refuse(active, leavingRefusal(), LEAVING_MILLIS);
+            return;
+        }
         route(active);
     }
 
+    /** Streams may outlast the process; a plain request is answered soon, or told the truth when the process ends. */
+    private boolean endsBeforeLeave(InboundRequest request) {
+        return !request.route().kind().isStreaming() && !clock.isPast(shortUntilNanos);
+    }
+
     private RetryBudget budgetOf(String service) {
         return retriesByService.computeIfAbsent(
                 service, name -> RetryBudget.empty(limits.percentOfRequests(), limits.reserve()));
@@ -118,7 +149,7 @@
         }
         RunnerChooser.Choice choice = chooser.choose(active);
         if (leaving && !(choice instanceof RunnerChooser.Choice.Send)) {
-            refuse(active, leavingRefusal(), 0);
+            refuse(active, leavingRefusal(), LEAVING_MILLIS);
             return;
         }
         if (choice instanceof RunnerChooser.Choice.Send send) {
@@ -140,11 +171,11 @@
     /** Lets a request wait for a load that ends before its caller leaves; sends others away until it has ended. */
     private void awaitModel(ActiveRequest active) {
         InboundRequest request = active.request();
-        long loadMillis = modelWaits.remainingMillis(request, chooser.isBeingLoaded(request));
+        long loadMillis = chooser.loadMillis(request, loadForecast);
         long patienceUntilNanos = request.arrivedNanos() + request.route().patienceMillis() * Clock.NANOS_PER_MILLI;
         long leftMillis = Math.min(clock.millisUntil(patienceUntilNanos), clock.millisUntil(request.deadlineNanos()));
         if (loadMillis >= leftMillis) {
-            modelWaits.sentAway(request);
+            modelWaits.sentAway(request, loadMillis);
             String detail = "no runner holds the model, and a load ends after the caller has left";
             refuse(active, Refusal.notRun(RefusalReason.DEADLINE_UNREACHABLE, detail), loadMillis);
         }
@@ -241,12 +272,17 @@
         end(active, "caller-gone");
     }
 
-    /** Refuses what waits and takes no more of it, since this entry is leaving and others can serve it. */
-    public void leave() {
+    /**
+     * Refuses what waits and takes no more streams, since this entry is leaving and others can serve them.
+     *
+     * @param endNanos when the process ends at the latest
+     */
+    public void leave(long endNanos) {
         leaving = true;
+        shortUntilNanos = endNanos - SHORT_MILLIS * Clock.NANOS_PER_MILLI;
         for (ActiveRequest active : new ArrayList<>(inHand)) {
             if (active.attempt() == null) {
-                refuse(active, leavingRefusal(), 0);
+                refuse(active, leavingRefusal(), LEAVING_MILLIS);
             }
         }
     }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
@@ -141,10 +141,9 @@
         return engineSelector.select(needs, free).orElse(chosen).name();
     }
 
-    /** Tells whether a runner is loading a model, or about to. */
-    boolean isBeingLoaded(InboundRequest request) {
-        return runners.takingWork(request.service()).stream()
-                .anyMatch(runner -> runner.loadingModel().equals(request.model()));
+    /** Forecasts the time until a runner holds the model of a request. */
+    long loadMillis(InboundRequest request, LoadForecast forecast) {
+        return forecast.remainingMillis(request.service(), request.model(), runners.takingWork(request.service()));
     }
 
     /** Leaves out the runners that failed the request or are in doubt, as long as others are left. */
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/KnownRunner.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/KnownRunner.java
@@ -35,6 +35,8 @@
 
     private long statusUntilNanos;
 
+    private long loadingSinceNanos;
+
     private Link link;
 
     private boolean linkOpen;
@@ -94,6 +96,9 @@
         if (next.startedAtMillis() != entry.startedAtMillis()) {
             return;
         }
+        if (status == null || !next.loadingModel().equals(status.loadingModel())) {
+            loadingSinceNanos = clock.nowNanos();
+        }
         status = next;
         link = from;
         linkOpen = true;
@@ -310,6 +315,25 @@
         return hasStatus() ? status.loadingModel() : "";
     }
 
+    /**
+     * Tells since when the runner is seen to load what it loads.
+     *
+     * @return the instant of {@link System#nanoTime()}
+     */
+    public long loadingSinceNanos() {
+        return loadingSinceNanos;
+    }
+
+    /**
+     * Tells where the runner keeps weights that it does not hold.
+     *
+     * @param model the model
+     * @return the place
+     */
+    public StoredCopy copyOf(String model) {
+        return hasStatus() ? StoredCopy.ofRank(status.storedCopies().getOrDefault(model, 0)) : StoredCopy.NONE;
+    }
+
     /**
      * Tells whether the runner holds a model.
      *
--- a/gateway/src/test/java/org/arbutusstack/gateway/plan/PlannerElectionTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/plan/PlannerElectionTests.java
@@ -41,6 +41,14 @@
         assertEquals(store.item.text(), "10.0.0.1:7000 next");
     }
 
+    @Test
+    public void shouldPlanAtItsFirstStepWhenTheKeyWasNotReadYet() {
+        election("10.0.0.1:7000 former").step();
+        PlannerElection next = election("10.0.0.1:7000 next");
+        next.step();
+        assertTrue(next.isHolding());
+    }
+
     @Test
     public void shouldWaitForTheLeaseWhenAnotherEntryHoldsTheKey() {
         election("10.0.0.1:7000 former").step();
