--- a/gateway/src/main/java/org/arbutusstack/gateway/plan/PlannerElection.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/plan/PlannerElection.java
@@ -49,7 +49,7 @@
 
     private volatile boolean holding;
 
-    private long clockDifferenceMillis;
+    private volatile long clockDifferenceMillis;
 
     /**
      * Creates the service.
@@ -108,10 +108,15 @@
     /**
      * Tells whether this entry plans.
      *
-     * @return whether its lease lives for certain
+     * @return whether its lease lives for certain: not if the process has stood still since the lease was last looked
+     *     at, for the steady clock does not count that time
      */
     public boolean isHolding() {
-        return holding;
+        return holding && !hasStoodStill();
+    }
+
+    private boolean hasStoodStill() {
+        return Math.abs(clockDifference() - clockDifferenceMillis) > STOOD_STILL_MILLIS;
     }
 
     /**
@@ -136,15 +141,14 @@
 
     /** Renews the lease, or takes the key if it is free. */
     void step() {
-        long difference = clockDifference();
-        boolean stoodStill = Math.abs(difference - clockDifferenceMillis) > STOOD_STILL_MILLIS;
-        clockDifferenceMillis = difference;
-        if (stoodStill && holding) {
+        if (holding && hasStoodStill()) {
             logger.warn("event=planner-yielded fence={} cause=clocks-differ", fence);
             holding = false;
             lease.abandon();
+            clockDifferenceMillis = clockDifference();
             return;
         }
+        clockDifferenceMillis = clockDifference();
         if (holding && !lease.renew()) {
             logger.warn("event=planner-yielded fence={} cause=lease-lapsed", fence);
             holding = false;
--- a/gateway/src/test/java/org/arbutusstack/gateway/plan/PlannerElectionTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/plan/PlannerElectionTests.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
+import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.kernel.time.ManualClock;
 import org.arbutusstack.store.KeyValue;
 import org.arbutusstack.store.KeyValueStore;
@@ -70,6 +71,42 @@
         assertEquals(store.item.text(), "10.0.0.2:7000 other");
     }
 
+    /** Replays a freeze: the lease may have lapsed meanwhile though the steady clock did not move. */
+    @Test
+    public void shouldPlanNothingBetweenAThawAndTheNextStep() {
+        FreezingClock freezing = new FreezingClock();
+        PlannerElection planner = new PlannerElection(store, "10.0.0.1:7000 run", freezing);
+        planner.step();
+        assertTrue(planner.isHolding());
+        freezing.frozenMillis = 5_000;
+        assertFalse(planner.isHolding());
+        planner.step();
+        assertFalse(planner.isHolding());
+    }
+
+    /** Lets the time of day go on while the steady clock stands still. */
+    private static final class FreezingClock implements Clock {
+
+        private final ManualClock steady = new ManualClock(1);
+
+        private long frozenMillis;
+
+        @Override
+        public long nowNanos() {
+            return steady.nowNanos();
+        }
+
+        @Override
+        public long wallMillis() {
+            return steady.wallMillis() + frozenMillis;
+        }
+
+        @Override
+        public void pause(long millis) {
+            steady.pause(millis);
+        }
+    }
+
     /** Keeps one key by leases that never end. */
     private static final class OneKeyStore implements KeyValueStore {
 
