Tell the story of a request from the logs of all processes: arbutusctl explain

Change: explain gathers a request's lines over all files and, for the same seconds, what its runners (by name, or by the address that a failure names), its model and its entry went through.

--- a/ctl/src/main/java/org/arbutusstack/ctl/ArbutusControl.java
+++ b/ctl/src/main/java/org/arbutusstack/ctl/ArbutusControl.java
@@ -1,11 +1,15 @@
 package org.arbutusstack.ctl;
 
+import java.io.IOException;
 import java.io.PrintStream;
+import java.io.UncheckedIOException;
 import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.arbutusstack.ctl.explain.ExplainCommand;
+import org.arbutusstack.ctl.explain.StoryLine;
 import org.arbutusstack.http.client.UndertowHttpClient;
 import org.arbutusstack.kernel.setting.Settings;
 import org.arbutusstack.kernel.setting.SettingsParser;
@@ -29,6 +33,7 @@
             "  audit change N [FILE...]  shows who changed what when, and where it came into force",
             "  audit request ID FILE...  shows what became of a request, from collected records",
             "  audit verify FILE...      verifies collected records against their anchors",
+            "  explain ID FILE...        tells what became of a request, from the logs of all processes",
             "exit codes: 0 done, 1 refused or fault found, 2 not certain, 3 not reachable, 64 wrong usage");
 
     private final Output output;
@@ -92,6 +97,7 @@
             case "ticket" -> ticket(rest);
             case "audit" -> audit(rest);
             case "status" -> rest.isEmpty() ? status.status() : usage();
+            case "explain" -> rest.size() > 1 ? explain(rest) : usage();
             case "dump" -> rest.size() == 1 ? status.dump(rest.get(0)) : usage();
             default -> usage();
         };
@@ -125,6 +131,28 @@
         };
     }
 
+    private ExitCode explain(List<String> words) {
+        List<Path> files = words.stream().skip(1).map(Path::of).toList();
+        try {
+            List<StoryLine> story = ExplainCommand.explain(words.get(0), files);
+            for (StoryLine line : story) {
+                if (output.isJson()) {
+                    output.json(line);
+                } else {
+                    output.line(line.text());
+                }
+            }
+            if (!story.isEmpty()) {
+                return ExitCode.DONE;
+            }
+        } catch (IOException | UncheckedIOException failure) {
+            output.error("could not read the logs: " + failure);
+            return ExitCode.USAGE;
+        }
+        output.error("no line of request " + words.get(0) + " stands in the files");
+        return ExitCode.REFUSED;
+    }
+
     private ExitCode usage() {
         output.error("no such command");
         output.line(USAGE);
