Ask the side before a request is sent; tell statuses by need

Change: an entry asks the side of the runner that it would choose, and sends on the answer (at most two questions, then to one that has answered; nobody is refused on an old status). The side answers on its links' thread with the last reading and the requests that it has let through since. Statuses to all come twice a second, more seldom beyond 32 entries, and at once for models, loads and leaving; adapters are told to those who wait for them. A side whose runner does not answer says so at once. Ruled out: a longer period alone (older loads, longer trust in frozen hosts); reading the runner for each question (an order in progress would hold the answer back).

--- a/gateway/src/main/java/org/arbutusstack/gateway/attend/Attendant.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/attend/Attendant.java
@@ -13,8 +13,10 @@
 import java.util.Set;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArraySet;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.arbutusstack.gateway.runner.StoredCopy;
 import org.arbutusstack.kernel.Assert;
 import org.arbutusstack.kernel.service.Service;
@@ -24,6 +26,7 @@
 import org.arbutusstack.wire.frame.Frame;
 import org.arbutusstack.wire.frame.ModelOrderFrame;
 import org.arbutusstack.wire.frame.RunnerStatusFrame;
+import org.arbutusstack.wire.frame.StatusRequestFrame;
 import org.arbutusstack.wire.link.Link;
 import org.arbutusstack.wire.link.LinkListener;
 import org.arbutusstack.wire.link.LinkTransport;
@@ -46,14 +49,17 @@
     /** Stands for a model that an order of an earlier run of this process loads or unloads. */
     private static final String UNKNOWN_MODEL = "?";
 
-    /** How often the runner is read while nothing is under way. */
-    private static final long IDLE_MILLIS = 120;
+    /** How often the runner is read while nothing is under way and no entry asks for its status. */
+    private static final long IDLE_MILLIS = 250;
+
+    /** How often it is read while entries ask: what they were told counts meanwhile. */
+    private static final long ASKED_MILLIS = 100;
 
     /** How often it is read while an adapter or a model is on its way: a fraction of an adapter's load. */
     private static final long ACTIVE_MILLIS = 12;
 
-    /** The longest pause between two statuses though nothing changed, give or take a period. */
-    private static final long STATUS_MILLIS = 150;
+    /** How long an entry that named an adapter is told of the runner's adapters at once: while its requests wait. */
+    private static final long ADAPTER_INTEREST_MILLIS = 2_000;
 
     private final AttendedRunner runner;
 
@@ -69,6 +75,13 @@
 
     private final Set<Link> links = new CopyOnWriteArraySet<>();
 
+    private final Map<Link, Long> adapterUsersUntilNanos = new ConcurrentHashMap<>();
+
+    /** The entries that were told the last status since the runner was read: each may have sent it a request. */
+    private final AtomicInteger expected = new AtomicInteger();
+
+    private final StatusSchedule schedule;
+
     private final Thread thread;
 
     private final Counter orders;
@@ -79,8 +92,6 @@
 
     private volatile RunnerStatusFrame lastStatus;
 
-    private long statusDueNanos;
-
     /**
      * Creates the service.
      *
@@ -101,6 +112,7 @@
         this.address = Assert.notNull(address, "address");
         this.clock = Assert.notNull(clock, "clock");
         this.desk = new OrderDesk(clock);
+        this.schedule = new StatusSchedule(clock);
         this.orders = Counter.builder()
                 .name("arbutus_attendant_orders_total")
                 .help("orders given to the runner by outcome")
@@ -158,7 +170,7 @@
     private void run() {
         while (running) {
             try {
-                takeFrames(desk.isActive() ? ACTIVE_MILLIS : IDLE_MILLIS);
+                takeFrames(pauseMillis());
                 step();
             } catch (InterruptedException interrupted) {
                 Thread.currentThread().interrupt();
@@ -169,6 +181,13 @@
         }
     }
 
+    private long pauseMillis() {
+        if (desk.isActive()) {
+            return ACTIVE_MILLIS;
+        }
+        return expected.get() > 0 ? ASKED_MILLIS : IDLE_MILLIS;
+    }
+
     private void takeFrames(long waitMillis) throws InterruptedException {
         Frame frame = ring.poll(waitMillis, TimeUnit.MILLISECONDS);
         while (frame != null) {
@@ -213,6 +232,10 @@
         if (reading.isEmpty() != silent) {
             silent = reading.isEmpty();
             logger.info(silent ? "event=runner-silent" : "event=runner-answers");
+            if (silent && lastStatus != null) {
+                lastStatus = lastStatus.withoutWork();
+                links.forEach(link -> link.send(lastStatus));
+            }
         }
         return reading;
     }
@@ -233,12 +256,26 @@
 
     private void tell(RunnerReading reading) {
         RunnerStatusFrame status = statusOf(reading);
-        if (status.equals(lastStatus) && !clock.isPast(statusDueNanos)) {
-            return;
-        }
         lastStatus = status;
-        statusDueNanos = clock.deadlineNanos(STATUS_MILLIS);
-        links.forEach(link -> link.send(status));
+        expected.set(0);
+        switch (schedule.decide(status)) {
+            case ALL -> links.forEach(link -> link.send(status));
+            case ADAPTER_USERS -> {
+                adapterUsersUntilNanos.values().removeIf(clock::isPast);
+                adapterUsersUntilNanos.keySet().forEach(link -> link.send(status));
+            }
+            default -> {
+                // Entries that want to know the load ask for it.
+            }
+        }
+    }
+
+    /** Answers on the links' thread: it is the host's sign of life, and must not wait for a call to the runner. */
+    private void answer(Link link) {
+        RunnerStatusFrame status = lastStatus;
+        if (status != null) {
+            link.send(status.withExpected(expected.getAndIncrement()));
+        }
     }
 
     private RunnerStatusFrame statusOf(RunnerReading reading) {
@@ -267,7 +304,8 @@
                 models,
                 reading.pendingAdapters(),
                 storedCopies,
-                reading.busy() && desk.loading().isEmpty() ? UNKNOWN_MODEL : desk.loading());
+                reading.busy() && desk.loading().isEmpty() ? UNKNOWN_MODEL : desk.loading(),
+                StatusSchedule.beatMillis(links.size()));
     }
 
     /** Hands frames to the attendant's duty. */
@@ -276,10 +314,21 @@
         @Override
         public void onOpen(Link link) {
             links.add(link);
+            RunnerStatusFrame status = lastStatus;
+            if (status != null) {
+                link.send(status);
+            }
         }
 
         @Override
         public void onFrame(Link link, Frame frame) {
+            if (frame instanceof StatusRequestFrame) {
+                answer(link);
+                return;
+            }
+            if (frame instanceof AdapterUseFrame) {
+                adapterUsersUntilNanos.put(link, clock.deadlineNanos(ADAPTER_INTEREST_MILLIS));
+            }
             if (!ring.offer(frame)) {
                 logger.warn("event=ring-full duty=attendant frame={}", frame.type());
             }
@@ -288,6 +337,7 @@
         @Override
         public void onClosed(Link link) {
             links.remove(link);
+            adapterUsersUntilNanos.remove(link);
         }
     }
 }
--- a/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
@@ -33,6 +33,9 @@
 
     private static final long TICK_MILLIS = 40;
 
+    /** How often links to sides are looked after: a third of the pause before one is opened again. */
+    private static final long LINKS_MILLIS = 100;
+
     private static final long PLAN_MILLIS = 200;
 
     /** A tick that comes so late shows that the loop itself was held up. */
@@ -81,7 +84,7 @@
         this.desk = RequestDesks.create(
                 runners, parts.runners(), parts.callers(), parts.zone(), clock, parts.retries(), metrics);
         this.sides =
-                new SideLinks(parts.transport(), parts.sidePort(), runners, parts.loop(), clock, desk::runnersChanged);
+                new SideLinks(parts.transport(), parts.sidePort(), runners, parts.loop(), clock, desk::runnerChanged);
         this.identity = parts.address() + ":" + parts.entryPort() + " " + UUID.randomUUID();
         this.election = new PlannerElection(parts.store(), identity, clock);
         this.planner = new ModelPlanner(
@@ -100,6 +103,7 @@
         tickedAtNanos = clock.nowNanos();
         election.start();
         parts.loop().every(TICK_MILLIS, this::tick);
+        parts.loop().every(LINKS_MILLIS, sides::tick);
         parts.loop().every(PLAN_MILLIS, this::plan);
     }
 
@@ -117,7 +121,6 @@
             runners.all().forEach(KnownRunner::heard);
         }
         runners.tick();
-        sides.tick();
         desk.tick();
     }
 
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/ActiveRequest.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/ActiveRequest.java
@@ -26,6 +26,10 @@
 
     private int sends;
 
+    private int questions;
+
+    private boolean awaitsModel;
+
     private int runs;
 
     private boolean maybeRan;
@@ -63,6 +67,8 @@
     void begin(CurrentAttempt next) {
         attempt = next;
         adapterRunner = null;
+        questions = 0;
+        awaitsModel = false;
         sends++;
     }
 
@@ -92,6 +98,24 @@
         sends--;
     }
 
+    /** Counts the runners that were asked for their status since the last attempt. */
+    int questions() {
+        return questions;
+    }
+
+    void asked() {
+        questions++;
+    }
+
+    /** Tells whether no runner held the model when a runner was last looked for. */
+    boolean awaitsModel() {
+        return awaitsModel;
+    }
+
+    void awaitsModel(boolean awaited) {
+        awaitsModel = awaited;
+    }
+
     int sends() {
         return sends;
     }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDesk.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDesk.java
@@ -50,14 +50,15 @@
 
     private final Set<ActiveRequest> inHand = new LinkedHashSet<>();
 
+    /** Those in hand that are not at a runner. */
+    private final Set<ActiveRequest> waiting = new LinkedHashSet<>();
+
     private final Map<String, RetryBudget> retriesByService = new HashMap<>();
 
     private final ModelWaits modelWaits;
 
     private final LoadForecast loadForecast;
 
-    private boolean tickHasWork;
-
     /** Until when requests that end soon are taken though this entry is leaving. */
     private long shortUntilNanos;
 
@@ -142,18 +143,23 @@
         if (active.isEnded() || active.attempt() != null) {
             return;
         }
+        waiting.add(active);
         InboundRequest request = active.request();
         if (clock.isPast(request.deadlineNanos())) {
             expire(active);
             return;
         }
         RunnerChooser.Choice choice = chooser.choose(active);
+        active.awaitsModel(choice instanceof RunnerChooser.Choice.AwaitModel);
         if (leaving && !(choice instanceof RunnerChooser.Choice.Send)) {
             refuse(active, leavingRefusal(), LEAVING_MILLIS);
             return;
         }
         if (choice instanceof RunnerChooser.Choice.Send send) {
             send(active, send.runner());
+        } else if (choice instanceof RunnerChooser.Choice.AskRunner question) {
+            active.asked();
+            question.runner().ask();
         } else if (choice instanceof RunnerChooser.Choice.AwaitAdapter await) {
             awaitAdapter(active, await.runner());
         } else if (choice instanceof RunnerChooser.Choice.Crowded crowded) {
@@ -195,6 +201,7 @@
         InboundRequest request = active.request();
         CurrentAttempt attempt = new CurrentAttempt(relay, active, runner, clock.nowNanos());
         active.begin(attempt);
+        waiting.remove(active);
         runner.sent();
         runner.health().sent(clock.nowNanos());
         if (!request.adapter().isEmpty()) {
@@ -252,6 +259,7 @@
     private void end(ActiveRequest active, String outcome) {
         active.ended();
         inHand.remove(active);
+        waiting.remove(active);
         metrics.ended(active.request(), outcome);
     }
 
@@ -305,26 +313,31 @@
 
     /** Ends what is past its deadline and looks again after what waits. */
     public void tick() {
-        int waitingCount = 0;
         for (ActiveRequest active : new ArrayList<>(inHand)) {
             if (clock.isPast(active.request().deadlineNanos())) {
                 expire(active);
-            } else if (active.attempt() == null) {
-                waitingCount++;
-                route(active);
             }
         }
-        tickHasWork = waitingCount > 0;
-        metrics.inHand(inHand.size(), waitingCount);
+        runnersChanged();
+        metrics.inHand(inHand.size(), waiting.size());
     }
 
-    /** Looks after what waits, since a runner's state has changed. */
+    /** Looks after all that waits, since the runners known have changed. */
     public void runnersChanged() {
-        if (!tickHasWork) {
-            return;
-        }
-        for (ActiveRequest active : new ArrayList<>(inHand)) {
-            route(active);
+        new ArrayList<>(waiting).forEach(this::route);
+    }
+
+    /**
+     * Looks after what waits for a runner, since its state has changed.
+     *
+     * @param runner the runner
+     */
+    public void runnerChanged(KnownRunner runner) {
+        for (ActiveRequest active : new ArrayList<>(waiting)) {
+            InboundRequest request = active.request();
+            if (request.service().equals(runner.entry().service()) && runner.holds(request.model())) {
+                route(active);
+            }
         }
     }
 
@@ -356,8 +369,7 @@
         for (ActiveRequest active : inHand) {
             InboundRequest request = active.request();
             if (request.service().equals(service) && request.needsModel()) {
-                boolean waits = active.attempt() == null && active.adapterRunner() == null;
-                uses.merge(request.model(), new ModelUse(1, waits ? 1 : 0), ModelUse::plus);
+                uses.merge(request.model(), new ModelUse(1, active.awaitsModel() ? 1 : 0), ModelUse::plus);
             }
         }
         modelWaits
@@ -374,17 +386,4 @@
     public List<String> describe() {
         return inHand.stream().map(DecisionLog::describe).toList();
     }
-
-    /**
-     * Counts the requests in hand for one model.
-     *
-     * @param inHand all of them
-     * @param waiting those that wait for a runner that holds it
-     */
-    public record ModelUse(int inHand, int waiting) {
-
-        private ModelUse plus(ModelUse other) {
-            return new ModelUse(inHand + other.inHand, waiting + other.waiting);
-        }
-    }
 }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
@@ -22,6 +22,9 @@
     /** A request that has waited past its target is still sent where it begins within so long. */
     private static final long LEAST_WAIT_MILLIS = 300;
 
+    /** The runners asked for one request, after which it goes to one that has answered. */
+    private static final int MOST_QUESTIONS = 2;
+
     private final RunnerTable runners;
 
     private final RunnerSelector engineSelector;
@@ -49,7 +52,10 @@
         /** All runners that hold its model would begin too late. */
         record Crowded(long firstEventMillis) implements Choice {}
 
-        /** The runners that hold its model are to give a sign of life first. */
+        /** The side of a runner is to be asked before the request is sent there. */
+        record AskRunner(KnownRunner runner) implements Choice {}
+
+        /** The runners that hold its model were asked and have not answered yet. */
         record AwaitSign() implements Choice {}
 
         /** No runner holds its model. */
@@ -85,10 +91,14 @@
         if (holders.isEmpty()) {
             return new Choice.AwaitModel();
         }
-        List<KnownRunner> preferred = preferred(active, holders).stream()
-                .filter(runner -> !runner.isAwaitingSign())
+        List<KnownRunner> answering = preferred(active, holders).stream()
+                .filter(runner -> !runner.isUnanswered())
                 .toList();
-        if (preferred.isEmpty()) {
+        List<KnownRunner> fresh =
+                answering.stream().filter(runner -> !runner.isAwaitingSign()).toList();
+        boolean enoughAsked = active.questions() >= MOST_QUESTIONS && !fresh.isEmpty();
+        List<KnownRunner> candidates = enoughAsked ? fresh : answering;
+        if (candidates.isEmpty()) {
             return new Choice.AwaitSign();
         }
         RoutingRequest needs = new RoutingRequest(
@@ -96,27 +106,33 @@
                 request.model(),
                 KnownRunner.adapterKey(request.model(), request.adapter()),
                 request.prefixHash());
-        List<RunnerView> views = preferred.stream().map(KnownRunner::view).toList();
-        Optional<RunnerView> chosen = engineSelector.select(needs, views);
-        if (chosen.isEmpty()) {
+        List<RunnerView> views = candidates.stream().map(KnownRunner::view).toList();
+        Optional<RunnerView> selected = engineSelector.select(needs, views);
+        if (selected.isEmpty()) {
             return new Choice.AwaitModel();
         }
-        KnownRunner quickest =
-                quickestWithin(active, preferred, runners.byId(chosen.get().name()));
-        if (quickest == null) {
-            long soonestMillis = preferred.stream()
-                    .mapToLong(KnownRunner::firstEventMillis)
-                    .min()
-                    .orElse(0);
-            return new Choice.Crowded(soonestMillis);
+        KnownRunner favourite = runners.byId(selected.get().name());
+        KnownRunner chosen = quickestWithin(active, candidates, favourite);
+        if (chosen == null) {
+            return crowded(answering);
         }
-        if (!quickest.entry().id().equals(chosen.get().name())) {
-            chosen = Optional.of(quickest.view());
+        if (chosen.isAwaitingSign()) {
+            return new Choice.AskRunner(chosen);
         }
-        boolean ready = request.adapter().isEmpty() || needs.hasAdapterOn(chosen.get());
+        boolean ready = request.adapter().isEmpty() || needs.hasAdapterOn(chosen.view());
         return ready
-                ? new Choice.Send(runners.byId(chosen.get().name()))
-                : new Choice.AwaitAdapter(runners.byId(adapterLoader(needs, preferred, chosen.get())));
+                ? new Choice.Send(chosen)
+                : new Choice.AwaitAdapter(runners.byId(adapterLoader(needs, candidates, chosen.view())));
+    }
+
+    /** Sends nobody away on old statuses: the runner that would begin first is asked before. */
+    private static Choice crowded(List<KnownRunner> candidates) {
+        KnownRunner soonest = candidates.stream()
+                .min(Comparator.comparingLong(KnownRunner::firstEventMillis))
+                .orElseThrow();
+        return soonest.isAwaitingSign()
+                ? new Choice.AskRunner(soonest)
+                : new Choice.Crowded(soonest.firstEventMillis());
     }
 
     /** Keeps the chosen runner, or takes the quickest, if its first event comes in time; null if none does. */
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/KnownRunner.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/KnownRunner.java
@@ -17,14 +17,13 @@
  */
 public final class KnownRunner {
 
-    /** How long a status counts: over three of the side's periods, so that a few lost ones change nothing. */
-    private static final long STATUS_MILLIS = 1_000;
-
-    /** Two and a half periods of the side, so that one late status changes nothing. */
-    private static final long SILENCE_MILLIS = 400;
+    /** The pauses between statuses after which the last one does not count any more. */
+    private static final int MOST_PAUSES = 3;
 
     private final Clock clock;
 
+    private final HostSigns signs;
+
     private final RunnerHealth health = new RunnerHealth();
 
     private final FirstEventEstimate firstEvent = new FirstEventEstimate();
@@ -37,28 +36,22 @@
 
     private long loadingSinceNanos;
 
-    private Link link;
-
-    private boolean linkOpen;
-
-    private boolean givenUp;
-
-    private long heardAtNanos;
-
-    private int sentSinceHeard;
-
     private int outstanding;
 
     private int sentSinceStatus;
 
     private boolean gone;
 
+    /** Whether the runner has denied to hold something since the holdings were read from its status. */
+    private boolean forgotten;
+
     private Set<String> models = Set.of();
 
     private Set<String> adapters = Set.of();
 
     KnownRunner(RunnerEntry entry, Clock clock) {
         this.clock = clock;
+        this.signs = new HostSigns(clock);
         this.statusUntilNanos = clock.nowNanos();
         entry(entry);
     }
@@ -99,14 +92,28 @@
         if (status == null || !next.loadingModel().equals(status.loadingModel())) {
             loadingSinceNanos = clock.nowNanos();
         }
+        boolean sameHoldings = hasStatus() && next.models().equals(status.models());
         status = next;
-        link = from;
-        linkOpen = true;
-        givenUp = false;
-        heard();
+        signs.status(from, next.nextWithinMillis());
         sentSinceStatus = 0;
-        statusUntilNanos = clock.deadlineNanos(STATUS_MILLIS);
-        refreshHoldings();
+        statusUntilNanos = clock.deadlineNanos(MOST_PAUSES * next.nextWithinMillis());
+        if (!sameHoldings || forgotten) {
+            refreshHoldings();
+        }
+    }
+
+    /** Asks the side for a status, unless it was asked and may still answer. */
+    public void ask() {
+        signs.ask();
+    }
+
+    /**
+     * Tells whether the side was asked and has not answered in the time that it usually takes.
+     *
+     * @return whether another runner is to be preferred
+     */
+    public boolean isUnanswered() {
+        return signs.isUnanswered();
     }
 
     private void refreshHoldings() {
@@ -125,6 +132,7 @@
         }
         models = Set.copyOf(heldModels);
         adapters = Set.copyOf(heldAdapters);
+        forgotten = false;
     }
 
     /**
@@ -158,6 +166,7 @@
 
     /** Forgets that a model or adapter is held, since the runner has just said that it is not. */
     public void holdsNo(String model, String adapter) {
+        forgotten = true;
         Set<String> fewer = new HashSet<>(adapter.isEmpty() ? models : adapters);
         fewer.remove(adapter.isEmpty() ? model : adapterKey(model, adapter));
         if (adapter.isEmpty()) {
@@ -179,39 +188,37 @@
 
     /** Notes that the runner or the process beside it has sent something. */
     public void heard() {
-        heardAtNanos = clock.nowNanos();
-        sentSinceHeard = 0;
+        signs.heard();
     }
 
     /**
-     * Tells whether a request would be sent on trust: one was sent since the host last gave a sign of life. Hosts with
-     * a side give several a second, so that few requests lie in the buffers of one that has just frozen.
+     * Tells whether a request would be sent on trust: the status is old, or one was sent since the host last gave a
+     * sign of life. A status just asked for tells the present load, and keeps requests out of the buffers of a host
+     * that has frozen.
      *
-     * @return whether to wait for the next sign or to take another runner
+     * @return whether to ask the side first or to take another runner
      */
     public boolean isAwaitingSign() {
-        return linkOpen && sentSinceHeard > 0;
+        return signs.isAwaitingSign();
     }
 
     /**
      * Tells whether the whole host seems to stand still or to be cut off: the link to the process beside the runner is
-     * open, or was given up for its silence, and nothing comes. A process that died closes its link instead, and its
-     * runner goes on.
+     * open, or was given up for its silence, and neither an answer nor the next status comes. A process that died
+     * closes its link instead, and its runner goes on.
      *
      * @return whether nothing was heard of late
      */
     public boolean isHostSilent() {
-        return givenUp || linkOpen && clock.isPast(heardAtNanos + SILENCE_MILLIS * Clock.NANOS_PER_MILLI);
+        return signs.isSilent();
     }
 
     void sideClosed() {
-        linkOpen = false;
-        givenUp = false;
+        signs.sideClosed();
     }
 
     void sideGivenUp() {
-        linkOpen = false;
-        givenUp = true;
+        signs.sideGivenUp();
     }
 
     void goneForGood() {
@@ -231,7 +238,7 @@
      * @return whether it could be told
      */
     public boolean useAdapter(String model, String adapter) {
-        return hasStatus() && link != null && link.send(new AdapterUseFrame(model, adapter));
+        return hasStatus() && signs.send(new AdapterUseFrame(model, adapter));
     }
 
     /**
@@ -240,14 +247,14 @@
      * @return the link; null if none has brought a status
      */
     public Link link() {
-        return link;
+        return signs.link();
     }
 
     /** Counts a request sent. */
     public void sent() {
         outstanding++;
         sentSinceStatus++;
-        sentSinceHeard++;
+        signs.sent();
     }
 
     /** Counts a request that ended. */
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/SideLinks.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/SideLinks.java
@@ -37,7 +37,10 @@
     /** A live host refuses a connection within one round trip; a silent one does not answer at all. */
     private static final long REFUSED_MILLIS = 200;
 
-    /** A side tells its status at least every 300 ms. */
+    /** The pauses that a side announces after which its link is given up. */
+    private static final int MOST_PAUSES = 3;
+
+    /** The least time after which a link is given up: that of a connection being opened. */
     private static final long SILENCE_MILLIS = 1_500;
 
     private final LinkTransport transport;
@@ -50,7 +53,7 @@
 
     private final Clock clock;
 
-    private final Runnable statusListener;
+    private final Consumer<KnownRunner> statusListener;
 
     private final Map<String, Side> sidesByHost = new HashMap<>();
 
@@ -64,7 +67,7 @@
      * @param runners the runners
      * @param loop the entry's loop
      * @param clock the clock of the process
-     * @param statusListener runs after a status changed what is known
+     * @param statusListener is told of each runner that a status was taken for
      */
     public SideLinks(
             LinkTransport transport,
@@ -72,7 +75,7 @@
             RunnerTable runners,
             Ring<Runnable> loop,
             Clock clock,
-            Runnable statusListener) {
+            Consumer<KnownRunner> statusListener) {
         this.transport = Assert.notNull(transport, "transport");
         this.port = port;
         this.runners = Assert.notNull(runners, "runners");
@@ -88,7 +91,7 @@
      */
     public void config(ServingConfig next) {
         config = next;
-        sidesByHost.values().forEach(side -> side.told = "");
+        sidesByHost.values().forEach(side -> side.told = null);
     }
 
     /** Opens the links that lack, closes silent ones, and tells sides what has changed. */
@@ -126,10 +129,11 @@
     private void status(Side side, Link link, RunnerStatusFrame status) {
         for (KnownRunner runner : runners.all()) {
             if (runner.entry().address().address().equals(side.host)) {
+                side.pauseMillis = status.nextWithinMillis();
                 runner.status(status, link);
+                statusListener.accept(runner);
             }
         }
-        statusListener.run();
     }
 
     private EngineCatalogFrame catalogOf(KnownRunner runner, EngineSpec spec) {
@@ -160,7 +164,12 @@
 
         private long reconnectAtNanos;
 
-        private String told = "";
+        /** What the side was told last: the configuration, and the runner's entry; null for nothing. */
+        private RunnerEntry told;
+
+        private long toldVersion;
+
+        private long pauseMillis;
 
         private long connectedAtNanos;
 
@@ -170,7 +179,8 @@
         }
 
         private void tick() {
-            boolean silent = link != null && clock.isPast(link.heardAtNanos() + SILENCE_MILLIS * Clock.NANOS_PER_MILLI);
+            long silenceMillis = Math.max(SILENCE_MILLIS, MOST_PAUSES * pauseMillis);
+            boolean silent = link != null && clock.isPast(link.heardAtNanos() + silenceMillis * Clock.NANOS_PER_MILLI);
             if (silent) {
                 logger.warn("event=side-silent host={}", host);
                 Link silentLink = link;
@@ -185,10 +195,11 @@
         }
 
         private void tell(KnownRunner runner, EngineSpec spec) {
-            String wanted = config.version() + "/" + runner.entry().id() + "/"
-                    + runner.entry().startedAtMillis();
-            if (open && !wanted.equals(told) && link.send(catalogOf(runner, spec))) {
-                told = wanted;
+            RunnerEntry entry = runner.entry();
+            boolean known = told != null && toldVersion == config.version() && told.isSameIncarnation(entry);
+            if (open && !known && link.send(catalogOf(runner, spec))) {
+                told = entry;
+                toldVersion = config.version();
             }
         }
 
@@ -203,7 +214,7 @@
             if (link == closed) {
                 link = null;
                 open = false;
-                told = "";
+                told = null;
                 reconnectAtNanos = clock.deadlineNanos(RECONNECT_MILLIS);
             }
         }
@@ -227,7 +238,7 @@
         private void opened(Link opened) {
             if (link == opened) {
                 open = true;
-                told = "";
+                told = null;
             }
         }
 
--- a/gateway/src/test/java/org/arbutusstack/gateway/runner/KnownRunnerTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/runner/KnownRunnerTests.java
@@ -7,9 +7,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.arbutusstack.gateway.RecordingLink;
 import org.arbutusstack.http.client.HttpTarget;
 import org.arbutusstack.kernel.time.ManualClock;
 import org.arbutusstack.wire.frame.RunnerStatusFrame;
+import org.arbutusstack.wire.frame.StatusRequestFrame;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -31,7 +33,7 @@
         for (String model : models) {
             held.add(new RunnerStatusFrame.HeldModel(model, 1, List.of("a1")));
         }
-        return new RunnerStatusFrame(startedAtMillis, 0, true, -1, 2, 3, 0, 1, held, List.of(), Map.of(), "");
+        return new RunnerStatusFrame(startedAtMillis, 0, true, -1, 2, 3, 0, 1, held, List.of(), Map.of(), "", 200);
     }
 
     @Test
@@ -87,4 +89,46 @@
         runner.heard();
         assertFalse(runner.isAwaitingSign());
     }
+
+    /**
+     * Replays two hosts that froze while four entries sent to each on trust (planner-wakes, seed 33706812780): six
+     * requests lay in their buffers until after their callers had left.
+     */
+    @Test
+    public void shouldAskBeforeSendingWhenTheLastSignIsOld() {
+        RecordingLink link = new RecordingLink();
+        runner.status(status(7, "m1"), link);
+        assertFalse(runner.isAwaitingSign());
+        clock.advanceMillis(100);
+        assertTrue(runner.isAwaitingSign());
+        runner.ask();
+        runner.ask();
+        assertEquals(link.sent, List.of(new StatusRequestFrame()));
+        runner.status(status(7, "m1"), link);
+        assertFalse(runner.isAwaitingSign());
+    }
+
+    @Test
+    public void shouldPreferOthersThenSendNothingWhenSideDoesNotAnswer() {
+        RecordingLink link = new RecordingLink();
+        runner.status(status(7, "m1"), link);
+        clock.advanceMillis(100);
+        runner.ask();
+        clock.advanceMillis(130);
+        assertTrue(runner.isUnanswered());
+        assertTrue(runner.takesWork());
+        clock.advanceMillis(280);
+        assertFalse(runner.takesWork());
+        runner.heard();
+        assertTrue(runner.takesWork());
+        assertFalse(runner.isUnanswered());
+    }
+
+    @Test
+    public void shouldSendWithoutAskingWhenNoSideIsLinked() {
+        runner.status(status(7, "m1"), new RecordingLink());
+        runner.sideClosed();
+        clock.advanceMillis(5_000);
+        assertFalse(runner.isAwaitingSign());
+    }
 }
--- a/wire/src/main/java/org/arbutusstack/wire/frame/FrameType.java
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/FrameType.java
@@ -60,7 +60,10 @@
     MODEL_ORDER(63, ModelOrderFrame::read),
 
     /** The models that an entry has requests for. */
-    MODEL_DEMAND(64, ModelDemandFrame::read);
+    MODEL_DEMAND(64, ModelDemandFrame::read),
+
+    /** A runner's status is wanted at once. */
+    STATUS_REQUEST(65, StatusRequestFrame::read);
 
     private final int code;
 
--- a/wire/src/main/java/org/arbutusstack/wire/frame/RunnerStatusFrame.java
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/RunnerStatusFrame.java
@@ -23,6 +23,7 @@
  * @param storedCopies the models of which a copy lies at the runner outside accelerator memory, with the rank of where:
  *     1 in main memory, 2 on disk
  * @param loadingModel the model that the last order asked for and that is not there yet; empty for none
+ * @param nextWithinMillis the longest time until the next status, if the host lives
  */
 public record RunnerStatusFrame(
         long startedAtMillis,
@@ -36,7 +37,8 @@
         List<HeldModel> models,
         List<String> pendingAdapters,
         Map<String, Integer> storedCopies,
-        String loadingModel)
+        String loadingModel,
+        long nextWithinMillis)
         implements Frame {
 
     /** Copies the collections. */
@@ -74,7 +76,44 @@
                 readModels(unpacker),
                 Frames.unpackStrings(unpacker),
                 Frames.unpackCounts(unpacker),
-                unpacker.unpackString());
+                unpacker.unpackString(),
+                unpacker.unpackLong());
+    }
+
+    /**
+     * Tells that the runner takes no requests, since it does not answer.
+     *
+     * @return the status with that
+     */
+    public RunnerStatusFrame withoutWork() {
+        return with(false, queued);
+    }
+
+    /**
+     * Counts requests that are on their way to the runner as queued there.
+     *
+     * @param count their number
+     * @return the status with them
+     */
+    public RunnerStatusFrame withExpected(int count) {
+        return with(takesWork, queued + count);
+    }
+
+    private RunnerStatusFrame with(boolean takesWorkNow, int queuedNow) {
+        return new RunnerStatusFrame(
+                startedAtMillis,
+                orderSequence,
+                takesWorkNow,
+                remainingMillis,
+                queuedNow,
+                running,
+                usedTokens,
+                capacityTokens,
+                models,
+                pendingAdapters,
+                storedCopies,
+                loadingModel,
+                nextWithinMillis);
     }
 
     private static List<HeldModel> readModels(MessageUnpacker unpacker) throws IOException {
@@ -110,5 +149,6 @@
         Frames.packStrings(packer, pendingAdapters);
         Frames.packCounts(packer, storedCopies);
         packer.packString(loadingModel);
+        packer.packLong(nextWithinMillis);
     }
 }
