--- a/store/src/main/java/org/arbutusstack/store/PrefixFollower.java
+++ b/store/src/main/java/org/arbutusstack/store/PrefixFollower.java
@@ -18,9 +18,6 @@
 
     private static final Logger logger = LoggerFactory.getLogger(PrefixFollower.class);
 
-    /** How long one call waits for a change; a silent connection shows after this and the slack. */
-    private static final long WAIT_MILLIS = 1_000;
-
     private static final long SLACK_MILLIS = 250;
 
     private static final long READ_MILLIS = 1_000;
@@ -32,7 +29,9 @@
 
     private final String prefix;
 
-    private final long gatherMillis;
+    private final long waitMillis;
+
+    private final PollPace pace;
 
     private final PrefixListener listener;
 
@@ -53,14 +52,22 @@
      *
      * @param reader reads the service
      * @param prefix the prefix
-     * @param gatherMillis the pause after changes in which further ones are gathered, to save calls
+     * @param waitMillis how long one call waits for a change; a silent connection shows soon after
+     * @param gatherMillis the period in which changes are gathered while keys change all the time, to save calls
      * @param listener is kept up to date
      * @param clock the clock of the process
      */
-    public PrefixFollower(PrefixReader reader, String prefix, long gatherMillis, PrefixListener listener, Clock clock) {
+    public PrefixFollower(
+            PrefixReader reader,
+            String prefix,
+            long waitMillis,
+            long gatherMillis,
+            PrefixListener listener,
+            Clock clock) {
         this.reader = Assert.notNull(reader, "reader");
         this.prefix = Assert.notNull(prefix, "prefix");
-        this.gatherMillis = Assert.atLeast(gatherMillis, 0, "gatherMillis");
+        this.waitMillis = Assert.atLeast(waitMillis, 1, "waitMillis");
+        this.pace = new PollPace(gatherMillis, clock);
         this.listener = Assert.notNull(listener, "listener");
         this.clock = Assert.notNull(clock, "clock");
         this.thread = new Thread(this::run, "store-follower");
@@ -119,7 +126,7 @@
 
     private boolean follow() {
         StoreResult<PrefixChanges> result =
-                reader.changesAfter(prefix, revision, WAIT_MILLIS, clock.deadlineNanos(WAIT_MILLIS + SLACK_MILLIS));
+                reader.changesAfter(prefix, revision, waitMillis, clock.deadlineNanos(waitMillis + SLACK_MILLIS));
         if (!(result instanceof StoreResult.Done<PrefixChanges> done)) {
             lost(result);
             return false;
@@ -129,7 +136,7 @@
             revision = Math.max(revision, known.revision());
             if (!known.items().isEmpty()) {
                 listener.onChanges(known.items());
-                clock.pause(gatherMillis);
+                clock.pause(pace.pauseMillis());
             }
             return true;
         }
