--- a/daemon/src/main/java/org/arbutusstack/daemon/PlatformCommand.java
+++ b/daemon/src/main/java/org/arbutusstack/daemon/PlatformCommand.java
@@ -37,9 +37,9 @@
 
     private static final int LAST_PARTS = 6;
 
-    private static final String LINK_KEY_VARIABLE = "ARBUTUS_LINK_KEY";
+    static final String LINK_KEY_VARIABLE = "ARBUTUS_LINK_KEY";
 
-    private static final String ADMIN_PORT_VARIABLE = "ARBUTUS_ADMIN_PORT";
+    static final String ADMIN_PORT_VARIABLE = "ARBUTUS_ADMIN_PORT";
 
     private final PlatformRole role;
 
@@ -47,7 +47,7 @@
 
     private final CountDownLatch stopped = new CountDownLatch(1);
 
-    private PlatformCommand(PlatformRole role, Map<String, String> environment) {
+    PlatformCommand(PlatformRole role, Map<String, String> environment) {
         this.role = role;
         this.environment = environment;
     }
@@ -60,20 +60,27 @@
     }
 
     void run() throws InterruptedException {
+        if (start().isPresent()) {
+            stopped.await();
+        }
+    }
+
+    /** Reads the settings and starts the services; on a mistake the process ends. */
+    Optional<Kernel> start() {
         String file = environment.get(PlatformSettings.FILE_VARIABLE);
         String linkKey = environment.get(LINK_KEY_VARIABLE);
         if (file == null || linkKey == null || linkKey.isBlank()) {
             fail(List.of(PlatformSettings.FILE_VARIABLE + " and " + LINK_KEY_VARIABLE + " must be set"));
-            return;
+            return Optional.empty();
         }
         PlatformSettings.Result result = PlatformSettings.read(Path.of(file), role.servesCallers());
-        if (result instanceof PlatformSettings.Result.Invalid invalid) {
-            fail(invalid.mistakes());
-        } else if (result instanceof PlatformSettings.Result.Valid valid) {
-            start(valid.settings(), new LinkKey(linkKey));
+        if (result instanceof PlatformSettings.Result.Valid valid) {
+            Kernel kernel = start(valid.settings(), new LinkKey(linkKey));
             ReloadSignal.onReload(() -> reload(Path.of(file), valid.settings()));
-            stopped.await();
+            return Optional.of(kernel);
         }
+        fail(result instanceof PlatformSettings.Result.Invalid invalid ? invalid.mistakes() : List.of());
+        return Optional.empty();
     }
 
     /** Reads the settings anew; addresses and bounds of a running process stay as they are until its next start. */
@@ -102,7 +109,7 @@
         System.exit(SETTINGS_EXIT_CODE);
     }
 
-    private void start(PlatformSettings settings, LinkKey linkKey) {
+    private Kernel start(PlatformSettings settings, LinkKey linkKey) {
         Clock clock = new SystemClock();
         ServiceRegistry registry = new DefaultServiceRegistry();
         Kernel kernel = new Kernel(registry, clock);
@@ -119,6 +126,7 @@
         }
         logger.info("event=started role={} host={} zone={}", role, settings.hostName(), settings.zone());
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(kernel, settings), "shutdown"));
+        return kernel;
     }
 
     /** Drains until the last sixth of the grace time. */
