--- a/gateway/src/main/java/org/arbutusstack/gateway/plan/ModelPlanner.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/plan/ModelPlanner.java
@@ -170,7 +170,7 @@
                 able.add(describe(runner, spec));
             }
         }
-        EngineFleet fleet = new EngineFleet(models, able, demand.demand(service.name(), models.keySet()));
+        EngineFleet fleet = new EngineFleet(spec.slots(), models, able, demand.demand(service.name(), models.keySet()));
         for (ModelMove move : planner.decide(fleet, pacer.available())) {
             give(move, fleet.demand().get(move.load()));
         }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/ModelWaits.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/ModelWaits.java
@@ -9,7 +9,8 @@
 import org.arbutusstack.kernel.time.Clock;
 
 /**
- * Remembers the callers who were asked to come back when their model is loaded, so that the planner counts them.
+ * Remembers the callers who were asked to come back when their model is loaded or its runners are less crowded, so that
+ * the planner counts them.
  *
  * <p>Used by the entry's loop only.
  *
@@ -25,26 +26,35 @@
         this.clock = Assert.notNull(clock, "clock");
     }
 
-    /** Remembers a caller who was asked to come back after so long. */
+    /** Remembers a caller who was asked to come back after so long, since no runner holds its model. */
     void sentAway(InboundRequest request, long returnMillis) {
-        expected.addLast(new Expected(request.service(), request.model(), clock.deadlineNanos(returnMillis)));
+        add(request, returnMillis, new ModelUse(1, 1));
+    }
+
+    /** Remembers a caller who was asked to come back after so long, since the copies of its model are too few. */
+    void crowdedOut(InboundRequest request, long returnMillis) {
+        add(request, returnMillis, new ModelUse(1, 0));
+    }
+
+    private void add(InboundRequest request, long returnMillis, ModelUse use) {
+        expected.addLast(new Expected(request.service(), request.model(), use, clock.deadlineNanos(returnMillis)));
     }
 
     /** Counts the callers of a service who will come back, by model. */
-    Map<String, Integer> expected(String service) {
+    Map<String, ModelUse> expected(String service) {
         Iterator<Expected> iterator = expected.iterator();
-        Map<String, Integer> counts = new HashMap<>();
+        Map<String, ModelUse> counts = new HashMap<>();
         while (iterator.hasNext()) {
             Expected caller = iterator.next();
             if (clock.isPast(caller.untilNanos())) {
                 iterator.remove();
             } else if (caller.service().equals(service)) {
-                counts.merge(caller.model(), 1, Integer::sum);
+                counts.merge(caller.model(), caller.use(), ModelUse::plus);
             }
         }
         return counts;
     }
 
     /** Holds what a caller will ask for again. */
-    private record Expected(String service, String model, long untilNanos) {}
+    private record Expected(String service, String model, ModelUse use, long untilNanos) {}
 }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDesk.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDesk.java
@@ -165,6 +165,7 @@
         } else if (choice instanceof RunnerChooser.Choice.Crowded crowded) {
             String detail = "the runners of the model would begin after " + crowded.firstEventMillis() + " ms";
             long returnMillis = limits.spreadReturnMillis(request.id());
+            modelWaits.crowdedOut(request, returnMillis);
             refuse(active, Refusal.notRun(RefusalReason.DEADLINE_UNREACHABLE, detail), returnMillis);
         } else if (choice instanceof RunnerChooser.Choice.AwaitModel) {
             awaitModel(active);
@@ -372,9 +373,7 @@
                 uses.merge(request.model(), new ModelUse(1, active.awaitsModel() ? 1 : 0), ModelUse::plus);
             }
         }
-        modelWaits
-                .expected(service)
-                .forEach((model, count) -> uses.merge(model, new ModelUse(count, count), ModelUse::plus));
+        modelWaits.expected(service).forEach((model, use) -> uses.merge(model, use, ModelUse::plus));
         return uses;
     }
 
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/DeskHarness.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/DeskHarness.java
@@ -69,6 +69,22 @@
                 resumable);
     }
 
+    static Route slowRoute() {
+        return new Route(
+                "r",
+                "h",
+                "/p/",
+                RouteKind.STREAMING,
+                20_000,
+                2_000,
+                300,
+                1,
+                List.of(new Route.WeightedService(ENGINE, 1)),
+                1,
+                false,
+                false);
+    }
+
     FakeCaller send(RouteKind kind, boolean resumable) {
         return send(route(kind, PLAIN, 2, resumable), "");
     }
--- a/placement/src/main/java/org/arbutusstack/placement/EngineFleet.java
+++ b/placement/src/main/java/org/arbutusstack/placement/EngineFleet.java
@@ -7,11 +7,12 @@
 /**
  * Describes the engines of a service and what is asked of them, for one decision on what to load.
  *
+ * @param slots the requests that one runner works on at once
  * @param models the models by name
  * @param runners the runners that take work
  * @param demand what is asked of each model
  */
-public record EngineFleet(Map<String, Model> models, List<Runner> runners, Map<String, ModelDemand> demand) {
+public record EngineFleet(int slots, Map<String, Model> models, List<Runner> runners, Map<String, ModelDemand> demand) {
 
     /** Copies the collections. */
     public EngineFleet {
--- a/placement/src/main/java/org/arbutusstack/placement/FleetPlanner.java
+++ b/placement/src/main/java/org/arbutusstack/placement/FleetPlanner.java
@@ -19,8 +19,11 @@
  */
 public final class FleetPlanner {
 
-    /** The requests in hand that one copy serves well. */
-    private final double requestsPerCopy;
+    /** The share of a runner's slots that one of its models fills well: a runner holds about three. */
+    private static final double SLOTS_SHARE = 1 / 3.0;
+
+    /** The most requests in hand that one copy serves well, however many slots its runner has. */
+    private final double mostRequestsPerCopy;
 
     /** The idle time at which a model's last copy costs twice what it costs after a long one. */
     private final long idleMillis;
@@ -52,12 +55,12 @@
     /**
      * Creates a planner.
      *
-     * @param requestsPerCopy the requests in hand that one copy serves well
+     * @param mostRequestsPerCopy the most requests in hand that one copy serves well
      * @param idleMillis the idle time at which a model's last copy costs twice what it costs after a long one
      */
-    public FleetPlanner(double requestsPerCopy, long idleMillis) {
-        Assert.isTrue(requestsPerCopy > 0, "'requestsPerCopy' must be positive");
-        this.requestsPerCopy = requestsPerCopy;
+    public FleetPlanner(double mostRequestsPerCopy, long idleMillis) {
+        Assert.isTrue(mostRequestsPerCopy > 0, "'mostRequestsPerCopy' must be positive");
+        this.mostRequestsPerCopy = mostRequestsPerCopy;
         this.idleMillis = Assert.atLeast(idleMillis, 0, "idleMillis");
     }
 
@@ -69,7 +72,7 @@
      * @return what to load, at most one model a runner
      */
     public List<ModelMove> decide(EngineFleet fleet, int mostFromStore) {
-        Board board = new Board(fleet);
+        Board board = new Board(fleet, mostRequestsPerCopy);
         List<ModelMove> moves = new ArrayList<>();
         int left = mostFromStore;
         for (String model : wanted(board)) {
@@ -90,7 +93,7 @@
             EngineFleet.ModelDemand demand = board.fleet.demandFor(model);
             int copies = board.copiesOf(model);
             boolean missing = copies == 0 && demand.waiting() > 0;
-            boolean crowded = copies > 0 && asked(demand) > copies * requestsPerCopy * EXCESS_FACTOR;
+            boolean crowded = copies > 0 && asked(demand) > copies * board.requestsPerCopy * EXCESS_FACTOR;
             if (missing || crowded) {
                 wanted.add(model);
             }
@@ -115,7 +118,7 @@
 
     private double excess(Board board, String model) {
         EngineFleet.ModelDemand demand = board.fleet.demandFor(model);
-        return asked(demand) - board.copiesOf(model) * requestsPerCopy;
+        return asked(demand) - board.copiesOf(model) * board.requestsPerCopy;
     }
 
     private Optional<ModelMove> place(Board board, String model, boolean mayUseStore) {
@@ -169,7 +172,7 @@
         EngineFleet.ModelDemand demand = board.fleet.demandFor(model);
         int copies = board.copiesOf(model);
         if (copies > 1) {
-            boolean needed = demand.requests() > (copies - 1) * requestsPerCopy;
+            boolean needed = demand.requests() > (copies - 1) * board.requestsPerCopy;
             double share = demand.requests() / copies;
             return needed ? Double.MAX_VALUE : share + (share < NEGLIGIBLE_REQUESTS ? 0 : DRAIN_PRICE);
         }
@@ -185,14 +188,18 @@
 
         private final EngineFleet fleet;
 
+        /** The requests in hand that one copy serves well. */
+        private final double requestsPerCopy;
+
         private final Map<String, Set<String>> heldByRunner = new HashMap<>();
 
         private final Map<String, Integer> copies = new HashMap<>();
 
         private final Set<String> taken = new HashSet<>();
 
-        Board(EngineFleet fleet) {
+        Board(EngineFleet fleet, double mostRequestsPerCopy) {
             this.fleet = fleet;
+            this.requestsPerCopy = Math.min(mostRequestsPerCopy, fleet.slots() * SLOTS_SHARE);
             for (EngineFleet.Runner runner : fleet.runners()) {
                 heldByRunner.put(runner.name(), new HashSet<>(runner.held()));
                 runner.held().forEach(model -> copies.merge(model, 1, Integer::sum));
