Call a store that is away less often: the pause doubles up to a second

Ruled out: longer than a second, since entries that lapsed are to be back two seconds after the return.

--- a/store/src/main/java/org/arbutusstack/store/PrefixFollower.java
+++ b/store/src/main/java/org/arbutusstack/store/PrefixFollower.java
@@ -22,9 +22,12 @@
 
     private static final long READ_MILLIS = 1_000;
 
-    /** The pause after a failed call: four calls a second for a process while the service is away. */
+    /** The pause after a failed call, doubled by each further one. */
     private static final long RETRY_MILLIS = 250;
 
+    /** The longest pause: half of the time in which what lapsed in an outage is back, so that its end is not missed. */
+    private static final long MOST_RETRY_MILLIS = 1_000;
+
     private final PrefixReader reader;
 
     private final String prefix;
@@ -47,6 +50,8 @@
 
     private boolean current;
 
+    private long retryMillis = RETRY_MILLIS;
+
     /**
      * Creates a follower.
      *
@@ -107,8 +112,9 @@
         boolean told = current ? follow() : read();
         if (!told) {
             reader.reconnect();
-            clock.pause(RETRY_MILLIS);
+            clock.pause(retryMillis);
         }
+        retryMillis = told ? RETRY_MILLIS : Math.min(MOST_RETRY_MILLIS, 2 * retryMillis);
     }
 
     private boolean read() {
