Tell the side how requests end, so that all entries doubt a runner that fails

Change: entries tell failures, and the answers of a runner in doubt, to the runner's side; its statuses say whether others are to be preferred. An attempt without an answer for 80% of a caller's patience counts as a failure. Where over 40% are doubted, doubt of the fleet is passed over. Ruled out: telling each success (a frame a request); a doubt that holds where most runners fail (the rest would be crowded).

--- a/gateway/src/main/java/org/arbutusstack/gateway/attend/Attendant.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/attend/Attendant.java
@@ -25,6 +25,7 @@
 import org.arbutusstack.wire.frame.EngineCatalogFrame;
 import org.arbutusstack.wire.frame.Frame;
 import org.arbutusstack.wire.frame.ModelOrderFrame;
+import org.arbutusstack.wire.frame.RunnerOutcomeFrame;
 import org.arbutusstack.wire.frame.RunnerStatusFrame;
 import org.arbutusstack.wire.frame.StatusRequestFrame;
 import org.arbutusstack.wire.link.Link;
@@ -82,6 +83,8 @@
 
     private final StatusSchedule schedule;
 
+    private final SharedHealth health;
+
     private final Thread thread;
 
     private final Counter orders;
@@ -113,6 +116,7 @@
         this.clock = Assert.notNull(clock, "clock");
         this.desk = new OrderDesk(clock);
         this.schedule = new StatusSchedule(clock);
+        this.health = new SharedHealth(clock);
         this.orders = Counter.builder()
                 .name("arbutus_attendant_orders_total")
                 .help("orders given to the runner by outcome")
@@ -255,6 +259,9 @@
     }
 
     private void tell(RunnerReading reading) {
+        if (lastStatus != null && lastStatus.startedAtMillis() != reading.startedAtMillis()) {
+            health.trust();
+        }
         RunnerStatusFrame status = statusOf(reading);
         lastStatus = status;
         expected.set(0);
@@ -270,11 +277,23 @@
         }
     }
 
+    private void observed(RunnerOutcomeFrame outcome) {
+        RunnerStatusFrame status = lastStatus;
+        if (status == null || status.startedAtMillis() != outcome.startedAtMillis()) {
+            return;
+        }
+        boolean before = health.isInDoubt();
+        health.observed(outcome.failed());
+        if (health.isInDoubt() != before) {
+            logger.info("event=runner-doubt in_doubt={} started_at={}", !before, outcome.startedAtMillis());
+        }
+    }
+
     /** Answers on the links' thread: it is the host's sign of life, and must not wait for a call to the runner. */
     private void answer(Link link) {
         RunnerStatusFrame status = lastStatus;
         if (status != null) {
-            link.send(status.withExpected(expected.getAndIncrement()));
+            link.send(status.withExpected(expected.getAndIncrement(), health.isInDoubtForNext()));
         }
     }
 
@@ -305,6 +324,7 @@
                 reading.pendingAdapters(),
                 storedCopies,
                 reading.busy() && desk.loading().isEmpty() ? UNKNOWN_MODEL : desk.loading(),
+                health.isInDoubt(),
                 StatusSchedule.beatMillis(links.size()));
     }
 
@@ -326,6 +346,10 @@
                 answer(link);
                 return;
             }
+            if (frame instanceof RunnerOutcomeFrame outcome) {
+                observed(outcome);
+                return;
+            }
             if (frame instanceof AdapterUseFrame) {
                 adapterUsersUntilNanos.put(link, clock.deadlineNanos(ADAPTER_INTEREST_MILLIS));
             }
--- a/gateway/src/main/java/org/arbutusstack/gateway/attend/StatusSchedule.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/attend/StatusSchedule.java
@@ -67,6 +67,7 @@
     private boolean concernsAll(RunnerStatusFrame status) {
         return status.startedAtMillis() != told.startedAtMillis()
                 || status.takesWork() != told.takesWork()
+                || status.inDoubt() != told.inDoubt()
                 || status.remainingMillis() < 0 != told.remainingMillis() < 0
                 || !status.loadingModel().equals(told.loadingModel())
                 || !modelsOf(status).equals(modelsOf(told));
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
@@ -38,7 +38,7 @@
         AnswerHead head = attempt.head();
         if (head.claim() == AnswerClaim.UNATTESTED) {
             attempt.cancel();
-            attempt.runner().health().failed(clock.nowNanos());
+            attempt.runner().failed();
             String detail = "an answer with status " + head.status() + " that is not the runner's to this request";
             desk.failed(active, Refusal.outcomeUnknown(RefusalReason.BACKEND_ERROR, detail));
         }
@@ -65,7 +65,7 @@
     private void openStream(ActiveRequest active, CurrentAttempt attempt) {
         if (!active.isOpened()) {
             active.opened();
-            attempt.runner().health().succeeded();
+            attempt.runner().succeeded();
             attempt.firstEventAt(clock.nowNanos());
             metrics.answered(active.request(), clock.nowNanos());
             callers.open(active.response(), attempt.head(), -1);
@@ -96,10 +96,10 @@
         if (active.isOpened()) {
             desk.failed(active, Refusal.outcomeUnknown(RefusalReason.BACKEND_ERROR, "the stream was not resumed"));
         } else if (attempt.head().isSuccess()) {
-            attempt.runner().health().succeeded();
+            attempt.runner().succeeded();
             answer(active, answer);
         } else {
-            attempt.runner().health().failed(clock.nowNanos());
+            attempt.runner().failed();
             active.failedAnswer(answer);
             String detail = "the runner answered with status " + attempt.head().status();
             desk.failed(active, Refusal.outcomeUnknown(RefusalReason.BACKEND_ERROR, detail));
@@ -144,11 +144,11 @@
     void broken(ActiveRequest active, CurrentAttempt attempt, boolean maybeSent, String detail) {
         active.events().dropRest();
         if (maybeSent) {
-            attempt.runner().health().failed(clock.nowNanos());
+            attempt.runner().failed();
             desk.failed(active, Refusal.outcomeUnknown(RefusalReason.BACKEND_LOST, detail));
             return;
         }
-        attempt.runner().health().unreachable(clock.nowNanos());
+        attempt.runner().unreachable();
         active.neverSent();
         desk.failed(active, Refusal.notRun(RefusalReason.BACKEND_LOST, detail));
     }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/CurrentAttempt.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/CurrentAttempt.java
@@ -7,6 +7,11 @@
 /** Follows one attempt and hands what the runner says to the relay. Used by the entry's loop only. */
 final class CurrentAttempt implements AnswerListener {
 
+    /** The share of a caller's patience after which an attempt without an answer counts as the runner's failure. */
+    private static final long PATIENCE_PERCENT = 80;
+
+    private static final long PERCENT = 100;
+
     private final AnswerRelay relay;
 
     private final ActiveRequest owner;
@@ -53,6 +58,12 @@
         runner.firstEvent(unstartedBefore, (nowNanos - sentAtNanos) / Clock.NANOS_PER_MILLI);
     }
 
+    /** Tells whether the runner has done nothing for about as long as callers of the route wait. */
+    boolean isStuck(long nowNanos) {
+        long patienceMillis = owner.request().route().patienceMillis() * PATIENCE_PERCENT / PERCENT;
+        return head == null && nowNanos - sentAtNanos >= patienceMillis * Clock.NANOS_PER_MILLI;
+    }
+
     AnswerHead head() {
         return head;
     }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDesk.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDesk.java
@@ -204,7 +204,6 @@
         active.begin(attempt);
         waiting.remove(active);
         runner.sent();
-        runner.health().sent(clock.nowNanos());
         if (!request.adapter().isEmpty()) {
             runner.useAdapter(request.model(), request.adapter());
         }
@@ -271,6 +270,9 @@
         CurrentAttempt attempt = active.attempt();
         boolean mustFinish = !active.request().route().kind().isStreaming()
                 && !active.request().route().mayRepeat();
+        if (attempt != null && attempt.isStuck(clock.nowNanos())) {
+            attempt.runner().failed();
+        }
         if (attempt != null && mustFinish) {
             attempt.orphan();
         } else if (attempt != null) {
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
@@ -22,6 +22,9 @@
     /** A request that has waited past its target is still sent where it begins within so long. */
     private static final long LEAST_WAIT_MILLIS = 300;
 
+    /** The share of the runners that has to be trusted for the others to be left out. */
+    private static final double LEAST_TRUSTED_SHARE = 0.6;
+
     /** The runners asked for one request, after which it goes to one that has answered. */
     private static final int MOST_QUESTIONS = 2;
 
@@ -68,7 +71,7 @@
     Choice choose(ActiveRequest active) {
         InboundRequest request = active.request();
         List<KnownRunner> able = new ArrayList<>(runners.takingWork(request.service()));
-        able.removeIf(runner -> runner.health().isUnreachable(clock.nowNanos()));
+        able.removeIf(runner -> runner.isUnreachable());
         if (able.isEmpty()) {
             return new Choice.NoRunner();
         }
@@ -167,10 +170,18 @@
         List<KnownRunner> fresh = new ArrayList<>(able);
         fresh.removeIf(runner -> active.avoids(runner.entry().id()));
         List<KnownRunner> sound = new ArrayList<>(fresh);
-        sound.removeIf(runner -> runner.health().isDoubtful(clock.nowNanos()));
-        if (!sound.isEmpty()) {
-            return sound;
+        sound.removeIf(KnownRunner::isDoubtful);
+        if (sound.isEmpty()) {
+            return fresh.isEmpty() ? able : fresh;
         }
-        return fresh.isEmpty() ? able : fresh;
+        return withoutDoubted(sound);
+    }
+
+    /** Leaves out the runners that the fleet doubts; where it doubts many, their load would fell the others. */
+    private static List<KnownRunner> withoutDoubted(List<KnownRunner> sound) {
+        List<KnownRunner> trusted = new ArrayList<>(sound);
+        trusted.removeIf(KnownRunner::isDoubtedByFleet);
+        boolean few = trusted.size() >= sound.size() * LEAST_TRUSTED_SHARE;
+        return few && !trusted.isEmpty() ? trusted : sound;
     }
 }
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/KnownRunner.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/KnownRunner.java
@@ -8,6 +8,7 @@
 import org.arbutusstack.routing.RunnerHealth;
 import org.arbutusstack.routing.RunnerView;
 import org.arbutusstack.wire.frame.AdapterUseFrame;
+import org.arbutusstack.wire.frame.RunnerOutcomeFrame;
 import org.arbutusstack.wire.frame.RunnerStatusFrame;
 import org.arbutusstack.wire.link.Link;
 
@@ -42,6 +43,9 @@
 
     private boolean gone;
 
+    /** Whether the process beside the runner was told of a failure, so that it waits for an answer that is none. */
+    private boolean reportedFailure;
+
     /** Whether the runner has denied to hold something since the holdings were read from its status. */
     private boolean forgotten;
 
@@ -70,13 +74,54 @@
         refreshHoldings();
     }
 
+    /** Notes that the runner answered as it should. */
+    public void succeeded() {
+        health.succeeded();
+        if (hasStatus() && status.inDoubt() || reportedFailure) {
+            reportedFailure = false;
+            signs.send(new RunnerOutcomeFrame(entry.startedAtMillis(), false));
+        }
+    }
+
+    /** Notes that the runner failed a request, and tells the process beside it, so that all entries know. */
+    public void failed() {
+        health.failed(clock.nowNanos());
+        reportedFailure = true;
+        signs.send(new RunnerOutcomeFrame(entry.startedAtMillis(), true));
+    }
+
+    /** Notes that the runner could not be reached. */
+    public void unreachable() {
+        health.unreachable(clock.nowNanos());
+        reportedFailure = true;
+        signs.send(new RunnerOutcomeFrame(entry.startedAtMillis(), true));
+    }
+
+    /**
+     * Tells whether the runner is not to be tried, since it could not be reached a moment ago.
+     *
+     * @return whether that is so
+     */
+    public boolean isUnreachable() {
+        return health.isUnreachable(clock.nowNanos());
+    }
+
+    /**
+     * Tells whether other runners are to be preferred by what this entry has seen.
+     *
+     * @return whether requests of this entry failed there of late
+     */
+    public boolean isDoubtful() {
+        return health.isDoubtful(clock.nowNanos());
+    }
+
     /**
-     * Tells what is known of the runner's answers.
+     * Tells whether other runners are to be preferred by what all entries have seen.
      *
-     * @return its health
+     * @return whether requests of any entry failed there of late
      */
-    public RunnerHealth health() {
-        return health;
+    public boolean isDoubtedByFleet() {
+        return hasStatus() && status.inDoubt();
     }
 
     /**
@@ -252,6 +297,7 @@
 
     /** Counts a request sent. */
     public void sent() {
+        health.sent(clock.nowNanos());
         outstanding++;
         sentSinceStatus++;
         signs.sent();
--- a/gateway/src/test/java/org/arbutusstack/gateway/attend/StatusScheduleTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/attend/StatusScheduleTests.java
@@ -37,6 +37,7 @@
                 List.of(),
                 Map.of(),
                 loading,
+                false,
                 StatusSchedule.beatMillis(5));
     }
 
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/EngineRequestTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/EngineRequestTests.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 
@@ -11,6 +12,7 @@
 import org.arbutusstack.gateway.RecordingLink;
 import org.arbutusstack.gateway.config.RouteKind;
 import org.arbutusstack.model.request.RefusalReason;
+import org.arbutusstack.wire.frame.RunnerOutcomeFrame;
 import org.arbutusstack.wire.frame.RunnerStatusFrame;
 import org.testng.annotations.Test;
 
@@ -19,7 +21,7 @@
 
     private static RunnerStatusFrame engineStatus(int queued) {
         List<RunnerStatusFrame.HeldModel> held = List.of(new RunnerStatusFrame.HeldModel("m1", 1, List.of()));
-        return new RunnerStatusFrame(1, 0, true, -1, queued, 0, 0, 1, held, List.of(), Map.of(), "", 500);
+        return new RunnerStatusFrame(1, 0, true, -1, queued, 0, 0, 1, held, List.of(), Map.of(), "", false, 500);
     }
 
     /**
@@ -112,4 +114,51 @@
         harness.clock.advanceMillis(3_000);
         assertNull(harness.desk.modelUse(DeskHarness.ENGINE).get("m1"));
     }
+
+    private static RunnerStatusFrame doubtedStatus() {
+        return new RunnerStatusFrame(
+                1, 0, true, -1, 0, 0, 0, 1, engineStatus(0).models(), List.of(), Map.of(), "", true, 500);
+    }
+
+    private static DeskHarness threeHolders() {
+        DeskHarness harness = new DeskHarness();
+        for (String id : List.of("a", "b", "c")) {
+            harness.runner(id, DeskHarness.ENGINE, "m1");
+            harness.table.byId(id).status(engineStatus(0), new RecordingLink());
+        }
+        return harness;
+    }
+
+    @Test
+    public void shouldLeaveOutARunnerThatOtherEntriesDoubt() {
+        for (int draw = 0; draw < 10; draw++) {
+            DeskHarness harness = threeHolders();
+            harness.table.byId("a").status(doubtedStatus(), new RecordingLink());
+            harness.send(DeskHarness.slowRoute(), "m1");
+            assertNotEquals(harness.runners.last().runner.id(), "a");
+        }
+    }
+
+    /** Replays 11 to 15 s of trouble-1, in which all runners fail: the trusted third must not take all load. */
+    @Test
+    public void shouldUseWhatThereIsWhenMostAreDoubted() {
+        DeskHarness harness = threeHolders();
+        harness.table.byId("a").status(doubtedStatus(), new RecordingLink());
+        harness.table.byId("b").status(doubtedStatus(), new RecordingLink());
+        harness.table.byId("c").status(engineStatus(30), new RecordingLink());
+        harness.send(DeskHarness.slowRoute(), "m1");
+        assertNotEquals(harness.runners.last().runner.id(), "c");
+    }
+
+    @Test
+    public void shouldTellTheSideWhenItsRunnerHangs() {
+        DeskHarness harness = new DeskHarness();
+        harness.runner("a", DeskHarness.ENGINE, "m1");
+        RecordingLink link = new RecordingLink();
+        harness.table.byId("a").status(engineStatus(0), link);
+        FakeCaller caller = harness.send(DeskHarness.slowRoute(), "m1");
+        harness.clock.advanceMillis(8_000);
+        caller.leave();
+        assertEquals(link.sent, List.of(new RunnerOutcomeFrame(1, true)));
+    }
 }
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/RequestDeskTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/RequestDeskTests.java
@@ -274,6 +274,7 @@
                 List.of(),
                 Map.of(),
                 "",
+                false,
                 200);
         harness.table.byId("a").status(status, null);
         Route route = DeskHarness.route(RouteKind.STREAMING, DeskHarness.ENGINE, 1, false);
--- a/gateway/src/test/java/org/arbutusstack/gateway/runner/KnownRunnerTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/runner/KnownRunnerTests.java
@@ -33,7 +33,8 @@
         for (String model : models) {
             held.add(new RunnerStatusFrame.HeldModel(model, 1, List.of("a1")));
         }
-        return new RunnerStatusFrame(startedAtMillis, 0, true, -1, 2, 3, 0, 1, held, List.of(), Map.of(), "", 200);
+        return new RunnerStatusFrame(
+                startedAtMillis, 0, true, -1, 2, 3, 0, 1, held, List.of(), Map.of(), "", false, 200);
     }
 
     @Test
--- a/wire/src/main/java/org/arbutusstack/wire/frame/Frame.java
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/Frame.java
@@ -36,6 +36,7 @@
                 ModelOrderFrame,
                 ModelDemandFrame,
                 StatusRequestFrame,
+                RunnerOutcomeFrame,
                 ProtocolErrorFrame {
 
     /**
--- a/wire/src/main/java/org/arbutusstack/wire/frame/FrameType.java
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/FrameType.java
@@ -63,7 +63,10 @@
     MODEL_DEMAND(64, ModelDemandFrame::read),
 
     /** A runner's status is wanted at once. */
-    STATUS_REQUEST(65, StatusRequestFrame::read);
+    STATUS_REQUEST(65, StatusRequestFrame::read),
+
+    /** How a request ended at a runner. */
+    RUNNER_OUTCOME(66, RunnerOutcomeFrame::read);
 
     private final int code;
 
--- a/wire/src/main/java/org/arbutusstack/wire/frame/RunnerStatusFrame.java
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/RunnerStatusFrame.java
@@ -23,6 +23,7 @@
  * @param storedCopies the models of which a copy lies at the runner outside accelerator memory, with the rank of where:
  *     1 in main memory, 2 on disk
  * @param loadingModel the model that the last order asked for and that is not there yet; empty for none
+ * @param inDoubt whether requests of any entry have failed there of late, so that others are to be preferred
  * @param nextWithinMillis the longest time until the next status, if the host lives
  */
 public record RunnerStatusFrame(
@@ -38,6 +39,7 @@
         List<String> pendingAdapters,
         Map<String, Integer> storedCopies,
         String loadingModel,
+        boolean inDoubt,
         long nextWithinMillis)
         implements Frame {
 
@@ -77,6 +79,7 @@
                 Frames.unpackStrings(unpacker),
                 Frames.unpackCounts(unpacker),
                 unpacker.unpackString(),
+                unpacker.unpackBoolean(),
                 unpacker.unpackLong());
     }
 
@@ -86,20 +89,21 @@
      * @return the status with that
      */
     public RunnerStatusFrame withoutWork() {
-        return with(false, queued);
+        return with(false, queued, inDoubt);
     }
 
     /**
      * Counts requests that are on their way to the runner as queued there.
      *
      * @param count their number
+     * @param inDoubtNow whether other runners are to be preferred for the next request
      * @return the status with them
      */
-    public RunnerStatusFrame withExpected(int count) {
-        return with(takesWork, queued + count);
+    public RunnerStatusFrame withExpected(int count, boolean inDoubtNow) {
+        return with(takesWork, queued + count, inDoubtNow);
     }
 
-    private RunnerStatusFrame with(boolean takesWorkNow, int queuedNow) {
+    private RunnerStatusFrame with(boolean takesWorkNow, int queuedNow, boolean inDoubtNow) {
         return new RunnerStatusFrame(
                 startedAtMillis,
                 orderSequence,
@@ -113,6 +117,7 @@
                 pendingAdapters,
                 storedCopies,
                 loadingModel,
+                inDoubtNow,
                 nextWithinMillis);
     }
 
@@ -149,6 +154,7 @@
         Frames.packStrings(packer, pendingAdapters);
         Frames.packCounts(packer, storedCopies);
         packer.packString(loadingModel);
+        packer.packBoolean(inDoubt);
         packer.packLong(nextWithinMillis);
     }
 }
