Keep the demand in the store, so that the next planner loads before callers wait; smooth each service by itself

And with two services of engines the second was smoothed over no time (found while reading; no site has two).

--- a/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.UUID;
 import org.arbutusstack.gateway.config.ServingConfig;
+import org.arbutusstack.gateway.plan.DemandRecord;
 import org.arbutusstack.gateway.plan.ModelPlanner;
 import org.arbutusstack.gateway.plan.PlannerElection;
 import org.arbutusstack.gateway.plan.PlannerLink;
@@ -223,6 +224,17 @@
         plannerLink.holder(other ? holder.substring(0, space) : "");
     }
 
+    /**
+     * Learns what the store keeps of the demand.
+     *
+     * @param text the record; empty if there is none
+     * @param revision the revision at which it is kept
+     */
+    public void demandSeen(String text, long revision) {
+        election.recordSeen(revision);
+        planner.recordSeen(DemandRecord.decode(text));
+    }
+
     /**
      * Lists the runners known.
      *
--- a/gateway/src/main/java/org/arbutusstack/gateway/plan/DemandBook.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/plan/DemandBook.java
@@ -24,19 +24,32 @@
 
     private final Map<String, Told> toldByEntry = new HashMap<>();
 
-    private final Map<String, Smoothed> smoothed = new HashMap<>();
+    /** By service and model. */
+    private final Map<String, Map<String, Smoothed>> smoothed = new HashMap<>();
 
-    private long smoothedAtNanos;
+    private final Map<String, Long> smoothedAtNanos = new HashMap<>();
 
     DemandBook(Clock clock) {
         this.clock = Assert.notNull(clock, "clock");
-        this.smoothedAtNanos = clock.nowNanos();
     }
 
     void told(ModelDemandFrame frame) {
         toldByEntry.put(frame.entry() + '\n' + frame.service(), new Told(frame, clock.deadlineNanos(VALID_MILLIS)));
     }
 
+    /** Takes the demand that an earlier planner kept for models of which nothing is known yet. */
+    void recall(String service, DemandRecord record) {
+        record.requests().getOrDefault(service, Map.of()).forEach((model, count) -> {
+            Smoothed state = stateOf(service, model);
+            state.requests = Math.max(state.requests, count);
+        });
+    }
+
+    private Smoothed stateOf(String service, String model) {
+        return smoothed.computeIfAbsent(service, name -> new HashMap<>())
+                .computeIfAbsent(model, name -> new Smoothed(clock.nowNanos()));
+    }
+
     /** Takes the time passed into account and tells the demand for the models of a service. */
     Map<String, EngineFleet.ModelDemand> demand(String service, Set<String> models) {
         toldByEntry.values().removeIf(told -> clock.isPast(told.untilNanos()));
@@ -48,11 +61,12 @@
                 told.frame().waiting().forEach((model, count) -> waiting.merge(model, count, Integer::sum));
             }
         }
-        double passedMillis = (clock.nowNanos() - smoothedAtNanos) / (double) Clock.NANOS_PER_MILLI;
-        smoothedAtNanos = clock.nowNanos();
+        Long beforeNanos = smoothedAtNanos.put(service, clock.nowNanos());
+        double passedMillis =
+                beforeNanos == null ? 0 : (clock.nowNanos() - beforeNanos) / (double) Clock.NANOS_PER_MILLI;
         Map<String, EngineFleet.ModelDemand> demand = new HashMap<>();
         for (String model : new HashSet<>(models)) {
-            Smoothed state = smoothed.computeIfAbsent(model, name -> new Smoothed(clock.nowNanos()));
+            Smoothed state = stateOf(service, model);
             state.update(inHand.getOrDefault(model, 0), passedMillis, clock.nowNanos());
             long idleMillis = (clock.nowNanos() - state.askedAtNanos) / Clock.NANOS_PER_MILLI;
             demand.put(model, new EngineFleet.ModelDemand(state.requests, waiting.getOrDefault(model, 0), idleMillis));
--- a/gateway/src/main/java/org/arbutusstack/gateway/plan/ModelPlanner.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/plan/ModelPlanner.java
@@ -47,6 +47,9 @@
 
     private static final double SAVED_LOADS = 3;
 
+    /** How often the demand is compared with what is kept of it: about as long as a move of demand takes. */
+    private static final long KEEP_MILLIS = 5_000;
+
     private final RunnerTable runners;
 
     private final RequestDesk desk;
@@ -71,6 +74,11 @@
 
     private long sequence;
 
+    /** What the key-value service keeps of the demand. */
+    private DemandRecord kept = DemandRecord.EMPTY;
+
+    private long keepAtNanos;
+
     /**
      * Creates the planner's duty.
      *
@@ -96,6 +104,7 @@
         this.clock = Assert.notNull(clock, "clock");
         this.demand = new DemandBook(clock);
         this.pacer = new LoadPacer(clock);
+        this.keepAtNanos = clock.deadlineNanos(KEEP_MILLIS);
     }
 
     /**
@@ -107,6 +116,15 @@
         config = next;
     }
 
+    /**
+     * Learns what the key-value service keeps of the demand.
+     *
+     * @param record the record
+     */
+    public void recordSeen(DemandRecord record) {
+        kept = record;
+    }
+
     /**
      * Takes what another entry has in hand.
      *
@@ -150,15 +168,31 @@
             sequence = 0;
             pacer.reset();
             recent.clear();
+            config.engineServices().forEach(service -> demand.recall(service.name(), kept));
         }
         ownDemand().forEach(demand::told);
         recent.values().removeIf(move -> clock.isPast(move.shownByNanos()));
+        Map<String, Map<String, Double>> requests = new HashMap<>();
         for (ServedService service : config.engineServices()) {
-            plan(service, service.engine().orElseThrow());
+            requests.put(service.name(), plan(service, service.engine().orElseThrow()));
+        }
+        keep(requests);
+    }
+
+    /** Has the demand kept if other models are asked for than those that are kept. */
+    private void keep(Map<String, Map<String, Double>> requests) {
+        if (!clock.isPast(keepAtNanos)) {
+            return;
+        }
+        keepAtNanos = clock.deadlineNanos(KEEP_MILLIS);
+        DemandRecord record = DemandRecord.of(requests);
+        if (!record.isEmpty() && !record.isNear(kept)) {
+            election.keep(record.encode());
         }
     }
 
-    private void plan(ServedService service, EngineSpec spec) {
+    /** Decides for one service and tells the smoothed requests by model. */
+    private Map<String, Double> plan(ServedService service, EngineSpec spec) {
         pacer.rate(spec.loadsPerSecond() * RATE_SHARE, SAVED_LOADS);
         Map<String, EngineFleet.Model> models = new HashMap<>();
         for (EngineModel model : spec.models()) {
@@ -174,6 +208,9 @@
         for (ModelMove move : planner.decide(fleet, pacer.available())) {
             give(move, fleet.demand().get(move.load()));
         }
+        Map<String, Double> requests = new HashMap<>();
+        fleet.demand().forEach((model, asked) -> requests.put(model, asked.requests()));
+        return requests;
     }
 
     private EngineFleet.Runner describe(KnownRunner runner, EngineSpec spec) {
--- a/gateway/src/main/java/org/arbutusstack/gateway/plan/PlannerElection.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/plan/PlannerElection.java
@@ -51,6 +51,11 @@
 
     private volatile long clockDifferenceMillis;
 
+    /** The record of demand to be kept; null if none waits. */
+    private volatile byte[] record;
+
+    private volatile long recordRevision;
+
     /**
      * Creates the service.
      *
@@ -99,6 +104,24 @@
         holder = identityOfHolder;
     }
 
+    /**
+     * Learns the revision at which the record of demand is kept.
+     *
+     * @param revision the revision; zero if there is none
+     */
+    public void recordSeen(long revision) {
+        recordRevision = revision;
+    }
+
+    /**
+     * Has a record of demand kept, if this entry still plans when its turn comes.
+     *
+     * @param next the record
+     */
+    public void keep(byte[] next) {
+        record = next;
+    }
+
     /** Tells whether an earlier run at this entry's address holds the key; it must have ended. */
     private boolean isPredecessor(String other) {
         int space = identity.indexOf(' ');
@@ -154,6 +177,7 @@
             holding = false;
         }
         if (holding) {
+            keepRecord();
             return;
         }
         boolean free = holder.isEmpty();
@@ -164,6 +188,22 @@
         }
     }
 
+    /** Writes the record; a failed write is left to the next record, since the one kept is of use as well. */
+    private void keepRecord() {
+        byte[] next = record;
+        if (next == null) {
+            return;
+        }
+        record = null;
+        StoreResult<Long> written = store.compareAndSwap(
+                DemandRecord.KEY, recordRevision, next, KeyValueStore.NO_LEASE, clock.deadlineNanos(CALL_MILLIS));
+        if (written instanceof StoreResult.Done<Long> done) {
+            recordRevision = done.value();
+        } else {
+            logger.info("event=demand-not-kept result={}", written);
+        }
+    }
+
     private StoreResult<Long> swap(long expectedRevision) {
         byte[] value = identity.getBytes(StandardCharsets.UTF_8);
         StoreResult<Long> written =
--- a/gateway/src/test/java/org/arbutusstack/gateway/plan/PlannerElectionTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/plan/PlannerElectionTests.java
@@ -71,6 +71,20 @@
         assertEquals(store.item.text(), "10.0.0.2:7000 other");
     }
 
+    @Test
+    public void shouldKeepTheRecordOfDemandOnlyWhilePlanning() {
+        PlannerElection planner = election("10.0.0.1:7000 run");
+        planner.step();
+        planner.keep(new byte[] {1});
+        planner.step();
+        assertEquals(store.record, new byte[] {1});
+        PlannerElection other = election("10.0.0.2:7000 run");
+        other.seen("10.0.0.1:7000 run");
+        other.keep(new byte[] {2});
+        other.step();
+        assertEquals(store.record, new byte[] {1});
+    }
+
     /** Replays a freeze: the lease may have lapsed meanwhile though the steady clock did not move. */
     @Test
     public void shouldPlanNothingBetweenAThawAndTheNextStep() {
@@ -112,6 +126,8 @@
 
         private KeyValue item = KeyValue.absent(PlannerElection.KEY);
 
+        private byte[] record;
+
         private long revision = 10;
 
         @Override
@@ -122,6 +138,10 @@
         @Override
         public StoreResult<Long> compareAndSwap(
                 String key, long expectedRevision, byte[] value, long leaseId, long deadlineNanos) {
+            if (key.equals(DemandRecord.KEY)) {
+                record = value;
+                return new StoreResult.Done<>(++revision);
+            }
             if (item.revision() != expectedRevision) {
                 return new StoreResult.Conflict<>();
             }
--- a/placement/src/main/java/org/arbutusstack/placement/FleetPlanner.java
+++ b/placement/src/main/java/org/arbutusstack/placement/FleetPlanner.java
@@ -92,7 +92,7 @@
         for (String model : board.fleet.models().keySet()) {
             EngineFleet.ModelDemand demand = board.fleet.demandFor(model);
             int copies = board.copiesOf(model);
-            boolean missing = copies == 0 && demand.waiting() > 0;
+            boolean missing = copies == 0 && asked(demand) >= 1;
             boolean crowded = copies > 0 && asked(demand) > copies * board.requestsPerCopy * EXCESS_FACTOR;
             if (missing || crowded) {
                 wanted.add(model);
@@ -107,9 +107,7 @@
     /** Weighs a model by the requests that a copy would relieve, since loads are few. */
     private double urgency(Board board, String model) {
         boolean missing = board.copiesOf(model) == 0;
-        return missing
-                ? MISSING_WEIGHT + WAITING_WEIGHT * board.fleet.demandFor(model).waiting()
-                : excess(board, model);
+        return missing ? MISSING_WEIGHT + WAITING_WEIGHT * asked(board.fleet.demandFor(model)) : excess(board, model);
     }
 
     private static double asked(EngineFleet.ModelDemand demand) {
