Bound answers without end from runners and the store, by bytes and by time

Cause: a plain answer without end was gathered until its deadline, an answer of the store as long as the call (279 MB in two seconds), and the head of an answer was not bounded at all; a server that sends faster than the client reads keeps its I/O thread busy, so that the deadline's timer did not run either. Seen by EndlessBytesTests on the code before: 7 of 12 cases failed (90 to 279 MB read from the store; 504 and broken connections in place of 502). Events are counted without making strings; one read buffer an exchange. Not covered: bytes without end from callers beyond Undertow's own bounds, and on links.

--- a/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
@@ -48,8 +48,7 @@
     void streamed(ActiveRequest active, CurrentAttempt attempt, byte[] bytes) {
         byte[] events = active.events().take(bytes);
         if (active.events().isTooLong()) {
-            attempt.cancel();
-            desk.failed(active, Refusal.outcomeUnknown(RefusalReason.ANSWER_TOO_LARGE, "an event is too long to hold"));
+            tooLong(active, attempt);
             return;
         }
         if (events.length > 0) {
@@ -57,6 +56,14 @@
         }
     }
 
+    /** Gives up an answer, or an event of a stream, that grows without end. */
+    void tooLong(ActiveRequest active, CurrentAttempt attempt) {
+        attempt.cancel();
+        attempt.runner().failed();
+        String detail = "an answer or event is too long to hold";
+        desk.failed(active, Refusal.outcomeUnknown(RefusalReason.ANSWER_TOO_LARGE, detail));
+    }
+
     private void passOn(ActiveRequest active, CurrentAttempt attempt, byte[] bytes) {
         openStream(active, attempt);
         active.response().write(bytes);
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/CurrentAttempt.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/CurrentAttempt.java
@@ -12,6 +12,9 @@
 
     private static final long PERCENT = 100;
 
+    /** Many times the longest answer of a plain service; a longer one has no end. */
+    private static final int LONGEST_ANSWER_BYTES = 16 * 1_024 * 1_024;
+
     private final AnswerRelay relay;
 
     private final ActiveRequest owner;
@@ -106,6 +109,8 @@
         runner.heard();
         if (passesOn()) {
             relay.streamed(owner, this, bytes);
+        } else if (body.size() + bytes.length > LONGEST_ANSWER_BYTES) {
+            relay.tooLong(owner, this);
         } else {
             body.writeBytes(bytes);
         }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/EventBuffer.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/EventBuffer.java
@@ -57,13 +57,37 @@
     }
 
     private void noteEvents(byte[] bytes, int end) {
-        String text = new String(bytes, 0, end, StandardCharsets.UTF_8);
-        for (String line : text.split("\n", -1)) {
-            if (line.startsWith(ID_FIELD)) {
-                lastEventId = line.substring(ID_FIELD.length()).strip();
+        int idStart = -1;
+        for (int start = 0; start < end; start = endOfLine(bytes, start, end) + 1) {
+            if (isIdField(bytes, start, end)) {
+                idStart = start + ID_FIELD.length();
                 events++;
             }
         }
+        if (idStart >= 0) {
+            int idEnd = endOfLine(bytes, idStart, end);
+            lastEventId = new String(bytes, idStart, idEnd - idStart, StandardCharsets.UTF_8).strip();
+        }
+    }
+
+    private static int endOfLine(byte[] bytes, int start, int end) {
+        int index = start;
+        while (index < end && bytes[index] != '\n') {
+            index++;
+        }
+        return index;
+    }
+
+    private static boolean isIdField(byte[] bytes, int start, int end) {
+        if (start + ID_FIELD.length() > end) {
+            return false;
+        }
+        for (int index = 0; index < ID_FIELD.length(); index++) {
+            if (bytes[start + index] != ID_FIELD.charAt(index)) {
+                return false;
+            }
+        }
+        return true;
     }
 
     /** Drops a part of an event that its runner did not end. */
--- a/http/src/main/java/org/arbutusstack/http/client/UndertowExchange.java
+++ b/http/src/main/java/org/arbutusstack/http/client/UndertowExchange.java
@@ -1,5 +1,6 @@
 package org.arbutusstack.http.client;
 
+import io.undertow.UndertowOptions;
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
@@ -37,6 +38,15 @@
 
     private static final int READ_BYTES = 8_192;
 
+    /** Sixteen times the longest head that the users' limits name. */
+    private static final long MOST_HEAD_BYTES = 256L * 1_024;
+
+    /** How often the length of a head that has not ended is looked at. */
+    private static final long HEAD_CHECK_MILLIS = 100;
+
+    /** Has connections count what they read. */
+    private static final OptionMap COUNTING = OptionMap.create(UndertowOptions.ENABLE_STATISTICS, true);
+
     private static final long MILLIS_PER_SECOND = 1_000;
 
     /** How long a connection may take to open; long enough for one opening packet that is sent again at once. */
@@ -68,6 +78,15 @@
 
     private volatile XnioExecutor.Key connectExpiry;
 
+    private volatile XnioExecutor.Key headCheck;
+
+    /** What the connection had read before the answer. */
+    private volatile long headBeganAt;
+
+    private volatile boolean headEnded;
+
+    private ByteBuffer readBuffer;
+
     UndertowExchange(
             UndertowHttpClient owner, HttpTarget target, HttpCall call, long deadlineNanos, HttpListener listener) {
         this.owner = owner;
@@ -97,7 +116,7 @@
                 target.uri(),
                 ioThread,
                 pool,
-                OptionMap.EMPTY);
+                COUNTING);
     }
 
     private long millisLeft() {
@@ -116,6 +135,7 @@
     }
 
     private void sendOn(ClientConnection open) {
+        headBeganAt = open.getStatistics().getRead();
         connection = open;
         cancel(connectExpiry);
         if (ended.get()) {
@@ -134,6 +154,7 @@
         }
         call.headers().forEach((name, value) -> request.getRequestHeaders().put(new HttpString(name), value));
         maybeSent = true;
+        checkHead(open);
         open.sendRequest(request, new ClientCallback<ClientExchange>() {
             @Override
             public void completed(ClientExchange exchange) {
@@ -148,6 +169,30 @@
         });
     }
 
+    /** Gives up an answer whose head does not end: the client's parser bounds neither its lines nor their number. */
+    private void checkHead(ClientConnection open) {
+        headCheck = open.getIoThread()
+                .executeAfter(
+                        () -> {
+                            check();
+                            if (!ended.get()) {
+                                checkHead(open);
+                            }
+                        },
+                        HEAD_CHECK_MILLIS,
+                        TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void check() {
+        ClientConnection open = connection;
+        if (System.nanoTime() - deadlineNanos >= 0) {
+            expire();
+        } else if (open != null && !headEnded && open.getStatistics().getRead() - headBeganAt > MOST_HEAD_BYTES) {
+            fail("Got a head of more than " + MOST_HEAD_BYTES + " bytes", null);
+        }
+    }
+
     private void writeBody(StreamSinkChannel sink, ByteBuffer body) {
         try {
             while (body.hasRemaining()) {
@@ -179,6 +224,8 @@
         return new ClientCallback<ClientExchange>() {
             @Override
             public void completed(ClientExchange exchange) {
+                headEnded = true;
+                cancel(headCheck);
                 Map<String, String> headers = headersOf(exchange);
                 missingBytes = numberIn(headers.get("Content-Length"));
                 keepAliveMillis = numberIn(headers.get("Keep-Alive")) * MILLIS_PER_SECOND;
@@ -214,7 +261,10 @@
     }
 
     private void readBody(StreamSourceChannel source) {
-        ByteBuffer buffer = ByteBuffer.allocate(READ_BYTES);
+        if (readBuffer == null) {
+            readBuffer = ByteBuffer.allocate(READ_BYTES);
+        }
+        ByteBuffer buffer = readBuffer;
         try {
             while (!ended.get()) {
                 buffer.clear();
@@ -246,6 +296,7 @@
             return;
         }
         cancel(expiry);
+        cancel(headCheck);
         if (requestWritten) {
             owner.giveBack(target, connection, keepAliveMillis);
         } else {
@@ -269,6 +320,7 @@
         if (ended.compareAndSet(false, true)) {
             cancel(expiry);
             cancel(connectExpiry);
+            cancel(headCheck);
             reset(connection);
             String message = what + ": " + call.method() + " " + call.path() + " at " + target;
             listener.onFailure(new HttpException(message, maybeSent, cause));
