Recall of kept demand only what first copies need; keep it anew when demand has moved

Change: what is recalled is scaled to five requests at most, one copy's worth; the record is written anew when less than three fifths of the requests are for the same models.

--- a/gateway/src/main/java/org/arbutusstack/gateway/plan/DemandBook.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/plan/DemandBook.java
@@ -20,6 +20,12 @@
 
     private static final double FALL_MILLIS = 3_000;
 
+    /** What is recalled of the model asked for most: enough for a first copy, too little for a second one. */
+    private static final double MOST_RECALLED = 5;
+
+    /** What is recalled of the others at least: a model with one request in hand is loaded if it has no copy. */
+    private static final double LEAST_RECALLED = 1.5;
+
     private final Clock clock;
 
     private final Map<String, Told> toldByEntry = new HashMap<>();
@@ -39,9 +45,12 @@
 
     /** Takes the demand that an earlier planner kept for models of which nothing is known yet. */
     void recall(String service, DemandRecord record) {
-        record.requests().getOrDefault(service, Map.of()).forEach((model, count) -> {
+        Map<String, Integer> kept = record.requests().getOrDefault(service, Map.of());
+        int most = kept.values().stream().mapToInt(Integer::intValue).max().orElse(1);
+        kept.forEach((model, count) -> {
             Smoothed state = stateOf(service, model);
-            state.requests = Math.max(state.requests, count);
+            double recalled = Math.max(LEAST_RECALLED, MOST_RECALLED * count / most);
+            state.requests = Math.max(state.requests, recalled);
         });
     }
 
--- a/gateway/src/main/java/org/arbutusstack/gateway/plan/DemandRecord.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/plan/DemandRecord.java
@@ -66,20 +66,29 @@
      * Tells whether another record is still of use in place of this one.
      *
      * @param other the other record
-     * @return whether at least two thirds of the models of either are models of both
+     * @return whether three fifths of the requests of both together are for the same models
      */
     boolean isNear(DemandRecord other) {
-        Set<String> own = models();
-        Set<String> others = other.models();
-        int most = Math.max(own.size(), others.size());
-        own.retainAll(others);
-        return own.size() * 3 >= most * 2;
+        Map<String, Integer> own = byKey();
+        Map<String, Integer> others = other.byKey();
+        Set<String> all = new HashSet<>(own.keySet());
+        all.addAll(others.keySet());
+        long shared = 0;
+        long most = 0;
+        for (String key : all) {
+            int first = own.getOrDefault(key, 0);
+            int second = others.getOrDefault(key, 0);
+            shared += Math.min(first, second);
+            most += Math.max(first, second);
+        }
+        return shared * 5 >= most * 3;
     }
 
-    private Set<String> models() {
-        Set<String> models = new HashSet<>();
-        requests.forEach((service, counts) -> counts.keySet().forEach(model -> models.add(service + ' ' + model)));
-        return models;
+    private Map<String, Integer> byKey() {
+        Map<String, Integer> counts = new HashMap<>();
+        requests.forEach(
+                (service, models) -> models.forEach((model, count) -> counts.put(service + ' ' + model, count)));
+        return counts;
     }
 
     boolean isEmpty() {
