Divide the reserve of retries by the entries that sides see

Cause: each entry could save a sixteenth of the fleet's burst; 33 entries together saved twice of it, so that retries of all in one window could pass the bound (BUDGET). Few entries get a larger part than before.

--- a/gateway/src/main/java/org/arbutusstack/gateway/attend/Attendant.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/attend/Attendant.java
@@ -325,6 +325,7 @@
                 storedCopies,
                 reading.busy() && desk.loading().isEmpty() ? UNKNOWN_MODEL : desk.loading(),
                 health.isInDoubt(),
+                links.size(),
                 StatusSchedule.beatMillis(links.size()));
     }
 
--- a/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
@@ -122,6 +122,7 @@
             runners.all().forEach(KnownRunner::heard);
         }
         runners.tick();
+        desk.entries(sides.entryCount().entries());
         desk.tick();
     }
 
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDesk.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDesk.java
@@ -14,7 +14,6 @@
 import org.arbutusstack.model.request.Refusal;
 import org.arbutusstack.model.request.RefusalKind;
 import org.arbutusstack.model.request.RefusalReason;
-import org.arbutusstack.routing.RetryBudget;
 
 /**
  * Keeps the requests in hand, sends them to runners, tries again where that is safe, and answers each caller once.
@@ -53,7 +52,7 @@
     /** Those in hand that are not at a runner. */
     private final Set<ActiveRequest> waiting = new LinkedHashSet<>();
 
-    private final Map<String, RetryBudget> retriesByService = new HashMap<>();
+    private final RetryBudgets retries;
 
     private final ModelWaits modelWaits;
 
@@ -88,6 +87,7 @@
         this.limits = Assert.notNull(limits, "limits");
         this.metrics = Assert.notNull(metrics, "metrics");
         this.log = new DecisionLog(clock);
+        this.retries = new RetryBudgets(limits);
         this.modelWaits = new ModelWaits(clock);
         this.loadForecast = new LoadForecast(clock);
         this.relay = new AnswerRelay(this, runnerPort, callers, clock, metrics);
@@ -110,7 +110,7 @@
      */
     public void arrived(InboundRequest request, ResponseSink response) {
         ActiveRequest active = new ActiveRequest(request, response);
-        budgetOf(request.service()).requestArrived();
+        retries.of(request.service()).requestArrived();
         inHand.add(active);
         response.onClose(() -> callerGone(active));
         if (leaving && !endsBeforeLeave(request)) {
@@ -125,9 +125,13 @@
         return !request.route().kind().isStreaming() && !clock.isPast(shortUntilNanos);
     }
 
-    private RetryBudget budgetOf(String service) {
-        return retriesByService.computeIfAbsent(
-                service, name -> RetryBudget.empty(limits.percentOfRequests(), limits.reserve()));
+    /**
+     * Learns how many entries share the reserve of retries.
+     *
+     * @param count the entries
+     */
+    public void entries(int count) {
+        retries.entries(count);
     }
 
     /**
@@ -242,7 +246,7 @@
             return false;
         }
         boolean unsent = refusal.kind() == RefusalKind.NOT_RUN && refusal.reason() == RefusalReason.BACKEND_LOST;
-        return unsent || budgetOf(request.service()).tryTake();
+        return unsent || retries.of(request.service()).tryTake();
     }
 
     private void refuse(ActiveRequest active, Refusal refusal, long retryAfterMillis) {
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RetryLimits.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RetryLimits.java
@@ -6,12 +6,13 @@
  * Bounds what one entry does to get a request answered.
  *
  * @param percentOfRequests the retries that a hundred requests of this entry's callers earn
- * @param reserve the retries that can be saved up; this entry's part of the fleet's
+ * @param fleetReserve the retries that all entries together can save up
  * @param mostSends the runners that one request is sent to, those included that did not run it
  * @param adapterMillis how long a runner may take to load an adapter before another one is asked
  * @param returnMillis when a refused caller may come back
  */
-public record RetryLimits(int percentOfRequests, int reserve, int mostSends, long adapterMillis, long returnMillis) {
+public record RetryLimits(
+        int percentOfRequests, double fleetReserve, int mostSends, long adapterMillis, long returnMillis) {
 
     /** Ten times the longest load of an adapter that the users name, so that a queue of them counts as none lost. */
     private static final long ADAPTER_MILLIS = 300;
@@ -24,9 +25,6 @@
 
     private static final int MOST_SENDS = 3;
 
-    /** The entries among which the fleet's reserve is divided; several times as many as a deployment has today. */
-    private static final int ENTRIES = 16;
-
     /** Keeps a tenth of what is permitted for requests that are counted elsewhere or later. */
     private static final double KEPT_SHARE = 0.9;
 
@@ -35,7 +33,7 @@
     /** Checks the limits. */
     public RetryLimits {
         Assert.atLeast(percentOfRequests, 0, "percentOfRequests");
-        Assert.atLeast(reserve, 1, "reserve");
+        Assert.isTrue(fleetReserve >= 0, "'fleetReserve' must not be negative");
     }
 
     /**
@@ -48,6 +46,16 @@
         return returnMillis + Math.floorMod(requestId.hashCode(), SPREAD_MILLIS);
     }
 
+    /**
+     * Tells one entry's part of the reserve.
+     *
+     * @param entries the entries that share it
+     * @return the retries that it can save up, one at the least
+     */
+    public double reserveOf(int entries) {
+        return Math.max(1, fleetReserve / Assert.atLeast(entries, 1, "entries"));
+    }
+
     /**
      * Takes one entry's part of what the fleet is permitted.
      *
@@ -57,6 +65,6 @@
      */
     public static RetryLimits ofFleet(double ratio, int burst) {
         int percent = (int) Math.floor(ratio * PERCENT * KEPT_SHARE);
-        return new RetryLimits(percent, Math.max(1, burst / ENTRIES), MOST_SENDS, ADAPTER_MILLIS, RETURN_MILLIS);
+        return new RetryLimits(percent, burst * KEPT_SHARE, MOST_SENDS, ADAPTER_MILLIS, RETURN_MILLIS);
     }
 }
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/SideLinks.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/SideLinks.java
@@ -57,6 +57,8 @@
 
     private final Map<String, Side> sidesByHost = new HashMap<>();
 
+    private final EntryCount entryCount;
+
     private ServingConfig config;
 
     /**
@@ -81,6 +83,7 @@
         this.runners = Assert.notNull(runners, "runners");
         this.loop = Assert.notNull(loop, "loop");
         this.clock = Assert.notNull(clock, "clock");
+        this.entryCount = new EntryCount(clock);
         this.statusListener = Assert.notNull(statusListener, "statusListener");
     }
 
@@ -94,6 +97,15 @@
         sidesByHost.values().forEach(side -> side.told = null);
     }
 
+    /**
+     * Counts the entries of the fleet.
+     *
+     * @return the count
+     */
+    public EntryCount entryCount() {
+        return entryCount;
+    }
+
     /** Opens the links that lack, closes silent ones, and tells sides what has changed. */
     public void tick() {
         if (config == null) {
@@ -130,6 +142,7 @@
         for (KnownRunner runner : runners.all()) {
             if (runner.entry().address().address().equals(side.host)) {
                 side.pauseMillis = status.nextWithinMillis();
+                entryCount.told(status.entries());
                 runner.status(status, link);
                 statusListener.accept(runner);
             }
--- a/gateway/src/test/java/org/arbutusstack/gateway/attend/StatusScheduleTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/attend/StatusScheduleTests.java
@@ -38,6 +38,7 @@
                 Map.of(),
                 loading,
                 false,
+                5,
                 StatusSchedule.beatMillis(5));
     }
 
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/EngineRequestTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/EngineRequestTests.java
@@ -21,7 +21,7 @@
 
     private static RunnerStatusFrame engineStatus(int queued) {
         List<RunnerStatusFrame.HeldModel> held = List.of(new RunnerStatusFrame.HeldModel("m1", 1, List.of()));
-        return new RunnerStatusFrame(1, 0, true, -1, queued, 0, 0, 1, held, List.of(), Map.of(), "", false, 500);
+        return new RunnerStatusFrame(1, 0, true, -1, queued, 0, 0, 1, held, List.of(), Map.of(), "", false, 1, 500);
     }
 
     /**
@@ -117,7 +117,7 @@
 
     private static RunnerStatusFrame doubtedStatus() {
         return new RunnerStatusFrame(
-                1, 0, true, -1, 0, 0, 0, 1, engineStatus(0).models(), List.of(), Map.of(), "", true, 500);
+                1, 0, true, -1, 0, 0, 0, 1, engineStatus(0).models(), List.of(), Map.of(), "", true, 1, 500);
     }
 
     private static DeskHarness threeHolders() {
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/LoadForecastTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/LoadForecastTests.java
@@ -40,7 +40,7 @@
             harness.runner(id, DeskHarness.ENGINE, "other");
         }
         RunnerStatusFrame status =
-                new RunnerStatusFrame(1, 0, true, -1, 0, 0, 0, 1, List.of(), List.of(), copies, loading, false, 500);
+                new RunnerStatusFrame(1, 0, true, -1, 0, 0, 0, 1, List.of(), List.of(), copies, loading, false, 1, 500);
         harness.table.byId(id).status(status, null);
         return harness.table.byId(id);
     }
@@ -85,7 +85,7 @@
         own.desk.config(config());
         own.runner("a", DeskHarness.ENGINE, "other");
         RunnerStatusFrame status = new RunnerStatusFrame(
-                1, 0, true, -1, 0, 0, 0, 1, List.of(), List.of(), Map.of(MODEL, IN_MAIN_MEMORY), MODEL, false, 500);
+                1, 0, true, -1, 0, 0, 0, 1, List.of(), List.of(), Map.of(MODEL, IN_MAIN_MEMORY), MODEL, false, 1, 500);
         own.table.byId("a").status(status, null);
         own.clock.advanceMillis(700);
         own.table.byId("a").status(status, null);
@@ -97,7 +97,7 @@
                 .byId("a")
                 .status(
                         new RunnerStatusFrame(
-                                1, 1, true, -1, 0, 0, 0, 1, List.of(held), List.of(), Map.of(), "", false, 500),
+                                1, 1, true, -1, 0, 0, 0, 1, List.of(held), List.of(), Map.of(), "", false, 1, 500),
                         null);
         own.desk.tick();
         assertEquals(own.runners.sent.size(), 1);
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/RequestDeskTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/RequestDeskTests.java
@@ -275,6 +275,7 @@
                 Map.of(),
                 "",
                 false,
+                1,
                 200);
         harness.table.byId("a").status(status, null);
         Route route = DeskHarness.route(RouteKind.STREAMING, DeskHarness.ENGINE, 1, false);
--- a/gateway/src/test/java/org/arbutusstack/gateway/runner/KnownRunnerTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/runner/KnownRunnerTests.java
@@ -34,7 +34,7 @@
             held.add(new RunnerStatusFrame.HeldModel(model, 1, List.of("a1")));
         }
         return new RunnerStatusFrame(
-                startedAtMillis, 0, true, -1, 2, 3, 0, 1, held, List.of(), Map.of(), "", false, 200);
+                startedAtMillis, 0, true, -1, 2, 3, 0, 1, held, List.of(), Map.of(), "", false, 1, 200);
     }
 
     @Test
--- a/routing/src/main/java/org/arbutusstack/routing/RetryBudget.java
+++ b/routing/src/main/java/org/arbutusstack/routing/RetryBudget.java
@@ -14,7 +14,7 @@
 
     private final double shareOfRequests;
 
-    private final int reserve;
+    private double reserve;
 
     private double available;
 
@@ -39,12 +39,22 @@
      * @param reserve the retries that can be saved up
      * @return the budget
      */
-    public static RetryBudget empty(int percentOfRequests, int reserve) {
-        RetryBudget budget = new RetryBudget(percentOfRequests, reserve);
-        budget.available = 0;
+    public static RetryBudget empty(int percentOfRequests, double reserve) {
+        RetryBudget budget = new RetryBudget(percentOfRequests, 0);
+        budget.reserve(reserve);
         return budget;
     }
 
+    /**
+     * Changes what can be saved up; what was saved beyond it is lost.
+     *
+     * @param next the retries that can be saved up
+     */
+    public void reserve(double next) {
+        reserve = next;
+        available = Math.min(available, next);
+    }
+
     /** Counts a request. */
     public void requestArrived() {
         available = Math.min(reserve, available + shareOfRequests);
--- a/wire/src/main/java/org/arbutusstack/wire/frame/RunnerStatusFrame.java
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/RunnerStatusFrame.java
@@ -24,6 +24,7 @@
  *     1 in main memory, 2 on disk
  * @param loadingModel the model that the last order asked for and that is not there yet; empty for none
  * @param inDoubt whether requests of any entry have failed there of late, so that others are to be preferred
+ * @param entries the entries linked to the side
  * @param nextWithinMillis the longest time until the next status, if the host lives
  */
 public record RunnerStatusFrame(
@@ -40,6 +41,7 @@
         Map<String, Integer> storedCopies,
         String loadingModel,
         boolean inDoubt,
+        int entries,
         long nextWithinMillis)
         implements Frame {
 
@@ -80,6 +82,7 @@
                 Frames.unpackCounts(unpacker),
                 unpacker.unpackString(),
                 unpacker.unpackBoolean(),
+                unpacker.unpackInt(),
                 unpacker.unpackLong());
     }
 
@@ -118,6 +121,7 @@
                 storedCopies,
                 loadingModel,
                 inDoubtNow,
+                entries,
                 nextWithinMillis);
     }
 
@@ -155,6 +159,7 @@
         Frames.packCounts(packer, storedCopies);
         packer.packString(loadingModel);
         packer.packBoolean(inDoubt);
+        packer.packInt(entries);
         packer.packLong(nextWithinMillis);
     }
 }
