--- a/gateway/src/main/java/org/arbutusstack/gateway/attend/SharedHealth.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/attend/SharedHealth.java
@@ -17,7 +17,7 @@
     /** The share of recent failures above which a runner is in doubt: over any error rate of a sound service. */
     private static final double DOUBT_SHARE = 0.45;
 
-    /** The time after which a failure counts for a third: entries tell failures, and answers only of a runner in doubt. */
+    /** How long a failure counts: entries tell all failures, but answers only of a runner in doubt. */
     private static final double FADING_MILLIS = 2_000;
 
     private static final long FIRST_REST_MILLIS = 500;
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/EngineRequestTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/EngineRequestTests.java
@@ -98,7 +98,7 @@
         assertFalse(caller.isAnswered());
     }
 
-    /** Replays large trouble-1, 4 to 14 s: what a crowded model's callers wanted was not counted once they were refused. */
+    /** Replays large trouble-1, 4 to 14 s: what crowded callers wanted was not counted once they were refused. */
     @Test
     public void shouldCountCallersWhoWereCrowdedOutAsDemand() {
         DeskHarness harness = new DeskHarness();
--- a/placement/src/test/java/org/arbutusstack/placement/FleetPlannerTests.java
+++ b/placement/src/test/java/org/arbutusstack/placement/FleetPlannerTests.java
@@ -152,7 +152,7 @@
         assertEquals(copies, 7);
     }
 
-    /** Replays the return after all processes were killed: callers wait for models that the last planner had counted. */
+    /** Replays the return after all were killed: callers wait for models that the last planner had counted. */
     @Test
     public void shouldLoadModelsOfKnownDemandBeforeCallersWait() {
         Map<String, EngineFleet.ModelDemand> demand = Map.of("a", asked(7, 0), "b", asked(0.4, 0), "c", asked(2, 0));
