--- a/gateway/src/main/java/org/arbutusstack/gateway/request/ActiveRequest.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/ActiveRequest.java
@@ -16,6 +16,8 @@
 
     private final EventBuffer events = new EventBuffer();
 
+    private final StreamPace pace;
+
     private final Set<String> avoided = new HashSet<>();
 
     private CurrentAttempt attempt;
@@ -45,6 +47,11 @@
     ActiveRequest(InboundRequest request, ResponseSink response) {
         this.request = request;
         this.response = response;
+        this.pace = new StreamPace(request);
+    }
+
+    StreamPace pace() {
+        return pace;
     }
 
     InboundRequest request() {
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
@@ -66,6 +66,7 @@
 
     private void passOn(ActiveRequest active, CurrentAttempt attempt, byte[] bytes) {
         openStream(active, attempt);
+        active.pace().passed(clock.nowNanos(), attempt.runner().running());
         active.response().write(bytes);
     }
 
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/DecisionLog.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/DecisionLog.java
@@ -46,6 +46,21 @@
         }
     }
 
+    /** Says of a stream that ended late where the time went. */
+    void answered(ActiveRequest active) {
+        boolean late =
+                active.request().route().kind().isStreaming() && active.pace().isLate();
+        if (late && throttle.admits()) {
+            KnownRunner runner =
+                    active.attempt() == null ? null : active.attempt().runner();
+            logger.info(
+                    "event=late {} {} {}",
+                    describe(active),
+                    stateOf(runner),
+                    active.pace().describe());
+        }
+    }
+
     void retried(ActiveRequest active, KnownRunner runner, Refusal refusal) {
         if (throttle.admits()) {
             logger.info(
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDesk.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDesk.java
@@ -218,6 +218,7 @@
 
     /** Ends a request whose answer was passed on whole. */
     void answered(ActiveRequest active, String outcome) {
+        log.answered(active);
         active.attemptDone();
         end(active, outcome);
     }
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/KnownRunner.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/KnownRunner.java
@@ -320,6 +320,15 @@
         return outstanding;
     }
 
+    /**
+     * Counts the requests that run there.
+     *
+     * @return their number by the last status; zero if there is no recent one
+     */
+    public int running() {
+        return hasStatus() ? status.running() : 0;
+    }
+
     /**
      * Counts the requests there that have made no event yet, as far as this entry knows.
      *
