--- a/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
@@ -38,7 +38,7 @@
         AnswerHead head = attempt.head();
         if (head.claim() == AnswerClaim.UNATTESTED) {
             attempt.cancel();
-            attempt.runner().failed();
+            attempt.runner().outcomes().failed();
             String detail = "an answer with status " + head.status() + " that is not the runner's to this request";
             desk.failed(active, Refusal.outcomeUnknown(RefusalReason.BACKEND_ERROR, detail));
         }
@@ -59,7 +59,7 @@
     /** Gives up an answer, or an event of a stream, that grows without end. */
     void tooLong(ActiveRequest active, CurrentAttempt attempt) {
         attempt.cancel();
-        attempt.runner().failed();
+        attempt.runner().outcomes().failed();
         String detail = "an answer or event is too long to hold";
         desk.failed(active, Refusal.outcomeUnknown(RefusalReason.ANSWER_TOO_LARGE, detail));
     }
@@ -73,7 +73,7 @@
     private void openStream(ActiveRequest active, CurrentAttempt attempt) {
         if (!active.isOpened()) {
             active.opened();
-            attempt.runner().succeeded();
+            attempt.runner().outcomes().succeeded();
             attempt.firstEventAt(clock.nowNanos());
             metrics.answered(active.request(), clock.nowNanos());
             callers.open(active.response(), attempt.head(), -1);
@@ -104,10 +104,10 @@
         if (active.isOpened()) {
             desk.failed(active, Refusal.outcomeUnknown(RefusalReason.BACKEND_ERROR, "the stream was not resumed"));
         } else if (attempt.head().isSuccess()) {
-            attempt.runner().succeeded();
+            attempt.runner().outcomes().succeeded();
             answer(active, answer);
         } else {
-            attempt.runner().failed();
+            attempt.runner().outcomes().failed();
             active.failedAnswer(answer);
             String detail = "the runner answered with status " + attempt.head().status();
             desk.failed(active, Refusal.outcomeUnknown(RefusalReason.BACKEND_ERROR, detail));
@@ -152,11 +152,11 @@
     void broken(ActiveRequest active, CurrentAttempt attempt, boolean maybeSent, String detail) {
         active.events().dropRest();
         if (maybeSent) {
-            attempt.runner().failed();
+            attempt.runner().outcomes().failed();
             desk.failed(active, Refusal.outcomeUnknown(RefusalReason.BACKEND_LOST, detail));
             return;
         }
-        attempt.runner().unreachable();
+        attempt.runner().outcomes().unreachable();
         active.neverSent();
         desk.failed(active, Refusal.notRun(RefusalReason.BACKEND_LOST, detail));
     }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDesk.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDesk.java
@@ -276,7 +276,7 @@
         boolean mustFinish = !active.request().route().kind().isStreaming()
                 && !active.request().route().mayRepeat();
         if (attempt != null && attempt.isStuck(clock.nowNanos())) {
-            attempt.runner().failed();
+            attempt.runner().outcomes().failed();
         }
         if (attempt != null && mustFinish) {
             attempt.orphan();
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
@@ -71,7 +71,7 @@
     Choice choose(ActiveRequest active) {
         InboundRequest request = active.request();
         List<KnownRunner> able = new ArrayList<>(runners.takingWork(request.service()));
-        able.removeIf(runner -> runner.isUnreachable());
+        able.removeIf(runner -> runner.outcomes().isUnreachable());
         if (able.isEmpty()) {
             return new Choice.NoRunner();
         }
@@ -170,7 +170,7 @@
         List<KnownRunner> fresh = new ArrayList<>(able);
         fresh.removeIf(runner -> active.avoids(runner.entry().id()));
         List<KnownRunner> sound = new ArrayList<>(fresh);
-        sound.removeIf(KnownRunner::isDoubtful);
+        sound.removeIf(runner -> runner.outcomes().isDoubtful());
         if (sound.isEmpty()) {
             return fresh.isEmpty() ? able : fresh;
         }
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/KnownRunner.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/KnownRunner.java
@@ -5,10 +5,8 @@
 import java.util.Set;
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.routing.FirstEventEstimate;
-import org.arbutusstack.routing.RunnerHealth;
 import org.arbutusstack.routing.RunnerView;
 import org.arbutusstack.wire.frame.AdapterUseFrame;
-import org.arbutusstack.wire.frame.RunnerOutcomeFrame;
 import org.arbutusstack.wire.frame.RunnerStatusFrame;
 import org.arbutusstack.wire.link.Link;
 
@@ -25,7 +23,7 @@
 
     private final HostSigns signs;
 
-    private final RunnerHealth health = new RunnerHealth();
+    private final RunnerOutcomes outcomes;
 
     private final FirstEventEstimate firstEvent = new FirstEventEstimate();
 
@@ -43,9 +41,6 @@
 
     private boolean gone;
 
-    /** Whether the process beside the runner was told of a failure, so that it waits for an answer that is none. */
-    private boolean reportedFailure;
-
     /** Whether the runner has denied to hold something since the holdings were read from its status. */
     private boolean forgotten;
 
@@ -56,6 +51,7 @@
     KnownRunner(RunnerEntry entry, Clock clock) {
         this.clock = clock;
         this.signs = new HostSigns(clock);
+        this.outcomes = new RunnerOutcomes(this, signs, clock);
         this.statusUntilNanos = clock.nowNanos();
         entry(entry);
     }
@@ -74,45 +70,13 @@
         refreshHoldings();
     }
 
-    /** Notes that the runner answered as it should. */
-    public void succeeded() {
-        health.succeeded();
-        if (hasStatus() && status.inDoubt() || reportedFailure) {
-            reportedFailure = false;
-            signs.send(new RunnerOutcomeFrame(entry.startedAtMillis(), false));
-        }
-    }
-
-    /** Notes that the runner failed a request, and tells the process beside it, so that all entries know. */
-    public void failed() {
-        health.failed(clock.nowNanos());
-        reportedFailure = true;
-        signs.send(new RunnerOutcomeFrame(entry.startedAtMillis(), true));
-    }
-
-    /** Notes that the runner could not be reached. */
-    public void unreachable() {
-        health.unreachable(clock.nowNanos());
-        reportedFailure = true;
-        signs.send(new RunnerOutcomeFrame(entry.startedAtMillis(), true));
-    }
-
-    /**
-     * Tells whether the runner is not to be tried, since it could not be reached a moment ago.
-     *
-     * @return whether that is so
-     */
-    public boolean isUnreachable() {
-        return health.isUnreachable(clock.nowNanos());
-    }
-
     /**
-     * Tells whether other runners are to be preferred by what this entry has seen.
+     * Judges the runner by how this entry's requests ended there.
      *
-     * @return whether requests of this entry failed there of late
+     * @return the outcomes
      */
-    public boolean isDoubtful() {
-        return health.isDoubtful(clock.nowNanos());
+    public RunnerOutcomes outcomes() {
+        return outcomes;
     }
 
     /**
@@ -297,7 +261,7 @@
 
     /** Counts a request sent. */
     public void sent() {
-        health.sent(clock.nowNanos());
+        outcomes.sent();
         outstanding++;
         sentSinceStatus++;
         signs.sent();
