--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/RunnerOutcomes.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/RunnerOutcomes.java
@@ -5,7 +5,8 @@
 import org.arbutusstack.wire.frame.RunnerOutcomeFrame;
 
 /**
- * Judges a runner by how this entry's requests ended there, and tells the process beside it what all entries are to know.
+ * Judges a runner by how this entry's requests ended there, and tells the process beside it what all entries are to
+ * know.
  *
  * <p>Failures are told always, answers only while the runner is in doubt. Used by the entry's loop only.
  */
