--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
@@ -181,7 +181,7 @@
     private static List<KnownRunner> withoutDoubted(List<KnownRunner> sound) {
         List<KnownRunner> trusted = new ArrayList<>(sound);
         trusted.removeIf(KnownRunner::isDoubtedByFleet);
-        boolean few = trusted.size() >= sound.size() * LEAST_TRUSTED_SHARE;
-        return few && !trusted.isEmpty() ? trusted : sound;
+        boolean areEnough = !trusted.isEmpty() && trusted.size() >= sound.size() * LEAST_TRUSTED_SHARE;
+        return areEnough ? trusted : sound;
     }
 }
