--- a/gateway/src/main/java/org/arbutusstack/gateway/attend/StatusSchedule.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/attend/StatusSchedule.java
@@ -19,7 +19,7 @@
     /** The pause between two statuses to all while only load changes, and few entries are linked. */
     private static final long BEAT_MILLIS = 500;
 
-    /** The statuses that a side sends in a second while only load changes; at 300 bytes each, below 29 KB/s of control. */
+    /** The statuses of a side in a second while only load changes; at 300 bytes each, below 29 KB/s of control. */
     private static final long STATUSES_PER_SECOND = 64;
 
     private static final long MILLIS_PER_SECOND = 1_000;
