--- a/http/src/main/java/org/arbutusstack/http/client/HttpClient.java
+++ b/http/src/main/java/org/arbutusstack/http/client/HttpClient.java
@@ -85,7 +85,7 @@
         /** Closes the connection of the call unless it has ended. */
         void cancel();
 
-        /** Closes the connection if its deadline has passed or the head of the answer is too long; for any thread. */
+        /** Closes the connection if its deadline has passed; for any thread. */
         default void check() {}
     }
 
--- a/http/src/main/java/org/arbutusstack/http/client/UndertowExchange.java
+++ b/http/src/main/java/org/arbutusstack/http/client/UndertowExchange.java
@@ -41,9 +41,6 @@
     /** Sixteen times the longest head that the users' limits name. */
     private static final long MOST_HEAD_BYTES = 256L * 1_024;
 
-    /** How often the length of a head that has not ended is looked at. */
-    private static final long HEAD_CHECK_MILLIS = 100;
-
     /** Has connections count what they read. */
     private static final OptionMap COUNTING = OptionMap.create(UndertowOptions.ENABLE_STATISTICS, true);
 
@@ -78,13 +75,13 @@
 
     private volatile XnioExecutor.Key connectExpiry;
 
-    private volatile XnioExecutor.Key headCheck;
-
     /** What the connection had read before the answer. */
     private volatile long headBeganAt;
 
     private volatile boolean headEnded;
 
+    private volatile boolean headTooLong;
+
     private ByteBuffer readBuffer;
 
     UndertowExchange(
@@ -154,7 +151,7 @@
         }
         call.headers().forEach((name, value) -> request.getRequestHeaders().put(new HttpString(name), value));
         maybeSent = true;
-        checkHead(open);
+        owner.headWatch().add(this);
         open.sendRequest(request, new ClientCallback<ClientExchange>() {
             @Override
             public void completed(ClientExchange exchange) {
@@ -169,27 +166,20 @@
         });
     }
 
-    /** Gives up an answer whose head does not end: the client's parser bounds neither its lines nor their number. */
-    private void checkHead(ClientConnection open) {
-        headCheck = open.getIoThread()
-                .executeAfter(
-                        () -> {
-                            check();
-                            if (!ended.get()) {
-                                checkHead(open);
-                            }
-                        },
-                        HEAD_CHECK_MILLIS,
-                        TimeUnit.MILLISECONDS);
+    /** Closes the connection, whose I/O thread then fails the call; for the thread that watches heads. */
+    void closeIfHeadTooLong() {
+        ClientConnection open = connection;
+        long headBytes = open == null ? 0 : open.getStatistics().getRead() - headBeganAt;
+        if (headBytes > MOST_HEAD_BYTES && !headEnded) {
+            headTooLong = true;
+            reset(open);
+        }
     }
 
     @Override
     public void check() {
-        ClientConnection open = connection;
         if (System.nanoTime() - deadlineNanos >= 0) {
             expire();
-        } else if (open != null && !headEnded && open.getStatistics().getRead() - headBeganAt > MOST_HEAD_BYTES) {
-            fail("Got a head of more than " + MOST_HEAD_BYTES + " bytes", null);
         }
     }
 
@@ -225,7 +215,7 @@
             @Override
             public void completed(ClientExchange exchange) {
                 headEnded = true;
-                cancel(headCheck);
+                owner.headWatch().leave(UndertowExchange.this);
                 Map<String, String> headers = headersOf(exchange);
                 missingBytes = numberIn(headers.get("Content-Length"));
                 keepAliveMillis = numberIn(headers.get("Keep-Alive")) * MILLIS_PER_SECOND;
@@ -240,7 +230,8 @@
 
             @Override
             public void failed(IOException failure) {
-                fail("Could not read the answer", failure);
+                String tooLong = "Got a head of more than " + MOST_HEAD_BYTES + " bytes";
+                fail(headTooLong ? tooLong : "Could not read the answer", failure);
             }
         };
     }
@@ -296,7 +287,6 @@
             return;
         }
         cancel(expiry);
-        cancel(headCheck);
         if (requestWritten) {
             owner.giveBack(target, connection, keepAliveMillis);
         } else {
@@ -320,7 +310,7 @@
         if (ended.compareAndSet(false, true)) {
             cancel(expiry);
             cancel(connectExpiry);
-            cancel(headCheck);
+            owner.headWatch().leave(this);
             reset(connection);
             String message = what + ": " + call.method() + " " + call.path() + " at " + target;
             listener.onFailure(new HttpException(message, maybeSent, cause));
--- a/http/src/main/java/org/arbutusstack/http/client/UndertowHttpClient.java
+++ b/http/src/main/java/org/arbutusstack/http/client/UndertowHttpClient.java
@@ -35,6 +35,8 @@
 
     private final boolean ownsWorker;
 
+    private final HeadWatch headWatch;
+
     /**
      * Creates a client.
      *
@@ -43,6 +45,7 @@
      */
     public UndertowHttpClient(String name, int ioThreads) {
         Assert.hasText(name, "name");
+        this.headWatch = new HeadWatch(name);
         this.limits = ConnectionPoolLimits.UNLIMITED_AGE;
         this.ownsWorker = true;
         OptionMap options = OptionMap.builder()
@@ -70,6 +73,7 @@
         this.worker = Assert.notNull(worker, "worker");
         this.limits = Assert.notNull(limits, "limits");
         this.ownsWorker = false;
+        this.headWatch = new HeadWatch("client");
     }
 
     @Override
@@ -90,6 +94,11 @@
         return idleByTarget.computeIfAbsent(target, key -> new IdleConnections(limits));
     }
 
+    /** Tells who looks after answers whose head has not ended. */
+    HeadWatch headWatch() {
+        return headWatch;
+    }
+
     /** Keeps a connection for the next call, once it has shown that no more bytes follow the last answer. */
     void giveBack(HttpTarget target, ClientConnection connection, long keepAliveMillis) {
         connection.getIoThread().execute(() -> {
@@ -109,6 +118,7 @@
 
     @Override
     public void close() {
+        headWatch.close();
         idleByTarget.values().forEach(IdleConnections::closeAll);
         if (ownsWorker) {
             worker.shutdownNow();
