Reckon the wait for a slot from how often streams end, not as 400 ms at once

A runner of 24 slots whose streams last 1.6 s frees a slot each 67 ms.

Ruled out: the count of prompts ahead (most of these refusals say 500 to 599 ms, that is one ahead).

Now the wait is the streams that must end first times the learned time of a stream by the slots; what a request waited for a slot no longer counts as time of its prompt. FirstEventEstimateTests replays it (fails by the old sum: three ahead made 685 ms).

--- a/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
@@ -125,6 +125,7 @@
             active.response().write(rest);
         }
         active.response().end();
+        attempt.endedAt(clock.nowNanos());
         desk.answered(active, "answered");
     }
 
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/CurrentAttempt.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/CurrentAttempt.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import org.arbutusstack.gateway.runner.KnownRunner;
+import org.arbutusstack.gateway.runner.RunnerSpeed;
 import org.arbutusstack.kernel.time.Clock;
 
 /** Follows one attempt and hands what the runner says to the relay. Used by the entry's loop only. */
@@ -31,14 +32,16 @@
 
     private boolean cancelled;
 
-    private final int unstartedBefore;
+    private final RunnerSpeed.Outlook outlook;
+
+    private long firstEventAtNanos;
 
     CurrentAttempt(AnswerRelay relay, ActiveRequest owner, KnownRunner runner, long sentAtNanos) {
         this.relay = relay;
         this.owner = owner;
         this.runner = runner;
         this.sentAtNanos = sentAtNanos;
-        this.unstartedBefore = runner.unstarted();
+        this.outlook = runner.speed().outlook();
     }
 
     void handle(RunnerPort.Attempt sent) {
@@ -58,7 +61,15 @@
 
     /** Lets the estimate for the runner learn from the first event. */
     void firstEventAt(long nowNanos) {
-        runner.firstEvent(unstartedBefore, (nowNanos - sentAtNanos) / Clock.NANOS_PER_MILLI);
+        firstEventAtNanos = nowNanos;
+        runner.speed().began(outlook, nowNanos - sentAtNanos);
+    }
+
+    /** Lets the estimate learn from a stream that ended whole; one that another attempt began tells nothing. */
+    void endedAt(long nowNanos) {
+        if (firstEventAtNanos != 0) {
+            runner.speed().ended(nowNanos - firstEventAtNanos);
+        }
     }
 
     /** Tells whether the runner has done nothing for about as long as callers of the route wait. */
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
@@ -136,26 +136,30 @@
     /** Sends nobody away on old statuses: the runner that would begin first is asked before. */
     private static Choice crowded(List<KnownRunner> candidates) {
         KnownRunner soonest = candidates.stream()
-                .min(Comparator.comparingLong(KnownRunner::firstEventMillis))
+                .min(Comparator.comparingLong(RunnerChooser::firstEventMillis))
                 .orElseThrow();
         return soonest.isAwaitingSign()
                 ? new Choice.AskRunners(List.of(soonest))
-                : new Choice.Crowded(soonest.firstEventMillis());
+                : new Choice.Crowded(firstEventMillis(soonest));
     }
 
     /** Keeps the chosen runner, or takes the quickest, if its first event comes in time; null if none does. */
     private KnownRunner quickestWithin(ActiveRequest active, List<KnownRunner> holders, KnownRunner chosen) {
         long waitedMillis = (clock.nowNanos() - active.request().arrivedNanos()) / Clock.NANOS_PER_MILLI;
         long limitMillis = Math.max(LEAST_WAIT_MILLIS, active.request().route().targetMillis() - waitedMillis);
-        if (chosen.firstEventMillis() <= limitMillis) {
+        if (firstEventMillis(chosen) <= limitMillis) {
             return chosen;
         }
         return holders.stream()
-                .filter(runner -> runner.firstEventMillis() <= limitMillis)
-                .min(Comparator.comparingLong(KnownRunner::firstEventMillis))
+                .filter(runner -> firstEventMillis(runner) <= limitMillis)
+                .min(Comparator.comparingLong(RunnerChooser::firstEventMillis))
                 .orElse(null);
     }
 
+    private static long firstEventMillis(KnownRunner runner) {
+        return runner.speed().firstEventMillis();
+    }
+
     /** Chooses who loads an adapter: a runner that carries out another order cannot before that is done. */
     private String adapterLoader(RoutingRequest needs, List<KnownRunner> holders, RunnerView chosen) {
         List<KnownRunner> free = holders.stream()
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/KnownRunner.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/KnownRunner.java
@@ -4,7 +4,6 @@
 import java.util.Map;
 import java.util.Set;
 import org.arbutusstack.kernel.time.Clock;
-import org.arbutusstack.routing.FirstEventEstimate;
 import org.arbutusstack.routing.RunnerView;
 import org.arbutusstack.wire.frame.AdapterUseFrame;
 import org.arbutusstack.wire.frame.RequestSentFrame;
@@ -26,7 +25,7 @@
 
     private final RunnerOutcomes outcomes;
 
-    private final FirstEventEstimate firstEvent = new FirstEventEstimate();
+    private final RunnerSpeed speed = new RunnerSpeed(this);
 
     private final UnreadPrompts prompts;
 
@@ -316,23 +315,12 @@
     }
 
     /**
-     * Learns when a request made its first event.
+     * Estimates when the runner would begin one more request.
      *
-     * @param unstartedBefore the requests without one when it was sent
-     * @param millis the time that it took
+     * @return how fast the runner is
      */
-    public void firstEvent(int unstartedBefore, long millis) {
-        firstEvent.observed(unstartedBefore, millis);
-    }
-
-    /**
-     * Estimates when one more request would make its first event.
-     *
-     * @return the time in milliseconds
-     */
-    public long firstEventMillis() {
-        boolean slotsTaken = hasStatus() && status.running() >= entry.slots();
-        return firstEvent.millis(unstarted(), slotsTaken);
+    public RunnerSpeed speed() {
+        return speed;
     }
 
     /**
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/DeskHarness.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/DeskHarness.java
@@ -18,6 +18,9 @@
 
     static final String ENGINE = "stitch-lm";
 
+    /** As on large, whose days are replayed. */
+    private static final int ENGINE_SLOTS = 16;
+
     private static final long TIMEOUT_MILLIS = 1_000;
 
     final ManualClock clock = new ManualClock(1_000_000_000L);
@@ -47,7 +50,7 @@
             for (String model : models) {
                 held.put(model, Set.of());
             }
-            entry = new RunnerEntry(id, service, entry.address(), entry.zone(), 1, 8, false, held);
+            entry = new RunnerEntry(id, service, entry.address(), entry.zone(), 1, ENGINE_SLOTS, false, held);
         }
         table.put(entry);
         return entry;
--- a/routing/src/test/java/org/arbutusstack/routing/FirstEventEstimateTests.java
+++ b/routing/src/test/java/org/arbutusstack/routing/FirstEventEstimateTests.java
@@ -15,6 +15,8 @@
 
     private static final long TARGET_MILLIS = 500;
 
+    private static final int SLOTS = 24;
+
     /** Replays nearly twice what an engine can read: only with admission is what it reads in time. */
     @Test
     public void shouldKeepServedRequestsInTimeWhenTwiceTheCapacityArrives() {
@@ -32,7 +34,7 @@
         for (int index = 0; index < ARRIVALS; index++) {
             double nowMillis = index * GAP_MILLIS;
             int ahead = (int) Math.ceil(Math.max(0, freeAtMillis - nowMillis) / PROMPT_MILLIS);
-            if (admits && estimate.millis(ahead, false) > TARGET_MILLIS) {
+            if (admits && estimate.millis(ahead, 0, SLOTS) > TARGET_MILLIS) {
                 continue;
             }
             freeAtMillis = Math.max(freeAtMillis, nowMillis) + PROMPT_MILLIS;
@@ -46,6 +48,20 @@
     @Test
     public void shouldExpectLongerWaitWhenAllSlotsAreTaken() {
         FirstEventEstimate estimate = new FirstEventEstimate();
-        assertTrue(estimate.millis(0, true) > estimate.millis(0, false));
+        assertTrue(estimate.millis(0, SLOTS, SLOTS) > estimate.millis(0, 0, SLOTS));
+    }
+
+    /** Replays further scale-1, 5 s: 24 streams of 1.6 s run, so that one ends each 67 ms, and three requests wait. */
+    @Test
+    public void shouldReckonWithEachStreamThatEndsWhenSlotsAreTaken() {
+        FirstEventEstimate estimate = new FirstEventEstimate();
+        for (int stream = 0; stream < 100; stream++) {
+            estimate.ended(1_600);
+            estimate.observed(0, 50);
+        }
+        long millis = estimate.millis(3, SLOTS, SLOTS);
+        assertTrue(millis >= 4 * 1_600 / SLOTS, millis + " ms");
+        assertTrue(millis <= TARGET_MILLIS, millis + " ms");
+        assertTrue(estimate.millis(12, SLOTS, SLOTS) > TARGET_MILLIS);
     }
 }
