--- a/bench/src/main/java/org/arbutusstack/bench/load/LoadGenerator.java
+++ b/bench/src/main/java/org/arbutusstack/bench/load/LoadGenerator.java
@@ -38,7 +38,7 @@
     /**
      * Sends the whole trace and waits until each request has ended or is given up.
      *
-     * <p>Before, the client calls a server of the load tool itself, so that no request is charged with the tool's start.
+     * <p>Before, the client calls a server of the tool itself, so that no request is charged with the tool's start.
      *
      * @param trace the requests in the order of their instants
      * @return what became of them
