--- a/placement/src/test/java/org/arbutusstack/placement/FleetPlannerTests.java
+++ b/placement/src/test/java/org/arbutusstack/placement/FleetPlannerTests.java
@@ -160,7 +160,7 @@
         assertEquals(moves.stream().map(ModelMove::load).toList(), List.of("a", "c"));
     }
 
-    /** Replays large trouble-1, 35.5 s: a total loss; copies that nobody waited for took the runners of the hot model. */
+    /** Replays large trouble-1, 35.5 s: a total loss; copies that nobody waited for took the hot model's runners. */
     @Test
     public void shouldGiveHotModelSeveralCopiesBeforeIdleOnesTheirFirstAfterTotalLoss() {
         Map<String, Integer> onDisk = Map.of("a", 2, "b", 2, "c", 2, "d", 2, "e", 2);
