Cut off callers who send bodies in chunks, or heads, without end

Once such a request was refused Undertow would have read on for up to ten seconds on the entry's only I/O thread.

Ruled out: endless lines, many header lines, bodies with a length (closed before).

The test also asks that a caller with too long a body in chunks gets its 413, and that others are served meanwhile.

--- a/entry/src/main/java/org/arbutusstack/entry/caller/CallerListener.java
+++ b/entry/src/main/java/org/arbutusstack/entry/caller/CallerListener.java
@@ -12,6 +12,7 @@
 import org.arbutusstack.http.server.HttpServers;
 import org.arbutusstack.http.server.ResponseSink;
 import org.arbutusstack.http.server.ResponseStream;
+import org.arbutusstack.http.server.UnreadRequest;
 import org.arbutusstack.kernel.Assert;
 import org.arbutusstack.kernel.service.Service;
 import org.arbutusstack.kernel.time.Clock;
@@ -114,6 +115,7 @@
     }
 
     private void unread(HttpServerExchange exchange, IOException failure) {
+        UnreadRequest.closeAfterAnswer(exchange);
         String detail = "the body is longer than " + limits.longestBodyBytes() + " bytes or broke off";
         ResponseStream.open(exchange, response -> refuse(response, Refusal.rejected(RefusalReason.TOO_LARGE, detail)));
     }
--- a/http/src/main/java/org/arbutusstack/http/server/HttpServers.java
+++ b/http/src/main/java/org/arbutusstack/http/server/HttpServers.java
@@ -17,6 +17,7 @@
 
     private static final int IDLE_MILLIS = 120_000;
 
+    /** How long the head of a request may take: longer than the time that users' limits name for it. */
     private static final int PARSE_MILLIS = 10_000;
 
     /** The longest head that is read; several times the 16 KiB that deployments permit. */
@@ -73,6 +74,7 @@
         return builder(address, port, 1, longestBodyBytes, handler)
                 .setWorker(worker)
                 .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, idleMillis)
+                .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, PARSE_MILLIS)
                 .setServerOption(UndertowOptions.MAX_HEADER_SIZE, LONGEST_HEAD_BYTES)
                 .setServerOption(UndertowOptions.ALLOW_UNESCAPED_CHARACTERS_IN_URL, true)
                 .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
