--- a/gateway/src/main/java/org/arbutusstack/gateway/request/InboundRequest.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/InboundRequest.java
@@ -42,6 +42,15 @@
         headers = Map.copyOf(headers);
     }
 
+    /**
+     * Tells what a runner has to read for the request.
+     *
+     * @return the tokens of the prompt, at least one if it is for a model: callers need not say them; zero otherwise
+     */
+    public int tokensToRead() {
+        return needsModel() ? Math.max(1, promptTokens) : 0;
+    }
+
     /**
      * Tells whether the request is for a model.
      *
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDesk.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDesk.java
@@ -207,7 +207,7 @@
         CurrentAttempt attempt = new CurrentAttempt(relay, active, runner, clock.nowNanos());
         active.begin(attempt);
         waiting.remove(active);
-        runner.sent(request.needsModel() ? Math.max(1, request.promptTokens()) : 0);
+        runner.sent(request.tokensToRead());
         if (!request.adapter().isEmpty()) {
             runner.useAdapter(request.model(), request.adapter());
         }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
@@ -165,10 +165,10 @@
         List<KnownRunner> free = holders.stream()
                 .filter(runner -> runner.hasStatus() && runner.loadingModel().isEmpty())
                 .toList();
-        return engineSelector.candidates(needs, 0, views(free)).stream()
-                .findFirst()
-                .orElse(chosen)
-                .name();
+        List<RunnerView> candidates = engineSelector.candidates(needs, 0, views(free));
+        return candidates.isEmpty()
+                ? chosen.name()
+                : engineSelector.better(candidates).name();
     }
 
     private static List<RunnerView> views(List<KnownRunner> known) {
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/DeskHarness.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/DeskHarness.java
@@ -93,6 +93,10 @@
     }
 
     FakeCaller send(Route route, String model) {
+        return send(route, model, "");
+    }
+
+    FakeCaller send(Route route, String model, String adapter) {
         number++;
         FakeCaller caller = new FakeCaller();
         desk.arrived(
@@ -105,7 +109,7 @@
                         route,
                         route.serviceFor(0),
                         model,
-                        "",
+                        adapter,
                         100,
                         10,
                         0,
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/EngineRequestTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/EngineRequestTests.java
@@ -12,6 +12,7 @@
 import org.arbutusstack.gateway.RecordingLink;
 import org.arbutusstack.gateway.config.RouteKind;
 import org.arbutusstack.model.request.RefusalReason;
+import org.arbutusstack.wire.frame.AdapterUseFrame;
 import org.arbutusstack.wire.frame.RequestSentFrame;
 import org.arbutusstack.wire.frame.RunnerOutcomeFrame;
 import org.arbutusstack.wire.frame.RunnerStatusFrame;
@@ -152,6 +153,21 @@
         assertNotEquals(harness.runners.last().runner.id(), "c");
     }
 
+    @Test
+    public void shouldHaveTheIdleHolderLoadAnAdapterThatNobodyHolds() {
+        for (String idle : List.of("a", "b")) {
+            DeskHarness harness = new DeskHarness();
+            Map<String, RecordingLink> links = new HashMap<>();
+            for (String id : List.of("a", "b")) {
+                harness.runner(id, DeskHarness.ENGINE, "m1");
+                links.put(id, new RecordingLink());
+                harness.table.byId(id).status(engineStatus(id.equals(idle) ? 0 : 4), links.get(id));
+            }
+            harness.send(DeskHarness.slowRoute(), "m1", "a1");
+            assertEquals(links.get(idle).sent, List.of(new AdapterUseFrame("m1", "a1")), "idle: " + idle);
+        }
+    }
+
     @Test
     public void shouldTellTheSideWhenItsRunnerHangs() {
         DeskHarness harness = new DeskHarness();
--- a/gateway/src/test/java/org/arbutusstack/gateway/runner/PromptClumpTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/runner/PromptClumpTests.java
@@ -41,7 +41,7 @@
 
     private static final double TARGET_GAP_MILLIS = 250;
 
-    /** A twentieth of all streams: what the users' aim for calm days leaves. */
+    /** A third of the seventh that was late on the day replayed; the users state no bound for one decision. */
     private static final double MOST_LATE_SHARE = 0.05;
 
     private static final RoutingRequest REQUEST = new RoutingRequest("s", "m", "");
--- a/http/src/main/java/org/arbutusstack/http/client/HeadWatch.java
+++ b/http/src/main/java/org/arbutusstack/http/client/HeadWatch.java
@@ -32,11 +32,18 @@
     void add(UndertowExchange exchange) {
         boolean wasIdle = awaited.isEmpty();
         awaited.add(exchange);
-        if (wasIdle) {
+        if (exchange.isEnded()) {
+            // It was cancelled meanwhile and has left before it came.
+            awaited.remove(exchange);
+        } else if (wasIdle) {
             LockSupport.unpark(thread);
         }
     }
 
+    boolean isIdle() {
+        return awaited.isEmpty();
+    }
+
     void leave(UndertowExchange exchange) {
         awaited.remove(exchange);
     }
--- a/http/src/main/java/org/arbutusstack/http/client/UndertowExchange.java
+++ b/http/src/main/java/org/arbutusstack/http/client/UndertowExchange.java
@@ -166,6 +166,10 @@
         });
     }
 
+    boolean isEnded() {
+        return ended.get();
+    }
+
     /** Closes the connection, whose I/O thread then fails the call; for the thread that watches heads. */
     void closeIfHeadTooLong() {
         ClientConnection open = connection;
--- /dev/null
+++ b/http/src/test/java/org/arbutusstack/http/client/HeadWatchTests.java
@@ -0,0 +1,32 @@
+package org.arbutusstack.http.client;
+
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.Test;
+
+/** Tests which calls are looked after until the head of their answer has ended. */
+public class HeadWatchTests {
+
+    private static UndertowExchange exchange(UndertowHttpClient client) {
+        HttpCall call = new HttpCall("GET", "/", Map.of(), new byte[0]);
+        long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+        return new UndertowExchange(
+                client, HttpTarget.parse("127.0.0.1:1"), call, deadlineNanos, new HttpClient.GatheringListener());
+    }
+
+    @Test
+    public void shouldForgetACallWhenItWasCancelledBeforeItCame() {
+        try (UndertowHttpClient client = new UndertowHttpClient("watched", 1)) {
+            UndertowExchange exchange = exchange(client);
+            client.headWatch().add(exchange);
+            assertFalse(client.headWatch().isIdle());
+            exchange.cancel();
+            assertTrue(client.headWatch().isIdle());
+            client.headWatch().add(exchange);
+            assertTrue(client.headWatch().isIdle());
+        }
+    }
+}
