Log and count what lost attempts had in common, and restarts of runners

Cause: no line named the parts of a lost prompt or whether its answer had begun; a side did not say that its runner was another incarnation. Ruled out: retries (39 lost attempts with the part, 39 different requests), runners that crash by themselves. No decision changed.

--- a/gateway/src/main/java/org/arbutusstack/gateway/agent/RunnerAgent.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/agent/RunnerAgent.java
@@ -3,10 +3,6 @@
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashMap;
-import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
@@ -17,7 +13,6 @@
 import java.util.concurrent.CopyOnWriteArraySet;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.arbutusstack.gateway.runner.WeightsLocation;
 import org.arbutusstack.kernel.Assert;
 import org.arbutusstack.kernel.service.Service;
 import org.arbutusstack.kernel.time.Clock;
@@ -49,9 +44,6 @@
 
     private static final int QUEUE_CAPACITY = 1_024;
 
-    /** Placeholder for a model that the runner loads or unloads by an order of an earlier run of this process. */
-    private static final String UNKNOWN_MODEL = "?";
-
     /** Poll interval while no order is in progress and no entry requests the status. */
     private static final long IDLE_POLL_MILLIS = 250;
 
@@ -96,6 +88,8 @@
 
     private final Counter orders;
 
+    private final Counter restarts;
+
     private volatile boolean running;
 
     private volatile boolean unresponsive;
@@ -130,6 +124,10 @@
                 .help("orders given to the runner by outcome")
                 .labelNames("outcome")
                 .register(metrics);
+        this.restarts = Counter.builder()
+                .name("arbutus_attendant_runner_restarts_total")
+                .help("restarts of the runner seen since this process started")
+                .register(metrics);
         this.thread = new Thread(this::run, "attendant");
         this.thread.setDaemon(true);
     }
@@ -270,8 +268,13 @@
     private void publish(RunnerState state) {
         if (lastStatus != null && lastStatus.startedAtMillis() != state.startedAtMillis()) {
             health.clearSuspicion();
+            restarts.inc();
+            logger.info(
+                    "event=runner-restarted started_at={} previous={}",
+                    state.startedAtMillis(),
+                    lastStatus.startedAtMillis());
         }
-        RunnerStatusFrame status = statusOf(state);
+        RunnerStatusFrame status = StatusFrames.of(state, issuer, health.isSuspect(), links.size(), prompts.tokens());
         lastStatus = status;
         sentSincePoll.set(0);
         statusRequested = false;
@@ -318,39 +321,6 @@
         }
     }
 
-    private RunnerStatusFrame statusOf(RunnerState state) {
-        List<RunnerStatusFrame.HeldModel> models = new ArrayList<>();
-        state.versions().forEach((model, version) -> {
-            if (!model.equals(issuer.unloading())) {
-                models.add(new RunnerStatusFrame.HeldModel(
-                        model,
-                        version,
-                        state.adaptersOf(model).stream().sorted().toList()));
-            }
-        });
-        models.sort(Comparator.comparing(RunnerStatusFrame.HeldModel::name));
-        Map<String, Integer> storedCopies = new HashMap<>();
-        state.onDisk().forEach(model -> storedCopies.put(model, WeightsLocation.ON_DISK.rank()));
-        state.inMemory().forEach(model -> storedCopies.put(model, WeightsLocation.IN_MAIN_MEMORY.rank()));
-        return new RunnerStatusFrame(
-                state.startedAtMillis(),
-                state.orderSequence(),
-                !state.leaving(),
-                state.remainingMillis(),
-                state.queued(),
-                state.running(),
-                state.usedTokens(),
-                state.capacityTokens(),
-                models,
-                state.pendingAdapters(),
-                storedCopies,
-                state.busy() && issuer.loading().isEmpty() ? UNKNOWN_MODEL : issuer.loading(),
-                health.isSuspect(),
-                links.size(),
-                StatusSchedule.statusIntervalMillis(links.size()),
-                prompts.tokens());
-    }
-
     /**
      * Listener that handles status requests and reports at once, and queues all other frames for the agent's thread.
      */
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
@@ -26,17 +26,21 @@
 
     private final GatewayMetrics metrics;
 
+    private final DecisionLog log;
+
     AnswerRelay(
             RequestDispatcher dispatcher,
             RunnerPort runnerPort,
             CallerPort callers,
             Clock clock,
-            GatewayMetrics metrics) {
+            GatewayMetrics metrics,
+            DecisionLog log) {
         this.dispatcher = Assert.notNull(dispatcher, "dispatcher");
         this.runnerPort = Assert.notNull(runnerPort, "runnerPort");
         this.callers = Assert.notNull(callers, "callers");
         this.clock = Assert.notNull(clock, "clock");
         this.metrics = Assert.notNull(metrics, "metrics");
+        this.log = Assert.notNull(log, "log");
     }
 
     /** Fail the attempt at once if the head shows that the answer is not the runner's, without waiting for the body. */
@@ -162,6 +166,8 @@
         active.events().discardPartialEvent();
         if (maybeSent) {
             attempt.runner().outcomes().failed();
+            log.lost(active, attempt);
+            metrics.countLost(active.request(), attempt.isBegun());
             dispatcher.retryOrRefuse(active, Refusal.outcomeUnknown(RefusalReason.BACKEND_LOST, detail));
             return;
         }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/CurrentAttempt.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/CurrentAttempt.java
@@ -64,6 +64,11 @@
         return sentAtNanos;
     }
 
+    /** Return whether an event of the answer was received, or for an answer that is not a stream, a part of it. */
+    boolean isBegun() {
+        return firstEventAtNanos != 0 || body.size() > 0;
+    }
+
     /** Update the runner's first-event estimate with the time that this attempt took. */
     void recordFirstEvent(long nowNanos) {
         firstEventAtNanos = nowNanos;
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/DecisionLog.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/DecisionLog.java
@@ -61,6 +61,21 @@
         }
     }
 
+    /** Log an attempt whose connection ended without a complete answer, with what it had in common with others. */
+    void lost(ActiveRequest active, CurrentAttempt attempt) {
+        if (throttle.tryAcquire()) {
+            InboundRequest request = active.request();
+            logger.info(
+                    "event=attempt-lost {} {} started_at={} begun={} sent_ms={} parts={}",
+                    describe(active),
+                    stateOf(attempt.runner()),
+                    attempt.runner().entry().startedAtMillis(),
+                    attempt.isBegun(),
+                    (clock.nowNanos() - attempt.sentAtNanos()) / Clock.NANOS_PER_MILLI,
+                    String.join(",", request.sharedParts()));
+        }
+    }
+
     void retried(ActiveRequest active, KnownRunner runner, Refusal refusal) {
         if (throttle.tryAcquire()) {
             logger.info(
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/GatewayMetrics.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/GatewayMetrics.java
@@ -18,6 +18,8 @@
 
     private final Counter retries;
 
+    private final Counter lost;
+
     private final Counter badInput;
 
     private final Histogram firstByte;
@@ -42,6 +44,11 @@
                 .help("attempts after the first by service and reason")
                 .labelNames(SERVICE, "reason")
                 .register(registry);
+        lost = Counter.builder()
+                .name("arbutus_gateway_attempts_lost_total")
+                .help("attempts whose connection ended without a complete answer, by whether the answer had begun")
+                .labelNames(SERVICE, "begun")
+                .register(registry);
         badInput = Counter.builder()
                 .name("arbutus_gateway_bad_input_total")
                 .help("requests refused before they were routed, by reason")
@@ -81,6 +88,10 @@
         retries.labelValues(request.service(), reason.label()).inc();
     }
 
+    void countLost(InboundRequest request, boolean begun) {
+        lost.labelValues(request.service(), Boolean.toString(begun)).inc();
+    }
+
     /**
      * Count a request that was refused before it was routed.
      *
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/InboundRequest.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/InboundRequest.java
@@ -1,5 +1,6 @@
 package org.arbutusstack.gateway.request;
 
+import java.util.List;
 import java.util.Map;
 import org.arbutusstack.gateway.config.Route;
 
@@ -18,6 +19,7 @@
  * @param promptTokens the number of tokens of the prompt; zero if unknown
  * @param outputTokens the maximum number of tokens of the answer; zero if unknown
  * @param prefixHash the hash of the prompt prefix shared within a session; zero for none
+ * @param sharedParts the identifiers of the prompt's parts in order, without the last, which no other request shares
  * @param arrivedNanos the time at which the request was read
  * @param deadlineNanos the earlier of the caller's deadline and the timeout of the route
  */
@@ -34,12 +36,14 @@
         int promptTokens,
         int outputTokens,
         long prefixHash,
+        List<String> sharedParts,
         long arrivedNanos,
         long deadlineNanos) {
 
-    /** Copy the headers. */
+    /** Copy the collections. */
     public InboundRequest {
         headers = Map.copyOf(headers);
+        sharedParts = List.copyOf(sharedParts);
     }
 
     /**
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatcher.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatcher.java
@@ -84,7 +84,7 @@
         this.retries = new RetryBudgets(limits);
         this.deferredCallers = new DeferredCallers(clock);
         this.loadForecast = new LoadForecast(clock);
-        this.relay = new AnswerRelay(this, runnerPort, callers, clock, metrics);
+        this.relay = new AnswerRelay(this, runnerPort, callers, clock, metrics, log);
     }
 
     /**
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/DispatcherHarness.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/DispatcherHarness.java
@@ -113,6 +113,7 @@
                         100,
                         10,
                         0,
+                        List.of(),
                         clock.nowNanos(),
                         clock.deadlineNanos(route.timeoutMillis())),
                 caller);
