--- a/testkit/src/main/java/org/arbutusstack/testkit/AbstractStandIn.java
+++ b/testkit/src/main/java/org/arbutusstack/testkit/AbstractStandIn.java
@@ -27,6 +27,8 @@
 
     private static final int INTERNAL_SERVER_ERROR = 500;
 
+    private final String host;
+
     private final Undertow server;
 
     /**
@@ -35,8 +37,19 @@
      * @param port the port to listen on; zero for any free port
      */
     protected AbstractStandIn(int port) {
+        this(LOOPBACK, port);
+    }
+
+    /**
+     * Create a stand-in that listens on a given loopback address.
+     *
+     * @param host the address, within 127.0.0.0/8
+     * @param port the port to listen on; zero for any free port
+     */
+    protected AbstractStandIn(String host, int port) {
+        this.host = host;
         HttpHandler handler = exchange -> exchange.getRequestReceiver().receiveFullBytes(this::receive);
-        this.server = HttpServers.build(LOOPBACK, port, 1, MAX_BODY_BYTES, handler);
+        this.server = HttpServers.build(host, port, 1, MAX_BODY_BYTES, handler);
     }
 
     private void receive(HttpServerExchange exchange, byte[] body) {
@@ -77,7 +90,7 @@
      * @return the address as {@code host:port}
      */
     public String address() {
-        return LOOPBACK + ":" + port();
+        return host + ":" + port();
     }
 
     @Override
--- a/testkit/src/main/java/org/arbutusstack/testkit/platform/PlatformRunnerStandIn.java
+++ b/testkit/src/main/java/org/arbutusstack/testkit/platform/PlatformRunnerStandIn.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.ServerConnection;
 import io.undertow.util.HttpString;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -9,12 +10,15 @@
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentSkipListSet;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import org.arbutusstack.http.server.ResponseStream;
 import org.arbutusstack.http.server.Responses;
 import org.arbutusstack.testkit.AbstractStandIn;
 import org.arbutusstack.testkit.Json;
+import org.xnio.IoUtils;
 
 /** Stand-in for a model runner of the platform: answers requests with events, reports its state and executes orders. */
 public final class PlatformRunnerStandIn extends AbstractStandIn {
@@ -43,8 +47,16 @@
 
     private final List<String> runs = Collections.synchronizedList(new ArrayList<>());
 
+    private final Set<ServerConnection> connections = ConcurrentHashMap.newKeySet();
+
+    private final AtomicBoolean crashed = new AtomicBoolean();
+
     private volatile RunnerFault fault = RunnerFault.NONE;
 
+    private volatile String harmfulPart = "";
+
+    private volatile Runnable crashListener = () -> {};
+
     /**
      * Create a runner.
      *
@@ -54,7 +66,20 @@
      * @param models the names of the models that it holds at first
      */
     public PlatformRunnerStandIn(int port, String id, long startedAtMillis, List<String> models) {
-        super(port);
+        this("127.0.0.1", port, id, startedAtMillis, models);
+    }
+
+    /**
+     * Create a runner on a given loopback address.
+     *
+     * @param host the address, within 127.0.0.0/8
+     * @param port the port to listen on; zero for any free port
+     * @param id the id of its incarnation
+     * @param startedAtMillis the start time, in milliseconds since the Unix epoch
+     * @param models the names of the models that it holds at first
+     */
+    public PlatformRunnerStandIn(String host, int port, String id, long startedAtMillis, List<String> models) {
+        super(host, port);
         this.id = id;
         this.startedAtMillis = startedAtMillis;
         this.models.addAll(models);
@@ -69,6 +94,17 @@
         fault = newFault;
     }
 
+    /**
+     * Crash at the first request whose prompt contains a part: all connections are closed without an answer.
+     *
+     * @param part the identifier of the part
+     * @param listener called once, on an I/O thread, when the runner has crashed
+     */
+    public void crashOnPart(String part, Runnable listener) {
+        crashListener = listener;
+        harmfulPart = part;
+    }
+
     /**
      * Return the requests that the runner has begun to execute.
      *
@@ -110,7 +146,10 @@
 
     @Override
     protected void handle(HttpServerExchange exchange, String path, byte[] body) {
-        if (path.equals("/report")) {
+        connections.add(exchange.getConnection());
+        if (crashed.get()) {
+            IoUtils.safeClose(exchange.getConnection());
+        } else if (path.equals("/report")) {
             Responses.json(exchange, OK, report());
         } else if (path.equals("/order")) {
             handleOrder(exchange, new String(body, StandardCharsets.UTF_8));
@@ -160,6 +199,10 @@
             return;
         }
         runs.add(request);
+        if (isHarmful(exchange)) {
+            crash();
+            return;
+        }
         exchange.getResponseHeaders().put(REQUEST_ID, fault == RunnerFault.STRAY ? "another" : request);
         if (fault != RunnerFault.UNATTESTED) {
             exchange.getResponseHeaders().put(SEAL, "seal");
@@ -168,6 +211,18 @@
         ResponseStream.open(exchange, stream -> sendEvents(stream, last == null ? 0 : Integer.parseInt(last)));
     }
 
+    private boolean isHarmful(HttpServerExchange exchange) {
+        String prompt = exchange.getRequestHeaders().getFirst("Prompt-Prefix");
+        return !harmfulPart.isEmpty() && prompt != null && prompt.contains(harmfulPart + ":");
+    }
+
+    private void crash() {
+        if (crashed.compareAndSet(false, true)) {
+            connections.forEach(IoUtils::safeClose);
+            crashListener.run();
+        }
+    }
+
     private void sendEvents(ResponseStream stream, int lastEvent) {
         stream.head(OK, "text/event-stream");
         for (int event = lastEvent + 1; event <= EVENTS; event++) {
