--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatcher.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatcher.java
@@ -29,9 +29,6 @@
     /** Retry-After for requests refused while draining: another entry can serve them at once. */
     private static final long DRAINING_RETRY_AFTER_MILLIS = 50;
 
-    /** Time reserved for a plain request before shutdown: more than twice the longest target specified for one. */
-    private static final long PLAIN_REQUEST_MILLIS = 1_000;
-
     private final RunnerChooser chooser;
 
     private final RunnerPort runnerPort;
@@ -61,10 +58,7 @@
 
     private final LoadForecast loadForecast;
 
-    /** Time until which plain requests are accepted while this entry is draining. */
-    private long plainUntilNanos;
-
-    private boolean draining;
+    private final DrainState drainState;
 
     /**
      * Create a dispatcher: the chooser chooses the runner for each attempt, the ports send requests to runners and
@@ -90,6 +84,7 @@
         this.retries = new RetryBudgets(limits);
         this.deferredCallers = new DeferredCallers(clock);
         this.loadForecast = new LoadForecast(clock);
+        this.drainState = new DrainState(clock);
         this.relay = new AnswerRelay(this, runnerPort, callers, clock, metrics, log, quarantine);
     }
 
@@ -113,21 +108,13 @@
         retries.of(request.service()).requestArrived();
         inFlight.add(active);
         response.onClose(() -> callerDisconnected(active));
-        if (draining && !endsBeforeShutdown(request)) {
+        if (!drainState.accepts(request)) {
             refuse(active, drainingRefusal(), DRAINING_RETRY_AFTER_MILLIS);
             return;
         }
         route(active);
     }
 
-    /**
-     * Return whether the request can be accepted while draining. Streams may outlast the process; a plain request is
-     * answered before it ends, or is refused with its actual outcome.
-     */
-    private boolean endsBeforeShutdown(InboundRequest request) {
-        return !request.route().kind().isStreaming() && !clock.isPast(plainUntilNanos);
-    }
-
     /**
      * Set the number of entries that share the retry reserve.
      *
@@ -166,7 +153,7 @@
         }
         RunnerChooser.Choice choice = chooser.choose(active);
         active.awaitsModel(choice instanceof RunnerChooser.Choice.AwaitModel);
-        if (draining && !(choice instanceof RunnerChooser.Choice.Send)) {
+        if (drainState.isDraining() && !(choice instanceof RunnerChooser.Choice.Send)) {
             refuse(active, drainingRefusal(), DRAINING_RETRY_AFTER_MILLIS);
             return;
         }
@@ -224,7 +211,9 @@
         }
         log.sent(active, runner);
         String lastEventId = active.isOpened() ? active.events().lastEventId() : "";
-        attempt.handle(runnerPort.send(runner.entry(), request, lastEventId, request.deadlineNanos(), attempt));
+        boolean sentBefore = active.hasFailedOn(runner.entry().id());
+        attempt.handle(
+                runnerPort.send(runner.entry(), request, lastEventId, request.deadlineNanos(), sentBefore, attempt));
     }
 
     /** End a request whose answer was relayed completely. */
@@ -305,8 +294,7 @@
      * @param endNanos the time at which the process ends at the latest
      */
     public void startDraining(long endNanos) {
-        draining = true;
-        plainUntilNanos = endNanos - PLAIN_REQUEST_MILLIS * Clock.NANOS_PER_MILLI;
+        drainState.start(endNanos);
         for (ActiveRequest active : new ArrayList<>(inFlight)) {
             if (active.attempt() == null) {
                 refuse(active, drainingRefusal(), DRAINING_RETRY_AFTER_MILLIS);
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerPort.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerPort.java
@@ -14,6 +14,7 @@
      * @param request the request
      * @param lastEventId the identifier of the event after which a stream is resumed; empty to start it
      * @param deadlineNanos the time at which the runner stops working on the request
+     * @param newConnection whether to use a new connection, on which no earlier answer can be repeated
      * @param listener called with the answer
      * @return the attempt
      */
@@ -22,6 +23,7 @@
             InboundRequest request,
             String lastEventId,
             long deadlineNanos,
+            boolean newConnection,
             AnswerListener listener);
 
     /**
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/FakeRunners.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/FakeRunners.java
@@ -19,6 +19,7 @@
             InboundRequest request,
             String lastEventId,
             long deadlineNanos,
+            boolean newConnection,
             AnswerListener listener) {
         Sent attempt = new Sent(runner, request, lastEventId, listener);
         sent.add(attempt);
--- a/http/src/main/java/org/arbutusstack/http/client/HttpCall.java
+++ b/http/src/main/java/org/arbutusstack/http/client/HttpCall.java
@@ -11,8 +11,15 @@
  * @param headers the headers in addition to those that the client sets
  * @param body the bytes of the body, empty for none; not copied
  * @param repeatable whether the call may be sent on a connection that has been idle for long and may be dead
+ * @param newConnection whether the call is sent on a new connection, which carries no late answer to an earlier call
  */
-public record HttpCall(String method, String path, Map<String, String> headers, byte[] body, boolean repeatable) {
+public record HttpCall(
+        String method,
+        String path,
+        Map<String, String> headers,
+        byte[] body,
+        boolean repeatable,
+        boolean newConnection) {
 
     private static final byte[] NO_BODY = new byte[0];
 
@@ -24,6 +31,19 @@
         Assert.notNull(body, "body");
     }
 
+    /**
+     * Create a call that may be sent on an idle connection.
+     *
+     * @param method the HTTP method
+     * @param path the path and the query
+     * @param headers the headers in addition to those that the client sets
+     * @param body the bytes of the body; not copied
+     * @param repeatable whether that connection may have been idle for long
+     */
+    public HttpCall(String method, String path, Map<String, String> headers, byte[] body, boolean repeatable) {
+        this(method, path, headers, body, repeatable, false);
+    }
+
     /**
      * Create a repeatable call.
      *
--- a/http/src/main/java/org/arbutusstack/http/client/UndertowHttpClient.java
+++ b/http/src/main/java/org/arbutusstack/http/client/UndertowHttpClient.java
@@ -80,7 +80,7 @@
     @Override
     public Cancellable stream(HttpTarget target, HttpCall call, long deadlineNanos, HttpResponseListener listener) {
         UndertowExchange exchange = new UndertowExchange(this, target, call, deadlineNanos, listener);
-        ClientConnection idle = poolOf(target).take(call.repeatable(), System.nanoTime());
+        ClientConnection idle = call.newConnection() ? null : poolOf(target).take(call.repeatable(), System.nanoTime());
         if (idle == null) {
             exchange.connect(UndertowClient.getInstance(), worker, bufferPool);
         } else if (idle.getIoThread() == Thread.currentThread()) {
--- a/testkit/src/main/java/org/arbutusstack/testkit/platform/PlatformRunnerStandIn.java
+++ b/testkit/src/main/java/org/arbutusstack/testkit/platform/PlatformRunnerStandIn.java
@@ -188,6 +188,7 @@
     private void handleRequest(HttpServerExchange exchange) {
         String target = exchange.getRequestHeaders().getFirst("Target-Instance");
         String request = exchange.getRequestHeaders().getFirst(REQUEST_ID);
+        exchange.getResponseHeaders().put(REQUEST_ID, request);
         if (fault == RunnerFault.OTHER_INCARNATION || !id.equals(target)) {
             exchange.getResponseHeaders().put(new HttpString("Instance-Id"), id + "-other");
             Responses.text(exchange, MISDIRECTED, "");
@@ -203,7 +204,9 @@
             crash();
             return;
         }
-        exchange.getResponseHeaders().put(REQUEST_ID, fault == RunnerFault.STRAY ? "another" : request);
+        if (fault == RunnerFault.STRAY) {
+            exchange.getResponseHeaders().put(REQUEST_ID, "another");
+        }
         if (fault != RunnerFault.UNATTESTED) {
             exchange.getResponseHeaders().put(SEAL, "seal");
         }
