Take an answer that ends with its head for broken off, not for an empty one

Cause: an answer may have no length and end with its connection; one whose runner stopped right after the head was passed on with Content-Length 0. Evidence: FaultyRunnerTests.shouldNotCompleteAnswerWhenBodyBreaksOff, plain and stream, red on the code before, green now. Six other cuts of a body were green before. Change: a success without length, chunks or a single byte is a lost attempt, so it may have run. A whole answer that ends with its connection still is one (shouldCompleteAnswerThatEndsWithItsConnection). Ruled out: heads cut off before their end; the parser fails them already.

--- a/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
@@ -111,6 +111,10 @@
     }
 
     private void handleAttested(ActiveRequest active, CurrentAttempt attempt) {
+        if (!attempt.head().framed() && attempt.head().isSuccess() && !attempt.isBegun()) {
+            attemptFailed(active, attempt, true, "the connection ended after the head of the answer");
+            return;
+        }
         if (attempt.isStreamed()) {
             endStream(active, attempt);
             return;
