Mark the end of a body of unknown length by a last chunk also where the connection closes after it

To a caller that asked to close, or at an entry that drains, the end of a stream that was broken off looked the same as that of a complete one. Cause: without a kept connection the server wrote such bodies without chunks, so their only end mark was the end of the connection. Evidence: FaultyRunnerTests.shouldMarkEndOfStreamWhenCallerClosesConnectionAfterIt; the first form of the tests showed a stream without length or chunks to a caller that closes. Change: ResponseStream asks for chunks for HTTP/1.1 whenever a response has no length. Ruled out: a reset in place of the close, which may drop events that the caller has not read yet.

--- a/http/src/main/java/org/arbutusstack/http/server/ResponseStream.java
+++ b/http/src/main/java/org/arbutusstack/http/server/ResponseStream.java
@@ -1,6 +1,7 @@
 package org.arbutusstack.http.server;
 
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import io.undertow.util.SameThreadExecutor;
 import java.io.IOException;
@@ -204,6 +205,7 @@
             return;
         }
         if (channel == null) {
+            markEnd();
             channel = exchange.getResponseChannel();
             channel.getWriteSetter().set(ready -> flush());
         }
@@ -219,6 +221,16 @@
         flushOrEnd();
     }
 
+    /**
+     * Mark the end of a body of unknown length by a last chunk. Without it, the end of a response after which the
+     * connection is closed looks the same whether it is complete or was aborted.
+     */
+    private void markEnd() {
+        if (exchange.isHttp11() && !exchange.getResponseHeaders().contains(Headers.CONTENT_LENGTH)) {
+            exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, "chunked");
+        }
+    }
+
     private void flushOrEnd() throws IOException {
         if (ending) {
             closed = true;
