Native way: hold back messages that different requests share and that crash engines

Cause: the quarantine of the native way goes by the digest of a whole request, so requests of which no two are alike pass it and crash engine after engine. Change: each message but the last is a key of its own in SuspectContent, judged by the registry and policy of the platform way; answers withdraw strikes at all processes. Strikes of messages are kept for ten minutes at most, since nothing but time corrects a mistake there. Ruled out: running requests with a suspect message alone, since a message that all prompts share would be one after each crash.

--- a/daemon/src/test/java/org/arbutusstack/daemon/side/EngineCrashTests.java
+++ b/daemon/src/test/java/org/arbutusstack/daemon/side/EngineCrashTests.java
@@ -38,6 +38,11 @@
 
     private static final int TOKENS = 250;
 
+    private static final int HARMFUL_REQUESTS = 8;
+
+    /** The crashes after which the users count each further harmful request. */
+    private static final int MAX_CRASHES = 5;
+
     private ProcessCluster cluster;
 
     private final List<EngineStandIn> engines = new ArrayList<>();
@@ -79,9 +84,9 @@
         cluster.close();
     }
 
-    private CompletableFuture<HttpReply> complete(DaemonProcess entry, String prompt) {
+    private CompletableFuture<HttpReply> complete(DaemonProcess entry, String... messages) {
         String body = "{\"model\":\"" + MODEL + "\",\"max_tokens\":" + TOKENS + ",\"messages\":[{\"content\":\""
-                + prompt + "\"}]}";
+                + String.join("\"},{\"content\":\"", messages) + "\"}]}";
         HttpCall call = HttpCall.post("/v1/chat/completions", body.getBytes(StandardCharsets.UTF_8));
         return cluster.call(entry.port("caller-port"), call);
     }
@@ -132,6 +137,23 @@
         assertEquals(reasonOf(ProcessCluster.await(complete(second, "innocent again"))), "answered");
     }
 
+    /** Guards against requests of which no two are alike crashing engine after engine by a message that they share. */
+    @Test
+    public void shouldStopLosingEnginesWhenDifferentRequestsShareHarmfulMessage() {
+        String lastReason = "";
+        for (int number = 0; number < HARMFUL_REQUESTS; number++) {
+            DaemonProcess entry = number % 2 == 0 ? first : second;
+            DaemonProcess other = number % 2 == 0 ? second : first;
+            String question = "question " + number;
+            lastReason = reasonOf(ProcessCluster.await(complete(entry, "policy", CRASHING_PROMPT, question)));
+            assertTrue(ProcessCluster.awaitTrue(10, () -> countReadySides(first) == 3 && countReadySides(second) == 3));
+            String sound = reasonOf(ProcessCluster.await(complete(other, "policy", question)));
+            assertEquals(sound, "answered", "request " + number);
+        }
+        assertTrue(countCrashes() <= MAX_CRASHES, "crashes " + countCrashes());
+        assertEquals(lastReason, "quarantined");
+    }
+
     private int countRunningSides() {
         int count = 0;
         for (String side : List.of("lm-1", "lm-2", "lm-3")) {
--- a/entry/src/main/java/org/arbutusstack/entry/router/Quarantine.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/Quarantine.java
@@ -2,35 +2,43 @@
 
 import java.util.Collection;
 import java.util.Optional;
+import java.util.TreeSet;
+import java.util.function.Consumer;
 import org.arbutusstack.kernel.Assert;
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.model.request.Refusal;
 import org.arbutusstack.model.request.RefusalReason;
+import org.arbutusstack.routing.QuarantineRule;
 import org.arbutusstack.routing.RunnerView;
 import org.arbutusstack.routing.Strike;
-import org.arbutusstack.routing.StrikePolicy;
 import org.arbutusstack.routing.StrikeRegistry;
+import org.arbutusstack.routing.SuspectContent;
 import org.arbutusstack.routing.SuspectRequestSelector;
+import org.arbutusstack.wire.frame.Frame;
 import org.arbutusstack.wire.frame.StrikeFrame;
 import org.arbutusstack.wire.link.Link;
 
 /**
  * Quarantine for requests that may crash engines: refuses those during which two engines were lost, and routes those
- * with one such loss to a single runner, which receives the recorded strikes first.
+ * with one such loss to a single runner, which receives the recorded strikes first. Also refuses requests that share a
+ * message with others that crashed engines.
  *
  * <p>Not thread-safe: confined to the router's event loop.
  */
 final class Quarantine {
 
-    private static final int MAX_DIGESTS = 10_000;
+    private static final int MAX_KEYS = 10_000;
 
-    private final StrikeRegistry strikes = new StrikeRegistry(MAX_DIGESTS, StrikePolicy.ISOLATED_REQUEST);
+    private final SuspectContent suspects = new SuspectContent(MAX_KEYS);
 
     private final SuspectRequestSelector selector = new SuspectRequestSelector();
 
     private final Clock clock;
 
-    Quarantine(Clock clock) {
+    private final Consumer<Frame> sides;
+
+    Quarantine(Clock clock, Consumer<Frame> sides) {
+        this.sides = Assert.notNull(sides, "sides");
         this.clock = Assert.notNull(clock, "clock");
     }
 
@@ -39,19 +47,35 @@
     }
 
     private boolean mayHaveStrikes(CallerRequest request) {
-        return !strikes.isEmpty() && !request.model().isEmpty();
+        return !suspects.isEmpty() && !request.model().isEmpty();
     }
 
     Optional<Refusal> refusalOf(CallerRequest request) {
-        if (!mayHaveStrikes(request) || !strikes.isRefused(digestOf(request), clock.nowNanos())) {
+        if (!mayHaveStrikes(request)) {
             return Optional.empty();
         }
-        String detail = "two engines were lost while they ran a request with this content";
-        return Optional.of(Refusal.rejected(RefusalReason.QUARANTINED, detail));
+        if (suspects.requests().isRefused(digestOf(request), clock.nowNanos())) {
+            String detail = "two engines were lost while they ran a request with this content";
+            return Optional.of(Refusal.rejected(RefusalReason.QUARANTINED, detail));
+        }
+        return suspects.messageRule(request.body(), clock.nowNanos()).map(this::refusalBy);
+    }
+
+    private Refusal refusalBy(QuarantineRule rule) {
+        String detail = "held to crash engines: " + String.join(" with ", new TreeSet<>(rule.keys())) + "; "
+                + rule.strikes() + " crashes, the last " + clock.millisSince(rule.lastStruckAtNanos()) + " ms ago";
+        return Refusal.rejected(RefusalReason.QUARANTINED, detail);
+    }
+
+    /** Withdraw the strikes of the messages of a request whose answer has begun, here and in all other processes. */
+    void answerBegun(CallerRequest request) {
+        if (mayHaveStrikes(request)) {
+            suspects.answerBegun(request.body()).forEach(sides);
+        }
     }
 
     boolean isSuspect(CallerRequest request) {
-        return mayHaveStrikes(request) && strikes.isSuspect(digestOf(request), clock.nowNanos());
+        return mayHaveStrikes(request) && suspects.requests().isSuspect(digestOf(request), clock.nowNanos());
     }
 
     /** Select the runner for a suspect request. */
@@ -64,18 +88,16 @@
         if (!mayHaveStrikes(request)) {
             return;
         }
-        for (Strike strike : strikes.strikesOf(digestOf(request), clock.nowNanos())) {
+        for (Strike strike : suspects.requests().strikesOf(digestOf(request), clock.nowNanos())) {
             link.send(strike.toFrame(clock));
         }
     }
 
     void strikeReceived(StrikeFrame frame) {
         if (frame.valid()) {
-            strikes.add(Strike.of(frame, clock));
-        } else if (frame.incident().isEmpty()) {
-            strikes.clear(frame.key());
+            suspects.add(Strike.of(frame, clock));
         } else {
-            strikes.withdraw(frame.key(), frame.incident());
+            suspects.retract(frame);
         }
     }
 }
--- a/entry/src/main/java/org/arbutusstack/entry/router/RequestTable.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/RequestTable.java
@@ -82,7 +82,7 @@
         this.metrics = metrics;
         this.outcomes = outcomes;
         this.retryBudget = new RetryBudget(limits.retryPercent(), limits.retryReserve());
-        this.quarantine = new Quarantine(clock);
+        this.quarantine = new Quarantine(clock, sides::broadcast);
         this.attemptRouter = new AttemptRouter(sides, selector, quarantine, clock);
     }
 
@@ -227,6 +227,9 @@
             abandon(pending, Refusal.outcomeUnknown(RefusalReason.BACKEND_LOST, "a part of the answer was lost"));
             return;
         }
+        if (pending.delivered() == 0 && frame.units() > 0) {
+            quarantine.answerBegun(pending.request());
+        }
         pending.addDelivered(frame.units());
         if (pending.isEventStream()) {
             EventStreamWriter.write(pending, frame);
--- a/routing/src/main/java/org/arbutusstack/routing/StrikeRegistry.java
+++ b/routing/src/main/java/org/arbutusstack/routing/StrikeRegistry.java
@@ -126,12 +126,15 @@
      *
      * @param key the key of the content
      * @param incident the incident that turned out not to be a loss
+     * @return whether there was such a strike
      */
-    public void withdraw(String key, String incident) {
+    public boolean withdraw(String key, String incident) {
         Map<String, Strike> strikes = strikesByKey.get(key);
-        if (strikes != null && strikes.remove(incident) != null) {
-            strikesRemoved(key, strikes);
+        if (strikes == null || strikes.remove(incident) == null) {
+            return false;
         }
+        strikesRemoved(key, strikes);
+        return true;
     }
 
     /**
--- a/side/src/main/java/org/arbutusstack/side/SuspectRequestTracker.java
+++ b/side/src/main/java/org/arbutusstack/side/SuspectRequestTracker.java
@@ -8,9 +8,10 @@
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.model.request.Refusal;
 import org.arbutusstack.model.request.RefusalReason;
+import org.arbutusstack.routing.PromptMessages;
 import org.arbutusstack.routing.Strike;
-import org.arbutusstack.routing.StrikePolicy;
 import org.arbutusstack.routing.StrikeRegistry;
+import org.arbutusstack.routing.SuspectContent;
 import org.arbutusstack.wire.frame.Frame;
 import org.arbutusstack.wire.frame.StrikeFrame;
 import org.arbutusstack.wire.frame.WorkFrame;
@@ -25,21 +26,27 @@
 final class SuspectRequestTracker {
 
     /** The refusal of a quarantined request. */
-    static final Refusal QUARANTINED = Refusal.rejected(
-            RefusalReason.QUARANTINED, "two engines were lost while they ran a request with this content");
+    static final Refusal QUARANTINED =
+            Refusal.rejected(RefusalReason.QUARANTINED, "engines were lost while they ran requests with this content");
 
-    /** The maximum number of digests with strikes. */
-    static final int MAX_DIGESTS = 10_000;
+    /** The maximum number of requests, and of messages, with strikes. */
+    static final int MAX_KEYS = 10_000;
 
     private static final Logger logger = LoggerFactory.getLogger(SuspectRequestTracker.class);
 
+    /**
+     * How long strikes of messages are remembered at most. Requests with a refused message never run, so that nothing
+     * but time corrects a mistake.
+     */
+    private static final long MAX_MESSAGE_RETENTION_MILLIS = 600_000;
+
     private final Clock clock;
 
     private final long retentionMillis;
 
     private final Consumer<Frame> broadcast;
 
-    private final StrikeRegistry registry = new StrikeRegistry(MAX_DIGESTS, StrikePolicy.ISOLATED_REQUEST);
+    private final SuspectContent suspects = new SuspectContent(MAX_KEYS);
 
     private final CrashDetector crashDetector;
 
@@ -72,19 +79,23 @@
     }
 
     boolean isSuspect(WorkItem work) {
-        return mayHaveStrike(work.frame()) && registry.isSuspect(digestOf(work.frame()), clock.nowNanos());
+        return mayHaveStrike(work.frame()) && suspects.requests().isSuspect(digestOf(work.frame()), clock.nowNanos());
     }
 
     boolean isRefused(WorkItem work) {
-        return mayHaveStrike(work.frame()) && registry.isRefused(digestOf(work.frame()), clock.nowNanos());
+        if (!mayHaveStrike(work.frame())) {
+            return false;
+        }
+        return suspects.requests().isRefused(digestOf(work.frame()), clock.nowNanos())
+                || suspects.messageRule(work.frame().body(), clock.nowNanos()).isPresent();
     }
 
     private boolean mayHaveStrike(WorkFrame frame) {
-        return !registry.isEmpty() && !frame.model().isEmpty();
+        return !suspects.isEmpty() && !frame.model().isEmpty();
     }
 
     int size() {
-        return registry.size();
+        return suspects.requests().size();
     }
 
     /** Return whether a loss is unexplained, so that no request is sent to the engine until it has reported. */
@@ -99,46 +110,57 @@
         if (work.frame().model().isEmpty()) {
             return;
         }
+        strike(work, digestOf(work.frame()));
+        if (!work.isAnswerBegun()) {
+            PromptMessages.keysOf(work.frame().body()).forEach(key -> strike(work, key));
+        }
+    }
+
+    private void strike(WorkItem work, String key) {
         long nowNanos = clock.nowNanos();
-        String digest = digestOf(work.frame());
-        String incident = crashDetector.connectionLost(digest, work.dispatchedAtNanos(), nowNanos);
-        Strike strike =
-                new Strike(digest, incident, work.dispatchedAtNanos(), nowNanos, clock.deadlineNanos(retentionMillis));
-        if (registry.add(strike)) {
+        String incident = crashDetector.connectionLost(key, work.dispatchedAtNanos(), nowNanos);
+        long keptMillis =
+                PromptMessages.isKey(key) ? Math.min(retentionMillis, MAX_MESSAGE_RETENTION_MILLIS) : retentionMillis;
+        Strike strike = new Strike(key, incident, work.dispatchedAtNanos(), nowNanos, clock.deadlineNanos(keptMillis));
+        if (suspects.add(strike)) {
             strikes.inc();
             logger.warn(
-                    "event=strike digest={} incident={} request={}",
-                    digest,
+                    "event=strike key={} incident={} request={}",
+                    key,
                     incident,
                     work.frame().id());
             broadcast.accept(strike.toFrame(clock));
         }
     }
 
+    /** Withdraw the strikes of messages that a request shares with others, once its answer begins. */
+    void answerBegun(WorkItem work) {
+        if (mayHaveStrike(work.frame())) {
+            suspects.answerBegun(work.frame().body()).forEach(broadcast);
+        }
+    }
+
     /** Clear the strikes of a request that was answered completely while it ran alone. */
     void completed(WorkItem work) {
         if (work.isExclusive()) {
             String digest = digestOf(work.frame());
-            registry.clear(digest);
+            suspects.requests().clear(digest);
             broadcast.accept(StrikeFrame.retraction(digest, ""));
         }
     }
 
     void handleStrike(StrikeFrame frame) {
         if (frame.valid()) {
-            registry.add(Strike.of(frame, clock).expiringBy(clock.deadlineNanos(retentionMillis)));
-        } else if (frame.incident().isEmpty()) {
-            registry.clear(frame.key());
-        } else {
-            registry.withdraw(frame.key(), frame.incident());
+            suspects.add(Strike.of(frame, clock).expiringBy(clock.deadlineNanos(retentionMillis)));
+        } else if (suspects.retract(frame) && PromptMessages.isKey(frame.key())) {
+            // The entry that saw the answer knows its own sides; the other entries know only this one.
+            broadcast.accept(frame);
         }
     }
 
     /** Send all strikes to a newly connected peer. */
     void sendStrikes(Link link) {
-        for (Strike strike : registry.all(clock.nowNanos())) {
-            link.send(strike.toFrame(clock));
-        }
+        suspects.frames(clock).forEach(link::send);
     }
 
     void loadRequested() {
@@ -155,9 +177,10 @@
                     verdict.digests().size());
             return;
         }
-        for (String digest : verdict.digests()) {
-            registry.withdraw(digest, verdict.incident());
-            broadcast.accept(StrikeFrame.retraction(digest, verdict.incident()));
+        for (String key : verdict.digests()) {
+            StrikeFrame retraction = StrikeFrame.retraction(key, verdict.incident());
+            suspects.retract(retraction);
+            broadcast.accept(retraction);
         }
     }
 }
--- a/side/src/main/java/org/arbutusstack/side/WorkItem.java
+++ b/side/src/main/java/org/arbutusstack/side/WorkItem.java
@@ -34,6 +34,8 @@
 
     private boolean complete;
 
+    private boolean answerBegun;
+
     private boolean ended;
 
     private volatile boolean broken;
@@ -136,6 +138,14 @@
         }
     }
 
+    boolean isAnswerBegun() {
+        return answerBegun;
+    }
+
+    void markAnswerBegun() {
+        answerBegun = true;
+    }
+
     boolean isComplete() {
         return complete;
     }
--- a/side/src/main/java/org/arbutusstack/side/WorkRunner.java
+++ b/side/src/main/java/org/arbutusstack/side/WorkRunner.java
@@ -156,6 +156,10 @@
             return;
         }
         work.recordProgress(clock.nowNanos());
+        if (!work.isAnswerBegun()) {
+            work.markAnswerBegun();
+            suspects.answerBegun(work);
+        }
         if (!work.frame().idempotent()) {
             bufferAnswer(work, bytes);
             return;
