Quarantine: crashes by incarnation, probes that count only when they crash a runner, one text for rules

What callers saw: nothing; found when reading the change again. Cause: a side compared start times of runners, which come from the time of day and may jump back, so that losses at the next incarnation could be dropped; losses reported after a restart that no loss had announced were dismissed. A probe that was refused for want of capacity used up one of two. RunnerCrashes now goes by equality with the incarnation that it observes. Ruled out: ordering incarnations by arrival, since late reports of the one before arrive after the next has begun.

--- a/entry/src/main/java/org/arbutusstack/entry/router/Quarantine.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/Quarantine.java
@@ -2,18 +2,17 @@
 
 import java.util.Collection;
 import java.util.Optional;
-import java.util.TreeSet;
 import java.util.function.Consumer;
 import org.arbutusstack.kernel.Assert;
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.model.request.Refusal;
 import org.arbutusstack.model.request.RefusalReason;
-import org.arbutusstack.routing.QuarantineRule;
 import org.arbutusstack.routing.RunnerView;
 import org.arbutusstack.routing.Strike;
 import org.arbutusstack.routing.StrikeRegistry;
 import org.arbutusstack.routing.SuspectContent;
 import org.arbutusstack.routing.SuspectRequestSelector;
+import org.arbutusstack.wire.frame.AnswerPartFrame;
 import org.arbutusstack.wire.frame.Frame;
 import org.arbutusstack.wire.frame.StrikeFrame;
 import org.arbutusstack.wire.link.Link;
@@ -58,19 +57,15 @@
             String detail = "two engines were lost while they ran a request with this content";
             return Optional.of(Refusal.rejected(RefusalReason.QUARANTINED, detail));
         }
-        return suspects.messageRule(request.body(), clock.nowNanos()).map(this::refusalBy);
+        return suspects.messageRule(request.body(), clock.nowNanos())
+                .map(rule -> Refusal.rejected(RefusalReason.QUARANTINED, rule.describe(clock)));
     }
 
-    private Refusal refusalBy(QuarantineRule rule) {
-        String detail = "held to crash engines: " + String.join(" with ", new TreeSet<>(rule.keys())) + "; "
-                + rule.strikes() + " crashes, the last " + clock.millisSince(rule.lastStruckAtNanos()) + " ms ago";
-        return Refusal.rejected(RefusalReason.QUARANTINED, detail);
-    }
-
-    /** Withdraw the strikes of the messages of a request whose answer has begun, here and in all other processes. */
-    void answerBegun(CallerRequest request) {
-        if (mayHaveStrikes(request)) {
-            suspects.answerBegun(request.body()).forEach(sides);
+    /** Withdraw the strikes of the messages of a request whose answer begins, here and in all other processes. */
+    void partReceived(PendingRequest pending, AnswerPartFrame part) {
+        boolean begins = pending.delivered() == 0 && part.units() > 0;
+        if (begins && mayHaveStrikes(pending.request())) {
+            suspects.answerBegun(pending.request().body()).forEach(sides);
         }
     }
 
--- a/entry/src/main/java/org/arbutusstack/entry/router/RequestTable.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/RequestTable.java
@@ -227,9 +227,7 @@
             abandon(pending, Refusal.outcomeUnknown(RefusalReason.BACKEND_LOST, "a part of the answer was lost"));
             return;
         }
-        if (pending.delivered() == 0 && frame.units() > 0) {
-            quarantine.answerBegun(pending.request());
-        }
+        quarantine.partReceived(pending, frame);
         pending.addDelivered(frame.units());
         if (pending.isEventStream()) {
             EventStreamWriter.write(pending, frame);
--- a/gateway/src/main/java/org/arbutusstack/gateway/quarantine/ContentQuarantine.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/quarantine/ContentQuarantine.java
@@ -275,11 +275,11 @@
     private String describe(QuarantineRule rule) {
         List<String> incidents = rule.keys().stream()
                 .flatMap(key -> strikes.strikesOf(key, clock.nowNanos()).stream())
-                .map(strike -> strike.incident().replace(' ', '@'))
+                .map(Strike::incident)
                 .distinct()
                 .sorted()
                 .toList();
-        return "keys=" + String.join(",", new TreeSet<>(rule.keys())) + " crashes=" + rule.strikes() + " last_ms_ago="
+        return "keys=" + rule.joinedKeys() + " crashes=" + rule.strikes() + " last_ms_ago="
                 + clock.millisSince(rule.lastStruckAtNanos()) + " expires_in_ms="
                 + clock.millisUntil(rule.expiresAtNanos()) + " incidents="
                 + (incidents.isEmpty() ? "persisted" : String.join(",", incidents));
@@ -294,8 +294,8 @@
         List<String> lines = new ArrayList<>();
         rules().forEach(rule -> lines.add("rule " + describe(rule)));
         for (Strike strike : strikes.all(clock.nowNanos())) {
-            lines.add("strike key=" + strike.key() + " incident="
-                    + strike.incident().replace(' ', '@') + " ms_ago=" + clock.millisSince(strike.struckAtNanos()));
+            lines.add("strike key=" + strike.key() + " incident=" + strike.incident() + " ms_ago="
+                    + clock.millisSince(strike.struckAtNanos()));
         }
         return lines;
     }
--- a/gateway/src/main/java/org/arbutusstack/gateway/quarantine/QuarantineProbes.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/quarantine/QuarantineProbes.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeSet;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
 import org.arbutusstack.kernel.Assert;
@@ -29,38 +28,61 @@
 
     private static final long SECOND_PROBE_MILLIS = 300_000;
 
-    /** Probes of a rule; one less than the late requests that the users allow for. */
-    private static final int MAX_PROBES = 2;
+    /** Time after which another request is let through if one shows nothing, since it was not sent, for example. */
+    private static final long REPEAT_MILLIS = 15_000;
+
+    /** Probes that may crash a runner; one less than the late requests that the users allow for. */
+    private static final int MAX_CRASHES = 2;
 
     private final BooleanSupplier isProber;
 
     private final Clock clock;
 
-    private final Map<Set<String>, Integer> probesByKeys = new HashMap<>();
+    private final Map<Set<String>, Schedule> schedules = new HashMap<>();
 
     QuarantineProbes(BooleanSupplier isProber, Clock clock) {
         this.isProber = Assert.notNull(isProber, "isProber");
         this.clock = Assert.notNull(clock, "clock");
     }
 
-    /** Return whether a request that the rule refuses is sent as a probe; at most once for each probe that is due. */
+    /** Return whether a request that the rule refuses is sent as a probe. */
     boolean tryAcquire(QuarantineRule rule) {
-        int probes = probesByKeys.getOrDefault(rule.keys(), 0);
-        if (probes >= MAX_PROBES || !isProber.getAsBoolean()) {
+        if (!isProber.getAsBoolean()) {
             return false;
         }
-        long delayMillis = probes == 0 ? FIRST_PROBE_MILLIS : SECOND_PROBE_MILLIS;
-        if (clock.millisSince(rule.lastStruckAtNanos()) < delayMillis) {
-            return false;
+        Schedule schedule = schedules.getOrDefault(
+                rule.keys(), new Schedule(0, false, rule.lastStruckAtNanos(), probeAt(rule, FIRST_PROBE_MILLIS)));
+        if (rule.lastStruckAtNanos() != schedule.struckAtNanos()) {
+            int crashes = schedule.crashes() + (schedule.probed() ? 1 : 0);
+            long delayMillis = crashes == 0 ? FIRST_PROBE_MILLIS : SECOND_PROBE_MILLIS;
+            schedule = new Schedule(crashes, false, rule.lastStruckAtNanos(), probeAt(rule, delayMillis));
+        }
+        boolean due = schedule.crashes() < MAX_CRASHES && clock.isPast(schedule.probeAtNanos());
+        if (due) {
+            logger.warn("event=quarantine-probe keys={} crashed_before={}", rule.joinedKeys(), schedule.crashes());
+            schedule = new Schedule(
+                    schedule.crashes(), true, schedule.struckAtNanos(), clock.deadlineNanos(REPEAT_MILLIS));
         }
-        probesByKeys.put(rule.keys(), probes + 1);
-        logger.warn(
-                "event=quarantine-probe keys={} number={}", String.join(",", new TreeSet<>(rule.keys())), probes + 1);
-        return true;
+        schedules.put(rule.keys(), schedule);
+        return due;
+    }
+
+    private static long probeAt(QuarantineRule rule, long delayMillis) {
+        return rule.lastStruckAtNanos() + delayMillis * Clock.NANOS_PER_MILLI;
     }
 
     /** Forget the probes of rules that are no longer in force. */
     void retain(List<QuarantineRule> rules) {
-        probesByKeys.keySet().retainAll(rules.stream().map(QuarantineRule::keys).collect(Collectors.toSet()));
+        schedules.keySet().retainAll(rules.stream().map(QuarantineRule::keys).collect(Collectors.toSet()));
     }
+
+    /**
+     * Probes of one rule.
+     *
+     * @param crashes the probes that crashed a runner
+     * @param probed whether a request was let through since the last crash
+     * @param struckAtNanos when the last crash was
+     * @param probeAtNanos when the next request may be let through
+     */
+    private record Schedule(int crashes, boolean probed, long struckAtNanos, long probeAtNanos) {}
 }
--- a/gateway/src/main/java/org/arbutusstack/gateway/quarantine/RunnerCrashes.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/quarantine/RunnerCrashes.java
@@ -36,6 +36,8 @@
     /** Failed polls in a row after which a runner with losses counts as crashed, though none has shown a restart. */
     private static final int FAILED_POLLS_OF_CRASH = 2;
 
+    private static final char INCIDENT_SEPARATOR = '@';
+
     private final String host;
 
     private final Clock clock;
@@ -45,7 +47,8 @@
     /** When the lost requests were sent, by the keys of their content; of several requests, the last. */
     private final Map<String, Long> lostSentAtNanos = new HashMap<>();
 
-    private long lostIncarnation;
+    /** Start time of the incarnation that the losses are of; that of the one that answered last if there are none. */
+    private long observedIncarnation;
 
     private long firstLossAtNanos;
 
@@ -53,6 +56,7 @@
 
     private int failedPolls;
 
+    /** Start time of the incarnation that crashed last; zero if none is known. */
     private long crashedIncarnation;
 
     private long crashedAtNanos;
@@ -77,14 +81,15 @@
     public synchronized List<StrikeFrame> lost(LostRequestFrame frame) {
         long nowNanos = clock.nowNanos();
         long sentAtNanos = nowNanos - frame.sentAgoMillis() * Clock.NANOS_PER_MILLI;
-        boolean isLate = crashedIncarnation != 0 && frame.startedAtMillis() <= crashedIncarnation;
-        if (isLate) {
-            boolean isOfLastCrash = frame.startedAtMillis() == crashedIncarnation;
-            return isOfLastCrash ? strike(toMap(frame.keys(), sentAtNanos)) : List.of();
+        if (frame.startedAtMillis() == crashedIncarnation) {
+            return strike(toMap(frame.keys(), sentAtNanos));
         }
-        if (lostSentAtNanos.isEmpty() || frame.startedAtMillis() > lostIncarnation) {
-            lostSentAtNanos.clear();
-            lostIncarnation = frame.startedAtMillis();
+        if (observedIncarnation == 0) {
+            observedIncarnation = frame.startedAtMillis();
+        } else if (frame.startedAtMillis() != observedIncarnation) {
+            return List.of();
+        }
+        if (lostSentAtNanos.isEmpty()) {
             firstLossAtNanos = nowNanos;
             failedPolls = 0;
         }
@@ -131,13 +136,13 @@
         if (startedAtMillis == crashedIncarnation) {
             return retractCrash();
         }
-        if (!hasUnexplainedLoss()) {
-            return List.of();
-        }
-        if (startedAtMillis != lostIncarnation) {
-            return crashed();
+        if (startedAtMillis != observedIncarnation) {
+            boolean isRestart = observedIncarnation != 0 && observedIncarnation != crashedIncarnation;
+            List<StrikeFrame> frames = isRestart ? crashed() : List.of();
+            observedIncarnation = startedAtMillis;
+            return frames;
         }
-        if (polledAtNanos - lastLossAtNanos > 0) {
+        if (hasUnexplainedLoss() && polledAtNanos - lastLossAtNanos > 0) {
             logger.info("event=losses-dismissed started_at={} keys={}", startedAtMillis, lostSentAtNanos.size());
             lostSentAtNanos.clear();
         }
@@ -145,8 +150,8 @@
     }
 
     private List<StrikeFrame> crashed() {
-        crashedIncarnation = lostIncarnation;
-        crashedAtNanos = firstLossAtNanos;
+        crashedIncarnation = observedIncarnation;
+        crashedAtNanos = hasUnexplainedLoss() ? firstLossAtNanos : clock.nowNanos();
         Map<String, Long> sent = Map.copyOf(lostSentAtNanos);
         lostSentAtNanos.clear();
         logger.warn("event=runner-crashed incident={} keys={}", incident(), String.join(",", sent.keySet()));
@@ -154,7 +159,7 @@
     }
 
     private String incident() {
-        return host + ' ' + crashedIncarnation;
+        return host + INCIDENT_SEPARATOR + crashedIncarnation;
     }
 
     private List<StrikeFrame> strike(Map<String, Long> sentAtNanosByKey) {
@@ -205,7 +210,7 @@
 
     /** Return the host of an incident, whose side holds its strikes. */
     static String hostOf(String incident) {
-        int space = incident.indexOf(' ');
-        return space < 0 ? incident : incident.substring(0, space);
+        int separator = incident.indexOf(INCIDENT_SEPARATOR);
+        return separator < 0 ? incident : incident.substring(0, separator);
     }
 }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestQuarantine.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestQuarantine.java
@@ -1,7 +1,6 @@
 package org.arbutusstack.gateway.request;
 
 import java.util.Optional;
-import java.util.TreeSet;
 import org.arbutusstack.gateway.quarantine.ContentKeys;
 import org.arbutusstack.gateway.quarantine.ContentQuarantine;
 import org.arbutusstack.kernel.Assert;
@@ -41,9 +40,7 @@
 
     /** Create the refusal by a rule. It says "not run" rather than "rejected", since the request itself is proper. */
     Refusal refusalBy(QuarantineRule rule) {
-        String detail = "held to crash runners: " + String.join(" with ", new TreeSet<>(rule.keys())) + "; "
-                + rule.strikes() + " crashes, the last " + clock.millisSince(rule.lastStruckAtNanos()) + " ms ago";
-        return Refusal.notRun(RefusalReason.QUARANTINED, detail);
+        return Refusal.notRun(RefusalReason.QUARANTINED, rule.describe(clock));
     }
 
     /** Record an attempt whose connection broke; it is evidence only if the answer had not begun. */
--- a/gateway/src/test/java/org/arbutusstack/gateway/quarantine/ContentQuarantineTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/quarantine/ContentQuarantineTests.java
@@ -42,7 +42,7 @@
     private void crash(int count, String... keys) {
         for (int number = 0; number < count; number++) {
             clock.advanceMillis(1_000);
-            String incident = "10.0.0." + clock.nowNanos() + " 1";
+            String incident = "10.0.0." + clock.nowNanos() + "@1";
             for (String key : keys) {
                 quarantine.strikeReceived(new StrikeFrame(key, incident, true, LEFT_MILLIS, 200, 50));
             }
@@ -78,10 +78,10 @@
         clock.advanceMillis(1_000);
         quarantine.begun(List.of("part:a"));
         clock.advanceMillis(30);
-        quarantine.strikeReceived(new StrikeFrame("part:a", "10.0.0.9 1", true, LEFT_MILLIS, 200, 50));
+        quarantine.strikeReceived(new StrikeFrame("part:a", "10.0.0.9@1", true, LEFT_MILLIS, 200, 50));
         assertEquals(retracted, List.of("10.0.0.9 part:a"));
         assertFalse(quarantine.isWatching());
-        quarantine.strikeReceived(new StrikeFrame("part:a", "10.0.0.9 1", true, LEFT_MILLIS, 200, 20));
+        quarantine.strikeReceived(new StrikeFrame("part:a", "10.0.0.9@1", true, LEFT_MILLIS, 200, 20));
         assertTrue(quarantine.isWatching());
     }
 
@@ -127,6 +127,17 @@
         assertEquals(probes, 2);
     }
 
+    /** Guards against probes that were never sent using up the chance to correct a mistaken rule. */
+    @Test
+    public void shouldProbeAgainWhenProbeShowedNothing() {
+        crash(3, "part:a");
+        clock.advanceMillis(60_000);
+        for (int attempt = 0; attempt < 4; attempt++) {
+            assertTrue(quarantine.tryProbe(ruleFor("part:a")), "attempt " + attempt);
+            clock.advanceMillis(15_000);
+        }
+    }
+
     private QuarantineRule ruleFor(String key) {
         return quarantine.ruleFor(List.of(key)).orElseThrow();
     }
@@ -134,9 +145,9 @@
     @Test
     public void shouldForgetCrashThatWasRetracted() {
         crash(2, "part:a");
-        quarantine.strikeReceived(new StrikeFrame("part:a", "10.0.0.7 1", true, LEFT_MILLIS, 20, 5));
+        quarantine.strikeReceived(new StrikeFrame("part:a", "10.0.0.7@1", true, LEFT_MILLIS, 20, 5));
         assertTrue(isRefused("part:a"));
-        quarantine.strikeReceived(StrikeFrame.retraction("part:a", "10.0.0.7 1"));
+        quarantine.strikeReceived(StrikeFrame.retraction("part:a", "10.0.0.7@1"));
         assertFalse(isRefused("part:a"));
     }
 }
--- a/gateway/src/test/java/org/arbutusstack/gateway/quarantine/RunnerCrashesTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/quarantine/RunnerCrashesTests.java
@@ -69,6 +69,17 @@
         assertTrue(crashes.remembered().isEmpty());
     }
 
+    /** Guards against forgetting losses that are reported after the runner is back, also if clocks were set back. */
+    @Test
+    public void shouldStrikeWhenLossIsReportedAfterRestart() {
+        answer(7);
+        answer(5);
+        List<StrikeFrame> late = crashes.lost(new LostRequestFrame(7, 150, List.of("part:a")));
+        assertEquals(late.size(), 1);
+        assertTrue(crashes.lost(new LostRequestFrame(5, 10, List.of("part:b"))).isEmpty());
+        assertEquals(answer(9).size(), 1);
+    }
+
     @Test
     public void shouldNotStrikeWhenRunnerRestartsWithoutLoss() {
         assertTrue(crashes.pollFailed().isEmpty());
--- a/routing/src/main/java/org/arbutusstack/routing/QuarantineRule.java
+++ b/routing/src/main/java/org/arbutusstack/routing/QuarantineRule.java
@@ -2,7 +2,9 @@
 
 import java.util.Collection;
 import java.util.Set;
+import java.util.TreeSet;
 import org.arbutusstack.kernel.Assert;
+import org.arbutusstack.kernel.time.Clock;
 
 /**
  * Rule that refuses requests whose content includes all of the given keys.
@@ -23,6 +25,26 @@
         Assert.isTrue(!keys.isEmpty(), "'keys' must not be empty");
     }
 
+    /**
+     * Return the keys in a fixed order.
+     *
+     * @return the keys joined by commas
+     */
+    public String joinedKeys() {
+        return String.join(",", new TreeSet<>(keys));
+    }
+
+    /**
+     * Describe the rule to the caller of a refused request.
+     *
+     * @param clock the clock of this process
+     * @return the keys and the evidence, as one sentence
+     */
+    public String describe(Clock clock) {
+        return "held to crash runners: " + joinedKeys() + "; " + strikes + " crashes, the last "
+                + clock.millisSince(lastStruckAtNanos) + " ms ago";
+    }
+
     /**
      * Return whether the rule refuses a request.
      *
