Log the content of lost attempts, and each send of content that was lost before

attempt-lost has the key of the whole request; lost-content-sent gives each send of content that this entry has lost before, with the runner, how often and how long ago it was lost, and which of its keys have strikes, and is counted by arbutus_gateway_lost_content_sent_total.

--- a/gateway/src/main/java/org/arbutusstack/gateway/quarantine/ContentQuarantine.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/quarantine/ContentQuarantine.java
@@ -112,6 +112,18 @@
         return !strikes.isEmpty() || !persistedRules.isEmpty();
     }
 
+    /**
+     * Return the keys that have strikes, whether or not a rule refuses them.
+     *
+     * @param keys the keys of the content of a request
+     * @return those that are suspect
+     */
+    public List<String> suspects(Collection<String> keys) {
+        return keys.stream()
+                .filter(key -> strikes.isSuspect(key, clock.nowNanos()))
+                .toList();
+    }
+
     /**
      * Find the rule that refuses a request.
      *
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/ActiveRequest.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/ActiveRequest.java
@@ -1,6 +1,7 @@
 package org.arbutusstack.gateway.request;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import org.arbutusstack.gateway.runner.KnownRunner;
 import org.arbutusstack.http.server.ResponseSink;
@@ -46,6 +47,8 @@
 
     private BufferedAnswer failedAnswer;
 
+    private List<String> contentKeys;
+
     ActiveRequest(InboundRequest request, ResponseSink response) {
         this.request = request;
         this.response = response;
@@ -60,6 +63,19 @@
         return request;
     }
 
+    /** Return the keys of the request's content; computed once, since they include a digest of the body. */
+    List<String> contentKeys() {
+        if (contentKeys == null) {
+            contentKeys = request.contentKeys();
+        }
+        return contentKeys;
+    }
+
+    /** Return the key of the whole request. */
+    String requestKey() {
+        return contentKeys().get(contentKeys().size() - 1);
+    }
+
     ResponseSink response() {
         return response;
     }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
@@ -89,7 +89,7 @@
             active.opened();
             attempt.runner().outcomes().succeeded();
             attempt.recordFirstEvent(clock.nowNanos());
-            quarantine.answerBegun(active.request());
+            quarantine.answerBegun(active);
             metrics.recordFirstByte(active.request(), clock.nowNanos());
             callers.open(active.response(), attempt.head(), -1);
         }
@@ -125,7 +125,7 @@
                     active, Refusal.outcomeUnknown(RefusalReason.BACKEND_ERROR, "the stream was not resumed"));
         } else if (attempt.head().isSuccess()) {
             attempt.runner().outcomes().succeeded();
-            quarantine.answerBegun(active.request());
+            quarantine.answerBegun(active);
             relayAnswer(active, answer);
         } else {
             attempt.runner().outcomes().failed();
@@ -147,6 +147,7 @@
         }
         active.response().end();
         attempt.recordStreamEnd(clock.nowNanos());
+        quarantine.answerCompleted(active);
         dispatcher.complete(active, "answered");
     }
 
@@ -158,6 +159,9 @@
             active.response().write(answer.body());
         }
         active.response().end();
+        if (answer.head().isSuccess()) {
+            quarantine.answerCompleted(active);
+        }
         dispatcher.complete(active, answer.head().isSuccess() ? "answered" : "failed-at-runner");
     }
 
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/DecisionLog.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/DecisionLog.java
@@ -66,12 +66,13 @@
         if (throttle.tryAcquire()) {
             InboundRequest request = active.request();
             logger.info(
-                    "event=attempt-lost {} {} started_at={} begun={} sent_ms={} parts={}",
+                    "event=attempt-lost {} {} started_at={} begun={} sent_ms={} content={} parts={}",
                     describe(active),
                     stateOf(attempt.runner()),
                     attempt.runner().entry().startedAtMillis(),
                     attempt.isBegun(),
                     (clock.nowNanos() - attempt.sentAtNanos()) / Clock.NANOS_PER_MILLI,
+                    active.requestKey(),
                     String.join(",", request.sharedParts()));
         }
     }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/GatewayMetrics.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/GatewayMetrics.java
@@ -20,6 +20,8 @@
 
     private final Counter lost;
 
+    private final Counter lostContentSent;
+
     private final Counter badInput;
 
     private final Histogram firstByte;
@@ -49,6 +51,11 @@
                 .help("attempts whose connection ended without a complete answer, by whether the answer had begun")
                 .labelNames(SERVICE, "begun")
                 .register(registry);
+        lostContentSent = Counter.builder()
+                .name("arbutus_gateway_lost_content_sent_total")
+                .help("attempts of requests with the same content as one that was lost before, by service")
+                .labelNames(SERVICE)
+                .register(registry);
         badInput = Counter.builder()
                 .name("arbutus_gateway_bad_input_total")
                 .help("requests refused before they were routed, by reason")
@@ -92,6 +99,10 @@
         lost.labelValues(request.service(), Boolean.toString(begun)).inc();
     }
 
+    void countLostContentSent(InboundRequest request) {
+        lostContentSent.labelValues(request.service()).inc();
+    }
+
     /**
      * Count a request that was refused before it was routed.
      *
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatcher.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatcher.java
@@ -210,6 +210,7 @@
             runner.reportAdapterUse(request.model(), request.adapter());
         }
         log.sent(active, runner);
+        quarantine.attemptSent(active, runner);
         String lastEventId = active.isOpened() ? active.events().lastEventId() : "";
         boolean sentBefore = active.hasFailedOn(runner.entry().id());
         attempt.handle(
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatchers.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatchers.java
@@ -34,6 +34,12 @@
             ContentQuarantine quarantine) {
         RunnerChooser chooser = new RunnerChooser(runners, new TwoChoiceSelector(zone), zone, clock);
         return new RequestDispatcher(
-                chooser, runnerPort, callers, clock, limits, metrics, new RequestQuarantine(quarantine, clock));
+                chooser,
+                runnerPort,
+                callers,
+                clock,
+                limits,
+                metrics,
+                new RequestQuarantine(quarantine, clock, new LossHistory(clock, metrics)));
     }
 }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestQuarantine.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestQuarantine.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.arbutusstack.gateway.quarantine.ContentKeys;
 import org.arbutusstack.gateway.quarantine.ContentQuarantine;
+import org.arbutusstack.gateway.runner.KnownRunner;
 import org.arbutusstack.kernel.Assert;
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.model.request.Refusal;
@@ -19,9 +20,12 @@
 
     private final Clock clock;
 
-    RequestQuarantine(ContentQuarantine quarantine, Clock clock) {
+    private final LossHistory losses;
+
+    RequestQuarantine(ContentQuarantine quarantine, Clock clock, LossHistory losses) {
         this.quarantine = Assert.notNull(quarantine, "quarantine");
         this.clock = Assert.notNull(clock, "clock");
+        this.losses = Assert.notNull(losses, "losses");
     }
 
     /** Find the rule that keeps a request from runners, or nothing if it may be sent. */
@@ -30,7 +34,7 @@
         if (!request.needsModel() || !quarantine.isWatching() || active.isProbe()) {
             return Optional.empty();
         }
-        Optional<QuarantineRule> rule = quarantine.ruleFor(request.contentKeys());
+        Optional<QuarantineRule> rule = quarantine.ruleFor(active.contentKeys());
         if (rule.isPresent() && quarantine.tryProbe(rule.get())) {
             active.markProbe();
             return Optional.empty();
@@ -45,17 +49,29 @@
 
     /** Record an attempt whose connection broke; it is evidence only if the answer had not begun. */
     void attemptLost(ActiveRequest active, CurrentAttempt attempt) {
+        losses.recordLost(active);
         InboundRequest request = active.request();
         if (request.needsModel() && !active.isOpened() && !attempt.isBegun()) {
-            attempt.runner().reportLost(clock.millisSince(attempt.sentAtNanos()), request.contentKeys());
+            attempt.runner().reportLost(clock.millisSince(attempt.sentAtNanos()), active.contentKeys());
         }
     }
 
+    /** Record that an attempt is sent to a runner. */
+    void attemptSent(ActiveRequest active, KnownRunner runner) {
+        losses.recordSent(active, runner, () -> quarantine.suspects(active.contentKeys()));
+    }
+
     /** Record that the answer to a request began. */
-    void answerBegun(InboundRequest request) {
+    void answerBegun(ActiveRequest active) {
+        InboundRequest request = active.request();
         if (request.needsModel()) {
             quarantine.begun(
-                    quarantine.isWatching() ? request.contentKeys() : ContentKeys.ofParts(request.sharedParts()));
+                    quarantine.isWatching() ? active.contentKeys() : ContentKeys.ofParts(request.sharedParts()));
         }
     }
+
+    /** Record that the answer to a request is complete. */
+    void answerCompleted(ActiveRequest active) {
+        losses.recordAnswered(active);
+    }
 }
