--- a/testkit/src/main/java/org/arbutusstack/testkit/platform/PlatformRunnerStandIn.java
+++ b/testkit/src/main/java/org/arbutusstack/testkit/platform/PlatformRunnerStandIn.java
@@ -10,8 +10,10 @@
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentSkipListSet;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import org.arbutusstack.http.server.ResponseStream;
@@ -33,8 +35,12 @@
 
     private static final int EVENTS = 5;
 
+    private static final long EVENT_TRAVEL_MILLIS = 20;
+
     private static final HttpString REQUEST_ID = new HttpString("Request-Id");
 
+    private static final HttpString INSTANCE_ID = new HttpString("Instance-Id");
+
     private static final HttpString SEAL = new HttpString("Response-Seal");
 
     private final String id;
@@ -55,6 +61,10 @@
 
     private volatile String harmfulPart = "";
 
+    private volatile String harmfulPath = "";
+
+    private volatile int eventsBeforeCrash;
+
     private volatile Runnable crashListener = () -> {};
 
     /**
@@ -105,6 +115,19 @@
         harmfulPart = part;
     }
 
+    /**
+     * Crash at the first request with a path: all connections are closed without a complete answer.
+     *
+     * @param path the path
+     * @param events how many events of the answer are sent before the crash
+     * @param listener called once, on an I/O thread, when the runner has crashed
+     */
+    public void crashOnPath(String path, int events, Runnable listener) {
+        crashListener = listener;
+        eventsBeforeCrash = events;
+        harmfulPath = path;
+    }
+
     /**
      * Return the requests that the runner has begun to execute.
      *
@@ -153,11 +176,19 @@
             Responses.json(exchange, OK, report());
         } else if (path.equals("/order")) {
             handleOrder(exchange, new String(body, StandardCharsets.UTF_8));
+        } else if (path.equals("/health")) {
+            handleHealthCheck(exchange);
         } else {
             handleRequest(exchange);
         }
     }
 
+    private void handleHealthCheck(HttpServerExchange exchange) {
+        String target = exchange.getRequestHeaders().getFirst("Target-Instance");
+        exchange.getResponseHeaders().put(INSTANCE_ID, id);
+        Responses.text(exchange, target == null || target.equals(id) ? OK : MISDIRECTED, "");
+    }
+
     private String report() {
         ObjectNode report = Json.object();
         report.put("stage", "unified")
@@ -190,7 +221,7 @@
         String request = exchange.getRequestHeaders().getFirst(REQUEST_ID);
         exchange.getResponseHeaders().put(REQUEST_ID, request);
         if (fault == RunnerFault.OTHER_INCARNATION || !id.equals(target)) {
-            exchange.getResponseHeaders().put(new HttpString("Instance-Id"), id + "-other");
+            exchange.getResponseHeaders().put(INSTANCE_ID, id + "-other");
             Responses.text(exchange, MISDIRECTED, "");
             return;
         }
@@ -200,7 +231,8 @@
             return;
         }
         runs.add(request);
-        if (isHarmful(exchange)) {
+        boolean isHarmful = isHarmful(exchange);
+        if (isHarmful && eventsBeforeCrash == 0) {
             crash();
             return;
         }
@@ -211,12 +243,29 @@
             exchange.getResponseHeaders().put(SEAL, "seal");
         }
         String last = exchange.getRequestHeaders().getFirst("Last-Event-Id");
-        ResponseStream.open(exchange, stream -> sendEvents(stream, last == null ? 0 : Integer.parseInt(last)));
+        ResponseStream.open(exchange, stream -> {
+            if (isHarmful) {
+                crashWithin(stream);
+            } else {
+                sendEvents(stream, last == null ? 0 : Integer.parseInt(last));
+            }
+        });
+    }
+
+    /** Send the events that precede the crash, and crash once they had the time to leave. */
+    private void crashWithin(ResponseStream stream) {
+        stream.head(OK, "text/event-stream");
+        for (int event = 1; event <= eventsBeforeCrash; event++) {
+            stream.write(("id: " + event + "\ndata: " + event + "\n\n").getBytes(StandardCharsets.UTF_8));
+        }
+        CompletableFuture.delayedExecutor(EVENT_TRAVEL_MILLIS, TimeUnit.MILLISECONDS)
+                .execute(this::crash);
     }
 
     private boolean isHarmful(HttpServerExchange exchange) {
         String prompt = exchange.getRequestHeaders().getFirst("Prompt-Prefix");
-        return !harmfulPart.isEmpty() && prompt != null && prompt.contains(harmfulPart + ":");
+        boolean hasHarmfulPart = !harmfulPart.isEmpty() && prompt != null && prompt.contains(harmfulPart + ":");
+        return hasHarmfulPart || exchange.getRequestPath().equals(harmfulPath);
     }
 
     private void crash() {
