Keep requests from backend servers without a side that they would crash

Cause: the quarantine joined the losses of one crash at the side beside the runner. Plain services have no side, so their losses were dropped; the same holds for a model runner while its side is away.

Change: where a loss can be reported to no side, the entry that lost the request probes the server (health check, new connection, addressed to that incarnation). Refused twice, or another incarnation answers: a crash, and the content gets a strike under a name of the crash that is the same at all entries. Two sides, chosen by the key, pass the strike on to all entries and remember it for those that start. If the incarnation answers after all, the strikes are withdrawn. No answer decides nothing.

Ruled out: repeats within an entry alone (place-order allows one attempt). Weighed: each entry for itself (each would need its own three crashes), strikes through the store (unheard while it is away), a refused connection to ordinary requests as the only evidence (too rare at two requests a second and server).

Before: CrashingRequestTests red with 38 repeats; after: green, and CrashMonitorTests, QuarantinedRequestTests, CrashingPromptPartTests green.

--- a/gateway/src/main/java/org/arbutusstack/gateway/agent/RunnerAgent.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/agent/RunnerAgent.java
@@ -235,8 +235,8 @@
             issuer.catalog(catalog);
         } else if (frame instanceof LostRequestFrame lost) {
             sendToEntries(crashes.lost(lost));
-        } else if (frame instanceof StrikeFrame retraction && crashes.clear(retraction.key())) {
-            sendToEntries(List.of(StrikeFrame.retraction(retraction.key(), "")));
+        } else if (frame instanceof StrikeFrame strike) {
+            sendToEntries(crashes.received(strike));
         }
     }
 
--- a/gateway/src/main/java/org/arbutusstack/gateway/entry/EntryDependencies.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/entry/EntryDependencies.java
@@ -1,6 +1,7 @@
 package org.arbutusstack.gateway.entry;
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.arbutusstack.gateway.quarantine.LivenessProbe;
 import org.arbutusstack.gateway.request.CallerPort;
 import org.arbutusstack.gateway.request.RetryLimits;
 import org.arbutusstack.gateway.request.RunnerPort;
@@ -21,6 +22,7 @@
  * @param transport opens and accepts links
  * @param store the key-value store
  * @param runners sends requests to runners
+ * @param probe finds out whether backend servers still run
  * @param callers writes answers and refusals to callers
  * @param retries the limits on retries
  * @param clock the clock of the process
@@ -36,6 +38,7 @@
         LinkTransport transport,
         KeyValueStore store,
         RunnerPort runners,
+        LivenessProbe probe,
         CallerPort callers,
         RetryLimits retries,
         Clock clock,
--- a/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
@@ -4,12 +4,14 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.UUID;
+import org.arbutusstack.gateway.config.ServedService;
 import org.arbutusstack.gateway.config.ServingConfig;
 import org.arbutusstack.gateway.plan.DemandRecord;
 import org.arbutusstack.gateway.plan.ModelPlanner;
 import org.arbutusstack.gateway.plan.PlannerElection;
 import org.arbutusstack.gateway.plan.PlannerLink;
 import org.arbutusstack.gateway.quarantine.ContentQuarantine;
+import org.arbutusstack.gateway.quarantine.CrashMonitor;
 import org.arbutusstack.gateway.quarantine.QuarantineRecord;
 import org.arbutusstack.gateway.request.GatewayMetrics;
 import org.arbutusstack.gateway.request.RequestDispatcher;
@@ -22,7 +24,7 @@
 import org.arbutusstack.kernel.service.Service;
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.placement.FleetPlanner;
-import org.arbutusstack.wire.frame.Frame;
+import org.arbutusstack.wire.frame.StrikeFrame;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -65,6 +67,8 @@
 
     private final ContentQuarantine quarantine;
 
+    private final CrashMonitor crashMonitor;
+
     private final RequestDispatcher dispatcher;
 
     private final SideLinks sides;
@@ -95,6 +99,8 @@
         this.runners = new RunnerTable(clock);
         this.metrics = new GatewayMetrics(dependencies.metrics());
         this.quarantine = new ContentQuarantine(this::sendToSide, this::isPlanning, clock, dependencies.metrics());
+        this.crashMonitor =
+                new CrashMonitor(dependencies.probe(), this::healthPathOf, this::struck, clock, dependencies.metrics());
         this.dispatcher = RequestDispatchers.create(
                 runners,
                 dependencies.runners(),
@@ -103,7 +109,8 @@
                 clock,
                 dependencies.retries(),
                 metrics,
-                quarantine);
+                quarantine,
+                crashMonitor);
         this.sides = new SideLinks(
                 dependencies.transport(),
                 dependencies.sidePort(),
@@ -146,8 +153,20 @@
         dependencies.transport().stop();
     }
 
-    private void sendToSide(String host, Frame frame) {
-        sides.send(host, frame);
+    private void sendToSide(String host, StrikeFrame frame) {
+        if (!sides.send(host, frame)) {
+            sides.sendToRelays(frame.key(), frame);
+        }
+    }
+
+    /** Apply a strike that this entry found out by itself, and tell the other entries. */
+    private void struck(StrikeFrame strike) {
+        quarantine.strikeReceived(strike);
+        sides.sendToRelays(strike.key(), strike);
+    }
+
+    private String healthPathOf(RunnerEntry server) {
+        return config.service(server.service()).map(ServedService::healthPath).orElse("/");
     }
 
     private void tick() {
@@ -161,6 +180,7 @@
         runners.tick();
         dispatcher.entries(sides.entryCount().entries());
         dispatcher.tick();
+        crashMonitor.tick();
     }
 
     private void plan() {
--- a/gateway/src/main/java/org/arbutusstack/gateway/quarantine/ContentQuarantine.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/quarantine/ContentQuarantine.java
@@ -21,7 +21,6 @@
 import org.arbutusstack.routing.Strike;
 import org.arbutusstack.routing.StrikePolicy;
 import org.arbutusstack.routing.StrikeRegistry;
-import org.arbutusstack.wire.frame.Frame;
 import org.arbutusstack.wire.frame.StrikeFrame;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -45,7 +44,7 @@
     /** Keys whose last answer is remembered; several times the prompt parts in use within the delay of a strike. */
     private static final int MAX_BEGUN_KEYS = 4_096;
 
-    private final BiConsumer<String, Frame> sides;
+    private final BiConsumer<String, StrikeFrame> sides;
 
     private final Clock clock;
 
@@ -79,13 +78,13 @@
     /**
      * Create an empty quarantine.
      *
-     * @param sides sends a frame to the side on a host
+     * @param sides sends a frame to the side on a host, or to those that relay it if there is none
      * @param isProber returns whether this entry is the one that may probe rules
      * @param clock the clock of the process
      * @param registry the metrics registry of the process
      */
     public ContentQuarantine(
-            BiConsumer<String, Frame> sides, BooleanSupplier isProber, Clock clock, PrometheusRegistry registry) {
+            BiConsumer<String, StrikeFrame> sides, BooleanSupplier isProber, Clock clock, PrometheusRegistry registry) {
         this.sides = Assert.notNull(sides, "sides");
         this.clock = Assert.notNull(clock, "clock");
         this.probes = new QuarantineProbes(isProber, clock);
--- /dev/null
+++ b/gateway/src/main/java/org/arbutusstack/gateway/quarantine/LivenessProbe.java
@@ -0,0 +1,34 @@
+package org.arbutusstack.gateway.quarantine;
+
+import java.util.function.Consumer;
+import org.arbutusstack.gateway.runner.RunnerEntry;
+
+/**
+ * Strategy interface for finding out whether a backend server still runs. Used on the entry's event loop, which also
+ * calls the listeners.
+ */
+@FunctionalInterface
+public interface LivenessProbe {
+
+    /**
+     * Probe a backend server over a new connection.
+     *
+     * @param server the server
+     * @param path the path of its health check
+     * @param deadlineNanos the time by which the listener is called at the latest
+     * @param listener called once with the result
+     */
+    void probe(RunnerEntry server, String path, long deadlineNanos, Consumer<Result> listener);
+
+    /** What a probe found at the address of a server. */
+    enum Result {
+        /** The same incarnation answers, whatever its answer is. */
+        SAME_INCARNATION,
+        /** Another incarnation answers. */
+        OTHER_INCARNATION,
+        /** Connections are refused. */
+        REFUSED,
+        /** Nothing was heard, which a crash, a busy server or a broken link may explain. */
+        NO_ANSWER
+    }
+}
--- a/gateway/src/main/java/org/arbutusstack/gateway/quarantine/RunnerCrashes.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/quarantine/RunnerCrashes.java
@@ -149,6 +149,15 @@
         return List.of();
     }
 
+    /**
+     * Record that another incarnation answers at the address of the runner.
+     *
+     * @return the strikes to send to all entries, if requests were lost
+     */
+    public synchronized List<StrikeFrame> replaced() {
+        return hasUnexplainedLoss() ? crashed() : List.of();
+    }
+
     private List<StrikeFrame> crashed() {
         crashedIncarnation = observedIncarnation;
         crashedAtNanos = hasUnexplainedLoss() ? firstLossAtNanos : clock.nowNanos();
@@ -187,6 +196,25 @@
         return frames;
     }
 
+    /**
+     * Apply a strike or a retraction that an entry reports: strikes are those of servers without a side, which are kept
+     * here so that all entries hear of them.
+     *
+     * @param frame the report
+     * @return the frames to send to all entries; none if the report changes nothing
+     */
+    public synchronized List<StrikeFrame> received(StrikeFrame frame) {
+        boolean changed;
+        if (frame.valid()) {
+            changed = strikes.add(Strike.of(frame, clock).expiringBy(clock.deadlineNanos(RETENTION_MILLIS)));
+        } else if (frame.incident().isEmpty()) {
+            changed = clear(frame.key());
+        } else {
+            changed = strikes.withdraw(frame.key(), frame.incident());
+        }
+        return changed ? List.of(frame) : List.of();
+    }
+
     /**
      * Withdraw the strikes of content, since a request with it was answered.
      *
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatchers.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatchers.java
@@ -1,6 +1,7 @@
 package org.arbutusstack.gateway.request;
 
 import org.arbutusstack.gateway.quarantine.ContentQuarantine;
+import org.arbutusstack.gateway.quarantine.CrashMonitor;
 import org.arbutusstack.gateway.runner.RunnerTable;
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.routing.TwoChoiceSelector;
@@ -21,6 +22,7 @@
      * @param limits the limits on retries
      * @param metrics the metrics of requests
      * @param quarantine the quarantine for content that crashes runners
+     * @param crashMonitor the monitor of the runners that have no side
      * @return the dispatcher
      */
     public static RequestDispatcher create(
@@ -31,7 +33,8 @@
             Clock clock,
             RetryLimits limits,
             GatewayMetrics metrics,
-            ContentQuarantine quarantine) {
+            ContentQuarantine quarantine,
+            CrashMonitor crashMonitor) {
         RunnerChooser chooser = new RunnerChooser(runners, new TwoChoiceSelector(zone), zone, clock);
         return new RequestDispatcher(
                 chooser,
@@ -40,6 +43,6 @@
                 clock,
                 limits,
                 metrics,
-                new RequestQuarantine(quarantine, clock, new LossHistory(clock, metrics)));
+                new RequestQuarantine(quarantine, crashMonitor, clock, new LossHistory(clock, metrics)));
     }
 }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestQuarantine.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestQuarantine.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.arbutusstack.gateway.quarantine.ContentKeys;
 import org.arbutusstack.gateway.quarantine.ContentQuarantine;
+import org.arbutusstack.gateway.quarantine.CrashMonitor;
 import org.arbutusstack.gateway.runner.KnownRunner;
 import org.arbutusstack.kernel.Assert;
 import org.arbutusstack.kernel.time.Clock;
@@ -11,27 +12,29 @@
 import org.arbutusstack.routing.QuarantineRule;
 
 /**
- * Applies the quarantine for content that crashes runners to requests for models, and reports to it how their attempts
- * went. Confined to the entry's event loop.
+ * Applies the quarantine for content that crashes runners to requests, and reports to it how their attempts went.
+ * Confined to the entry's event loop.
  */
 final class RequestQuarantine {
 
     private final ContentQuarantine quarantine;
 
+    private final CrashMonitor crashMonitor;
+
     private final Clock clock;
 
     private final LossHistory losses;
 
-    RequestQuarantine(ContentQuarantine quarantine, Clock clock, LossHistory losses) {
+    RequestQuarantine(ContentQuarantine quarantine, CrashMonitor crashMonitor, Clock clock, LossHistory losses) {
         this.quarantine = Assert.notNull(quarantine, "quarantine");
+        this.crashMonitor = Assert.notNull(crashMonitor, "crashMonitor");
         this.clock = Assert.notNull(clock, "clock");
         this.losses = Assert.notNull(losses, "losses");
     }
 
     /** Find the rule that keeps a request from runners, or nothing if it may be sent. */
     Optional<QuarantineRule> ruleFor(ActiveRequest active) {
-        InboundRequest request = active.request();
-        if (!request.needsModel() || !quarantine.isWatching() || active.isProbe()) {
+        if (!quarantine.isWatching() || active.isProbe()) {
             return Optional.empty();
         }
         Optional<QuarantineRule> rule = quarantine.ruleFor(active.contentKeys());
@@ -50,9 +53,12 @@
     /** Record an attempt whose connection broke; it is evidence only if the answer had not begun. */
     void attemptLost(ActiveRequest active, CurrentAttempt attempt) {
         losses.recordLost(active);
-        InboundRequest request = active.request();
-        if (request.needsModel() && !active.isOpened() && !attempt.isBegun()) {
-            attempt.runner().reportLost(clock.millisSince(attempt.sentAtNanos()), active.contentKeys());
+        if (active.isOpened() || attempt.isBegun()) {
+            return;
+        }
+        long sentAgoMillis = clock.millisSince(attempt.sentAtNanos());
+        if (!attempt.runner().reportLost(sentAgoMillis, active.contentKeys())) {
+            crashMonitor.lost(attempt.runner().entry(), sentAgoMillis, active.contentKeys());
         }
     }
 
@@ -63,11 +69,11 @@
 
     /** Record that the answer to a request began. */
     void answerBegun(ActiveRequest active) {
-        InboundRequest request = active.request();
-        if (request.needsModel()) {
-            quarantine.begun(
-                    quarantine.isWatching() ? active.contentKeys() : ContentKeys.ofParts(request.sharedParts()));
-        }
+        boolean isWatching = quarantine.isWatching();
+        quarantine.begun(
+                isWatching
+                        ? active.contentKeys()
+                        : ContentKeys.ofParts(active.request().sharedParts()));
     }
 
     /** Record that the answer to a request is complete. */
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/KnownRunner.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/KnownRunner.java
@@ -291,9 +291,10 @@
      *
      * @param sentAgoMillis how long ago the request was sent, in milliseconds
      * @param keys the keys of its content
+     * @return {@code false} if there is no side to report it to
      */
-    public void reportLost(long sentAgoMillis, List<String> keys) {
-        liveness.send(new LostRequestFrame(entry.startedAtMillis(), sentAgoMillis, keys));
+    public boolean reportLost(long sentAgoMillis, List<String> keys) {
+        return liveness.send(new LostRequestFrame(entry.startedAtMillis(), sentAgoMillis, keys));
     }
 
     /** Record that a request has ended. */
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/SideLinks.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/SideLinks.java
@@ -1,6 +1,7 @@
 package org.arbutusstack.gateway.runner;
 
 import java.net.InetSocketAddress;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -12,6 +13,7 @@
 import org.arbutusstack.gateway.config.ServedService;
 import org.arbutusstack.gateway.config.ServingConfig;
 import org.arbutusstack.kernel.Assert;
+import org.arbutusstack.kernel.digest.Digest;
 import org.arbutusstack.kernel.ring.Ring;
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.wire.frame.EngineCatalogFrame;
@@ -42,6 +44,9 @@
     /** Announced status intervals without any frame after which a link is closed. */
     private static final int MAX_MISSED_INTERVALS = 3;
 
+    /** Sides that pass on one frame, so that it arrives although one of them has just been lost. */
+    private static final int RELAYS = 2;
+
     /** Minimum time without any frame after which a link is closed; allows for opening a connection. */
     private static final long MIN_TIMEOUT_MILLIS = 1_500;
 
@@ -118,12 +123,29 @@
      *
      * @param host the address of the host
      * @param frame the frame
+     * @return {@code false} if no side is known on the host
      */
-    public void send(String host, Frame frame) {
+    public boolean send(String host, Frame frame) {
         Side side = sidesByHost.get(host);
         if (side != null && side.open) {
             side.link.send(frame);
         }
+        return side != null;
+    }
+
+    /**
+     * Send a frame to the sides that pass frames with a key on to all entries. All entries choose the same ones as long
+     * as they are linked to the same sides.
+     *
+     * @param key the key
+     * @param frame the frame
+     */
+    public void sendToRelays(String key, Frame frame) {
+        sidesByHost.values().stream()
+                .filter(side -> side.open)
+                .sorted(Comparator.comparing(side -> Digest.of(key + side.host).hex()))
+                .limit(RELAYS)
+                .forEach(side -> side.link.send(frame));
     }
 
     /** Open missing links, close unresponsive ones, and send changed catalogs. */
--- a/gateway/src/test/java/org/arbutusstack/gateway/quarantine/ContentQuarantineTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/quarantine/ContentQuarantineTests.java
@@ -32,7 +32,7 @@
         retracted = new ArrayList<>();
         prober = true;
         quarantine = new ContentQuarantine(
-                (host, frame) -> retracted.add(host + ' ' + ((StrikeFrame) frame).key()),
+                (host, frame) -> retracted.add(host + ' ' + frame.key()),
                 () -> prober,
                 clock,
                 new PrometheusRegistry());
--- /dev/null
+++ b/gateway/src/test/java/org/arbutusstack/gateway/quarantine/CrashMonitorTests.java
@@ -0,0 +1,117 @@
+package org.arbutusstack.gateway.quarantine;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.arbutusstack.gateway.quarantine.LivenessProbe.Result;
+import org.arbutusstack.gateway.runner.RunnerEntry;
+import org.arbutusstack.http.client.HttpTarget;
+import org.arbutusstack.kernel.time.ManualClock;
+import org.arbutusstack.wire.frame.StrikeFrame;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests how an entry finds out whether a backend server without a side crashed, and what it blames. */
+public class CrashMonitorTests {
+
+    private static final RunnerEntry SERVER =
+            new RunnerEntry("i-1", "orderdesk", new HttpTarget("10.0.0.1", 80), "z1", 7, 8, false, Map.of());
+
+    private ManualClock clock;
+
+    private List<StrikeFrame> strikes;
+
+    private List<Consumer<Result>> probes;
+
+    private CrashMonitor monitor;
+
+    @BeforeMethod
+    public void start() {
+        clock = new ManualClock(1_000_000_000L);
+        strikes = new ArrayList<>();
+        probes = new ArrayList<>();
+        LivenessProbe probe = (server, path, deadlineNanos, listener) -> probes.add(listener);
+        monitor = new CrashMonitor(probe, server -> "/health", strikes::add, clock, new PrometheusRegistry());
+    }
+
+    private void answer(Result result) {
+        assertEquals(probes.size(), 1, "one probe at a time");
+        probes.remove(0).accept(result);
+    }
+
+    private void advance(long millis) {
+        clock.advanceMillis(millis);
+        monitor.tick();
+    }
+
+    @Test
+    public void shouldStrikeLostContentWhenConnectionsAreRefusedTwice() {
+        monitor.lost(SERVER, 20, List.of("request:a"));
+        monitor.lost(SERVER, 10, List.of("request:b"));
+        answer(Result.REFUSED);
+        assertTrue(strikes.isEmpty());
+        advance(60);
+        answer(Result.REFUSED);
+        assertEquals(strikes.size(), 2);
+        assertTrue(strikes.stream().allMatch(strike -> strike.incident().equals("10.0.0.1:80@7")));
+        monitor.lost(SERVER, 90, List.of("request:c"));
+        assertEquals(strikes.size(), 3, "a loss that is heard of later is one of the same crash");
+    }
+
+    @Test
+    public void shouldStrikeAtOnceWhenAnotherIncarnationAnswers() {
+        monitor.lost(SERVER, 20, List.of("request:a"));
+        answer(Result.OTHER_INCARNATION);
+        assertEquals(strikes.size(), 1);
+        advance(5_000);
+        assertTrue(probes.isEmpty(), "nothing is open any more");
+    }
+
+    /** Guards against broken connections of a server that still runs being blamed on what it was sent. */
+    @Test
+    public void shouldBlameNothingWhenServerStillRuns() {
+        for (int loss = 0; loss < 10; loss++) {
+            monitor.lost(SERVER, 20, List.of("request:a"));
+            clock.advanceMillis(1);
+            answer(Result.SAME_INCARNATION);
+            advance(60);
+            if (!probes.isEmpty()) {
+                answer(Result.SAME_INCARNATION);
+            }
+        }
+        assertTrue(strikes.isEmpty());
+    }
+
+    /** Guards against a link that is cut, or a server that is busy, being taken for a crash. */
+    @Test
+    public void shouldBlameNothingWhenNothingIsHeard() {
+        monitor.lost(SERVER, 20, List.of("request:a"));
+        for (int probe = 0; probe < 40; probe++) {
+            if (!probes.isEmpty()) {
+                answer(Result.NO_ANSWER);
+            }
+            advance(400);
+        }
+        assertTrue(strikes.isEmpty());
+        assertTrue(probes.isEmpty(), "old losses are given up");
+    }
+
+    @Test
+    public void shouldRetractStrikesWhenServerThatRefusedConnectionsAnswersAgain() {
+        monitor.lost(SERVER, 20, List.of("request:a"));
+        answer(Result.REFUSED);
+        advance(60);
+        answer(Result.REFUSED);
+        advance(600);
+        answer(Result.SAME_INCARNATION);
+        assertEquals(strikes.size(), 2);
+        assertFalse(strikes.get(1).valid());
+        assertEquals(strikes.get(1).incident(), strikes.get(0).incident());
+    }
+}
--- a/gateway/src/test/java/org/arbutusstack/gateway/quarantine/QuarantineReplay.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/quarantine/QuarantineReplay.java
@@ -157,7 +157,7 @@
         }
         for (int number = 0; number < load.entries(); number++) {
             entries.add(new ContentQuarantine(
-                    (host, frame) -> after(LINK_MILLIS, () -> retract(host, (StrikeFrame) frame)),
+                    (host, frame) -> after(LINK_MILLIS, () -> retract(host, frame)),
                     () -> false,
                     clock,
                     new PrometheusRegistry()));
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/DispatcherHarness.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/DispatcherHarness.java
@@ -7,6 +7,7 @@
 import org.arbutusstack.gateway.config.Route;
 import org.arbutusstack.gateway.config.RouteKind;
 import org.arbutusstack.gateway.quarantine.ContentQuarantine;
+import org.arbutusstack.gateway.quarantine.CrashMonitor;
 import org.arbutusstack.gateway.runner.RunnerEntry;
 import org.arbutusstack.gateway.runner.RunnerTable;
 import org.arbutusstack.http.client.HttpTarget;
@@ -32,6 +33,8 @@
 
     final ContentQuarantine quarantine;
 
+    final FakeProbe probe = new FakeProbe();
+
     final RequestDispatcher dispatcher;
 
     /** The shared prompt parts of the requests that are sent. */
@@ -47,7 +50,15 @@
         PrometheusRegistry registry = new PrometheusRegistry();
         quarantine = new ContentQuarantine((host, frame) -> {}, () -> false, clock, registry);
         dispatcher = RequestDispatchers.create(
-                table, runners, FakeCaller.PORT, "regina", clock, limits, new GatewayMetrics(registry), quarantine);
+                table,
+                runners,
+                FakeCaller.PORT,
+                "regina",
+                clock,
+                limits,
+                new GatewayMetrics(registry),
+                quarantine,
+                new CrashMonitor(probe, server -> "/health", quarantine::strikeReceived, clock, registry));
     }
 
     RunnerEntry runner(String id, String service, String... models) {
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/LoadForecastTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/LoadForecastTests.java
@@ -32,7 +32,10 @@
         EngineModel model = new EngineModel(MODEL, 70_000, 12, 2_400, 1_600, 1_200);
         EngineSpec spec = new EngineSpec(8, 1_000, 230_000, 8, 2, List.of(model));
         return new ServingConfig(
-                1, List.of(), List.of(new ServedService(DispatcherHarness.ENGINE, 100, Optional.of(spec))), 1_000);
+                1,
+                List.of(),
+                List.of(new ServedService(DispatcherHarness.ENGINE, 100, "/health", Optional.of(spec))),
+                1_000);
     }
 
     private KnownRunner runner(String id, Map<String, Integer> copies, String loading) {
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/QuarantinedRequestTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/QuarantinedRequestTests.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Map;
 import org.arbutusstack.gateway.RecordingLink;
+import org.arbutusstack.gateway.config.RouteKind;
+import org.arbutusstack.gateway.quarantine.LivenessProbe;
 import org.arbutusstack.model.request.RefusalKind;
 import org.arbutusstack.model.request.RefusalReason;
 import org.arbutusstack.wire.frame.LostRequestFrame;
@@ -90,6 +92,39 @@
         assertFalse(send("bad").isAnswered());
     }
 
+    /** Guards against nobody judging the crashes of backend servers of plain services. */
+    @Test
+    public void shouldRefusePlainRequestThatCrashedThreeServersWithoutSide() {
+        for (int server = 0; server < 4; server++) {
+            harness.runner("p" + server, DispatcherHarness.PLAIN);
+        }
+        for (int crash = 0; crash < 3; crash++) {
+            harness.clock.advanceMillis(1_000);
+            harness.send(RouteKind.UNSAFE, false);
+            harness.runners.last().fail(true);
+            harness.clock.advanceMillis(10);
+            harness.probe.answer(LivenessProbe.Result.OTHER_INCARNATION);
+            harness.table.remove(harness.runners.last().runner.id());
+        }
+        int sends = harness.runners.sent.size();
+        assertEquals(harness.send(RouteKind.UNSAFE, false).refusal.reason(), RefusalReason.QUARANTINED);
+        assertEquals(harness.runners.sent.size(), sends);
+    }
+
+    /** Guards against refusing a request because connections to servers that still run broke. */
+    @Test
+    public void shouldSendPlainRequestAgainWhenServersThatLostItStillRun() {
+        harness.runner("p", DispatcherHarness.PLAIN);
+        for (int loss = 0; loss < 5; loss++) {
+            harness.clock.advanceMillis(1_000);
+            harness.send(RouteKind.UNSAFE, false);
+            harness.runners.last().fail(true);
+            harness.clock.advanceMillis(10);
+            harness.probe.answer(LivenessProbe.Result.SAME_INCARNATION);
+        }
+        assertFalse(harness.send(RouteKind.UNSAFE, false).isAnswered());
+    }
+
     private void strike(int count, String key) {
         for (int crash = 0; crash < count; crash++) {
             harness.clock.advanceMillis(100);
--- a/testkit/src/main/java/org/arbutusstack/testkit/platform/PlatformRunnerStandIn.java
+++ b/testkit/src/main/java/org/arbutusstack/testkit/platform/PlatformRunnerStandIn.java
@@ -231,8 +231,8 @@
             return;
         }
         runs.add(request);
-        boolean isHarmful = isHarmful(exchange);
-        if (isHarmful && eventsBeforeCrash == 0) {
+        boolean hasHarmfulPath = exchange.getRequestPath().equals(harmfulPath);
+        if (hasHarmfulPart(exchange) || hasHarmfulPath && eventsBeforeCrash == 0) {
             crash();
             return;
         }
@@ -244,7 +244,7 @@
         }
         String last = exchange.getRequestHeaders().getFirst("Last-Event-Id");
         ResponseStream.open(exchange, stream -> {
-            if (isHarmful) {
+            if (hasHarmfulPath) {
                 crashWithin(stream);
             } else {
                 sendEvents(stream, last == null ? 0 : Integer.parseInt(last));
@@ -262,10 +262,9 @@
                 .execute(this::crash);
     }
 
-    private boolean isHarmful(HttpServerExchange exchange) {
+    private boolean hasHarmfulPart(HttpServerExchange exchange) {
         String prompt = exchange.getRequestHeaders().getFirst("Prompt-Prefix");
-        boolean hasHarmfulPart = !harmfulPart.isEmpty() && prompt != null && prompt.contains(harmfulPart + ":");
-        return hasHarmfulPart || exchange.getRequestPath().equals(harmfulPath);
+        return !harmfulPart.isEmpty() && prompt != null && prompt.contains(harmfulPart + ":");
     }
 
     private void crash() {
