Count crashes after an answer has begun against the answer, until one is complete

What callers would see: a request whose answer crashes the runner after its first event is sent to runner after runner.

Cause: a lost attempt counted only if its answer had not begun, and an answer that began withdrew all strikes of the request. The beginning of an answer shows that reading the request is harmless, not that writing the answer is. The same class of fault as on plain services: evidence that was dropped.

Change: each request has one more key, that of its answer. Each loss strikes it, begun or not, and only a complete answer withdraws that. Prompt parts are still struck only by losses before the answer begins: many streams are in progress at a crash, and their parts are those of sound requests.

Open: a prompt part that crashes runners only after the answer has begun, in requests of which no two are alike, is not recognized.

--- a/gateway/src/main/java/org/arbutusstack/gateway/quarantine/ContentKeys.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/quarantine/ContentKeys.java
@@ -5,13 +5,21 @@
 import java.util.List;
 import org.arbutusstack.kernel.digest.Digest;
 
-/** Keys of the content of requests: one for each prompt part that requests share, and one for the whole request. */
+/**
+ * Keys of the content of requests: one for each prompt part that requests share, one for the whole request, and one for
+ * the whole answer to it.
+ *
+ * <p>That an answer begins shows that neither the parts nor the request crash a runner that reads them. Only a complete
+ * answer shows that writing it does not either, so that has a key of its own.
+ */
 public final class ContentKeys {
 
     private static final String PART_PREFIX = "part:";
 
     private static final String REQUEST_PREFIX = "request:";
 
+    private static final String ANSWER_PREFIX = "answer:";
+
     private static final int DIGEST_HEX_DIGITS = 32;
 
     private ContentKeys() {}
@@ -27,7 +35,7 @@
     }
 
     /**
-     * Return all keys of a request.
+     * Return the keys that the beginning of an answer clears.
      *
      * @param parts the identifiers of the parts of its prompt that other requests share
      * @param target the method, the path and the model that it names
@@ -40,4 +48,14 @@
         keys.add(REQUEST_PREFIX + digest.hex().substring(0, DIGEST_HEX_DIGITS));
         return List.copyOf(keys);
     }
+
+    /**
+     * Return the key that only a complete answer clears.
+     *
+     * @param requestKey the key of the whole request
+     * @return the key of the answer to it
+     */
+    public static String ofAnswer(String requestKey) {
+        return ANSWER_PREFIX + requestKey.substring(REQUEST_PREFIX.length());
+    }
 }
--- a/gateway/src/main/java/org/arbutusstack/gateway/quarantine/ContentQuarantine.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/quarantine/ContentQuarantine.java
@@ -29,8 +29,8 @@
  * Quarantine of one entry: the strikes that sides report and the rules of the persisted record, which together
  * determine which content is kept from runners.
  *
- * <p>All entries hear the same strikes, so that they come to the same rules. Content whose answer begins after a strike
- * did not cause that crash: its strikes are withdrawn, here and at all others by way of the sides that hold them.
+ * <p>All entries hear the same strikes, so that they come to the same rules. Content whose answer begins after a strike,
+ * or is complete if the strike is one of the answer, did not cause that crash: its strikes are withdrawn, here and at all others by way of the sides that hold them.
  * Confined to the entry's event loop.
  *
  * @see RunnerCrashes
@@ -178,6 +178,17 @@
         }
     }
 
+    /**
+     * Record that the answer to a request is complete.
+     *
+     * @param answerKey the key of the answer
+     */
+    public void completed(String answerKey) {
+        if (clear(answerKey)) {
+            rulesChanged();
+        }
+    }
+
     private boolean clear(String key) {
         List<Strike> cleared = strikes.clear(key);
         Set<String> hosts = new HashSet<>();
--- a/gateway/src/main/java/org/arbutusstack/gateway/quarantine/RunnerCrashes.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/quarantine/RunnerCrashes.java
@@ -15,8 +15,7 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Tracker of the crashes of one runner: joins the requests that entries lost there before their answers began, and
- * turns them into strikes once polls of the runner show that it crashed.
+ * Tracker of the crashes of one runner: joins the requests that entries lost there, and turns them into strikes once polls of the runner show that it crashed.
  *
  * <p>A broken connection alone is no crash: losses are dismissed if the same incarnation answers a poll that began
  * after them. Does no I/O; thread-safe.
@@ -30,8 +29,8 @@
 
     private static final int MAX_KEYS = 1_000;
 
-    /** Limit on the keys of one crash; several times those of the requests that an engine has not begun. */
-    private static final int MAX_KEYS_PER_CRASH = 256;
+    /** Limit on the keys of one crash; several times those of the requests that an engine holds. */
+    private static final int MAX_KEYS_PER_CRASH = 512;
 
     /** Failed polls in a row after which a runner with losses counts as crashed, though none has shown a restart. */
     private static final int FAILED_POLLS_OF_CRASH = 2;
@@ -73,7 +72,7 @@
     }
 
     /**
-     * Record a request that an entry lost before its answer began.
+     * Record a request that an entry lost before its answer was complete.
      *
      * @param frame the report of the entry
      * @return the strikes to send to all entries, if the crash of that incarnation is known already
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/ActiveRequest.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/ActiveRequest.java
@@ -1,8 +1,10 @@
 package org.arbutusstack.gateway.request;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import org.arbutusstack.gateway.quarantine.ContentKeys;
 import org.arbutusstack.gateway.runner.KnownRunner;
 import org.arbutusstack.http.server.ResponseSink;
 import org.arbutusstack.model.request.Refusal;
@@ -76,6 +78,18 @@
         return contentKeys().get(contentKeys().size() - 1);
     }
 
+    /** Return the key of the answer to the request. */
+    String answerKey() {
+        return ContentKeys.ofAnswer(requestKey());
+    }
+
+    /** Return the keys of the request's content and that of the answer to it. */
+    List<String> allKeys() {
+        List<String> keys = new ArrayList<>(contentKeys());
+        keys.add(answerKey());
+        return keys;
+    }
+
     ResponseSink response() {
         return response;
     }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestQuarantine.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestQuarantine.java
@@ -1,5 +1,6 @@
 package org.arbutusstack.gateway.request;
 
+import java.util.List;
 import java.util.Optional;
 import org.arbutusstack.gateway.quarantine.ContentKeys;
 import org.arbutusstack.gateway.quarantine.ContentQuarantine;
@@ -37,7 +38,7 @@
         if (!quarantine.isWatching() || active.isProbe()) {
             return Optional.empty();
         }
-        Optional<QuarantineRule> rule = quarantine.ruleFor(active.contentKeys());
+        Optional<QuarantineRule> rule = quarantine.ruleFor(active.allKeys());
         if (rule.isPresent() && quarantine.tryProbe(rule.get())) {
             active.markProbe();
             return Optional.empty();
@@ -50,21 +51,23 @@
         return Refusal.notRun(RefusalReason.QUARANTINED, rule.describe(clock));
     }
 
-    /** Record an attempt whose connection broke; it is evidence only if the answer had not begun. */
+    /**
+     * Record an attempt whose connection broke. If the answer had begun, the loss says nothing about the parts of the
+     * prompt, which many requests share, but still something about the answer.
+     */
     void attemptLost(ActiveRequest active, CurrentAttempt attempt) {
         losses.recordLost(active);
-        if (active.isOpened() || attempt.isBegun()) {
-            return;
-        }
+        boolean begun = active.isOpened() || attempt.isBegun();
+        List<String> keys = begun ? List.of(active.answerKey()) : active.allKeys();
         long sentAgoMillis = clock.millisSince(attempt.sentAtNanos());
-        if (!attempt.runner().reportLost(sentAgoMillis, active.contentKeys())) {
-            crashMonitor.lost(attempt.runner().entry(), sentAgoMillis, active.contentKeys());
+        if (!attempt.runner().reportLost(sentAgoMillis, keys)) {
+            crashMonitor.lost(attempt.runner().entry(), sentAgoMillis, keys);
         }
     }
 
     /** Record that an attempt is sent to a runner. */
     void attemptSent(ActiveRequest active, KnownRunner runner) {
-        losses.recordSent(active, runner, () -> quarantine.suspects(active.contentKeys()));
+        losses.recordSent(active, runner, () -> quarantine.suspects(active.allKeys()));
     }
 
     /** Record that the answer to a request began. */
@@ -79,5 +82,8 @@
     /** Record that the answer to a request is complete. */
     void answerCompleted(ActiveRequest active) {
         losses.recordAnswered(active);
+        if (quarantine.isWatching()) {
+            quarantine.completed(active.answerKey());
+        }
     }
 }
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/KnownRunner.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/KnownRunner.java
@@ -287,7 +287,7 @@
     }
 
     /**
-     * Report to the side that the connection of a request broke before its answer began.
+     * Report to the side that the connection of a request broke before its answer was complete.
      *
      * @param sentAgoMillis how long ago the request was sent, in milliseconds
      * @param keys the keys of its content
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/QuarantinedRequestTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/QuarantinedRequestTests.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import org.arbutusstack.gateway.RecordingLink;
 import org.arbutusstack.gateway.config.RouteKind;
+import org.arbutusstack.gateway.quarantine.ContentKeys;
 import org.arbutusstack.gateway.quarantine.LivenessProbe;
 import org.arbutusstack.model.request.RefusalKind;
 import org.arbutusstack.model.request.RefusalReason;
@@ -51,7 +52,7 @@
     }
 
     @Test
-    public void shouldReportLostRequestOnlyWhenItsAnswerHadNotBegun() {
+    public void shouldReportNothingButTheAnswerWhenItHadBegun() {
         send("first", "middle");
         harness.runners.last().head(200, AnswerKind.ATTESTED, true);
         harness.runners.last().fail(true);
@@ -61,10 +62,12 @@
         harness.runners.last().head(200, AnswerKind.ATTESTED, true);
         harness.runners.last().bytes("id: 1\ndata: x\n\n");
         harness.runners.last().fail(true);
-        assertEquals(reports().size(), 1);
+        assertEquals(reports().size(), 2);
+        assertEquals(reports().get(1).keys().size(), 1, "the parts did not crash it");
+        assertTrue(reports().get(0).keys().containsAll(reports().get(1).keys()), "the answer, begun or not");
         send("first");
         harness.runners.last().fail(false);
-        assertEquals(reports().size(), 1);
+        assertEquals(reports().size(), 2);
     }
 
     @Test
@@ -125,10 +128,52 @@
         assertFalse(harness.send(RouteKind.UNSAFE, false).isAnswered());
     }
 
+    /** Guards against a crash after the first event being taken for a sign that the request is sound. */
+    @Test
+    public void shouldRefuseRequestWhoseAnswerCrashedThreeRunnersAfterItHadBegun() {
+        FakeCaller completed = send("first");
+        begin(harness.runners.last());
+        harness.runners.last().end();
+        assertTrue(completed.isAnswered());
+        for (int crash = 0; crash < 3; crash++) {
+            send("first");
+            begin(harness.runners.last());
+            harness.runners.last().fail(true);
+            strike(1, answerKeyOf(reports().get(crash)));
+        }
+        assertEquals(send("first").refusal.reason(), RefusalReason.QUARANTINED);
+    }
+
+    /** Guards against refusing a request that is answered in full in spite of earlier crashes. */
+    @Test
+    public void shouldSendAgainWhenAnswerWasCompletedAfterCrashes() {
+        FakeCaller sentBefore = send("first");
+        FakeRunners.Sent attempt = harness.runners.last();
+        begin(attempt);
+        String key = ContentKeys.ofAnswer(
+                ContentKeys.ofRequest(List.of(), "POST /p/x\nm1/", new byte[0]).get(0));
+        strike(3, key);
+        assertEquals(send("first").refusal.reason(), RefusalReason.QUARANTINED);
+        attempt.end();
+        assertTrue(sentBefore.isAnswered());
+        assertFalse(send("first").isAnswered());
+    }
+
+    private static void begin(FakeRunners.Sent attempt) {
+        attempt.head(200, AnswerKind.ATTESTED, true);
+        attempt.bytes("id: 1\ndata: x\n\n");
+    }
+
+    private static String answerKeyOf(LostRequestFrame report) {
+        assertEquals(report.keys().size(), 1);
+        return report.keys().get(0);
+    }
+
     private void strike(int count, String key) {
         for (int crash = 0; crash < count; crash++) {
             harness.clock.advanceMillis(100);
-            harness.quarantine.strikeReceived(new StrikeFrame(key, "h " + crash, true, 60_000, 20, 5));
+            harness.quarantine.strikeReceived(
+                    new StrikeFrame(key, "h " + harness.clock.nowNanos(), true, 60_000, 20, 5));
         }
     }
 }
--- a/wire/src/main/java/org/arbutusstack/wire/frame/LostRequestFrame.java
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/LostRequestFrame.java
@@ -6,7 +6,8 @@
 import org.msgpack.core.MessageUnpacker;
 
 /**
- * Frame that reports to the process beside a runner that the connection of a request broke before its answer began.
+ * Frame that reports to the process beside a runner that the connection of a request broke before its answer was
+ * complete.
  *
  * @param startedAtMillis when the runner started, in Unix milliseconds; identifies its incarnation
  * @param sentAgoMillis how long ago the request was sent, in milliseconds
