Evict strikes that do not count once the memory for a key is full

Content in flight on sixteen or more servers that were lost at once (a zone) could then crash servers one by one without ever being refused.

ContentQuarantineTests, RunnerCrashesTests and the loads of CrashingContentReplayTests stay green.

--- a/routing/src/main/java/org/arbutusstack/routing/StrikeRegistry.java
+++ b/routing/src/main/java/org/arbutusstack/routing/StrikeRegistry.java
@@ -81,11 +81,14 @@
      * Add a strike.
      *
      * @param strike the strike to add
-     * @return {@code false} if the strike was known, or the content is refused anyway and no more strikes are kept
+     * @return {@code false} if the strike was known, or other strikes are kept in its place
      */
     public boolean add(Strike strike) {
         Map<String, Strike> strikes = strikesByKey.computeIfAbsent(strike.key(), key -> new LinkedHashMap<>());
-        boolean isNew = strikes.size() < MAX_STRIKES_PER_KEY && strikes.putIfAbsent(strike.incident(), strike) == null;
+        boolean isNew = strikes.putIfAbsent(strike.incident(), strike) == null;
+        if (strikes.size() > MAX_STRIKES_PER_KEY) {
+            isNew = !evictStrike(strikes).equals(strike);
+        }
         if (strikesByKey.size() > maxKeys) {
             strikesRemoved(strikesByKey.keySet().iterator().next(), Map.of());
         }
--- a/routing/src/test/java/org/arbutusstack/routing/StrikeRegistryTests.java
+++ b/routing/src/test/java/org/arbutusstack/routing/StrikeRegistryTests.java
@@ -79,6 +79,19 @@
         assertFalse(registry.isRefused("p", 200));
     }
 
+    /** Guards against the losses of a whole site filling the memory for content that crashes engines afterwards. */
+    @Test
+    public void shouldRefuseSharedContentThatCrashesEnginesAfterManyWereLostAtOnce() {
+        StrikeRegistry registry = sharedContent();
+        for (int engine = 0; engine < 40; engine++) {
+            registry.add(new Strike("p", "together" + engine, 90, 100 + engine, 10_000));
+        }
+        strike(registry, "p", 300);
+        assertFalse(registry.isRefused("p", 400));
+        strike(registry, "p", 500);
+        assertTrue(registry.isRefused("p", 600));
+    }
+
     /** Guards against content that was twice beside the harmful content being refused with it. */
     @Test
     public void shouldNotRefuseContentWhoseLossesOtherContentExplains() {
