Count crashes by copies of one request separately when they are a while apart

Cause: a strike counted only if its request was sent after the loss that counted before. Four copies of one request crashed four servers at 4.630, 4.676, 4.705 and 4.731 s, all sent before 4.676, so that only two crashes counted, and the rule came with the next crash, when all servers were back at 8.09 s.

Change: for the keys of one request, and only for these, losses at least 20 ms apart count separately: copies of one request at several engines are rare, and one cause that ends many engines is noticed within less. Prompt parts keep the old condition, since shared content is always in flight somewhere. The keys move to routing, which now has to know which of them is of one request.

Evidence: StrikeRegistryTests, copies 26 ms apart, red before (expected refused), green now; eight engines lost within 14 ms refuse nothing.

--- a/gateway/src/main/java/org/arbutusstack/gateway/quarantine/ContentQuarantine.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/quarantine/ContentQuarantine.java
@@ -29,9 +29,9 @@
  * Quarantine of one entry: the strikes that sides report and the rules of the persisted record, which together
  * determine which content is kept from runners.
  *
- * <p>All entries hear the same strikes, so that they come to the same rules. Content whose answer begins after a strike,
- * or is complete if the strike is one of the answer, did not cause that crash: its strikes are withdrawn, here and at all others by way of the sides that hold them.
- * Confined to the entry's event loop.
+ * <p>All entries hear the same strikes, so that they come to the same rules. Content whose answer begins after a strike
+ * did not cause that crash, nor does an answer that is complete after it; such strikes are withdrawn, here and at all
+ * others by way of the sides that hold them. Confined to the entry's event loop.
  *
  * @see RunnerCrashes
  */
--- a/gateway/src/main/java/org/arbutusstack/gateway/quarantine/RunnerCrashes.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/quarantine/RunnerCrashes.java
@@ -15,7 +15,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Tracker of the crashes of one runner: joins the requests that entries lost there, and turns them into strikes once polls of the runner show that it crashed.
+ * Tracker of the crashes of one runner: joins the requests that entries lost there, and turns them into strikes once
+ * polls of the runner show that it crashed.
  *
  * <p>A broken connection alone is no crash: losses are dismissed if the same incarnation answers a poll that began
  * after them. Does no I/O; thread-safe.
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/ActiveRequest.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/ActiveRequest.java
@@ -4,11 +4,11 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import org.arbutusstack.gateway.quarantine.ContentKeys;
 import org.arbutusstack.gateway.runner.KnownRunner;
 import org.arbutusstack.http.server.ResponseSink;
 import org.arbutusstack.model.request.Refusal;
 import org.arbutusstack.model.request.RefusalKind;
+import org.arbutusstack.routing.ContentKeys;
 
 /** A request in flight and the state of its attempts. Confined to the entry's event loop. */
 final class ActiveRequest {
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/InboundRequest.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/InboundRequest.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import org.arbutusstack.gateway.config.Route;
-import org.arbutusstack.gateway.quarantine.ContentKeys;
+import org.arbutusstack.routing.ContentKeys;
 
 /**
  * A request of a caller, as decoded on entry. Immutable.
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestQuarantine.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestQuarantine.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Optional;
-import org.arbutusstack.gateway.quarantine.ContentKeys;
 import org.arbutusstack.gateway.quarantine.ContentQuarantine;
 import org.arbutusstack.gateway.quarantine.CrashMonitor;
 import org.arbutusstack.gateway.runner.KnownRunner;
@@ -10,6 +9,7 @@
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.model.request.Refusal;
 import org.arbutusstack.model.request.RefusalReason;
+import org.arbutusstack.routing.ContentKeys;
 import org.arbutusstack.routing.QuarantineRule;
 
 /**
--- a/gateway/src/main/java/org/arbutusstack/gateway/quarantine/ContentKeys.java
+++ b/routing/src/main/java/org/arbutusstack/routing/ContentKeys.java
@@ -1,4 +1,4 @@
-package org.arbutusstack.gateway.quarantine;
+package org.arbutusstack.routing;
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -49,6 +49,16 @@
         return List.copyOf(keys);
     }
 
+    /**
+     * Return whether a key is that of one request rather than of content that many requests share.
+     *
+     * @param key the key
+     * @return whether only repeats of the request have the key
+     */
+    static boolean isOfOneRequest(String key) {
+        return key.startsWith(REQUEST_PREFIX) || key.startsWith(ANSWER_PREFIX);
+    }
+
     /**
      * Return the key that only a complete answer clears.
      *
--- a/routing/src/main/java/org/arbutusstack/routing/Strike.java
+++ b/routing/src/main/java/org/arbutusstack/routing/Strike.java
@@ -15,6 +15,9 @@
  */
 public record Strike(String key, String incident, long sentAtNanos, long struckAtNanos, long expiresAtNanos) {
 
+    /** Time within which the losses of engines that one cause ends together are noticed, in nanoseconds. */
+    private static final long SIMULTANEOUS_LOSS_NANOS = 20_000_000;
+
     /** Validate the strike. */
     public Strike {
         Assert.hasText(key, "key");
@@ -31,6 +34,22 @@
         return sentAtNanos - earlier.struckAtNanos > 0;
     }
 
+    /**
+     * Return whether the loss of this strike was not the one of another strike, so that both together say more about
+     * the content than one does.
+     *
+     * <p>Copies of one request that are in flight at several engines are rare, so that losses a while apart suffice.
+     * Content that many requests share is always in flight somewhere; its request must have been sent after the other
+     * loss.
+     *
+     * @param earlier the other strike
+     * @return whether the losses count separately
+     */
+    boolean isSeparateFrom(Strike earlier) {
+        boolean apart = struckAtNanos - earlier.struckAtNanos >= SIMULTANEOUS_LOSS_NANOS;
+        return isSentAfter(earlier) || apart && ContentKeys.isOfOneRequest(key);
+    }
+
     /**
      * Create the strike that another process reports.
      *
--- a/routing/src/main/java/org/arbutusstack/routing/StrikePolicy.java
+++ b/routing/src/main/java/org/arbutusstack/routing/StrikePolicy.java
@@ -20,7 +20,7 @@
 
     /**
      * Keys identify content that many requests have in common and that runs beside other content. A strike counts only
-     * if its request was sent after the loss that counted before: requests that were in flight together when several
+     * if its loss is separate from the one that counted before: requests that were in flight together when several
      * engines were lost at once say nothing about their content.
      */
     SHARED_CONTENT(3) {
@@ -32,7 +32,7 @@
             List<Strike> counted = new ArrayList<>();
             for (Strike strike : ordered) {
                 boolean isFirst = counted.isEmpty();
-                if (isFirst || strike.isSentAfter(counted.get(counted.size() - 1))) {
+                if (isFirst || strike.isSeparateFrom(counted.get(counted.size() - 1))) {
                     counted.add(strike);
                 }
             }
--- a/routing/src/test/java/org/arbutusstack/routing/StrikeRegistryTests.java
+++ b/routing/src/test/java/org/arbutusstack/routing/StrikeRegistryTests.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.util.List;
 import java.util.Set;
 import org.testng.annotations.Test;
 
@@ -79,6 +80,31 @@
         assertFalse(registry.isRefused("p", 200));
     }
 
+    /** Guards against copies of a request that crash engines side by side counting as one crash. */
+    @Test
+    public void shouldRefuseRequestWhoseCopiesCrashedEnginesShortlyAfterEachOther() {
+        StrikeRegistry registry = sharedContent();
+        for (long engine = 0; engine < 3; engine++) {
+            long struckAtNanos = 100_000_000 + engine * 26_000_000;
+            for (String key : List.of("request:a", "part:a")) {
+                registry.add(new Strike(key, "loss" + engine, 90_000_000, struckAtNanos, 10_000_000_000L));
+            }
+        }
+        assertTrue(registry.isRefused("request:a", 200_000_000));
+        assertFalse(registry.isRefused("part:a", 200_000_000), "shared content is always in flight somewhere");
+    }
+
+    /** Guards against a request that all engines ran when a power failure ended them being refused. */
+    @Test
+    public void shouldNotRefuseRequestWhenEnginesThatRanItsCopiesAreLostTogether() {
+        StrikeRegistry registry = sharedContent();
+        for (long engine = 0; engine < 8; engine++) {
+            long struckAtNanos = 100_000_000 + engine * 2_000_000;
+            registry.add(new Strike("request:a", "loss" + engine, 90_000_000, struckAtNanos, 10_000_000_000L));
+        }
+        assertFalse(registry.isRefused("request:a", 200_000_000));
+    }
+
     /** Guards against the losses of a whole site filling the memory for content that crashes engines afterwards. */
     @Test
     public void shouldRefuseSharedContentThatCrashesEnginesAfterManyWereLostAtOnce() {
