Decode and log the limits that runners name in their answers

limit-named and limit-ended give the runner, the requests a second, what this entry had sent meanwhile and the age of its knowledge; arbutus_gateway_limited_sends_total counts sends to runners with a limit. A value that is no positive number is logged. No decision changes; tests of decoders, dispatcher and runners pass.

--- a/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerHead.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerHead.java
@@ -1,6 +1,7 @@
 package org.arbutusstack.gateway.request;
 
 import java.util.Map;
+import org.arbutusstack.gateway.runner.RunnerNotice;
 
 /**
  * Status and headers of a runner's answer.
@@ -10,9 +11,15 @@
  * @param answerKind the kind of the answer
  * @param framed whether the end of the body is marked by its length or chunks rather than by the end of the connection
  * @param eventStream whether the body is an event stream
+ * @param notice what the runner says about itself
  */
 public record AnswerHead(
-        int status, Map<String, String> headers, AnswerKind answerKind, boolean framed, boolean eventStream) {
+        int status,
+        Map<String, String> headers,
+        AnswerKind answerKind,
+        boolean framed,
+        boolean eventStream,
+        RunnerNotice notice) {
 
     private static final int OK = 200;
 
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerKind.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerKind.java
@@ -15,5 +15,10 @@
     OTHER_INCARNATION,
 
     /** Nothing shows that this is the runner's answer to the request. */
-    UNATTESTED
+    UNATTESTED;
+
+    /** Return whether the answer certainly comes from the runner that the request was sent to. */
+    boolean isOfRunner() {
+        return this == ATTESTED || this == NOT_RUN || this == NOT_HELD;
+    }
 }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/CurrentAttempt.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/CurrentAttempt.java
@@ -121,6 +121,9 @@
         if (isCurrent()) {
             runner.recordLiveness();
             head = answered;
+            if (answered.answerKind().isOfRunner()) {
+                runner.limit().record(answered.notice().requestsPerSecond(), sentAtNanos);
+            }
             relay.headReceived(owner, this);
         }
     }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/GatewayMetrics.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/GatewayMetrics.java
@@ -22,6 +22,8 @@
 
     private final Counter lostContentSent;
 
+    private final Counter limitedSends;
+
     private final Counter badInput;
 
     private final Histogram firstByte;
@@ -56,6 +58,11 @@
                 .help("attempts of requests with the same content as one that was lost before, by service")
                 .labelNames(SERVICE)
                 .register(registry);
+        limitedSends = Counter.builder()
+                .name("arbutus_gateway_limited_sends_total")
+                .help("requests sent to runners that have named a limit, by service")
+                .labelNames(SERVICE)
+                .register(registry);
         badInput = Counter.builder()
                 .name("arbutus_gateway_bad_input_total")
                 .help("requests refused before they were routed, by reason")
@@ -99,6 +106,10 @@
         lost.labelValues(request.service(), Boolean.toString(begun)).inc();
     }
 
+    void countLimitedSend(InboundRequest request) {
+        limitedSends.labelValues(request.service()).inc();
+    }
+
     void countLostContentSent(InboundRequest request) {
         lostContentSent.labelValues(request.service()).inc();
     }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatcher.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatcher.java
@@ -211,6 +211,9 @@
         }
         log.sent(active, runner);
         quarantine.attemptSent(active, runner);
+        if (runner.limit().isActive()) {
+            metrics.countLimitedSend(request);
+        }
         String lastEventId = active.isOpened() ? active.events().lastEventId() : "";
         boolean sentBefore = active.hasFailedOn(runner.entry().id());
         attempt.handle(
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import org.arbutusstack.gateway.runner.KnownRunner;
+import org.arbutusstack.gateway.runner.RunnerEntry;
 import org.arbutusstack.gateway.runner.RunnerTable;
 import org.arbutusstack.kernel.Assert;
 import org.arbutusstack.kernel.time.Clock;
@@ -110,7 +111,7 @@
         RoutingRequest needs = new RoutingRequest(
                 request.service(),
                 request.model(),
-                KnownRunner.adapterKey(request.model(), request.adapter()),
+                RunnerEntry.adapterKey(request.model(), request.adapter()),
                 request.prefixHash());
         List<RunnerView> pair = engineSelector.candidates(needs, request.id().hashCode(), views(candidates));
         if (pair.isEmpty()) {
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/KnownRunner.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/KnownRunner.java
@@ -29,6 +29,8 @@
 
     private final RunnerSpeed speed = new RunnerSpeed(this);
 
+    private final RunnerLimit limit;
+
     private final UnreadPrompts prompts;
 
     private RunnerEntry entry;
@@ -56,6 +58,7 @@
         this.clock = clock;
         this.liveness = new HostLiveness(clock);
         this.prompts = new UnreadPrompts(clock);
+        this.limit = new RunnerLimit(entry, clock);
         this.outcomes = new RunnerOutcomes(this, liveness, clock);
         this.statusExpiresAtNanos = clock.nowNanos();
         entry(entry);
@@ -137,12 +140,12 @@
         if (hasStatus()) {
             for (RunnerStatusFrame.HeldModel model : status.models()) {
                 heldModels.add(model.name());
-                model.adapters().forEach(adapter -> heldAdapters.add(adapterKey(model.name(), adapter)));
+                model.adapters().forEach(adapter -> heldAdapters.add(RunnerEntry.adapterKey(model.name(), adapter)));
             }
         } else {
             for (Map.Entry<String, Set<String>> model : entry.adaptersByModel().entrySet()) {
                 heldModels.add(model.getKey());
-                model.getValue().forEach(adapter -> heldAdapters.add(adapterKey(model.getKey(), adapter)));
+                model.getValue().forEach(adapter -> heldAdapters.add(RunnerEntry.adapterKey(model.getKey(), adapter)));
             }
         }
         models = Set.copyOf(heldModels);
@@ -150,17 +153,6 @@
         holdingsCorrected = false;
     }
 
-    /**
-     * Return the key that identifies an adapter across models.
-     *
-     * @param model the name of the model
-     * @param adapter the name of the adapter; empty for none
-     * @return model and adapter joined by a slash; empty if there is no adapter
-     */
-    public static String adapterKey(String model, String adapter) {
-        return adapter.isEmpty() ? "" : model + '/' + adapter;
-    }
-
     /**
      * Return whether the last status of the side is still valid.
      *
@@ -188,7 +180,7 @@
     public void markNotHeld(String model, String adapter) {
         holdingsCorrected = true;
         Set<String> remaining = new HashSet<>(adapter.isEmpty() ? models : adapters);
-        remaining.remove(adapter.isEmpty() ? model : adapterKey(model, adapter));
+        remaining.remove(adapter.isEmpty() ? model : RunnerEntry.adapterKey(model, adapter));
         if (adapter.isEmpty()) {
             models = Set.copyOf(remaining);
         } else {
@@ -206,6 +198,15 @@
         return !removed && !entry.leaving() && statusAllows && !isHostUnresponsive();
     }
 
+    /**
+     * Return the limit on requests that the runner names in its answers.
+     *
+     * @return the limit as this entry knows it
+     */
+    public RunnerLimit limit() {
+        return limit;
+    }
+
     /** Record that the runner or its side has sent something. */
     public void recordLiveness() {
         liveness.recordLiveness();
@@ -277,6 +278,7 @@
      */
     public void recordSent(int promptTokens) {
         outcomes.recordSent();
+        limit.recordSent();
         outstanding++;
         sentSinceStatus++;
         if (promptTokens > 0) {
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/RunnerEntry.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/RunnerEntry.java
@@ -44,4 +44,15 @@
     public boolean isSameIncarnation(RunnerEntry other) {
         return id.equals(other.id) && startedAtMillis == other.startedAtMillis && address.equals(other.address);
     }
+
+    /**
+     * Return the key that identifies an adapter across models.
+     *
+     * @param model the name of the model
+     * @param adapter the name of the adapter; empty for none
+     * @return model and adapter joined by a slash; empty if there is no adapter
+     */
+    public static String adapterKey(String model, String adapter) {
+        return adapter.isEmpty() ? "" : model + '/' + adapter;
+    }
 }
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/FakeRunners.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/FakeRunners.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import org.arbutusstack.gateway.runner.RunnerEntry;
+import org.arbutusstack.gateway.runner.RunnerNotice;
 
 /** Records the attempts sent to runners and lets a test answer them. */
 final class FakeRunners implements RunnerPort {
@@ -48,6 +49,9 @@
 
         boolean cancelled;
 
+        /** What the runner says about itself in its answer. */
+        RunnerNotice notice = RunnerNotice.NONE;
+
         Sent(RunnerEntry runner, InboundRequest request, String lastEventId, AnswerListener listener) {
             this.runner = runner;
             this.request = request;
@@ -56,11 +60,11 @@
         }
 
         void head(int status, AnswerKind kind, boolean eventStream) {
-            listener.onHead(new AnswerHead(status, Map.of("Response-Seal", "s"), kind, true, eventStream));
+            listener.onHead(new AnswerHead(status, Map.of("Response-Seal", "s"), kind, true, eventStream, notice));
         }
 
         void unframedHead() {
-            listener.onHead(new AnswerHead(200, Map.of(), AnswerKind.ATTESTED, false, true));
+            listener.onHead(new AnswerHead(200, Map.of(), AnswerKind.ATTESTED, false, true, notice));
         }
 
         void bytes(String text) {
