--- a/testkit/src/main/java/org/arbutusstack/testkit/platform/PlatformRunnerStandIn.java
+++ b/testkit/src/main/java/org/arbutusstack/testkit/platform/PlatformRunnerStandIn.java
@@ -65,6 +65,11 @@
 
     private volatile int eventsBeforeCrash;
 
+    /** Header that the runner adds to all its answers; empty for none. */
+    private volatile String noticeHeader = "";
+
+    private volatile String noticeValue = "";
+
     private volatile Runnable crashListener = () -> {};
 
     /**
@@ -128,6 +133,17 @@
         harmfulPath = path;
     }
 
+    /**
+     * Add a header to all answers from now on.
+     *
+     * @param header the name of the header; empty for none
+     * @param value its value
+     */
+    public void notice(String header, String value) {
+        noticeValue = value;
+        noticeHeader = header;
+    }
+
     /**
      * Return the requests that the runner has begun to execute.
      *
@@ -220,6 +236,9 @@
         String target = exchange.getRequestHeaders().getFirst("Target-Instance");
         String request = exchange.getRequestHeaders().getFirst(REQUEST_ID);
         exchange.getResponseHeaders().put(REQUEST_ID, request);
+        if (!noticeHeader.isEmpty()) {
+            exchange.getResponseHeaders().put(new HttpString(noticeHeader), noticeValue);
+        }
         if (fault == RunnerFault.OTHER_INCARNATION || !id.equals(target)) {
             exchange.getResponseHeaders().put(INSTANCE_ID, id + "-other");
             Responses.text(exchange, MISDIRECTED, "");
