Keep the limits that backend servers name, at all entries together

Cause: nobody read the limit; it was passed on to callers with the other headers. Class of fault: a limit of the fleet that no process accounts for (the retry budget and the pace of loads have their shares, this one had none).

Change: once an answer has named a limit, an entry needs a permit for each request to that server. One side grants the permits of a server to all entries from one bucket (0.95 of the limit, at most a quarter of a second saved up): the side beside it, or for a plain service one that all entries choose alike. Servers without a limit and permits in hand are used first; if all servers of a request limit it, it waits for a permit that may be free in time, else it is refused at once with not run. A limit ends with an answer that comes without it to a request sent after it was named last. While no side answers, each entry takes one request in a slot of its own in a period that all share.

Weighed: equal shares always (unequal traffic leaves most of the limit unused); the side refusing in its status only (entries that ask at the same moment would all see it free).

--- /dev/null
+++ b/gateway/src/main/java/org/arbutusstack/gateway/agent/PermitAllocator.java
@@ -0,0 +1,65 @@
+package org.arbutusstack.gateway.agent;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.arbutusstack.kernel.Assert;
+import org.arbutusstack.kernel.time.Clock;
+import org.arbutusstack.wire.frame.PermitFrame;
+import org.arbutusstack.wire.frame.PermitRequestFrame;
+
+/**
+ * Allocator of the permits to send requests to backend servers that limit them: one bucket for each server, from which
+ * all entries take, so that the limit binds them together however unequal their traffic is.
+ *
+ * <p>A permit that an entry does not use is lost, which keeps the server below its limit. Does no I/O; thread-safe.
+ */
+final class PermitAllocator {
+
+    /** Limit on the servers with a bucket; the one that was asked for least recently is evicted first. */
+    private static final int MAX_SERVERS = 1_024;
+
+    /** Share of the limit that is given out, so that permits used late do not exceed it. */
+    private static final double USABLE_SHARE = 0.95;
+
+    /** Time over which unused permits accumulate, in milliseconds; at least one permit is always kept. */
+    private static final double MAX_ACCUMULATION_MILLIS = 250;
+
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    private final Clock clock;
+
+    private final Map<String, Bucket> buckets = new LinkedHashMap<>(16, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Bucket> eldest) {
+            return size() > MAX_SERVERS;
+        }
+    };
+
+    PermitAllocator(Clock clock) {
+        this.clock = Assert.notNull(clock, "clock");
+    }
+
+    /** Grant a permit, or return the time after which one may be free. */
+    synchronized PermitFrame request(PermitRequestFrame request) {
+        double perMilli = request.requestsPerSecond() * USABLE_SHARE / MILLIS_PER_SECOND;
+        long nowNanos = clock.nowNanos();
+        Bucket before = buckets.getOrDefault(request.server(), new Bucket(1, nowNanos));
+        double elapsedMillis = (nowNanos - before.updatedAtNanos()) / (double) Clock.NANOS_PER_MILLI;
+        double capacity = Math.max(1, perMilli * MAX_ACCUMULATION_MILLIS);
+        double permits = Math.min(capacity, before.permits() + elapsedMillis * perMilli);
+        boolean granted = permits >= 1;
+        buckets.put(request.server(), new Bucket(granted ? permits - 1 : permits, nowNanos));
+        long waitMillis = granted ? 0 : Math.max(1, (long) Math.ceil((1 - permits) / perMilli));
+        return new PermitFrame(request.server(), waitMillis);
+    }
+
+    /**
+     * Permits of one server.
+     *
+     * @param permits the permits that can be granted, of which a fraction is not complete yet
+     * @param updatedAtNanos when they were counted
+     */
+    private record Bucket(double permits, long updatedAtNanos) {}
+}
--- a/gateway/src/main/java/org/arbutusstack/gateway/agent/RunnerAgent.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/agent/RunnerAgent.java
@@ -1,10 +1,8 @@
 package org.arbutusstack.gateway.agent;
 
-import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.net.InetSocketAddress;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -24,6 +22,8 @@
 import org.arbutusstack.wire.frame.Frame;
 import org.arbutusstack.wire.frame.LostRequestFrame;
 import org.arbutusstack.wire.frame.ModelOrderFrame;
+import org.arbutusstack.wire.frame.PermitFrame;
+import org.arbutusstack.wire.frame.PermitRequestFrame;
 import org.arbutusstack.wire.frame.RequestSentFrame;
 import org.arbutusstack.wire.frame.RunnerOutcomeFrame;
 import org.arbutusstack.wire.frame.RunnerStatusFrame;
@@ -95,9 +95,9 @@
 
     private final Thread thread;
 
-    private final Counter orders;
+    private final PermitAllocator permits;
 
-    private final Counter restarts;
+    private final AgentMetrics metrics;
 
     private volatile boolean running;
 
@@ -112,14 +112,14 @@
      * @param transport accepts the links of entries
      * @param address the address on which links are accepted
      * @param clock the clock of the process
-     * @param metrics the registry of the process's metrics
+     * @param registry the registry of the process's metrics
      */
     public RunnerAgent(
             ManagedRunner runner,
             LinkTransport transport,
             InetSocketAddress address,
             Clock clock,
-            PrometheusRegistry metrics) {
+            PrometheusRegistry registry) {
         this.runner = Assert.notNull(runner, "runner");
         this.transport = Assert.notNull(transport, "transport");
         this.address = Assert.notNull(address, "address");
@@ -129,15 +129,8 @@
         this.health = new SharedHealth(clock);
         this.crashes = new RunnerCrashes(address.getHostString(), clock);
         this.prompts = new PromptWindow(clock);
-        this.orders = Counter.builder()
-                .name("arbutus_attendant_orders_total")
-                .help("orders given to the runner by outcome")
-                .labelNames("outcome")
-                .register(metrics);
-        this.restarts = Counter.builder()
-                .name("arbutus_attendant_runner_restarts_total")
-                .help("restarts of the runner seen since this process started")
-                .register(metrics);
+        this.permits = new PermitAllocator(clock);
+        this.metrics = new AgentMetrics(registry);
         this.thread = new Thread(this::run, "attendant");
         this.thread.setDaemon(true);
     }
@@ -282,7 +275,7 @@
     private boolean issue(RunnerOrder order, RunnerState state) {
         OrderOutcome outcome = runner.order(order);
         issuer.recordOutcome(order, outcome, state);
-        orders.labelValues(outcome.name().toLowerCase(Locale.ROOT)).inc();
+        metrics.countOrder(outcome);
         logger.info(
                 "event=order load={} model={} adapter={} expected={} outcome={}",
                 order.load(),
@@ -296,7 +289,7 @@
     private void publish(RunnerState state) {
         if (lastStatus != null && lastStatus.startedAtMillis() != state.startedAtMillis()) {
             health.clearSuspicion();
-            restarts.inc();
+            metrics.countRestart();
             logger.info(
                     "event=runner-restarted started_at={} previous={}",
                     state.startedAtMillis(),
@@ -370,6 +363,12 @@
                 answerStatusRequest(link);
                 return;
             }
+            if (frame instanceof PermitRequestFrame request) {
+                PermitFrame answer = permits.request(request);
+                metrics.countPermit(answer.isGranted());
+                link.send(answer);
+                return;
+            }
             if (frame instanceof RequestSentFrame request) {
                 recordSent(request);
                 return;
--- a/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
@@ -17,6 +17,7 @@
 import org.arbutusstack.gateway.request.RequestDispatcher;
 import org.arbutusstack.gateway.request.RequestDispatchers;
 import org.arbutusstack.gateway.runner.KnownRunner;
+import org.arbutusstack.gateway.runner.PermitClient;
 import org.arbutusstack.gateway.runner.RunnerEntry;
 import org.arbutusstack.gateway.runner.RunnerTable;
 import org.arbutusstack.gateway.runner.SideLinks;
@@ -24,6 +25,8 @@
 import org.arbutusstack.kernel.service.Service;
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.placement.FleetPlanner;
+import org.arbutusstack.wire.frame.Frame;
+import org.arbutusstack.wire.frame.PermitFrame;
 import org.arbutusstack.wire.frame.StrikeFrame;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -69,6 +72,8 @@
 
     private final CrashMonitor crashMonitor;
 
+    private final PermitClient permits;
+
     private final RequestDispatcher dispatcher;
 
     private final SideLinks sides;
@@ -101,6 +106,9 @@
         this.quarantine = new ContentQuarantine(this::sendToSide, this::isPlanning, clock, dependencies.metrics());
         this.crashMonitor =
                 new CrashMonitor(dependencies.probe(), this::healthPathOf, this::struck, clock, dependencies.metrics());
+        this.permits = new PermitClient(dependencies.name(), runners, this::sendToAccountant, () -> sideLinks()
+                .entryCount()
+                .entries());
         this.dispatcher = RequestDispatchers.create(
                 runners,
                 dependencies.runners(),
@@ -110,7 +118,8 @@
                 dependencies.retries(),
                 metrics,
                 quarantine,
-                crashMonitor);
+                crashMonitor,
+                permits);
         this.sides = new SideLinks(
                 dependencies.transport(),
                 dependencies.sidePort(),
@@ -118,7 +127,7 @@
                 dependencies.loop(),
                 clock,
                 dispatcher::runnerChanged,
-                quarantine::strikeReceived);
+                this::frameReceived);
         this.identity = dependencies.address() + ":" + dependencies.entryPort() + " " + UUID.randomUUID();
         this.election = new PlannerElection(dependencies.store(), identity, clock);
         this.planner = new ModelPlanner(
@@ -153,6 +162,22 @@
         dependencies.transport().stop();
     }
 
+    private SideLinks sideLinks() {
+        return sides;
+    }
+
+    private boolean sendToAccountant(RunnerEntry runner, Frame frame) {
+        return sides.sendToAccountant(runner, frame);
+    }
+
+    private void frameReceived(Frame frame) {
+        if (frame instanceof StrikeFrame strike) {
+            quarantine.strikeReceived(strike);
+        } else if (frame instanceof PermitFrame permit && permits.received(permit)) {
+            dispatcher.runnersChanged();
+        }
+    }
+
     private void sendToSide(String host, StrikeFrame frame) {
         if (!sides.send(host, frame)) {
             sides.sendToRelays(frame.key(), frame);
@@ -181,6 +206,7 @@
         dispatcher.entries(sides.entryCount().entries());
         dispatcher.tick();
         crashMonitor.tick();
+        permits.tick();
     }
 
     private void plan() {
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/DeferredCallers.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/DeferredCallers.java
@@ -31,9 +31,11 @@
         add(request, retryAfterMillis, new ModelRequestCount(1, 1));
     }
 
-    /** Add a caller that was refused since all runners that hold its model are at capacity. */
+    /** Add a caller that was refused since all runners that can serve it are at capacity, if it needs a model. */
     void addRefusedAtCapacity(InboundRequest request, long retryAfterMillis) {
-        add(request, retryAfterMillis, new ModelRequestCount(1, 0));
+        if (request.needsModel()) {
+            add(request, retryAfterMillis, new ModelRequestCount(1, 0));
+        }
     }
 
     private void add(InboundRequest request, long retryAfterMillis, ModelRequestCount requestCount) {
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/GatewayMetrics.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/GatewayMetrics.java
@@ -106,8 +106,10 @@
         lost.labelValues(request.service(), Boolean.toString(begun)).inc();
     }
 
-    void countLimitedSend(InboundRequest request) {
-        limitedSends.labelValues(request.service()).inc();
+    void countSend(InboundRequest request, boolean isLimited) {
+        if (isLimited) {
+            limitedSends.labelValues(request.service()).inc();
+        }
     }
 
     void countLostContentSent(InboundRequest request) {
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatcher.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatcher.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import org.arbutusstack.gateway.config.ServingConfig;
 import org.arbutusstack.gateway.runner.KnownRunner;
+import org.arbutusstack.gateway.runner.PermitClient;
 import org.arbutusstack.http.server.ResponseSink;
 import org.arbutusstack.kernel.Assert;
 import org.arbutusstack.kernel.time.Clock;
@@ -41,6 +42,8 @@
 
     private final RetryLimits limits;
 
+    private final PermitClient permits;
+
     private final GatewayMetrics metrics;
 
     private final DecisionLog log;
@@ -62,8 +65,8 @@
 
     /**
      * Create a dispatcher: the chooser chooses the runner for each attempt, the ports send requests to runners and
-     * write answers and refusals to callers, the clock is that of the process, the limits are those on retries, and the
-     * quarantine keeps requests from runners that they would crash.
+     * write answers and refusals to callers, the clock is that of the process, the limits are those on retries, the
+     * permits are those of runners that limit their requests, and the quarantine keeps requests from runners that they would crash.
      */
     RequestDispatcher(
             RunnerChooser chooser,
@@ -71,6 +74,7 @@
             CallerPort callers,
             Clock clock,
             RetryLimits limits,
+            PermitClient permits,
             GatewayMetrics metrics,
             RequestQuarantine quarantine) {
         this.chooser = Assert.notNull(chooser, "chooser");
@@ -78,6 +82,7 @@
         this.callers = Assert.notNull(callers, "callers");
         this.clock = Assert.notNull(clock, "clock");
         this.limits = Assert.notNull(limits, "limits");
+        this.permits = Assert.notNull(permits, "permits");
         this.metrics = Assert.notNull(metrics, "metrics");
         this.log = new DecisionLog(clock);
         this.quarantine = Assert.notNull(quarantine, "quarantine");
@@ -162,10 +167,12 @@
         } else if (choice instanceof RunnerChooser.Choice.QueryStatus query) {
             active.countStatusQuery();
             query.runners().forEach(KnownRunner::requestStatus);
+        } else if (choice instanceof RunnerChooser.Choice.AwaitPermit await) {
+            permits.request(await.runners());
         } else if (choice instanceof RunnerChooser.Choice.AwaitAdapter await) {
             awaitAdapter(active, await.runner());
         } else if (choice instanceof RunnerChooser.Choice.AtCapacity atCapacity) {
-            String detail = "the runners of the model would begin after " + atCapacity.firstEventMillis() + " ms";
+            String detail = "the runners that can serve it would begin after " + atCapacity.firstEventMillis() + " ms";
             long retryAfterMillis = limits.spreadRetryAfterMillis(request.id());
             deferredCallers.addRefusedAtCapacity(request, retryAfterMillis);
             refuse(active, Refusal.notRun(RefusalReason.DEADLINE_UNREACHABLE, detail), retryAfterMillis);
@@ -211,9 +218,7 @@
         }
         log.sent(active, runner);
         quarantine.attemptSent(active, runner);
-        if (runner.limit().isActive()) {
-            metrics.countLimitedSend(request);
-        }
+        metrics.countSend(request, runner.limit().isActive());
         String lastEventId = active.isOpened() ? active.events().lastEventId() : "";
         boolean sentBefore = active.hasFailedOn(runner.entry().id());
         attempt.handle(
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatchers.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatchers.java
@@ -2,6 +2,7 @@
 
 import org.arbutusstack.gateway.quarantine.ContentQuarantine;
 import org.arbutusstack.gateway.quarantine.CrashMonitor;
+import org.arbutusstack.gateway.runner.PermitClient;
 import org.arbutusstack.gateway.runner.RunnerTable;
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.routing.TwoChoiceSelector;
@@ -23,6 +24,7 @@
      * @param metrics the metrics of requests
      * @param quarantine the quarantine for content that crashes runners
      * @param crashMonitor the monitor of the runners that have no side
+     * @param permits the client for permits to send to runners that limit their requests
      * @return the dispatcher
      */
     public static RequestDispatcher create(
@@ -34,7 +36,8 @@
             RetryLimits limits,
             GatewayMetrics metrics,
             ContentQuarantine quarantine,
-            CrashMonitor crashMonitor) {
+            CrashMonitor crashMonitor,
+            PermitClient permits) {
         RunnerChooser chooser = new RunnerChooser(runners, new TwoChoiceSelector(zone), zone, clock);
         return new RequestDispatcher(
                 chooser,
@@ -42,6 +45,7 @@
                 callers,
                 clock,
                 limits,
+                permits,
                 metrics,
                 new RequestQuarantine(quarantine, crashMonitor, clock, new LossHistory(clock, metrics)));
     }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
@@ -63,6 +63,9 @@
         /** Wait for the status of runners that hold the model and have been queried. */
         record AwaitStatus() implements Choice {}
 
+        /** Request permits of runners that limit their requests and wait for one: no other runner can serve it. */
+        record AwaitPermit(List<KnownRunner> runners) implements Choice {}
+
         /** Wait for the model: no runner holds it. */
         record AwaitModel() implements Choice {}
 
@@ -81,7 +84,11 @@
     }
 
     private Choice choosePlain(ActiveRequest active, List<KnownRunner> available) {
-        return withoutFailedOrSuspected(active, available).stream()
+        List<KnownRunner> permitted = withoutLimited(available);
+        if (permitted.isEmpty()) {
+            return awaitPermit(active, available);
+        }
+        return withoutFailedOrSuspected(active, permitted).stream()
                 .min(Comparator.<KnownRunner>comparingInt(KnownRunner::outstanding)
                         .thenComparing(runner -> !runner.entry().zone().equals(zone))
                         .thenComparing(runner -> runner.entry().id()))
@@ -97,7 +104,11 @@
         if (holders.isEmpty()) {
             return new Choice.AwaitModel();
         }
-        List<KnownRunner> responsive = withoutFailedOrSuspected(active, holders).stream()
+        List<KnownRunner> permitted = withoutLimited(holders);
+        if (permitted.isEmpty()) {
+            return awaitPermit(active, holders);
+        }
+        List<KnownRunner> responsive = withoutFailedOrSuspected(active, permitted).stream()
                 .filter(runner -> !runner.isStatusOverdue())
                 .toList();
         List<KnownRunner> recentlyReported = responsive.stream()
@@ -138,6 +149,29 @@
                 : new Choice.AwaitAdapter(runners.byId(selectAdapterLoader(needs, candidates, chosen.view())));
     }
 
+    /** Exclude the runners that limit their requests and for which there is no permit, and mark them as wanted. */
+    private static List<KnownRunner> withoutLimited(List<KnownRunner> candidates) {
+        List<KnownRunner> permitted = new ArrayList<>(candidates);
+        for (KnownRunner runner : candidates) {
+            if (runner.limit().needsPermit()) {
+                runner.limit().markWanted();
+                permitted.remove(runner);
+            }
+        }
+        return permitted;
+    }
+
+    /** Wait for a permit that may be free in time, or refuse the request at once. */
+    private Choice awaitPermit(ActiveRequest active, List<KnownRunner> limited) {
+        long waitMillis = limited.stream()
+                .mapToLong(runner -> runner.limit().waitMillis())
+                .min()
+                .orElseThrow();
+        return waitMillis <= firstEventLimitMillis(active)
+                ? new Choice.AwaitPermit(limited)
+                : new Choice.AtCapacity(waitMillis);
+    }
+
     /** Never refuse a request because of old statuses: the runner that would begin first is queried before. */
     private static Choice atCapacity(List<KnownRunner> candidates) {
         KnownRunner fastest = candidates.stream()
@@ -153,8 +187,7 @@
      * if none is fast enough.
      */
     private KnownRunner selectWithinLimit(ActiveRequest active, List<KnownRunner> holders, KnownRunner chosen) {
-        long waitedMillis = (clock.nowNanos() - active.request().arrivedNanos()) / Clock.NANOS_PER_MILLI;
-        long limitMillis = Math.max(MIN_LIMIT_MILLIS, active.request().route().targetMillis() - waitedMillis);
+        long limitMillis = firstEventLimitMillis(active);
         if (firstEventMillis(chosen) <= limitMillis) {
             return chosen;
         }
@@ -164,6 +197,11 @@
                 .orElse(null);
     }
 
+    private long firstEventLimitMillis(ActiveRequest active) {
+        long waitedMillis = (clock.nowNanos() - active.request().arrivedNanos()) / Clock.NANOS_PER_MILLI;
+        return Math.max(MIN_LIMIT_MILLIS, active.request().route().targetMillis() - waitedMillis);
+    }
+
     private static long firstEventMillis(KnownRunner runner) {
         return runner.speed().firstEventMillis();
     }
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/RunnerEntry.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/RunnerEntry.java
@@ -45,6 +45,15 @@
         return id.equals(other.id) && startedAtMillis == other.startedAtMillis && address.equals(other.address);
     }
 
+    /**
+     * Return the text that identifies this incarnation in the frames of all processes.
+     *
+     * @return identifier and start time
+     */
+    public String incarnation() {
+        return id + '@' + startedAtMillis;
+    }
+
     /**
      * Return the key that identifies an adapter across models.
      *
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/RunnerLimit.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/RunnerLimit.java
@@ -1,12 +1,19 @@
 package org.arbutusstack.gateway.runner;
 
+import java.util.Optional;
 import org.arbutusstack.kernel.Assert;
 import org.arbutusstack.kernel.time.Clock;
+import org.arbutusstack.wire.frame.PermitFrame;
+import org.arbutusstack.wire.frame.PermitRequestFrame;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * Limit on the requests of all entries together that a runner names in its answers, as one entry knows it.
+ * Limit on the requests of all entries together that a runner names in its answers, as one entry knows it, and the
+ * permit of this entry to send one request under the limit.
+ *
+ * <p>Permits come from one side that grants them to all entries. While it does not answer, the entry takes an equal
+ * share of the limit, which is safe but leaves unused what other entries do not need.
  *
  * <p>The limit holds until an answer to a request that was sent after the limit was last named comes without one: heads
  * of answers may overtake each other. Confined to the entry's event loop.
@@ -15,6 +22,17 @@
 
     private static final Logger logger = LoggerFactory.getLogger(RunnerLimit.class);
 
+    /** Time within which a permit has to be used. */
+    private static final long PERMIT_MILLIS = 300;
+
+    /** Time without an answer after which a request for a permit counts as lost; several round trips. */
+    private static final long OVERDUE_MILLIS = 150;
+
+    /** Part of its share that an entry uses, so that shares and permits of a transition stay within the limit. */
+    private static final double USABLE_SHARE = 0.9;
+
+    private static final double NANOS_PER_SECOND = 1e9;
+
     private final RunnerEntry runner;
 
     private final Clock clock;
@@ -26,6 +44,22 @@
 
     private long lastNamedAtNanos;
 
+    private boolean permitted;
+
+    private long permitExpiresAtNanos;
+
+    private boolean requested;
+
+    private long requestedAtNanos;
+
+    private boolean wanted;
+
+    /** When another permit may be free. */
+    private long nextPermitAtNanos;
+
+    /** When this entry last sent a request, or learned of the limit, if that was later. */
+    private long shareCountedFromNanos;
+
     /** Requests that this entry has sent since the limit was first named. */
     private int sent;
 
@@ -46,6 +80,10 @@
             if (isFirst) {
                 firstNamedAtNanos = clock.nowNanos();
                 sent = 0;
+                permitted = false;
+                requested = false;
+                nextPermitAtNanos = clock.nowNanos();
+                shareCountedFromNanos = clock.nowNanos();
             }
             if (named != requestsPerSecond) {
                 logger.info(
@@ -69,9 +107,105 @@
         }
     }
 
-    /** Record that this entry sends a request to the runner. */
+    /** Record that this entry sends a request to the runner, which uses the permit. */
     void recordSent() {
-        sent += isActive() ? 1 : 0;
+        if (isActive()) {
+            sent++;
+            permitted = false;
+            shareCountedFromNanos = clock.nowNanos();
+        }
+    }
+
+    /**
+     * Return whether a request may be sent only after a permit was received.
+     *
+     * @return whether there is a limit and no permit that is still valid
+     */
+    public boolean needsPermit() {
+        return isActive() && (!permitted || clock.isPast(permitExpiresAtNanos));
+    }
+
+    /** Mark that a request would have been sent to the runner, had there been a permit. */
+    public void markWanted() {
+        wanted = true;
+    }
+
+    /** Return whether a request would have been sent since the last call, had there been a permit. */
+    boolean takeWanted() {
+        boolean was = wanted;
+        wanted = false;
+        return was;
+    }
+
+    /**
+     * Return the request for a permit that is to be sent now.
+     *
+     * @return the request; empty if none is needed or due
+     */
+    Optional<PermitRequestFrame> nextRequest() {
+        boolean pending = requested && !isOverdue();
+        if (!needsPermit() || pending || !clock.isPast(nextPermitAtNanos)) {
+            return Optional.empty();
+        }
+        requested = true;
+        requestedAtNanos = clock.nowNanos();
+        return Optional.of(new PermitRequestFrame(runner.incarnation(), requestsPerSecond));
+    }
+
+    /** Return whether the last request for a permit has not been answered in time. */
+    boolean isOverdue() {
+        return requested && clock.isPast(requestedAtNanos + OVERDUE_MILLIS * Clock.NANOS_PER_MILLI);
+    }
+
+    /** Apply the answer to a request for a permit. */
+    void answered(PermitFrame answer) {
+        requested = false;
+        if (answer.isGranted()) {
+            permit();
+        } else {
+            nextPermitAtNanos = clock.deadlineNanos(answer.waitMillis());
+        }
+    }
+
+    private void permit() {
+        permitted = true;
+        permitExpiresAtNanos = clock.deadlineNanos(PERMIT_MILLIS);
+    }
+
+    /**
+     * Take this entry's equal share of the limit, since no side grants permits: one request in a slot of time of its
+     * own. Shares are not saved up, since all entries could then use theirs at once.
+     *
+     * @param entries the number of entries that share the limit
+     * @param phase the part of a period by which the slots of this entry are shifted, from 0 to 1
+     */
+    void takeShare(int entries, double phase) {
+        if (!needsPermit()) {
+            return;
+        }
+        long slotNanos = (long) (NANOS_PER_SECOND / (requestsPerSecond * USABLE_SHARE));
+        long periodNanos = entries * slotNanos;
+        long sinceSlotNanos = Math.floorMod(clock.nowNanos() + (long) (phase * periodNanos), periodNanos);
+        boolean isUsed = clock.nowNanos() - shareCountedFromNanos <= sinceSlotNanos;
+        nextPermitAtNanos = clock.nowNanos() + periodNanos - sinceSlotNanos;
+        if (sinceSlotNanos < slotNanos && !isUsed) {
+            permit();
+            logger.info(
+                    "event=limit-share runner={} per_second={} entries={} {}",
+                    runner.id(),
+                    requestsPerSecond,
+                    entries,
+                    describe());
+        }
+    }
+
+    /**
+     * Return the time until another permit may be free.
+     *
+     * @return the time in milliseconds; zero if one may be free now
+     */
+    public long waitMillis() {
+        return Math.max(0, clock.millisUntil(nextPermitAtNanos));
     }
 
     /**
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/SideLinks.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/SideLinks.java
@@ -19,7 +19,6 @@
 import org.arbutusstack.wire.frame.EngineCatalogFrame;
 import org.arbutusstack.wire.frame.Frame;
 import org.arbutusstack.wire.frame.RunnerStatusFrame;
-import org.arbutusstack.wire.frame.StrikeFrame;
 import org.arbutusstack.wire.link.Link;
 import org.arbutusstack.wire.link.LinkListener;
 import org.arbutusstack.wire.link.LinkTransport;
@@ -62,7 +61,7 @@
 
     private final Consumer<KnownRunner> statusListener;
 
-    private final Consumer<StrikeFrame> strikeListener;
+    private final Consumer<Frame> frameListener;
 
     private final Map<String, Side> sidesByHost = new HashMap<>();
 
@@ -79,7 +78,7 @@
      * @param loop the entry's event loop
      * @param clock the clock of the process
      * @param statusListener notified with each runner to which a status was applied
-     * @param strikeListener notified with each report about content that was lost when a runner crashed
+     * @param frameListener notified with each other frame of a side
      */
     public SideLinks(
             LinkTransport transport,
@@ -88,7 +87,7 @@
             Ring<Runnable> loop,
             Clock clock,
             Consumer<KnownRunner> statusListener,
-            Consumer<StrikeFrame> strikeListener) {
+            Consumer<Frame> frameListener) {
         this.transport = Assert.notNull(transport, "transport");
         this.port = port;
         this.runners = Assert.notNull(runners, "runners");
@@ -96,7 +95,7 @@
         this.clock = Assert.notNull(clock, "clock");
         this.entryCount = new EntryCount(clock);
         this.statusListener = Assert.notNull(statusListener, "statusListener");
-        this.strikeListener = Assert.notNull(strikeListener, "strikeListener");
+        this.frameListener = Assert.notNull(frameListener, "frameListener");
     }
 
     /**
@@ -133,6 +132,28 @@
         return side != null;
     }
 
+    /**
+     * Send a frame to the side that keeps account of a runner for all entries: the one on its host or, for a runner
+     * without a side, the one that all entries choose by its identifier.
+     *
+     * @param runner the runner
+     * @param frame the frame
+     * @return whether the frame was handed to the link
+     */
+    public boolean sendToAccountant(RunnerEntry runner, Frame frame) {
+        Side side = sidesByHost.get(runner.address().address());
+        if (side == null) {
+            side = sidesByHost.values().stream()
+                    .min(Comparator.comparing(candidate -> rank(runner.id(), candidate)))
+                    .orElse(null);
+        }
+        return side != null && side.open && side.link.send(frame);
+    }
+
+    private static String rank(String key, Side side) {
+        return Digest.of(key + side.host).hex();
+    }
+
     /**
      * Send a frame to the sides that pass frames with a key on to all entries. All entries choose the same ones as long
      * as they are linked to the same sides.
@@ -143,7 +164,7 @@
     public void sendToRelays(String key, Frame frame) {
         sidesByHost.values().stream()
                 .filter(side -> side.open)
-                .sorted(Comparator.comparing(side -> Digest.of(key + side.host).hex()))
+                .sorted(Comparator.comparing(side -> rank(key, side)))
                 .limit(RELAYS)
                 .forEach(side -> side.link.send(frame));
     }
@@ -308,12 +329,9 @@
 
         @Override
         public void onFrame(Link from, Frame frame) {
-            boolean accepted = true;
-            if (frame instanceof RunnerStatusFrame status) {
-                accepted = loop.offer(() -> handleStatus(this, from, status));
-            } else if (frame instanceof StrikeFrame strike) {
-                accepted = loop.offer(() -> strikeListener.accept(strike));
-            }
+            boolean accepted = frame instanceof RunnerStatusFrame status
+                    ? loop.offer(() -> handleStatus(this, from, status))
+                    : loop.offer(() -> frameListener.accept(frame));
             if (!accepted) {
                 logger.warn("event=ring-full duty=entry frame={}", frame.type());
             }
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/DispatcherHarness.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/DispatcherHarness.java
@@ -1,6 +1,7 @@
 package org.arbutusstack.gateway.request;
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -8,10 +9,12 @@
 import org.arbutusstack.gateway.config.RouteKind;
 import org.arbutusstack.gateway.quarantine.ContentQuarantine;
 import org.arbutusstack.gateway.quarantine.CrashMonitor;
+import org.arbutusstack.gateway.runner.PermitClient;
 import org.arbutusstack.gateway.runner.RunnerEntry;
 import org.arbutusstack.gateway.runner.RunnerTable;
 import org.arbutusstack.http.client.HttpTarget;
 import org.arbutusstack.kernel.time.ManualClock;
+import org.arbutusstack.wire.frame.Frame;
 
 /** Runs a dispatcher with fake callers and fake runners on a manual clock. */
 final class DispatcherHarness {
@@ -35,6 +38,9 @@
 
     final FakeProbe probe = new FakeProbe();
 
+    /** Requests for permits, which the test answers. */
+    final List<Frame> permitRequests = new ArrayList<>();
+
     final RequestDispatcher dispatcher;
 
     /** The shared prompt parts of the requests that are sent. */
@@ -58,7 +64,8 @@
                 limits,
                 new GatewayMetrics(registry),
                 quarantine,
-                new CrashMonitor(probe, server -> "/health", quarantine::strikeReceived, clock, registry));
+                new CrashMonitor(probe, server -> "/health", quarantine::strikeReceived, clock, registry),
+                new PermitClient("edge-1", table, (runner, frame) -> permitRequests.add(frame), () -> 4));
     }
 
     RunnerEntry runner(String id, String service, String... models) {
--- /dev/null
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/LimitedRunnerTests.java
@@ -0,0 +1,108 @@
+package org.arbutusstack.gateway.request;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertTrue;
+
+import org.arbutusstack.gateway.config.RouteKind;
+import org.arbutusstack.gateway.runner.KnownRunner;
+import org.arbutusstack.gateway.runner.PermitClient;
+import org.arbutusstack.gateway.runner.RunnerNotice;
+import org.arbutusstack.model.request.RefusalKind;
+import org.arbutusstack.wire.frame.PermitFrame;
+import org.arbutusstack.wire.frame.PermitRequestFrame;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests how an entry sends requests, holds them or refuses them when backend servers name limits. */
+public class LimitedRunnerTests {
+
+    private DispatcherHarness harness;
+
+    private PermitClient permits;
+
+    @BeforeMethod
+    public void start() {
+        harness = new DispatcherHarness();
+        permits = new PermitClient(
+                "edge-1", harness.table, (runner, frame) -> harness.permitRequests.add(frame), () -> 4);
+        harness.runner("a", DispatcherHarness.PLAIN);
+    }
+
+    private void name(String id, double perSecond) {
+        harness.table.byId(id).limit().record(perSecond, harness.clock.nowNanos());
+        harness.clock.advanceMillis(1);
+    }
+
+    private void answerPermit(long waitMillis) {
+        PermitRequestFrame request = (PermitRequestFrame) harness.permitRequests.remove(0);
+        if (permits.received(new PermitFrame(request.server(), waitMillis))) {
+            harness.dispatcher.runnersChanged();
+        }
+    }
+
+    @Test
+    public void shouldSendToServerWithoutLimitWhenAnotherNamesOne() {
+        harness.runner("b", DispatcherHarness.PLAIN);
+        name("a", 2);
+        for (int request = 0; request < 20; request++) {
+            harness.send(RouteKind.SAFE, false);
+            assertEquals(harness.runners.last().runner.id(), "b");
+        }
+        permits.tick();
+        answerPermit(0);
+        harness.send(RouteKind.SAFE, false);
+        assertEquals(harness.runners.last().runner.id(), "a", "a granted permit is used");
+        harness.send(RouteKind.SAFE, false);
+        assertEquals(harness.runners.last().runner.id(), "b", "once");
+    }
+
+    @Test
+    public void shouldHoldRequestUntilPermitArrivesWhenAllServersNameLimits() {
+        name("a", 2);
+        FakeCaller caller = harness.send(RouteKind.SAFE, false);
+        assertTrue(harness.runners.sent.isEmpty());
+        assertFalse(caller.isAnswered());
+        answerPermit(0);
+        assertEquals(harness.runners.sent.size(), 1);
+    }
+
+    /** Guards against holding a request that no server can take in time until its deadline. */
+    @Test
+    public void shouldRefuseAtOnceWhenNoPermitCanBeFreeInTime() {
+        name("a", 0.5);
+        FakeCaller first = harness.send(RouteKind.SAFE, false);
+        answerPermit(1_900);
+        harness.dispatcher.runnersChanged();
+        assertNotNull(first.refusal);
+        assertEquals(first.refusal.kind(), RefusalKind.NOT_RUN);
+        assertTrue(first.retryAfterMillis > 0);
+        assertNotNull(harness.send(RouteKind.SAFE, false).refusal);
+        assertTrue(harness.runners.sent.isEmpty());
+    }
+
+    @Test
+    public void shouldSendFreelyAgainOnlyWhenLaterAnswerNamesNoLimit() {
+        harness.send(RouteKind.SAFE, false);
+        FakeRunners.Sent sentBefore = harness.runners.last();
+        harness.clock.advanceMillis(5);
+        harness.send(RouteKind.SAFE, false);
+        harness.runners.last().notice = new RunnerNotice(2);
+        harness.runners.last().answer(200, AnswerKind.ATTESTED, "ok");
+        KnownRunner runner = harness.table.byId("a");
+        assertTrue(runner.limit().isActive());
+        sentBefore.answer(200, AnswerKind.ATTESTED, "ok");
+        assertTrue(runner.limit().isActive(), "heads overtake each other");
+        harness.clock.advanceMillis(5);
+        harness.send(RouteKind.SAFE, false);
+        answerPermit(0);
+        harness.runners.last().answer(503, AnswerKind.UNATTESTED, "");
+        assertTrue(runner.limit().isActive(), "not an answer of the runner");
+        harness.clock.advanceMillis(1_000);
+        harness.send(RouteKind.SAFE, false);
+        answerPermit(0);
+        harness.runners.last().answer(200, AnswerKind.ATTESTED, "ok");
+        assertFalse(runner.limit().isActive());
+    }
+}
--- a/wire/src/main/java/org/arbutusstack/wire/frame/Frame.java
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/Frame.java
@@ -37,6 +37,8 @@
                 ModelDemandFrame,
                 RequestSentFrame,
                 LostRequestFrame,
+                PermitRequestFrame,
+                PermitFrame,
                 StatusRequestFrame,
                 RunnerOutcomeFrame,
                 ProtocolErrorFrame {
--- a/wire/src/main/java/org/arbutusstack/wire/frame/FrameType.java
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/FrameType.java
@@ -72,7 +72,13 @@
     REQUEST_SENT(67, RequestSentFrame::read),
 
     /** See {@link LostRequestFrame}. */
-    LOST_REQUEST(68, LostRequestFrame::read);
+    LOST_REQUEST(68, LostRequestFrame::read),
+
+    /** See {@link PermitRequestFrame}. */
+    PERMIT_REQUEST(69, PermitRequestFrame::read),
+
+    /** See {@link PermitFrame}. */
+    PERMIT(70, PermitFrame::read);
 
     private final int code;
 
