--- a/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
@@ -16,6 +16,7 @@
 import org.arbutusstack.gateway.request.GatewayMetrics;
 import org.arbutusstack.gateway.request.RequestDispatcher;
 import org.arbutusstack.gateway.request.RequestDispatchers;
+import org.arbutusstack.gateway.request.SendLimits;
 import org.arbutusstack.gateway.runner.KnownRunner;
 import org.arbutusstack.gateway.runner.PermitClient;
 import org.arbutusstack.gateway.runner.RunnerEntry;
@@ -115,11 +116,10 @@
                 dependencies.callers(),
                 dependencies.zone(),
                 clock,
-                dependencies.retries(),
+                new SendLimits(dependencies.retries(), permits),
                 metrics,
                 quarantine,
-                crashMonitor,
-                permits);
+                crashMonitor);
         this.sides = new SideLinks(
                 dependencies.transport(),
                 dependencies.sidePort(),
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatcher.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatcher.java
@@ -65,28 +65,27 @@
 
     /**
      * Create a dispatcher: the chooser chooses the runner for each attempt, the ports send requests to runners and
-     * write answers and refusals to callers, the clock is that of the process, the limits are those on retries, the
-     * permits are those of runners that limit their requests, and the quarantine keeps requests from runners that they would crash.
+     * write answers and refusals to callers, the clock is that of the process, the limits are those on what is sent to
+     * runners, and the quarantine keeps requests from runners that they would crash.
      */
     RequestDispatcher(
             RunnerChooser chooser,
             RunnerPort runnerPort,
             CallerPort callers,
             Clock clock,
-            RetryLimits limits,
-            PermitClient permits,
+            SendLimits limits,
             GatewayMetrics metrics,
             RequestQuarantine quarantine) {
         this.chooser = Assert.notNull(chooser, "chooser");
         this.runnerPort = Assert.notNull(runnerPort, "runnerPort");
         this.callers = Assert.notNull(callers, "callers");
         this.clock = Assert.notNull(clock, "clock");
-        this.limits = Assert.notNull(limits, "limits");
-        this.permits = Assert.notNull(permits, "permits");
+        this.limits = limits.retries();
+        this.permits = limits.permits();
         this.metrics = Assert.notNull(metrics, "metrics");
         this.log = new DecisionLog(clock);
         this.quarantine = Assert.notNull(quarantine, "quarantine");
-        this.retries = new RetryBudgets(limits);
+        this.retries = new RetryBudgets(this.limits);
         this.deferredCallers = new DeferredCallers(clock);
         this.loadForecast = new LoadForecast(clock);
         this.drainState = new DrainState(clock);
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatchers.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatchers.java
@@ -2,7 +2,6 @@
 
 import org.arbutusstack.gateway.quarantine.ContentQuarantine;
 import org.arbutusstack.gateway.quarantine.CrashMonitor;
-import org.arbutusstack.gateway.runner.PermitClient;
 import org.arbutusstack.gateway.runner.RunnerTable;
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.routing.TwoChoiceSelector;
@@ -20,11 +19,10 @@
      * @param callers writes answers and refusals to callers
      * @param zone the availability zone of the entry, preferred among equal runners
      * @param clock the clock of the process
-     * @param limits the limits on retries
+     * @param limits the limits on what the entry sends to runners
      * @param metrics the metrics of requests
      * @param quarantine the quarantine for content that crashes runners
      * @param crashMonitor the monitor of the runners that have no side
-     * @param permits the client for permits to send to runners that limit their requests
      * @return the dispatcher
      */
     public static RequestDispatcher create(
@@ -33,11 +31,10 @@
             CallerPort callers,
             String zone,
             Clock clock,
-            RetryLimits limits,
+            SendLimits limits,
             GatewayMetrics metrics,
             ContentQuarantine quarantine,
-            CrashMonitor crashMonitor,
-            PermitClient permits) {
+            CrashMonitor crashMonitor) {
         RunnerChooser chooser = new RunnerChooser(runners, new TwoChoiceSelector(zone), zone, clock);
         return new RequestDispatcher(
                 chooser,
@@ -45,7 +42,6 @@
                 callers,
                 clock,
                 limits,
-                permits,
                 metrics,
                 new RequestQuarantine(quarantine, crashMonitor, clock, new LossHistory(clock, metrics)));
     }
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/DispatcherHarness.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/DispatcherHarness.java
@@ -54,6 +54,7 @@
 
     DispatcherHarness(RetryLimits limits) {
         PrometheusRegistry registry = new PrometheusRegistry();
+        PermitClient permits = new PermitClient("edge-1", table, (runner, frame) -> permitRequests.add(frame), () -> 4);
         quarantine = new ContentQuarantine((host, frame) -> {}, () -> false, clock, registry);
         dispatcher = RequestDispatchers.create(
                 table,
@@ -61,11 +62,10 @@
                 FakeCaller.PORT,
                 "regina",
                 clock,
-                limits,
+                new SendLimits(limits, permits),
                 new GatewayMetrics(registry),
                 quarantine,
-                new CrashMonitor(probe, server -> "/health", quarantine::strikeReceived, clock, registry),
-                new PermitClient("edge-1", table, (runner, frame) -> permitRequests.add(frame), () -> 4));
+                new CrashMonitor(probe, server -> "/health", quarantine::strikeReceived, clock, registry));
     }
 
     RunnerEntry runner(String id, String service, String... models) {
