Take entries of the directory that name no usable runner for unreadable

Report of other operators: one odd entry of another writer (deep nesting, too large a number, a port out of range) ended the processes that read the list or stopped their following. Can it happen here? No process ended and the list was followed on, with any of six odd entries. But callers were hurt: with a port above 65,535, or an address that is none, the first requests of the service got a 500 of our own, since sending threw on the event loop.

Cause: the decoder checked the form of an entry, not the range of its values; what could not be used was found out when a request was sent.

--- a/http/src/main/java/org/arbutusstack/http/client/HttpTarget.java
+++ b/http/src/main/java/org/arbutusstack/http/client/HttpTarget.java
@@ -11,10 +11,13 @@
  */
 public record HttpTarget(String address, int port) {
 
+    private static final int MAX_PORT = 65_535;
+
     /** Check the components. */
     public HttpTarget {
         Assert.hasText(address, "address");
         Assert.atLeast(port, 1, "port");
+        Assert.isTrue(port <= MAX_PORT, "'port' must be at most " + MAX_PORT + " but is " + port);
     }
 
     /**
