Take a request that may run once while draining only if it ends before the process

Yes: plain requests were taken until a second before the end whatever their deadline. With a runner that takes 1.2 s, 4 requests that may run once got 502 (they had an answer, but not the runner's).

Change: a request that may run only once is taken while draining only if its deadline is before the end of the process; else it is refused at once, not run, and its caller goes to another entry. Requests that may be repeated keep the second, since their callers can repeat them after a 502.

DrainingEntryTests.shouldNotTakeRequestThatMayRunOnceWhenItsAnswerMayComeTooLate red before (four 502 among 200 and 503), green now.

--- a/gateway/src/main/java/org/arbutusstack/gateway/request/DrainState.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/DrainState.java
@@ -13,8 +13,8 @@
 
     private boolean draining;
 
-    /** Time until which plain requests are accepted while this entry is draining. */
-    private long plainUntilNanos;
+    /** Time at which the process ends at the latest. */
+    private long endNanos;
 
     DrainState(Clock clock) {
         this.clock = Assert.notNull(clock, "clock");
@@ -25,16 +25,25 @@
     }
 
     /** Start draining; the process ends at the given time at the latest. */
-    void start(long endNanos) {
+    void start(long endAtNanos) {
         draining = true;
-        plainUntilNanos = endNanos - PLAIN_REQUEST_MILLIS * Clock.NANOS_PER_MILLI;
+        endNanos = endAtNanos;
     }
 
     /**
-     * Return whether a new request is accepted. While draining, streams may outlast the process; a plain request is
-     * answered before it ends, or is refused with its actual outcome.
+     * Return whether a new request is accepted. While draining, streams are not, since they may outlast the process. A
+     * plain request that may be repeated is accepted if it is likely to be answered in time: its caller can repeat it
+     * elsewhere. One that may run only once is accepted only if it ends before the process in any case.
      */
     boolean accepts(InboundRequest request) {
-        return !draining || !request.route().kind().isStreaming() && !clock.isPast(plainUntilNanos);
+        if (!draining) {
+            return true;
+        }
+        if (request.route().kind().isStreaming()) {
+            return false;
+        }
+        return request.route().mayRepeat()
+                ? !clock.isPast(endNanos - PLAIN_REQUEST_MILLIS * Clock.NANOS_PER_MILLI)
+                : request.deadlineNanos() - endNanos <= 0;
     }
 }
--- a/testkit/src/main/java/org/arbutusstack/testkit/platform/PlatformRunnerStandIn.java
+++ b/testkit/src/main/java/org/arbutusstack/testkit/platform/PlatformRunnerStandIn.java
@@ -65,6 +65,8 @@
 
     private volatile int eventsBeforeCrash;
 
+    private volatile long answerDelayMillis;
+
     /** Header that the runner adds to all its answers; empty for none. */
     private volatile String noticeHeader = "";
 
@@ -133,6 +135,15 @@
         harmfulPath = path;
     }
 
+    /**
+     * Delay all answers from now on.
+     *
+     * @param millis the time from the request to the head of its answer, in milliseconds
+     */
+    public void delayAnswers(long millis) {
+        answerDelayMillis = millis;
+    }
+
     /**
      * Add a header to all answers from now on.
      *
@@ -265,9 +276,13 @@
         ResponseStream.open(exchange, stream -> {
             if (hasHarmfulPath) {
                 crashWithin(stream);
-            } else {
-                sendEvents(stream, last == null ? 0 : Integer.parseInt(last));
+                return;
             }
+            exchange.getIoThread()
+                    .executeAfter(
+                            () -> sendEvents(stream, last == null ? 0 : Integer.parseInt(last)),
+                            answerDelayMillis,
+                            TimeUnit.MILLISECONDS);
         });
     }
 
