Send nothing more to a runner that says in an answer that it leaves

No code read the header; entries learned of it from the directory alone, which may be behind or away.

Change: the head of any answer that certainly comes from the runner retires that incarnation at this entry, in the same way as another incarnation at its address does; its idle connections are closed.

--- a/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
@@ -1,5 +1,7 @@
 package org.arbutusstack.gateway.request;
 
+import org.arbutusstack.gateway.runner.KnownRunner;
+import org.arbutusstack.gateway.runner.RunnerNotice;
 import org.arbutusstack.kernel.Assert;
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.model.request.Refusal;
@@ -50,6 +52,9 @@
     /** Fail the attempt at once if the head shows that the answer is not the runner's, without waiting for the body. */
     void headReceived(ActiveRequest active, CurrentAttempt attempt) {
         AnswerHead head = attempt.head();
+        if (head.answerKind().isOfRunner()) {
+            noticeReceived(attempt);
+        }
         if (head.answerKind() == AnswerKind.UNATTESTED) {
             attempt.cancel();
             attempt.runner().outcomes().failed();
@@ -58,6 +63,18 @@
         }
     }
 
+    /** Apply what the runner says about itself. */
+    private void noticeReceived(CurrentAttempt attempt) {
+        KnownRunner runner = attempt.runner();
+        RunnerNotice notice = attempt.head().notice();
+        runner.limit().record(notice.requestsPerSecond(), attempt.sentAtNanos());
+        if (notice.leaving() && runner.takesWork()) {
+            log.leaving(runner);
+            runner.retire();
+            runnerPort.closeIdleConnections(runner.entry());
+        }
+    }
+
     /** Relay the events that the received bytes complete. */
     void bytesReceived(ActiveRequest active, CurrentAttempt attempt, byte[] bytes) {
         byte[] events = active.events().append(bytes);
@@ -102,7 +119,7 @@
             case NOT_RUN -> handleNotRun(active, attempt, RefusalReason.QUEUE_FULL);
             case NOT_HELD -> handleNotRun(active, attempt, RefusalReason.NO_RUNNER);
             case OTHER_INCARNATION -> {
-                attempt.runner().markReplaced();
+                attempt.runner().retire();
                 runnerPort.closeIdleConnections(attempt.runner().entry());
                 handleNotRun(active, attempt, RefusalReason.LEAVING);
             }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/CurrentAttempt.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/CurrentAttempt.java
@@ -121,9 +121,6 @@
         if (isCurrent()) {
             runner.recordLiveness();
             head = answered;
-            if (answered.answerKind().isOfRunner()) {
-                runner.limit().record(answered.notice().requestsPerSecond(), sentAtNanos);
-            }
             relay.headReceived(owner, this);
         }
     }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/DecisionLog.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/DecisionLog.java
@@ -77,6 +77,11 @@
         }
     }
 
+    /** Log that a runner said in an answer that it leaves. */
+    void leaving(KnownRunner runner) {
+        logger.info("event=runner-leaving cause=answer {}", stateOf(runner));
+    }
+
     void retried(ActiveRequest active, KnownRunner runner, Refusal refusal) {
         if (throttle.tryAcquire()) {
             logger.info(
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/KnownRunner.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/KnownRunner.java
@@ -246,8 +246,8 @@
         removed = true;
     }
 
-    /** Record that another incarnation answers at the runner's address. */
-    public void markReplaced() {
+    /** Stop sending to this incarnation, since it says that it leaves or another one answers at its address. */
+    public void retire() {
         removed = true;
     }
 
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/LimitedRunnerTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/LimitedRunnerTests.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertNotNull;
 import static org.testng.Assert.assertTrue;
 
@@ -88,7 +89,7 @@
         FakeRunners.Sent sentBefore = harness.runners.last();
         harness.clock.advanceMillis(5);
         harness.send(RouteKind.SAFE, false);
-        harness.runners.last().notice = new RunnerNotice(2);
+        harness.runners.last().notice = new RunnerNotice(2, false, 0);
         harness.runners.last().answer(200, AnswerKind.ATTESTED, "ok");
         KnownRunner runner = harness.table.byId("a");
         assertTrue(runner.limit().isActive());
@@ -105,4 +106,20 @@
         harness.runners.last().answer(200, AnswerKind.ATTESTED, "ok");
         assertFalse(runner.limit().isActive());
     }
+
+    /** Guards against sending to a server that has said in an answer that it leaves, until the directory says so. */
+    @Test
+    public void shouldSendNothingMoreToServerThatSaysThatItLeaves() {
+        harness.runner("b", DispatcherHarness.PLAIN);
+        harness.send(RouteKind.SAFE, false);
+        String leaving = harness.runners.last().runner.id();
+        harness.runners.last().notice = new RunnerNotice(0, true, 0);
+        harness.runners.last().answer(200, AnswerKind.ATTESTED, "ok");
+        for (int request = 0; request < 20; request++) {
+            harness.send(RouteKind.SAFE, false);
+            assertNotEquals(harness.runners.last().runner.id(), leaving);
+        }
+        harness.table.put(harness.table.byId(leaving).entry());
+        assertFalse(harness.table.byId(leaving).takesWork(), "the directory may be behind");
+    }
 }
