Send nothing to a runner for the time of its Retry-After

No code read the header: the next request went there as soon as it looked free.

Change: the head of a 503 that certainly comes from the runner pauses it at this entry. A paused runner is treated like one without a permit: others are used; if there is none, a request waits for the end of the pause if that is in time, else it is refused at once, not run. An hour at most is honoured.

--- a/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
@@ -68,6 +68,9 @@
         KnownRunner runner = attempt.runner();
         RunnerNotice notice = attempt.head().notice();
         runner.limit().record(notice.requestsPerSecond(), attempt.sentAtNanos());
+        if (notice.retryAfterMillis() > 0) {
+            runner.limit().pause(notice.retryAfterMillis());
+        }
         if (notice.leaving() && runner.takesWork()) {
             log.leaving(runner);
             runner.retire();
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/RunnerLimit.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/RunnerLimit.java
@@ -9,8 +9,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Limit on the requests of all entries together that a runner names in its answers, as one entry knows it, and the
- * permit of this entry to send one request under the limit.
+ * Limit on the requests of all entries together that a runner names in its answers, as one entry knows it, the permit
+ * of this entry to send one request under the limit, and the time for which the runner wants nothing from this entry.
  *
  * <p>Permits come from one side that grants them to all entries. While it does not answer, the entry takes an equal
  * share of the limit, which is safe but leaves unused what other entries do not need.
@@ -22,6 +22,9 @@
 
     private static final Logger logger = LoggerFactory.getLogger(RunnerLimit.class);
 
+    /** Limit on the time that a runner can ask for, so that a wrong value does not last for ever. */
+    private static final long MAX_PAUSE_MILLIS = 3_600_000;
+
     /** Time within which a permit has to be used. */
     private static final long PERMIT_MILLIS = 300;
 
@@ -37,6 +40,9 @@
 
     private final Clock clock;
 
+    /** Time until which the runner wants no request from this entry. */
+    private long pausedUntilNanos;
+
     /** Requests per second; zero while no limit is known. */
     private double requestsPerSecond;
 
@@ -66,6 +72,21 @@
     RunnerLimit(RunnerEntry runner, Clock clock) {
         this.runner = Assert.notNull(runner, "runner");
         this.clock = Assert.notNull(clock, "clock");
+        this.pausedUntilNanos = clock.nowNanos();
+    }
+
+    /**
+     * Send nothing to the runner for a while, as it has asked this entry to.
+     *
+     * @param millis the time in milliseconds
+     */
+    public void pause(long millis) {
+        logger.info("event=runner-paused runner={} service={} for_ms={}", runner.id(), runner.service(), millis);
+        pausedUntilNanos = clock.deadlineNanos(Math.min(millis, MAX_PAUSE_MILLIS));
+    }
+
+    private boolean isPaused() {
+        return !clock.isPast(pausedUntilNanos);
     }
 
     /**
@@ -119,10 +140,10 @@
     /**
      * Return whether a request may be sent only after a permit was received.
      *
-     * @return whether there is a limit and no permit that is still valid
+     * @return whether the runner wants no request now, or there is a limit and no permit that is still valid
      */
     public boolean needsPermit() {
-        return isActive() && (!permitted || clock.isPast(permitExpiresAtNanos));
+        return isPaused() || isActive() && (!permitted || clock.isPast(permitExpiresAtNanos));
     }
 
     /** Mark that a request would have been sent to the runner, had there been a permit. */
@@ -144,7 +165,7 @@
      */
     Optional<PermitRequestFrame> nextRequest() {
         boolean pending = requested && !isOverdue();
-        if (!needsPermit() || pending || !clock.isPast(nextPermitAtNanos)) {
+        if (isPaused() || !needsPermit() || pending || !clock.isPast(nextPermitAtNanos)) {
             return Optional.empty();
         }
         requested = true;
@@ -180,7 +201,7 @@
      * @param phase the part of a period by which the slots of this entry are shifted, from 0 to 1
      */
     void takeShare(int entries, double phase) {
-        if (!needsPermit()) {
+        if (isPaused() || !needsPermit()) {
             return;
         }
         long slotNanos = (long) (NANOS_PER_SECOND / (requestsPerSecond * USABLE_SHARE));
@@ -205,7 +226,8 @@
      * @return the time in milliseconds; zero if one may be free now
      */
     public long waitMillis() {
-        return Math.max(0, clock.millisUntil(nextPermitAtNanos));
+        long permitMillis = isActive() ? clock.millisUntil(nextPermitAtNanos) : 0;
+        return Math.max(0, Math.max(permitMillis, clock.millisUntil(pausedUntilNanos)));
     }
 
     /**
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/LimitedRunnerTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/LimitedRunnerTests.java
@@ -122,4 +122,21 @@
         harness.table.put(harness.table.byId(leaving).entry());
         assertFalse(harness.table.byId(leaving).takesWork(), "the directory may be behind");
     }
+
+    /** Guards against sending to a server that has asked to be left alone for a while. */
+    @Test
+    public void shouldSendNothingToServerUntilItsRetryAfterHasPassed() {
+        harness.send(RouteKind.SAFE, false);
+        harness.runners.last().notice = new RunnerNotice(0, false, 3_000);
+        harness.runners.last().answer(503, AnswerKind.NOT_RUN, "");
+        int sends = harness.runners.sent.size();
+        harness.clock.advanceMillis(100);
+        FakeCaller refused = harness.send(RouteKind.SAFE, false);
+        assertNotNull(refused.refusal, "no server can take it in time");
+        assertEquals(refused.refusal.kind(), RefusalKind.NOT_RUN);
+        assertEquals(harness.runners.sent.size(), sends);
+        harness.clock.advanceMillis(3_000);
+        harness.send(RouteKind.SAFE, false);
+        assertEquals(harness.runners.sent.size(), sends + 1);
+    }
 }
--- a/testkit/src/main/java/org/arbutusstack/testkit/platform/PlatformRunnerStandIn.java
+++ b/testkit/src/main/java/org/arbutusstack/testkit/platform/PlatformRunnerStandIn.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.ConcurrentSkipListSet;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.arbutusstack.http.server.ResponseStream;
 import org.arbutusstack.http.server.Responses;
@@ -53,6 +54,8 @@
 
     private final List<String> runs = Collections.synchronizedList(new ArrayList<>());
 
+    private final AtomicInteger turnedAway = new AtomicInteger();
+
     private final Set<ServerConnection> connections = ConcurrentHashMap.newKeySet();
 
     private final AtomicBoolean crashed = new AtomicBoolean();
@@ -164,6 +167,15 @@
         return List.copyOf(runs);
     }
 
+    /**
+     * Return the number of requests that the runner turned away because it was at capacity.
+     *
+     * @return the number of requests
+     */
+    public int turnedAway() {
+        return turnedAway.get();
+    }
+
     /**
      * Return the models that the runner holds.
      *
@@ -256,6 +268,7 @@
             return;
         }
         if (fault == RunnerFault.FULL) {
+            turnedAway.incrementAndGet();
             exchange.getResponseHeaders().put(new HttpString("Not-Executed"), "1");
             Responses.text(exchange, UNAVAILABLE, "");
             return;
