Ask for permits again as soon as the side may be back; rank sides without digests

What callers would see: after the side that grants permits was away for a moment, an entry kept to its own slot for a whole period (23 s for 1.6 a second and 33 entries) and refused what it could have sent.

Cause: the time of the next slot of its own was also the time of the next request to the side.

LimitedRunnerTests.shouldAskForPermitsAgainSoonWhenTheSideIsBack red before (no request), green now; ServerLimitReplayTests, ServerLimitTests and CrashingRequestTests green. Sides are ranked by a mixing hash: a digest of each of 1,200 hosts for every permit would be a millisecond of an entry.

--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/RunnerLimit.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/RunnerLimit.java
@@ -63,6 +63,9 @@
     /** When another permit may be free. */
     private long nextPermitAtNanos;
 
+    /** When the side is to be asked again; not later than a side that is back can grant a permit. */
+    private long nextRequestAtNanos;
+
     /** When this entry last sent a request, or learned of the limit, if that was later. */
     private long shareCountedFromNanos;
 
@@ -104,6 +107,7 @@
                 permitted = false;
                 requested = false;
                 nextPermitAtNanos = clock.nowNanos();
+                nextRequestAtNanos = clock.nowNanos();
                 shareCountedFromNanos = clock.nowNanos();
             }
             if (named != requestsPerSecond) {
@@ -165,7 +169,7 @@
      */
     Optional<PermitRequestFrame> nextRequest() {
         boolean pending = requested && !isOverdue();
-        if (isPaused() || !needsPermit() || pending || !clock.isPast(nextPermitAtNanos)) {
+        if (isPaused() || !needsPermit() || pending || !clock.isPast(nextRequestAtNanos)) {
             return Optional.empty();
         }
         requested = true;
@@ -185,6 +189,7 @@
             permit();
         } else {
             nextPermitAtNanos = clock.deadlineNanos(answer.waitMillis());
+            nextRequestAtNanos = nextPermitAtNanos;
         }
     }
 
@@ -204,6 +209,7 @@
         if (isPaused() || !needsPermit()) {
             return;
         }
+        nextRequestAtNanos = clock.deadlineNanos(OVERDUE_MILLIS);
         long slotNanos = (long) (NANOS_PER_SECOND / (requestsPerSecond * USABLE_SHARE));
         long periodNanos = entries * slotNanos;
         long sinceSlotNanos = Math.floorMod(clock.nowNanos() + (long) (phase * periodNanos), periodNanos);
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/SideLinks.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/SideLinks.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.arbutusstack.gateway.config.EngineModel;
@@ -13,7 +14,6 @@
 import org.arbutusstack.gateway.config.ServedService;
 import org.arbutusstack.gateway.config.ServingConfig;
 import org.arbutusstack.kernel.Assert;
-import org.arbutusstack.kernel.digest.Digest;
 import org.arbutusstack.kernel.ring.Ring;
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.wire.frame.EngineCatalogFrame;
@@ -144,14 +144,15 @@
         Side side = sidesByHost.get(runner.address().address());
         if (side == null) {
             side = sidesByHost.values().stream()
-                    .min(Comparator.comparing(candidate -> rank(runner.id(), candidate)))
+                    .min(Comparator.comparingLong(candidate -> rank(runner.id(), candidate)))
                     .orElse(null);
         }
         return side != null && side.open && side.link.send(frame);
     }
 
-    private static String rank(String key, Side side) {
-        return Digest.of(key + side.host).hex();
+    /** Rank a side for a key by rendezvous hashing. */
+    private static long rank(String key, Side side) {
+        return new SplittableRandom(key.hashCode() * 31L + side.host.hashCode()).nextLong();
     }
 
     /**
@@ -164,7 +165,7 @@
     public void sendToRelays(String key, Frame frame) {
         sidesByHost.values().stream()
                 .filter(side -> side.open)
-                .sorted(Comparator.comparing(side -> rank(key, side)))
+                .sorted(Comparator.comparingLong(side -> rank(key, side)))
                 .limit(RELAYS)
                 .forEach(side -> side.link.send(frame));
     }
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/LimitedRunnerTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/LimitedRunnerTests.java
@@ -6,6 +6,7 @@
 import static org.testng.Assert.assertNotNull;
 import static org.testng.Assert.assertTrue;
 
+import java.util.List;
 import org.arbutusstack.gateway.config.RouteKind;
 import org.arbutusstack.gateway.runner.KnownRunner;
 import org.arbutusstack.gateway.runner.PermitClient;
@@ -139,4 +140,21 @@
         harness.send(RouteKind.SAFE, false);
         assertEquals(harness.runners.sent.size(), sends + 1);
     }
+
+    /** Guards against an entry keeping to its own share of the limit long after the side grants permits again. */
+    @Test
+    public void shouldAskForPermitsAgainSoonWhenTheSideIsBack() {
+        boolean[] isUp = {false};
+        permits = new PermitClient(
+                "edge-1", harness.table, (runner, frame) -> isUp[0] && harness.permitRequests.add(frame), () -> 33);
+        name("a", 1.6);
+        List<KnownRunner> limited = List.of(harness.table.byId("a"));
+        permits.request(limited);
+        harness.clock.advanceMillis(500);
+        isUp[0] = true;
+        permits.request(limited);
+        assertEquals(harness.permitRequests.size(), 1);
+        answerPermit(0);
+        assertFalse(limited.get(0).limit().needsPermit());
+    }
 }
