One class for maps that evict the least recently used entry

LossHistory, PermitAllocator and ContentQuarantine each had their own. No behaviour changes; their tests pass. The two of the native side evict by insertion and stay.

--- a/gateway/src/main/java/org/arbutusstack/gateway/agent/PermitAllocator.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/agent/PermitAllocator.java
@@ -1,8 +1,8 @@
 package org.arbutusstack.gateway.agent;
 
-import java.util.LinkedHashMap;
 import java.util.Map;
 import org.arbutusstack.kernel.Assert;
+import org.arbutusstack.kernel.collect.RecentlyUsedMap;
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.wire.frame.PermitFrame;
 import org.arbutusstack.wire.frame.PermitRequestFrame;
@@ -28,14 +28,7 @@
 
     private final Clock clock;
 
-    private final Map<String, Bucket> buckets = new LinkedHashMap<>(16, 0.75f, true) {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Bucket> eldest) {
-            return size() > MAX_SERVERS;
-        }
-    };
+    private final Map<String, Bucket> buckets = new RecentlyUsedMap<>(MAX_SERVERS);
 
     PermitAllocator(Clock clock) {
         this.clock = Assert.notNull(clock, "clock");
--- a/gateway/src/main/java/org/arbutusstack/gateway/quarantine/ContentQuarantine.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/quarantine/ContentQuarantine.java
@@ -6,7 +6,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -16,6 +15,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
 import org.arbutusstack.kernel.Assert;
+import org.arbutusstack.kernel.collect.RecentlyUsedMap;
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.routing.QuarantineRule;
 import org.arbutusstack.routing.Strike;
@@ -49,14 +49,7 @@
     private final Clock clock;
 
     /** When answers to requests with a key last began; the least recently used key is evicted first. */
-    private final Map<String, Long> begunAtNanos = new LinkedHashMap<>(16, 0.75f, true) {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
-            return size() > MAX_BEGUN_KEYS;
-        }
-    };
+    private final Map<String, Long> begunAtNanos = new RecentlyUsedMap<>(MAX_BEGUN_KEYS);
 
     private final StrikeRegistry strikes =
             new StrikeRegistry(MAX_KEYS, StrikePolicy.SHARED_CONTENT, begunAtNanos::containsKey);
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/LossHistory.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/LossHistory.java
@@ -1,11 +1,11 @@
 package org.arbutusstack.gateway.request;
 
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Supplier;
 import org.arbutusstack.gateway.runner.KnownRunner;
 import org.arbutusstack.kernel.Assert;
+import org.arbutusstack.kernel.collect.RecentlyUsedMap;
 import org.arbutusstack.kernel.log.LogThrottle;
 import org.arbutusstack.kernel.time.Clock;
 import org.slf4j.Logger;
@@ -31,14 +31,7 @@
     private final LogThrottle throttle;
 
     /** Losses by the key of the whole request; the one that was lost least recently is evicted first. */
-    private final Map<String, Losses> lossesByKey = new LinkedHashMap<>(16, 0.75f, true) {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Losses> eldest) {
-            return size() > MAX_REQUESTS;
-        }
-    };
+    private final Map<String, Losses> lossesByKey = new RecentlyUsedMap<>(MAX_REQUESTS);
 
     LossHistory(Clock clock, GatewayMetrics metrics) {
         this.clock = Assert.notNull(clock, "clock");
--- /dev/null
+++ b/kernel/src/main/java/org/arbutusstack/kernel/collect/package-info.java
@@ -0,0 +1,2 @@
+/** Collections with bounds. */
+package org.arbutusstack.kernel.collect;
