Tell callers to come back when a server that limits its requests may take one

Cause: a request that only servers with a limit or a Retry-After could take was refused with the spread for runners at capacity, 0.7 to 2.7 s, however long the server wants nothing; its caller came back for another refusal.

Change: the refusal's Retry-After is at least the time until a permit may be free. Capacity by load keeps its spread.

LimitedRunnerTests.shouldSendNothingToServerUntilItsRetryAfterHasPassed, which now also looks at the Retry-After: red before (2,253 ms of 3,000), green now; dispatcher, engine and server limit tests green.

--- a/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
@@ -107,9 +107,7 @@
         this.quarantine = new ContentQuarantine(this::sendToSide, this::isPlanning, clock, dependencies.metrics());
         this.crashMonitor =
                 new CrashMonitor(dependencies.probe(), this::healthPathOf, this::struck, clock, dependencies.metrics());
-        this.permits = new PermitClient(dependencies.name(), runners, this::sendToAccountant, () -> sideLinks()
-                .entryCount()
-                .entries());
+        this.permits = new PermitClient(dependencies.name(), runners, this::sendToAccountant, this::entryCount);
         this.dispatcher = RequestDispatchers.create(
                 runners,
                 dependencies.runners(),
@@ -162,8 +160,8 @@
         dependencies.transport().stop();
     }
 
-    private SideLinks sideLinks() {
-        return sides;
+    private int entryCount() {
+        return sides.entryCount().entries();
     }
 
     private boolean sendToAccountant(RunnerEntry runner, Frame frame) {
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatcher.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatcher.java
@@ -172,7 +172,8 @@
             awaitAdapter(active, await.runner());
         } else if (choice instanceof RunnerChooser.Choice.AtCapacity atCapacity) {
             String detail = "the runners that can serve it would begin after " + atCapacity.firstEventMillis() + " ms";
-            long retryAfterMillis = limits.spreadRetryAfterMillis(request.id());
+            long spreadMillis = limits.spreadRetryAfterMillis(request.id());
+            long retryAfterMillis = Math.max(spreadMillis, atCapacity.retryAfterMillis());
             deferredCallers.addRefusedAtCapacity(request, retryAfterMillis);
             refuse(active, Refusal.notRun(RefusalReason.DEADLINE_UNREACHABLE, detail), retryAfterMillis);
         } else if (choice instanceof RunnerChooser.Choice.AwaitModel) {
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
@@ -54,8 +54,11 @@
         /** Have a runner that holds the model load the adapter. */
         record AwaitAdapter(KnownRunner runner) implements Choice {}
 
-        /** Refuse the request: all runners that hold its model would begin too late. */
-        record AtCapacity(long firstEventMillis) implements Choice {}
+        /**
+         * Refuse the request: all runners that can serve it would begin too late. It is useless to come back earlier
+         * than after the second time, which is zero unless runners limit their requests.
+         */
+        record AtCapacity(long firstEventMillis, long retryAfterMillis) implements Choice {}
 
         /** Query the sides of runners for their status before the request is sent to one of them. */
         record QueryStatus(List<KnownRunner> runners) implements Choice {}
@@ -169,7 +172,7 @@
                 .orElseThrow();
         return waitMillis <= firstEventLimitMillis(active)
                 ? new Choice.AwaitPermit(limited)
-                : new Choice.AtCapacity(waitMillis);
+                : new Choice.AtCapacity(waitMillis, waitMillis);
     }
 
     /** Never refuse a request because of old statuses: the runner that would begin first is queried before. */
@@ -179,7 +182,7 @@
                 .orElseThrow();
         return fastest.needsLivenessCheck()
                 ? new Choice.QueryStatus(List.of(fastest))
-                : new Choice.AtCapacity(firstEventMillis(fastest));
+                : new Choice.AtCapacity(firstEventMillis(fastest), 0);
     }
 
     /**
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/LimitedRunnerTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/LimitedRunnerTests.java
@@ -134,6 +134,7 @@
         harness.clock.advanceMillis(100);
         FakeCaller refused = harness.send(RouteKind.SAFE, false);
         assertNotNull(refused.refusal, "no server can take it in time");
+        assertTrue(refused.retryAfterMillis >= 2_900, "back after " + refused.retryAfterMillis + " ms, too early");
         assertEquals(refused.refusal.kind(), RefusalKind.NOT_RUN);
         assertEquals(harness.runners.sent.size(), sends);
         harness.clock.advanceMillis(3_000);
