Grant permits by the limit that the server named last to any entry

Cause: each request for a permit carried the limit as that entry knew it, without its age. It has it now, and the bucket keeps the one that was named last.

--- a/gateway/src/main/java/org/arbutusstack/gateway/agent/PermitAllocator.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/agent/PermitAllocator.java
@@ -34,16 +34,25 @@
         this.clock = Assert.notNull(clock, "clock");
     }
 
-    /** Grant a permit, or return the time after which one may be free. */
+    /**
+     * Grant a permit, or return the time after which one may be free. The limit is the one that the server named last,
+     * to whichever entry: the others hear of a change with their next answer.
+     */
     synchronized PermitFrame request(PermitRequestFrame request) {
-        double perMilli = request.requestsPerSecond() * USABLE_SHARE / MILLIS_PER_SECOND;
         long nowNanos = clock.nowNanos();
-        Bucket before = buckets.getOrDefault(request.server(), new Bucket(1, nowNanos));
+        long namedAtNanos = clock.deadlineNanos(-request.namedAgoMillis());
+        Bucket first = new Bucket(1, nowNanos, request.requestsPerSecond(), namedAtNanos);
+        Bucket before = buckets.getOrDefault(request.server(), first);
+        boolean isLatest = namedAtNanos - before.namedAtNanos() >= 0;
+        double perSecond = isLatest ? request.requestsPerSecond() : before.requestsPerSecond();
+        double perMilli = perSecond * USABLE_SHARE / MILLIS_PER_SECOND;
         double elapsedMillis = (nowNanos - before.updatedAtNanos()) / (double) Clock.NANOS_PER_MILLI;
         double capacity = Math.max(1, perMilli * MAX_ACCUMULATION_MILLIS);
         double permits = Math.min(capacity, before.permits() + elapsedMillis * perMilli);
         boolean granted = permits >= 1;
-        buckets.put(request.server(), new Bucket(granted ? permits - 1 : permits, nowNanos));
+        long latestNamedNanos = isLatest ? namedAtNanos : before.namedAtNanos();
+        buckets.put(
+                request.server(), new Bucket(granted ? permits - 1 : permits, nowNanos, perSecond, latestNamedNanos));
         long waitMillis = granted ? 0 : Math.max(1, (long) Math.ceil((1 - permits) / perMilli));
         return new PermitFrame(request.server(), waitMillis);
     }
@@ -53,6 +62,8 @@
      *
      * @param permits the permits that can be granted, of which a fraction is not complete yet
      * @param updatedAtNanos when they were counted
+     * @param requestsPerSecond the limit that the server named last
+     * @param namedAtNanos when it did
      */
-    private record Bucket(double permits, long updatedAtNanos) {}
+    private record Bucket(double permits, long updatedAtNanos, double requestsPerSecond, long namedAtNanos) {}
 }
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/RunnerLimit.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/RunnerLimit.java
@@ -174,7 +174,8 @@
         }
         requested = true;
         requestedAtNanos = clock.nowNanos();
-        return Optional.of(new PermitRequestFrame(runner.incarnation(), requestsPerSecond));
+        return Optional.of(
+                new PermitRequestFrame(runner.incarnation(), requestsPerSecond, clock.millisSince(lastNamedAtNanos)));
     }
 
     /** Return whether the last request for a permit has not been answered in time. */
--- a/wire/src/main/java/org/arbutusstack/wire/frame/PermitRequestFrame.java
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/PermitRequestFrame.java
@@ -9,9 +9,10 @@
  * Frame with which an entry asks for the permit to send one request to a backend server that limits its requests.
  *
  * @param server the incarnation of the server
- * @param requestsPerSecond the requests that the server takes from all entries together
+ * @param requestsPerSecond the requests that the server takes from all entries together, as the entry knows
+ * @param namedAgoMillis how long ago the server named that limit to the entry, in milliseconds
  */
-public record PermitRequestFrame(String server, double requestsPerSecond) implements Frame {
+public record PermitRequestFrame(String server, double requestsPerSecond, long namedAgoMillis) implements Frame {
 
     /** Check the limit. */
     public PermitRequestFrame {
@@ -21,7 +22,7 @@
     }
 
     static PermitRequestFrame read(MessageUnpacker unpacker) throws IOException {
-        return new PermitRequestFrame(unpacker.unpackString(), unpacker.unpackDouble());
+        return new PermitRequestFrame(unpacker.unpackString(), unpacker.unpackDouble(), unpacker.unpackLong());
     }
 
     @Override
@@ -33,5 +34,6 @@
     public void write(MessagePacker packer) throws IOException {
         packer.packString(server);
         packer.packDouble(requestsPerSecond);
+        packer.packLong(namedAgoMillis);
     }
 }
