Log once a second what each entry believes of a server's limit and has sent under it

limit-named and limit-ended told only of changes; on-call engineers need the limit that an entry believes, its age, whether it holds a permit and what it has sent, at any moment of an incident. One line a second and limited server. No decision changes; LimitedRunnerTests and ServerLimitReplayTests pass.

--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/PermitClient.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/PermitClient.java
@@ -64,6 +64,7 @@
     /** Request permits for the runners that would have been sent requests, so that they are there for the next ones. */
     public void tick() {
         for (KnownRunner runner : runners.all()) {
+            runner.limit().logAccount();
             if (runner.limit().takeWanted()) {
                 request(runner);
             }
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/RunnerLimit.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/RunnerLimit.java
@@ -36,6 +36,8 @@
 
     private static final double NANOS_PER_SECOND = 1e9;
 
+    private static final long ACCOUNT_LOG_MILLIS = 1_000;
+
     private final RunnerEntry runner;
 
     private final Clock clock;
@@ -69,6 +71,8 @@
     /** When this entry last sent a request, or learned of the limit, if that was later. */
     private long shareCountedFromNanos;
 
+    private long accountLoggedUntilNanos;
+
     /** Requests that this entry has sent since the limit was first named. */
     private int sent;
 
@@ -76,6 +80,7 @@
         this.runner = Assert.notNull(runner, "runner");
         this.clock = Assert.notNull(clock, "clock");
         this.pausedUntilNanos = clock.nowNanos();
+        this.accountLoggedUntilNanos = clock.nowNanos();
     }
 
     /**
@@ -246,6 +251,22 @@
         return requestsPerSecond > 0;
     }
 
+    /** Log the account of this entry once a second while the limit is known. */
+    void logAccount() {
+        if (!isActive() || !clock.isPast(accountLoggedUntilNanos)) {
+            return;
+        }
+        accountLoggedUntilNanos = clock.deadlineNanos(ACCOUNT_LOG_MILLIS);
+        logger.info(
+                "event=limit-account runner={} service={} per_second={} {} permitted={} wait_ms={}",
+                runner.id(),
+                runner.service(),
+                requestsPerSecond,
+                describe(),
+                !needsPermit(),
+                waitMillis());
+    }
+
     /**
      * Describe the limit for logs.
      *
