Show that a stream resumed by client and entry repeats events

Cause: the client's last-event-id in lower case and the entry's Last-Event-Id are two keys of one map.

--- a/review/src/review/Client.java
+++ b/review/src/review/Client.java
@@ -19,6 +19,11 @@
     /** The bytes that a client's own link carries in a second: 80 Mbit/s. */
     private static final long BYTES_PER_SECOND = 10_000_000;
 
+    /** The bytes of a body that a client sends in a second: 16 Mbit/s. */
+    private static final long SENT_BYTES_PER_SECOND = Long.getLong("up", 2_000_000);
+
+    private static final int PART_BYTES = 32_768;
+
     /** Bytes of a body that a client keeps; it reads on but only counts what follows. */
     private static final int MAX_KEPT_BYTES = 8 * 1_024 * 1_024;
 
@@ -50,8 +55,13 @@
             }
             OutputStream out = socket.getOutputStream();
             out.write(head.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1));
-            out.write(body);
-            out.flush();
+            for (int sent = 0; sent < body.length; sent += PART_BYTES) {
+                out.write(body, sent, Math.min(PART_BYTES, body.length - sent));
+                out.flush();
+                if (sent + PART_BYTES < body.length) {
+                    pause(PART_BYTES * 1_000 / SENT_BYTES_PER_SECOND);
+                }
+            }
             InputStream in = new BufferedInputStream(new Limited(socket, startNanos + timeoutMillis * 1_000_000));
             Http.Message message = Http.head(in);
             if (message == null) {
@@ -71,6 +81,14 @@
                 (System.nanoTime() - startNanos) / 1_000_000);
     }
 
+    private static void pause(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private static boolean body(InputStream in, Http.Message message, Received received)
             throws IOException {
         if ("chunked".equals(message.header("Transfer-Encoding"))) {
@@ -132,14 +150,6 @@
             return read(one, 0, 1) < 0 ? -1 : one[0] & 0xff;
         }
 
-        private static void pause() {
-            try {
-                Thread.sleep(1);
-            } catch (InterruptedException interrupted) {
-                Thread.currentThread().interrupt();
-            }
-        }
-
         @Override
         public int read(byte[] bytes, int offset, int length) throws IOException {
             long leftMillis = (endNanos - System.nanoTime()) / 1_000_000;
@@ -150,7 +160,7 @@
             int count = socket.getInputStream().read(bytes, offset, length);
             total += Math.max(0, count);
             while (total > 65_536 + (System.nanoTime() - startNanos) * 1e-9 * BYTES_PER_SECOND) {
-                pause();
+                pause(1);
             }
             return count;
         }
--- /dev/null
+++ b/review/src/review/ResumedTwice.java
@@ -0,0 +1,81 @@
+package review;
+
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** A client resumes a stream, with header names in lower case; the runner breaks off, and the entry resumes it too. */
+final class ResumedTwice {
+    private static final int EVENTS = 40;
+    private static final int CLIENT_HAS = 5;
+    private static final int EVENTS_BEFORE_BREAK = 5;
+    private static final int REQUESTS = 24;
+
+    private ResumedTwice() {}
+
+    /** Go on after Last-Event-Id, and break off in the middle of an event as a runner does that crashes. */
+    private static boolean breaking(Http.Message request, Socket connection, RunnerStandIn runner) throws Exception {
+        String id = request.header("Request-Id");
+        String last = request.header("Last-Event-Id");
+        runner.head(request, connection, "text/event-stream", Map.of("Transfer-Encoding", "chunked"));
+        int first = last.isEmpty() ? 1 : Integer.parseInt(last) + 1;
+        for (int number = first; number < first + EVENTS_BEFORE_BREAK; number++) {
+            Thread.sleep(10);
+            RunnerStandIn.chunk(connection, RunnerStandIn.event(id, number));
+        }
+        RunnerStandIn.chunk(connection, RunnerStandIn.event(id, first + EVENTS_BEFORE_BREAK).substring(0, 5));
+        connection.setSoLinger(true, 0);
+        connection.close();
+        return false;
+    }
+
+    private static Map<String, String> headers(String id) {
+        Map<String, String> headers = new LinkedHashMap<>();
+        Configs.modelHeaders(id, 20_000).forEach((name, value) -> headers.put(name.toLowerCase(), value));
+        headers.put("last-event-id", Integer.toString(CLIENT_HAS));
+        headers.put("length-hint", "80");
+        headers.put("accept", "text/event-stream");
+        headers.put("accept-language", "en-CA");
+        headers.put("cache-control", "no-cache");
+        headers.put("content-type", "application/json");
+        headers.put("origin", "https://boots.example");
+        headers.put("user-agent", "squad-kit/3");
+        return headers;
+    }
+
+    static boolean run(Deployment deployment, boolean trouble) throws Exception {
+        deployment.config(Configs.stubbleStud());
+        RunnerStandIn sound = deployment.runner(2, "i-sound", "stitch-lm", List.of("m0"),
+                RunnerStandIn.stream(EVENTS, 10));
+        RunnerStandIn other = deployment.runner(3, "i-breaking", "stitch-lm", List.of("m0"),
+                trouble ? ResumedTwice::breaking : RunnerStandIn.stream(EVENTS, 10));
+        deployment.side(2, sound);
+        deployment.side(3, other);
+        deployment.entry(1);
+        deployment.awaitReady(1);
+        Thread.sleep(3_000);
+        boolean broken = false;
+        for (int index = 0; index < REQUESTS; index++) {
+            String id = "squad" + index;
+            deployment.report.line("client sends POST /squad-batch/x request=" + id + " last-event-id=" + CLIENT_HAS);
+            Client.Answer answer = Client.ask(deployment.ip(1), deployment.front, "POST", Deployment.HOST,
+                    "/squad-batch/x", headers(id), "squad".getBytes(StandardCharsets.UTF_8), 20_000);
+            Map<Integer, Integer> counts = new TreeMap<>();
+            Matcher event = Pattern.compile("(?m)^id: (\\d+)$")
+                    .matcher(new String(answer.body(), StandardCharsets.ISO_8859_1));
+            while (event.find()) {
+                counts.merge(Integer.parseInt(event.group(1)), 1, Integer::sum);
+            }
+            List<Integer> twice = counts.keySet().stream().filter(number -> counts.get(number) > 1).toList();
+            broken |= !twice.isEmpty();
+            deployment.report.line("client gets request=" + id + " " + answer + " events=" + counts.size()
+                    + (twice.isEmpty() ? "" : " WRONG: came twice: " + twice));
+        }
+        return broken;
+    }
+}
