--- a/review/src/review/ResumedTwice.java
+++ b/review/src/review/ResumedTwice.java
@@ -14,7 +14,9 @@
     private static final int EVENTS = 40;
     private static final int CLIENT_HAS = 5;
     private static final int EVENTS_BEFORE_BREAK = 5;
-    private static final int REQUESTS = 24;
+    private static final int REQUESTS = 120;
+    /** The machines of the entries; the order of the headers is drawn anew in each process. */
+    private static final int[] ENTRIES = {1, 4, 5, 6, 7, 8};
 
     private ResumedTwice() {}
 
@@ -39,12 +41,6 @@
         Configs.modelHeaders(id, 20_000).forEach((name, value) -> headers.put(name.toLowerCase(), value));
         headers.put("last-event-id", Integer.toString(CLIENT_HAS));
         headers.put("length-hint", "80");
-        headers.put("accept", "text/event-stream");
-        headers.put("accept-language", "en-CA");
-        headers.put("cache-control", "no-cache");
-        headers.put("content-type", "application/json");
-        headers.put("origin", "https://boots.example");
-        headers.put("user-agent", "squad-kit/3");
         return headers;
     }
 
@@ -56,14 +52,20 @@
                 trouble ? ResumedTwice::breaking : RunnerStandIn.stream(EVENTS, 10));
         deployment.side(2, sound);
         deployment.side(3, other);
-        deployment.entry(1);
-        deployment.awaitReady(1);
+        for (int machine : ENTRIES) {
+            deployment.entry(machine);
+        }
+        for (int machine : ENTRIES) {
+            deployment.awaitReady(machine);
+        }
         Thread.sleep(3_000);
         boolean broken = false;
         for (int index = 0; index < REQUESTS; index++) {
             String id = "squad" + index;
-            deployment.report.line("client sends POST /squad-batch/x request=" + id + " last-event-id=" + CLIENT_HAS);
-            Client.Answer answer = Client.ask(deployment.ip(1), deployment.front, "POST", Deployment.HOST,
+            deployment.report.line("client sends POST /squad-batch/x request=" + id + " last-event-id=" + CLIENT_HAS
+                    + " entry=" + ENTRIES[index % ENTRIES.length]);
+            int entry = ENTRIES[index % ENTRIES.length];
+            Client.Answer answer = Client.ask(deployment.ip(entry), deployment.front, "POST", Deployment.HOST,
                     "/squad-batch/x", headers(id), "squad".getBytes(StandardCharsets.UTF_8), 20_000);
             Map<Integer, Integer> counts = new TreeMap<>();
             Matcher event = Pattern.compile("(?m)^id: (\\d+)$")
