Keep the event that a runner has begun with the attempt, not with the request

Cause: the bytes of an event that is not complete yet were kept with the request and so outlived the attempt. Each way to end an attempt had to discard them, and only one of two did: an attempt that broke off did, one whose event grew past 1 MB did not.

Evidence: with the logs of the case kept, request batch96 has one line before its answer, event=retry sends=1 runner=i-faulty reason=answer_too_large; no line of the other way (attempt-lost). The caller got 1,055,616 bytes too many, the size limit and one read.

Ruled out: a second answer on a kept connection (the faulty runner's connection is closed), and the sound runner (its own record shows 35 events).

Change: EventBuffer belongs to CurrentAttempt, so no path can join two runs; what outlives an attempt, the identifier of the last relayed event and the number of events, is RelayedEvents.

Test: RequestDispatcherTests.shouldNotJoinRunsWhenOneIsGivenUpForItsEndlessEvent failed before (1 of 24 of the class: "expected [id: 1 ..." but found the bytes of the first run), passes now.

Related paths: the native way keeps the bytes of an answer in WorkItem (one attempt) at the side, and RequestTable resets the body at each attempt; whole answers are kept in CurrentAttempt.

--- a/gateway/src/main/java/org/arbutusstack/gateway/request/ActiveRequest.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/ActiveRequest.java
@@ -17,7 +17,7 @@
 
     private final ResponseSink response;
 
-    private final EventBuffer events = new EventBuffer();
+    private final RelayedEvents relayedEvents = new RelayedEvents();
 
     private final StreamProgress progress;
 
@@ -94,8 +94,8 @@
         return response;
     }
 
-    EventBuffer events() {
-        return events;
+    RelayedEvents relayedEvents() {
+        return relayedEvents;
     }
 
     /** Return the attempt in progress, or {@code null} if there is none. */
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
@@ -80,8 +80,8 @@
 
     /** Relay the events that the received bytes complete. */
     void bytesReceived(ActiveRequest active, CurrentAttempt attempt, byte[] bytes) {
-        byte[] events = active.events().append(bytes);
-        if (active.events().isTooLarge()) {
+        byte[] events = attempt.events().append(bytes);
+        if (attempt.events().isTooLarge()) {
             answerTooLarge(active, attempt);
             return;
         }
@@ -101,6 +101,7 @@
     private void relayEvents(ActiveRequest active, CurrentAttempt attempt, byte[] bytes) {
         openStream(active, attempt);
         active.progress().recordEvents(clock.nowNanos(), attempt.runner().running());
+        active.relayedEvents().record(bytes);
         active.response().write(bytes);
     }
 
@@ -156,7 +157,7 @@
     }
 
     private void endStream(ActiveRequest active, CurrentAttempt attempt) {
-        byte[] partialEvent = active.events().partialEvent();
+        byte[] partialEvent = attempt.events().partialEvent();
         if (partialEvent.length > 0 && !attempt.head().framed()) {
             attemptFailed(active, attempt, true, "the connection ended within an event");
             return;
@@ -197,7 +198,6 @@
 
     /** Handle the end of an attempt without a complete answer. */
     void attemptFailed(ActiveRequest active, CurrentAttempt attempt, boolean maybeSent, String detail) {
-        active.events().discardPartialEvent();
         if (maybeSent) {
             attempt.runner().outcomes().failed();
             log.lost(active, attempt);
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/CurrentAttempt.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/CurrentAttempt.java
@@ -31,6 +31,8 @@
 
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
+    private final EventBuffer events = new EventBuffer();
+
     private RunnerPort.Attempt handle;
 
     private AnswerHead head;
@@ -99,6 +101,10 @@
         return body.toByteArray();
     }
 
+    EventBuffer events() {
+        return events;
+    }
+
     /** Close the connection of the attempt and ignore further events. */
     void cancel() {
         cancelled = true;
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/DecisionLog.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/DecisionLog.java
@@ -105,7 +105,7 @@
                     reported.kind().label(),
                     reported.reason().label(),
                     active.isOpened(),
-                    active.events().eventCount(),
+                    active.relayedEvents().count(),
                     heldMillis,
                     clock.millisUntil(request.deadlineNanos()),
                     throttle.takeSuppressed(),
@@ -125,7 +125,7 @@
                     stateOf(runner),
                     active.attempt() != null,
                     active.isOpened(),
-                    active.events().eventCount(),
+                    active.relayedEvents().count(),
                     heldMillis);
         }
     }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/EventBuffer.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/EventBuffer.java
@@ -1,25 +1,18 @@
 package org.arbutusstack.gateway.request;
 
 import java.io.ByteArrayOutputStream;
-import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 
 /**
- * Buffer that splits a byte stream into complete events and records the identifier of the last one. Confined to the
- * entry's event loop.
+ * Buffer that splits the event stream of one attempt into complete events. An event that the runner of the attempt has
+ * begun ends with the attempt and never meets the bytes of another run. Confined to the entry's event loop.
  */
 final class EventBuffer {
 
-    private static final String ID_FIELD = "id:";
-
     private static final int MAX_EVENT_BYTES = 1_048_576;
 
     private byte[] partialEvent = new byte[0];
 
-    private String lastEventId = "";
-
-    private long eventCount;
-
     /**
      * Append bytes and return the complete events.
      *
@@ -33,7 +26,6 @@
             partialEvent = joined;
             return new byte[0];
         }
-        recordEvents(joined, end);
         partialEvent = Arrays.copyOfRange(joined, end, joined.length);
         return end == joined.length ? joined : Arrays.copyOf(joined, end);
     }
@@ -57,45 +49,7 @@
         return 0;
     }
 
-    private void recordEvents(byte[] bytes, int end) {
-        int idStart = -1;
-        for (int start = 0; start < end; start = endOfLine(bytes, start, end) + 1) {
-            if (isIdField(bytes, start, end)) {
-                idStart = start + ID_FIELD.length();
-                eventCount++;
-            }
-        }
-        if (idStart >= 0) {
-            int idEnd = endOfLine(bytes, idStart, end);
-            lastEventId = new String(bytes, idStart, idEnd - idStart, StandardCharsets.UTF_8).strip();
-        }
-    }
-
-    private static int endOfLine(byte[] bytes, int start, int end) {
-        int index = start;
-        while (index < end && bytes[index] != '\n') {
-            index++;
-        }
-        return index;
-    }
-
-    private static boolean isIdField(byte[] bytes, int start, int end) {
-        if (start + ID_FIELD.length() > end) {
-            return false;
-        }
-        for (int index = 0; index < ID_FIELD.length(); index++) {
-            if (bytes[start + index] != ID_FIELD.charAt(index)) {
-                return false;
-            }
-        }
-        return true;
-    }
-
-    /** Discard an event that its runner did not complete. */
-    void discardPartialEvent() {
-        partialEvent = new byte[0];
-    }
-
+    /** Return the bytes of the event that the runner has begun; empty if the last event is complete. */
     byte[] partialEvent() {
         return partialEvent;
     }
@@ -103,12 +57,4 @@
     boolean isTooLarge() {
         return partialEvent.length > MAX_EVENT_BYTES;
     }
-
-    String lastEventId() {
-        return lastEventId;
-    }
-
-    long eventCount() {
-        return eventCount;
-    }
 }
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/RequestDispatcherTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/RequestDispatcherTests.java
@@ -171,6 +171,25 @@
         assertTrue(caller.ended);
     }
 
+    /** Guards against bytes of a run that was given up for an endless event entering the stream that is resumed. */
+    @Test
+    public void shouldNotJoinRunsWhenOneIsGivenUpForItsEndlessEvent() {
+        DispatcherHarness harness = plainHarness();
+        FakeCaller caller = harness.send(RouteKind.STREAMING, true);
+        harness.runners.last().head(200, AnswerKind.ATTESTED, true);
+        harness.runners.last().bytes("id: 1\ndata: a\n\nid: 2\ndata: ");
+        FakeRunners.Sent endless = harness.runners.last();
+        while (!endless.cancelled) {
+            endless.bytes("x".repeat(100_000));
+        }
+        assertEquals(harness.runners.last().lastEventId, "1");
+        harness.runners.last().head(200, AnswerKind.ATTESTED, true);
+        harness.runners.last().bytes("id: 2\ndata: b\n\n");
+        harness.runners.last().end();
+        assertEquals(caller.body.toString(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+        assertTrue(caller.ended);
+    }
+
     @Test
     public void shouldAbortWhenStreamMayNotBeResumed() {
         DispatcherHarness harness = plainHarness();
