Take a stream that ends within an event for broken off, however its end is marked

Cause: the end of a stream within an event counted as broken off only if the answer had neither a length nor chunks. With either, the entry wrote the rest and ended the answer.

Ruled out: the HTTP client losing the chunk that breaks off (FaultyRunnerTests covers a missing last chunk and a short length: both fail the attempt).

Change: a rest that is no event always fails the attempt, so the stream is resumed where it may be and else the caller's connection breaks off; the rest is not passed on. Where the runner marked the end itself its connection did not break, so that is no sign of a crash and no strike against the content (rejectAnswer); where the connection ended it still is.

Related paths: the native way takes a stream as complete only once [DONE] came.

--- a/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
@@ -56,10 +56,8 @@
             noticeReceived(attempt);
         }
         if (head.answerKind() == AnswerKind.UNATTESTED) {
-            attempt.cancel();
-            attempt.runner().outcomes().failed();
             String detail = "an answer with status " + head.status() + " that is not the runner's to this request";
-            dispatcher.retryOrRefuse(active, Refusal.outcomeUnknown(RefusalReason.BACKEND_ERROR, detail));
+            rejectAnswer(active, attempt, RefusalReason.BACKEND_ERROR, detail);
         }
     }
 
@@ -92,10 +90,17 @@
 
     /** Fail an attempt whose answer, or an event of whose stream, exceeds the size limit. */
     void answerTooLarge(ActiveRequest active, CurrentAttempt attempt) {
+        rejectAnswer(active, attempt, RefusalReason.ANSWER_TOO_LARGE, "an answer or event is too long to hold");
+    }
+
+    /**
+     * Fail an attempt whose answer cannot be relayed although its connection did not break, which is no sign that the
+     * runner crashed.
+     */
+    private void rejectAnswer(ActiveRequest active, CurrentAttempt attempt, RefusalReason reason, String detail) {
         attempt.cancel();
         attempt.runner().outcomes().failed();
-        String detail = "an answer or event is too long to hold";
-        dispatcher.retryOrRefuse(active, Refusal.outcomeUnknown(RefusalReason.ANSWER_TOO_LARGE, detail));
+        dispatcher.retryOrRefuse(active, Refusal.outcomeUnknown(reason, detail));
     }
 
     private void relayEvents(ActiveRequest active, CurrentAttempt attempt, byte[] bytes) {
@@ -157,15 +162,16 @@
     }
 
     private void endStream(ActiveRequest active, CurrentAttempt attempt) {
-        byte[] partialEvent = attempt.events().partialEvent();
-        if (partialEvent.length > 0 && !attempt.head().framed()) {
+        boolean isWithinEvent = attempt.events().partialEvent().length > 0;
+        if (isWithinEvent && attempt.head().framed()) {
+            rejectAnswer(active, attempt, RefusalReason.BACKEND_LOST, "the stream ended within an event");
+            return;
+        }
+        if (isWithinEvent) {
             attemptFailed(active, attempt, true, "the connection ended within an event");
             return;
         }
         openStream(active, attempt);
-        if (partialEvent.length > 0) {
-            active.response().write(partialEvent);
-        }
         active.response().end();
         attempt.recordStreamEnd(clock.nowNanos());
         quarantine.answerCompleted(active);
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/FakeRunners.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/FakeRunners.java
@@ -63,8 +63,9 @@
             listener.onHead(new AnswerHead(status, Map.of("Response-Seal", "s"), kind, true, eventStream, notice));
         }
 
-        void unframedHead() {
-            listener.onHead(new AnswerHead(200, Map.of(), AnswerKind.ATTESTED, false, true, notice));
+        /** Begin a stream whose end is marked by chunks or a length, or only by the end of the connection. */
+        void streamHead(boolean framed) {
+            listener.onHead(new AnswerHead(200, Map.of(), AnswerKind.ATTESTED, framed, true, notice));
         }
 
         void bytes(String text) {
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/RequestDispatcherTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/RequestDispatcherTests.java
@@ -201,15 +201,38 @@
         assertFalse(caller.ended);
     }
 
-    @Test
-    public void shouldNotLookCompleteWhenUnframedStreamEndsWithinAnEvent() {
+    @DataProvider
+    public Object[][] framings() {
+        return new Object[][] {{true}, {false}};
+    }
+
+    /** Guards against a stream that ends within an event looking complete, whether or not its end was marked. */
+    @Test(dataProvider = "framings")
+    public void shouldNotLookCompleteWhenStreamEndsWithinAnEvent(boolean framed) {
         DispatcherHarness harness = plainHarness();
         FakeCaller caller = harness.send(RouteKind.STREAMING, false);
-        harness.runners.last().unframedHead();
+        harness.runners.last().streamHead(framed);
         harness.runners.last().bytes("id: 1\ndata: a\n\nid: 2\nda");
         harness.runners.last().end();
         assertTrue(caller.aborted);
         assertFalse(caller.ended);
+        assertEquals(caller.body.toString(), "id: 1\ndata: a\n\n");
+    }
+
+    /** Guards against a stream that ends within an event not being resumed where it may be. */
+    @Test(dataProvider = "framings")
+    public void shouldResumeWhenStreamEndsWithinAnEvent(boolean framed) {
+        DispatcherHarness harness = plainHarness();
+        FakeCaller caller = harness.send(RouteKind.STREAMING, true);
+        harness.runners.last().streamHead(framed);
+        harness.runners.last().bytes("id: 1\ndata: a\n\nid: 2\nda");
+        harness.runners.last().end();
+        assertEquals(harness.runners.last().lastEventId, "1");
+        harness.runners.last().streamHead(true);
+        harness.runners.last().bytes("id: 2\ndata: b\n\n");
+        harness.runners.last().end();
+        assertEquals(caller.body.toString(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+        assertTrue(caller.ended);
     }
 
     @Test
