Read the body of a response in turns, so that one without end delays nothing else

Cause, first of two: UndertowExchange.readBody read until the connection had nothing more. A server that sends faster than the entry handles the bytes always has more, so the entry's one I/O thread never left that loop: no timer (not even the deadline of that call), no other connection.

Change: a turn ends after 16 reads of 8 KiB; ReadTurns lets one body at a time read on, a millisecond later, after the I/O thread has selected its other connections.

Tried and dropped: a timer of 1 ms for each body. The thread's queue of timers is emptied before it selects, and with more than one body there was always one due: timers ran, connections did not ("Could not connect within 800 ms" in 4 of 4 rows; a thread dump showed only turns). Submitting the next turn as a task has the same flaw.

Related paths: the client is the one for runners, sides, engines of the native way and the store. Bodies of callers are bounded by max-body-bytes, heads by ResponseHeadMonitor.

--- a/http/src/main/java/org/arbutusstack/http/client/UndertowExchange.java
+++ b/http/src/main/java/org/arbutusstack/http/client/UndertowExchange.java
@@ -39,6 +39,9 @@
 
     private static final int READ_BUFFER_BYTES = 8_192;
 
+    /** Maximum number of reads in a row, after which the I/O thread serves other connections and timers. */
+    private static final int MAX_READS_PER_TURN = 16;
+
     /** Sixteen times the maximum size of a response head in the limits that users specify. */
     private static final long MAX_HEAD_BYTES = 256L * 1_024;
 
@@ -85,6 +88,8 @@
 
     private ByteBuffer readBuffer;
 
+    private boolean awaitsTurn;
+
     UndertowExchange(
             UndertowHttpClient owner,
             HttpTarget target,
@@ -265,30 +270,53 @@
     }
 
     private void readBody(StreamSourceChannel source) {
+        if (awaitsTurn) {
+            source.suspendReads();
+            return;
+        }
         if (readBuffer == null) {
             readBuffer = ByteBuffer.allocate(READ_BUFFER_BYTES);
         }
-        ByteBuffer buffer = readBuffer;
         try {
-            while (!ended.get()) {
-                buffer.clear();
-                int count = source.read(buffer);
-                if (count == 0) {
-                    source.resumeReads();
+            for (int reads = 0; !ended.get() && reads < MAX_READS_PER_TURN; reads++) {
+                if (!readPart(source)) {
                     return;
                 }
-                if (count < 0) {
-                    end();
-                    return;
-                }
-                byte[] part = new byte[count];
-                buffer.flip().get(part);
-                remainingBodyBytes -= remainingBodyBytes < 0 ? 0 : count;
-                listener.onBytes(part);
             }
         } catch (IOException failure) {
             fail("Could not read the answer", failure);
         }
+        if (!ended.get()) {
+            awaitTurn(source);
+        }
+    }
+
+    /** Read one part of the body; return whether there may be more at once. */
+    private boolean readPart(StreamSourceChannel source) throws IOException {
+        ByteBuffer buffer = readBuffer.clear();
+        int count = source.read(buffer);
+        if (count == 0) {
+            source.resumeReads();
+            return false;
+        }
+        if (count < 0) {
+            end();
+            return false;
+        }
+        byte[] part = new byte[count];
+        buffer.flip().get(part);
+        remainingBodyBytes -= remainingBodyBytes < 0 ? 0 : count;
+        listener.onBytes(part);
+        return true;
+    }
+
+    private void awaitTurn(StreamSourceChannel source) {
+        awaitsTurn = true;
+        source.suspendReads();
+        ReadTurns.ofCurrentThread().add(connection.getIoThread(), () -> {
+            awaitsTurn = false;
+            readBody(source);
+        });
     }
 
     private void end() {
