Tell the source of a response when its caller was disconnected for reading too slowly

Cause, second of two: when 4 MB wait for a caller, ResponseStream closed the connection itself and marked the response closed first. The listener of the close then took it for one that was known and did not run the task by which the dispatcher cancels the attempt. A write that failed did the same.

Evidence: ResponseStreamTests.shouldReportCloseWhenCallerReadsTooSlowly failed before ("the close was not reported", 1 of 7 tests run), passes now. shouldReportCloseWhenWriteFails passed before too: there the caller's close was read before a write met it, in that run.

Change: the task runs once, whichever way the connection closed, unless the owner of the response aborted it or it was sent completely. A failed write leaves a log line.

Ruled out: the loop alone as the cause. With it mended an attempt for a slow caller would have been read on until its deadline, 15 s on that route.

Related paths: the native way's entry uses the same class and forgets the request by the same task.

--- a/http/src/main/java/org/arbutusstack/http/server/ResponseSink.java
+++ b/http/src/main/java/org/arbutusstack/http/server/ResponseSink.java
@@ -59,7 +59,8 @@
     boolean isClosed();
 
     /**
-     * Register a task that runs if the caller's connection closes before the response has been sent.
+     * Register a task that runs if the caller's connection closes before the response has been sent, also if it is
+     * closed because the caller reads too slowly, but not if it is closed by {@link #abort()}.
      *
      * @param task the task to run; must not block
      */
--- a/http/src/main/java/org/arbutusstack/http/server/ResponseStream.java
+++ b/http/src/main/java/org/arbutusstack/http/server/ResponseStream.java
@@ -10,6 +10,8 @@
 import java.util.Deque;
 import java.util.function.Consumer;
 import org.arbutusstack.kernel.Assert;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.xnio.IoUtils;
 import org.xnio.channels.StreamSinkChannel;
 
@@ -22,6 +24,8 @@
  */
 public final class ResponseStream implements ResponseSink {
 
+    private static final Logger logger = LoggerFactory.getLogger(ResponseStream.class);
+
     private static final long MAX_PENDING_BYTES = 4L * 1_024 * 1_024;
 
     private final HttpServerExchange exchange;
@@ -110,7 +114,8 @@
     void notifyClosed() {
         Runnable task;
         synchronized (this) {
-            task = closed ? null : closeTask;
+            task = closeTask;
+            closeTask = null;
             markClosed();
         }
         if (task != null) {
@@ -152,7 +157,7 @@
                 return true;
             }
         }
-        abort();
+        disconnect();
         return false;
     }
 
@@ -164,6 +169,14 @@
 
     @Override
     public void abort() {
+        synchronized (this) {
+            closeTask = null;
+        }
+        disconnect();
+    }
+
+    /** Close the connection, whose close listener then reports that the caller has gone. */
+    private void disconnect() {
         markClosed();
         exchange.getIoThread().execute(() -> IoUtils.safeClose(exchange.getConnection()));
     }
@@ -195,7 +208,8 @@
         try {
             writePending();
         } catch (IOException failure) {
-            abort();
+            logger.debug("event=response-write-failed detail={}", failure.getMessage());
+            disconnect();
         }
     }
 
@@ -234,6 +248,7 @@
     private void flushOrEnd() throws IOException {
         if (ending) {
             closed = true;
+            closeTask = null;
             channel.getWriteSetter().set(null);
             exchange.endExchange();
             return;
