Send one value of each header, whatever case the caller wrote its name in

Cause: the headers of a call were a hash map by the exact name. Beside the caller's last-event-id the entry put its own Last-Event-Id, and the order of a map whose order is drawn anew in each process decided which of the two the client sent.

Ruled out: the relay's position (the value of its own header was right in every run).

Related paths: the other headers that the system sets (Target-Instance, Request-Deadline, Request-Priority) were safe, as the caller's are dropped without regard to case; HttpCall now holds this for sides, engines and the store as well. The native way copies no headers of callers.

--- a/http/src/main/java/org/arbutusstack/http/client/HttpCall.java
+++ b/http/src/main/java/org/arbutusstack/http/client/HttpCall.java
@@ -1,6 +1,8 @@
 package org.arbutusstack.http.client;
 
+import java.util.Collections;
 import java.util.Map;
+import java.util.TreeMap;
 import org.arbutusstack.kernel.Assert;
 
 /**
@@ -8,7 +10,7 @@
  *
  * @param method the HTTP method
  * @param path the path and the query
- * @param headers the headers in addition to those that the client sets
+ * @param headers the headers in addition to those that the client sets; names are equal without regard to case
  * @param body the bytes of the body, empty for none; not copied
  * @param repeatable whether the call may be sent on a connection that has been idle for long and may be dead
  * @param newConnection whether the call is sent on a new connection, which carries no late answer to an earlier call
@@ -23,14 +25,25 @@
 
     private static final byte[] NO_BODY = new byte[0];
 
-    /** Check the components and copy the headers. */
+    /**
+     * Check the components and copy the headers.
+     *
+     * @throws IllegalArgumentException if two names of headers differ only in case
+     */
     public HttpCall {
         Assert.hasText(method, "method");
         Assert.hasText(path, "path");
-        headers = Map.copyOf(headers);
+        headers = copyOf(headers);
         Assert.notNull(body, "body");
     }
 
+    private static Map<String, String> copyOf(Map<String, String> headers) {
+        Map<String, String> copy = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+        copy.putAll(headers);
+        Assert.isTrue(copy.size() == headers.size(), "the names of two headers differ only in case");
+        return Collections.unmodifiableMap(copy);
+    }
+
     /**
      * Create a call that may be sent on an idle connection.
      *
