Notice the end of a resumed stream that is marked only by the end of its connection

Callers saw: a stream that was resumed at a runner that sends neither a length nor chunks got all events and then broke off, or was sent on to a third runner after its last event.

Cause: an answer without a length of which nothing came before its connection ended counts as lost. Whether something had come was judged by the time of the first event, which is set only where the caller's stream opens, so never in an attempt that resumes one.

Change: an attempt records that it relayed an event. What the estimate of a runner's speed uses stays the time of the first event of the request.

--- a/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
@@ -105,6 +105,7 @@
 
     private void relayEvents(ActiveRequest active, CurrentAttempt attempt, byte[] bytes) {
         openStream(active, attempt);
+        attempt.recordEvent();
         active.progress().recordEvents(clock.nowNanos(), attempt.runner().running());
         active.relayedEvents().record(bytes);
         active.response().write(bytes);
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/CurrentAttempt.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/CurrentAttempt.java
@@ -43,6 +43,8 @@
 
     private long firstEventAtNanos;
 
+    private boolean eventRelayed;
+
     CurrentAttempt(AnswerRelay relay, ActiveRequest owner, KnownRunner runner, long sentAtNanos) {
         this.relay = relay;
         this.owner = owner;
@@ -68,10 +70,14 @@
 
     /** Return whether an event of the answer was received, or for an answer that is not a stream, a part of it. */
     boolean isBegun() {
-        return firstEventAtNanos != 0 || body.size() > 0;
+        return eventRelayed || body.size() > 0;
+    }
+
+    void recordEvent() {
+        eventRelayed = true;
     }
 
-    /** Update the runner's first-event estimate with the time that this attempt took. */
+    /** Update the runner's first-event estimate with the time that this attempt, the first one, took. */
     void recordFirstEvent(long nowNanos) {
         firstEventAtNanos = nowNanos;
         runner.speed().recordFirstEvent(queueEstimate, nowNanos - sentAtNanos);
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/RequestDispatcherTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/RequestDispatcherTests.java
@@ -190,6 +190,21 @@
         assertTrue(caller.ended);
     }
 
+    /** Guards against the end of a resumed stream not being noticed if it is only marked by that of the connection. */
+    @Test(dataProvider = "framings")
+    public void shouldCompleteResumedStreamWhenItEnds(boolean framed) {
+        DispatcherHarness harness = plainHarness();
+        FakeCaller caller = harness.send(RouteKind.STREAMING, true);
+        harness.runners.last().streamHead(framed);
+        harness.runners.last().bytes("id: 1\ndata: a\n\n");
+        harness.runners.last().fail(true);
+        harness.runners.last().streamHead(framed);
+        harness.runners.last().bytes("id: 2\ndata: b\n\n");
+        harness.runners.last().end();
+        assertEquals(caller.body.toString(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+        assertTrue(caller.ended);
+    }
+
     @Test
     public void shouldAbortWhenStreamMayNotBeResumed() {
         DispatcherHarness harness = plainHarness();
