Relay only events that continue the stream

Cause: whatever stood before the last blank line was taken for events. Nothing looked at a field.

Change: EventStreamParser looks at each byte once and rejects what cannot be part of an event; EventSequence accepts an event only with data and a number above that of the event before, over all attempts, beginning with the position from which the caller resumes. Sound events before are relayed, then the attempt fails: a stream that may be resumed goes on after them, another is broken off, and neither looks complete. A garbled answer is no crash, so no strike against its content.

Not told apart, since the bytes of data are the runner's own: text within the data of a proper event.

Related paths: the side of the native way takes bytes before a blank line for events too; next.

--- a/gateway/src/main/java/org/arbutusstack/gateway/request/ActiveRequest.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/ActiveRequest.java
@@ -17,7 +17,7 @@
 
     private final ResponseSink response;
 
-    private final RelayedEvents relayedEvents = new RelayedEvents();
+    private final EventSequence events;
 
     private final StreamProgress progress;
 
@@ -55,6 +55,7 @@
         this.request = request;
         this.response = response;
         this.progress = new StreamProgress(request);
+        this.events = new EventSequence(request.route().mayRepeat() ? request.resumedEventId() : "");
     }
 
     StreamProgress progress() {
@@ -94,8 +95,8 @@
         return response;
     }
 
-    RelayedEvents relayedEvents() {
-        return relayedEvents;
+    EventSequence events() {
+        return events;
     }
 
     /** Return the attempt in progress, or {@code null} if there is none. */
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
@@ -1,7 +1,10 @@
 package org.arbutusstack.gateway.request;
 
+import java.io.ByteArrayOutputStream;
 import org.arbutusstack.gateway.runner.KnownRunner;
 import org.arbutusstack.gateway.runner.RunnerNotice;
+import org.arbutusstack.http.event.EventStreamParser;
+import org.arbutusstack.http.event.ServerSentEvent;
 import org.arbutusstack.kernel.Assert;
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.model.request.Refusal;
@@ -76,15 +79,26 @@
         }
     }
 
-    /** Relay the events that the received bytes complete. */
+    /** Relay the events that the received bytes complete, up to one that does not continue the stream. */
     void bytesReceived(ActiveRequest active, CurrentAttempt attempt, byte[] bytes) {
-        byte[] events = attempt.events().append(bytes);
-        if (attempt.events().isTooLarge()) {
-            answerTooLarge(active, attempt);
-            return;
+        EventStreamParser.Result parsed = attempt.events().parse(bytes);
+        ByteArrayOutputStream relayed = new ByteArrayOutputStream();
+        String fault = "";
+        for (ServerSentEvent event : parsed.events()) {
+            fault = active.events().add(event);
+            if (!fault.isEmpty()) {
+                break;
+            }
+            relayed.writeBytes(event.bytes());
         }
-        if (events.length > 0) {
-            relayEvents(active, attempt, events);
+        if (relayed.size() > 0) {
+            relayEvents(active, attempt, relayed.toByteArray());
+        }
+        if (fault.isEmpty() && parsed.isTooLong()) {
+            answerTooLarge(active, attempt);
+        } else if (!fault.isEmpty() || parsed.isRejected()) {
+            String detail = "the stream holds " + (fault.isEmpty() ? parsed.fault() : fault);
+            rejectAnswer(active, attempt, RefusalReason.BACKEND_ERROR, detail);
         }
     }
 
@@ -107,7 +121,6 @@
         openStream(active, attempt);
         attempt.recordEvent();
         active.progress().recordEvents(clock.nowNanos(), attempt.runner().running());
-        active.relayedEvents().record(bytes);
         active.response().write(bytes);
     }
 
@@ -163,7 +176,7 @@
     }
 
     private void endStream(ActiveRequest active, CurrentAttempt attempt) {
-        boolean isWithinEvent = attempt.events().partialEvent().length > 0;
+        boolean isWithinEvent = attempt.events().isWithinEvent();
         if (isWithinEvent && attempt.head().framed()) {
             rejectAnswer(active, attempt, RefusalReason.BACKEND_LOST, "the stream ended within an event");
             return;
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/CurrentAttempt.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/CurrentAttempt.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import org.arbutusstack.gateway.runner.KnownRunner;
 import org.arbutusstack.gateway.runner.RunnerSpeed;
+import org.arbutusstack.http.event.EventStreamParser;
 import org.arbutusstack.kernel.time.Clock;
 
 /**
@@ -21,6 +22,8 @@
      */
     private static final int MAX_ANSWER_BYTES = 16 * 1_024 * 1_024;
 
+    private static final int MAX_EVENT_BYTES = 1_048_576;
+
     private final AnswerRelay relay;
 
     private final ActiveRequest owner;
@@ -31,7 +34,7 @@
 
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
-    private final EventBuffer events = new EventBuffer();
+    private final EventStreamParser events = new EventStreamParser(MAX_EVENT_BYTES);
 
     private RunnerPort.Attempt handle;
 
@@ -107,7 +110,7 @@
         return body.toByteArray();
     }
 
-    EventBuffer events() {
+    EventStreamParser events() {
         return events;
     }
 
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/DecisionLog.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/DecisionLog.java
@@ -105,7 +105,7 @@
                     reported.kind().label(),
                     reported.reason().label(),
                     active.isOpened(),
-                    active.relayedEvents().count(),
+                    active.events().count(),
                     heldMillis,
                     clock.millisUntil(request.deadlineNanos()),
                     throttle.takeSuppressed(),
@@ -125,7 +125,7 @@
                     stateOf(runner),
                     active.attempt() != null,
                     active.isOpened(),
-                    active.relayedEvents().count(),
+                    active.events().count(),
                     heldMillis);
         }
     }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/InboundRequest.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/InboundRequest.java
@@ -21,6 +21,7 @@
  * @param outputTokens the maximum number of tokens of the answer; zero if unknown
  * @param prefixHash the hash of the prompt prefix shared within a session; zero for none
  * @param sharedParts the identifiers of the prompt's parts in order, without the last, which no other request shares
+ * @param resumedEventId the identifier of the last event that the caller has of a stream that it resumes; empty if none
  * @param arrivedNanos the time at which the request was read
  * @param deadlineNanos the earlier of the caller's deadline and the timeout of the route
  */
@@ -38,6 +39,7 @@
         int outputTokens,
         long prefixHash,
         List<String> sharedParts,
+        String resumedEventId,
         long arrivedNanos,
         long deadlineNanos) {
 
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatcher.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatcher.java
@@ -219,7 +219,7 @@
         log.sent(active, runner);
         quarantine.attemptSent(active, runner);
         metrics.countSend(request, runner.limit().isActive());
-        String lastEventId = active.isOpened() ? active.relayedEvents().lastId() : "";
+        String lastEventId = active.isOpened() ? active.events().lastId() : "";
         boolean sentBefore = active.hasFailedOn(runner.entry().id());
         attempt.handle(
                 runnerPort.send(runner.entry(), request, lastEventId, request.deadlineNanos(), sentBefore, attempt));
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/DispatcherHarness.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/DispatcherHarness.java
@@ -46,6 +46,9 @@
     /** The shared prompt parts of the requests that are sent. */
     List<String> sharedParts = List.of();
 
+    /** The last event that the callers of the requests that are sent have. */
+    String resumedEventId = "";
+
     private int number;
 
     DispatcherHarness() {
@@ -140,6 +143,7 @@
                         10,
                         0,
                         sharedParts,
+                        resumedEventId,
                         clock.nowNanos(),
                         clock.deadlineNanos(route.timeoutMillis())),
                 caller);
--- /dev/null
+++ b/http/src/main/java/org/arbutusstack/http/event/package-info.java
@@ -0,0 +1,2 @@
+/** Parser of server-sent events. */
+package org.arbutusstack.http.event;
