Native way: relay only events, each of bounded size, up to the one that ends the stream

Change: the side reads streams by EventStreamParser as the platform way does. Bytes that are no event, or an event of more than 1 MB, end the attempt; the entry resumes after the events that came before, or ends the stream with an error. What follows [DONE] is dropped. An answer of another type to a request for a stream is passed on as it comes instead of being kept at the side.

Both effects go in one commit: they are one reader replaced by another.

Ruled out: the entry of the native way; it counts the units that sides name and resets what it holds at each attempt.

--- a/side/src/main/java/org/arbutusstack/side/WorkItem.java
+++ b/side/src/main/java/org/arbutusstack/side/WorkItem.java
@@ -2,12 +2,15 @@
 
 import java.io.ByteArrayOutputStream;
 import org.arbutusstack.http.client.HttpClient;
+import org.arbutusstack.http.event.EventStreamParser;
 import org.arbutusstack.wire.frame.WorkFrame;
 import org.arbutusstack.wire.link.Link;
 
 /** State of one request on the side, from its frame to its answer or refusal. Confined to the side's event loop. */
 final class WorkItem {
 
+    private static final int MAX_EVENT_BYTES = 1_048_576;
+
     private WorkFrame frame;
 
     private Link link;
@@ -16,6 +19,8 @@
 
     private final ByteArrayOutputStream buffer = new ByteArrayOutputStream();
 
+    private final EventStreamParser events = new EventStreamParser(MAX_EVENT_BYTES);
+
     private String adapterKey = "";
 
     private String modelVersion = "";
@@ -77,6 +82,11 @@
         return buffer;
     }
 
+    /** Return the parser of the answer, if it is a stream. */
+    EventStreamParser events() {
+        return events;
+    }
+
     String adapterKey() {
         return adapterKey;
     }
--- a/side/src/main/java/org/arbutusstack/side/WorkRunner.java
+++ b/side/src/main/java/org/arbutusstack/side/WorkRunner.java
@@ -1,6 +1,11 @@
 package org.arbutusstack.side;
 
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import org.arbutusstack.http.client.HttpException;
+import org.arbutusstack.http.event.EventStreamParser;
+import org.arbutusstack.http.event.ServerSentEvent;
 import org.arbutusstack.kernel.Assert;
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.model.request.Refusal;
@@ -24,6 +29,8 @@
 
     private static final String EVENT_STREAM = "text/event-stream";
 
+    private static final byte[] TERMINAL_EVENT = "data: [DONE]\n\n".getBytes(StandardCharsets.US_ASCII);
+
     private final Clock clock;
 
     private final BackendClient backend;
@@ -166,20 +173,46 @@
         }
         if (!work.frame().stream()) {
             answers.sendPart(work, bytes, bytes.length);
-            return;
+        } else if (!work.contentType().startsWith(EVENT_STREAM)) {
+            answers.sendPart(work, bytes, 0);
+        } else if (!work.isComplete()) {
+            relayEvents(work, bytes);
         }
-        work.buffer().writeBytes(bytes);
-        EventStreamSplitter.Events events =
-                EventStreamSplitter.split(work.buffer().toByteArray());
-        if (events.count() == 0) {
-            return;
+    }
+
+    /** Relay the events that the received bytes complete, up to the one that ends the stream or to bytes that are none. */
+    private void relayEvents(WorkItem work, byte[] bytes) {
+        EventStreamParser.Result parsed = work.events().parse(bytes);
+        ByteArrayOutputStream relayed = new ByteArrayOutputStream();
+        int count = 0;
+        String fault = parsed.fault();
+        for (ServerSentEvent event : parsed.events()) {
+            if (!event.hasData()) {
+                fault = "an event without data";
+                break;
+            }
+            relayed.writeBytes(event.bytes());
+            count++;
+            if (Arrays.equals(event.bytes(), TERMINAL_EVENT)) {
+                work.markComplete();
+                break;
+            }
         }
-        work.buffer().reset();
-        work.buffer().writeBytes(events.rest());
-        if (events.isLast()) {
-            work.markComplete();
+        if (count > 0) {
+            answers.sendPart(work, relayed.toByteArray(), count);
         }
-        answers.sendPart(work, events.whole(), events.count());
+        if (!fault.isEmpty() && !work.isComplete()) {
+            RefusalReason reason = parsed.isTooLong() ? RefusalReason.ANSWER_TOO_LARGE : RefusalReason.BACKEND_ERROR;
+            rejectStream(work, reason, "the stream holds " + fault);
+        }
+    }
+
+    private void rejectStream(WorkItem work, RefusalReason reason, String detail) {
+        logger.info(
+                "event=stream-rejected request={} detail=\"{}\"", work.frame().id(), detail);
+        registry.end(work);
+        backend.cancel(work);
+        answers.refuse(work, Refusal.outcomeUnknown(reason, detail));
     }
 
     private void bufferAnswer(WorkItem work, byte[] bytes) {
@@ -210,11 +243,11 @@
             suspects.completed(work);
         }
         serviceTimes.add(work.frame().model(), clock.nowNanos() - work.dispatchedAtNanos());
-        byte[] rest = work.buffer().toByteArray();
         if (work.frame().idempotent()) {
-            answers.sendLastPart(work, rest, 0);
+            answers.sendLastPart(work, new byte[0], 0);
             return;
         }
+        byte[] rest = work.buffer().toByteArray();
         claims.recordOutcome(work, work.status(), work.contentType(), rest);
         answers.sendHead(work);
         answers.sendLastPart(work, rest, rest.length);
--- a/side/src/test/java/org/arbutusstack/side/WorkDispatcherFixture.java
+++ b/side/src/test/java/org/arbutusstack/side/WorkDispatcherFixture.java
@@ -193,7 +193,11 @@
         }
 
         void event(String data) {
-            listener.onBytes(("data: " + data + "\n\n").getBytes(StandardCharsets.UTF_8));
+            bytes("data: " + data + "\n\n");
+        }
+
+        void bytes(String text) {
+            listener.onBytes(text.getBytes(StandardCharsets.UTF_8));
         }
 
         void finish() {
--- a/side/src/test/java/org/arbutusstack/side/WorkDispatcherTests.java
+++ b/side/src/test/java/org/arbutusstack/side/WorkDispatcherTests.java
@@ -199,6 +199,61 @@
         assertTrue(own.sent(AnswerPartFrame.class).stream().noneMatch(AnswerPartFrame::last));
     }
 
+    private static String textOf(FakeLink link) {
+        StringBuilder text = new StringBuilder();
+        link.sent(AnswerPartFrame.class).forEach(part -> text.append(new String(part.bytes(), StandardCharsets.UTF_8)));
+        return text.toString();
+    }
+
+    /** Guards against bytes that are no event reaching a caller as one because a blank line follows them. */
+    @Test
+    public void shouldRefuseRestOfStreamWhenBackendServerSendsGarbage() {
+        WorkDispatcherFixture fixture = new WorkDispatcherFixture(WorkDispatcherFixture.limits(1));
+        FakeLink own = new FakeLink();
+        fixture.receive(normal(1, 1), own);
+        Exchange exchange = fixture.client.last();
+        exchange.head();
+        exchange.event("word");
+        exchange.bytes("bytes that are no event\n\n");
+        exchange.event("[DONE]");
+        fixture.handleEvents();
+        assertEquals(textOf(own), "data: word\n\n");
+        assertEquals(own.refusals(), List.of("1 OUTCOME_UNKNOWN BACKEND_ERROR"));
+        assertTrue(exchange.cancelled);
+    }
+
+    /** Guards against a side that keeps the bytes of an event without end until its memory is exhausted. */
+    @Test
+    public void shouldGiveUpStreamWhenEventNeverEnds() {
+        WorkDispatcherFixture fixture = new WorkDispatcherFixture(WorkDispatcherFixture.limits(1));
+        FakeLink own = new FakeLink();
+        fixture.receive(normal(1, 1), own);
+        Exchange exchange = fixture.client.last();
+        exchange.head();
+        exchange.bytes("data: ");
+        for (int index = 0; index < 32 && !exchange.cancelled; index++) {
+            exchange.bytes("x".repeat(65_536));
+            fixture.handleEvents();
+        }
+        assertTrue(exchange.cancelled);
+        assertEquals(own.refusals(), List.of("1 OUTCOME_UNKNOWN ANSWER_TOO_LARGE"));
+    }
+
+    @Test
+    public void shouldIgnoreBytesAfterTheEventThatEndsTheStream() {
+        WorkDispatcherFixture fixture = new WorkDispatcherFixture(WorkDispatcherFixture.limits(1));
+        FakeLink own = new FakeLink();
+        fixture.receive(normal(1, 1), own);
+        Exchange exchange = fixture.client.last();
+        exchange.head();
+        exchange.bytes("data: word\n\ndata: [DONE]\n\nHTTP/1.1 200 OK\r\n\r\n");
+        exchange.bytes("data: more\n\n");
+        exchange.listener.onEnd();
+        fixture.handleEvents();
+        assertEquals(textOf(own), "data: word\n\ndata: [DONE]\n\n");
+        assertEquals(own.refusals(), List.of());
+    }
+
     @Test
     public void shouldRefuseNewWorkWhenDraining() {
         WorkDispatcherFixture fixture = new WorkDispatcherFixture(WorkDispatcherFixture.limits(1));
