Bound what surrounds the body of a response: chunk sizes, extensions and trailers without end

Here: heads and bodies were bounded, what stands between and after the parts of a body was not. The parser collects a trailer, and reads the size of a chunk and its extension, for as long as the server sends; the call ended at its deadline only.

Change: a call fails once 256 KiB came without a byte of the body; the bound of heads.

Ruled out: a count of the head's monitor; the I/O thread leaves the parser after each read here, so no thread of its own is needed.

--- a/http/src/main/java/org/arbutusstack/http/client/UndertowExchange.java
+++ b/http/src/main/java/org/arbutusstack/http/client/UndertowExchange.java
@@ -45,6 +45,9 @@
     /** Sixteen times the maximum size of a response head in the limits that users specify. */
     private static final long MAX_HEAD_BYTES = 256L * 1_024;
 
+    /** Maximum number of bytes between two parts of a body, or after the last one: sizes of chunks and trailers. */
+    private static final long MAX_FRAMING_BYTES = 256L * 1_024;
+
     /** Makes connections count the bytes that they read. */
     private static final OptionMap STATISTICS_ENABLED = OptionMap.create(UndertowOptions.ENABLE_STATISTICS, true);
 
@@ -90,6 +93,9 @@
 
     private boolean awaitsTurn;
 
+    /** The number of bytes that the connection had read when the last part of the body was received. */
+    private long bytesReadBeforeFraming;
+
     UndertowExchange(
             UndertowHttpClient owner,
             HttpTarget target,
@@ -241,6 +247,7 @@
                 if (ended.get()) {
                     return;
                 }
+                bytesReadBeforeFraming = connection.getStatistics().getRead();
                 StreamSourceChannel source = exchange.getResponseChannel();
                 source.getReadSetter().set(UndertowExchange.this::readBody);
                 readBody(source);
@@ -295,10 +302,16 @@
     private boolean readPart(StreamSourceChannel source) throws IOException {
         ByteBuffer buffer = readBuffer.clear();
         int count = source.read(buffer);
+        long bytesRead = connection.getStatistics().getRead();
+        if (count == 0 && bytesRead - bytesReadBeforeFraming > MAX_FRAMING_BYTES) {
+            fail("Got more than " + MAX_FRAMING_BYTES + " bytes of chunk sizes or trailers", null);
+            return false;
+        }
         if (count == 0) {
             source.resumeReads();
             return false;
         }
+        bytesReadBeforeFraming = bytesRead;
         if (count < 0) {
             end();
             return false;
--- a/http/src/test/java/org/arbutusstack/http/client/EndlessBodyTests.java
+++ b/http/src/test/java/org/arbutusstack/http/client/EndlessBodyTests.java
@@ -1,13 +1,16 @@
 package org.arbutusstack.http.client;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 
 import io.undertow.Undertow;
 import io.undertow.server.HttpServerExchange;
 import java.net.InetSocketAddress;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.arbutusstack.http.server.HttpServers;
 import org.testng.annotations.AfterMethod;
@@ -24,6 +27,9 @@
 
     private static final int ENDLESS_CALLS = 4;
 
+    /** What the buffers of both ends of a connection hold, and more. */
+    private static final long MAX_SENT_BYTES = 40_000_000;
+
     private static final String HEAD = "HTTP/1.1 200 OK\r\n";
 
     private UndertowHttpClient client;
@@ -86,6 +92,27 @@
         assertTrue(elapsedMillis < 2 * DEADLINE_MILLIS, elapsedMillis + " ms");
     }
 
+    @DataProvider
+    public Object[][] framingsWithoutEnd() {
+        String kilobyte = "x".repeat(1_024);
+        String chunks = HEAD + "Transfer-Encoding: chunked\r\n\r\n";
+        return new Object[][] {
+            {"a trailer of many lines", chunks + "2\r\nok\r\n0\r\n", "X-Line: " + kilobyte + "\r\n"},
+            {"a trailer of one line", chunks + "2\r\nok\r\n0\r\nX-Line: ", kilobyte},
+            {"an extension of a chunk", chunks + "2;", kilobyte},
+            {"the size of a chunk", chunks, "0".repeat(1_024)}
+        };
+    }
+
+    /** Guards against a client that keeps what surrounds the body until its memory is exhausted. */
+    @Test(dataProvider = "framingsWithoutEnd")
+    public void shouldFailCallWhenBytesAroundBodyNeverEnd(String part, String head, String repeated) throws Exception {
+        endless = new FloodServer(head, repeated);
+        CompletableFuture<HttpReply> reply = client.call(endless.target(), HttpCall.get("/"), deadlineNanos(20_000));
+        assertThrows(ExecutionException.class, () -> reply.get(10, TimeUnit.SECONDS));
+        assertTrue(endless.sentBytes() < MAX_SENT_BYTES, endless.sentBytes() + " bytes");
+    }
+
     private static long deadlineNanos(long millis) {
         return System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
     }
--- a/http/src/test/java/org/arbutusstack/http/client/FloodServer.java
+++ b/http/src/test/java/org/arbutusstack/http/client/FloodServer.java
@@ -6,6 +6,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicLong;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -20,6 +21,8 @@
 
     private final byte[] repeated;
 
+    private final AtomicLong sentBytes = new AtomicLong();
+
     FloodServer(String head, String repeated) throws IOException {
         this.head = head.getBytes(StandardCharsets.ISO_8859_1);
         this.repeated = repeated.getBytes(StandardCharsets.ISO_8859_1);
@@ -50,12 +53,18 @@
             out.write(head);
             while (firstByte >= 0) {
                 out.write(repeated);
+                sentBytes.addAndGet(repeated.length);
             }
         } catch (IOException ended) {
             logger.debug("event=flood-ended detail={}", ended.getMessage());
         }
     }
 
+    /** Return the number of repeated bytes that were sent on all connections. */
+    long sentBytes() {
+        return sentBytes.get();
+    }
+
     HttpTarget target() {
         return new HttpTarget("127.0.0.1", socket.getLocalPort());
     }
