Bound what all answers that are held take together

Here: each answer was bounded (16 MB, an event 1 MB), their sum was not. Real processes of the untouched code, entry with its 96 MB heap, 40 requests of which about half reach a plain runner whose sealed answer never ends, 8 MB/s each: OutOfMemoryError on the entry's I/O thread, line after line, and 2 of 60 small requests beside them not answered. With 60 streams of one endless event at 4 MB/s, or 40 trailers: no OutOfMemoryError in one run each.

Change: AnswerMemory accounts for the answers and events in progress of 16 KiB and more, up to an eighth of the heap (an answer takes up to four times its size while its buffer grows and is copied). Beyond it the longest is given up: refused with 502, or sent to another runner where it may be. The gauge arbutus_gateway_held_answer_bytes shows the sum. SendLimits is now AttemptLimits and holds this limit too.

--- a/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
@@ -13,10 +13,10 @@
 import org.arbutusstack.gateway.quarantine.ContentQuarantine;
 import org.arbutusstack.gateway.quarantine.CrashMonitor;
 import org.arbutusstack.gateway.quarantine.QuarantineRecord;
+import org.arbutusstack.gateway.request.AttemptLimits;
 import org.arbutusstack.gateway.request.GatewayMetrics;
 import org.arbutusstack.gateway.request.RequestDispatcher;
 import org.arbutusstack.gateway.request.RequestDispatchers;
-import org.arbutusstack.gateway.request.SendLimits;
 import org.arbutusstack.gateway.runner.KnownRunner;
 import org.arbutusstack.gateway.runner.PermitClient;
 import org.arbutusstack.gateway.runner.RunnerEntry;
@@ -114,7 +114,7 @@
                 dependencies.callers(),
                 dependencies.zone(),
                 clock,
-                new SendLimits(dependencies.retries(), permits),
+                AttemptLimits.ofProcess(dependencies.retries(), permits),
                 metrics,
                 quarantine,
                 crashMonitor);
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/ActiveRequest.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/ActiveRequest.java
@@ -116,7 +116,7 @@
     void attemptFailed(Refusal refusal) {
         if (attempt != null) {
             failedRunners.add(attempt.runner().entry().id());
-            attempt.runner().recordEnd();
+            attempt.end();
             attempt = null;
         }
         if (refusal.kind() == RefusalKind.OUTCOME_UNKNOWN) {
@@ -128,7 +128,7 @@
 
     void releaseAttempt() {
         if (attempt != null) {
-            attempt.runner().recordEnd();
+            attempt.end();
             attempt = null;
         }
     }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
@@ -35,11 +35,14 @@
 
     private final RequestQuarantine quarantine;
 
+    private final AnswerMemory<CurrentAttempt> memory;
+
     AnswerRelay(
             RequestDispatcher dispatcher,
             RunnerPort runnerPort,
             CallerPort callers,
             Clock clock,
+            AttemptLimits limits,
             GatewayMetrics metrics,
             DecisionLog log,
             RequestQuarantine quarantine) {
@@ -50,6 +53,7 @@
         this.metrics = Assert.notNull(metrics, "metrics");
         this.log = Assert.notNull(log, "log");
         this.quarantine = Assert.notNull(quarantine, "quarantine");
+        this.memory = new AnswerMemory<>(limits.maxHeldAnswerBytes());
     }
 
     /** Fail the attempt at once if the head shows that the answer is not the runner's, without waiting for the body. */
@@ -107,6 +111,23 @@
         rejectAnswer(active, attempt, RefusalReason.ANSWER_TOO_LARGE, "an answer or event is too long to hold");
     }
 
+    /** Account for the bytes that an attempt holds, and give up the longest answers while all are too long together. */
+    void hold(CurrentAttempt attempt, long bytes) {
+        memory.update(attempt, bytes);
+        while (memory.isExceeded()) {
+            CurrentAttempt longest = memory.largest();
+            memory.release(longest);
+            String detail = "the answers in progress are too long to hold, this one the longest";
+            rejectAnswer(longest.owner(), longest, RefusalReason.ANSWER_TOO_LARGE, detail);
+        }
+        metrics.updateHeldAnswers(memory.totalBytes());
+    }
+
+    /** Stop accounting for an attempt that has ended. */
+    void release(CurrentAttempt attempt) {
+        memory.release(attempt);
+    }
+
     /**
      * Fail an attempt whose answer cannot be relayed although its connection did not break, which is no sign that the
      * runner crashed.
--- /dev/null
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/AttemptLimits.java
@@ -0,0 +1,32 @@
+package org.arbutusstack.gateway.request;
+
+import org.arbutusstack.gateway.runner.PermitClient;
+import org.arbutusstack.kernel.Assert;
+
+/**
+ * Limits on the attempts of requests.
+ *
+ * @param retries the limits on retries
+ * @param permits the permits of runners that limit their requests
+ * @param maxHeldAnswerBytes the maximum size of all answers that are held until they can be relayed, in bytes
+ */
+public record AttemptLimits(RetryLimits retries, PermitClient permits, long maxHeldAnswerBytes) {
+
+    /** Check the components. */
+    public AttemptLimits {
+        Assert.notNull(retries, "retries");
+        Assert.notNull(permits, "permits");
+        Assert.atLeast(maxHeldAnswerBytes, 1, "maxHeldAnswerBytes");
+    }
+
+    /**
+     * Create limits for the heap of this process.
+     *
+     * @param retries the limits on retries
+     * @param permits the permits of runners that limit their requests
+     * @return the limits
+     */
+    public static AttemptLimits ofProcess(RetryLimits retries, PermitClient permits) {
+        return new AttemptLimits(retries, permits, AnswerMemory.maxBytesOfHeap());
+    }
+}
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/CurrentAttempt.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/CurrentAttempt.java
@@ -127,6 +127,16 @@
         cancelled = true;
     }
 
+    /** Release what the attempt uses. */
+    void end() {
+        runner.recordEnd();
+        relay.release(this);
+    }
+
+    ActiveRequest owner() {
+        return owner;
+    }
+
     private boolean isCurrent() {
         return !cancelled && owner.attempt() == this;
     }
@@ -153,6 +163,9 @@
         } else {
             body.writeBytes(bytes);
         }
+        if (isCurrent()) {
+            relay.hold(this, body.size() + events.heldBytes());
+        }
     }
 
     /** Return whether the answer is relayed event by event. */
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/GatewayMetrics.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/GatewayMetrics.java
@@ -32,6 +32,8 @@
 
     private final Gauge waiting;
 
+    private final Gauge heldAnswerBytes;
+
     /**
      * Create and register the metrics.
      *
@@ -82,6 +84,10 @@
                 .name("arbutus_gateway_requests_waiting")
                 .help("requests that wait for a model or an adapter")
                 .register(registry);
+        heldAnswerBytes = Gauge.builder()
+                .name("arbutus_gateway_held_answer_bytes")
+                .help("size of the long answers that are held until they can be relayed")
+                .register(registry);
     }
 
     void recordOutcome(InboundRequest request, String outcome) {
@@ -125,6 +131,10 @@
         badInput.labelValues(reason.label()).inc();
     }
 
+    void updateHeldAnswers(long bytes) {
+        heldAnswerBytes.set(bytes);
+    }
+
     void updateInFlight(int count, int waitingCount) {
         inFlight.set(count);
         waiting.set(waitingCount);
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatcher.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatcher.java
@@ -73,7 +73,7 @@
             RunnerPort runnerPort,
             CallerPort callers,
             Clock clock,
-            SendLimits limits,
+            AttemptLimits limits,
             GatewayMetrics metrics,
             RequestQuarantine quarantine) {
         this.chooser = Assert.notNull(chooser, "chooser");
@@ -89,7 +89,7 @@
         this.deferredCallers = new DeferredCallers(clock);
         this.loadForecast = new LoadForecast(clock);
         this.drainState = new DrainState(clock);
-        this.relay = new AnswerRelay(this, runnerPort, callers, clock, metrics, log, quarantine);
+        this.relay = new AnswerRelay(this, runnerPort, callers, clock, limits, metrics, log, quarantine);
     }
 
     /**
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatchers.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatchers.java
@@ -19,7 +19,7 @@
      * @param callers writes answers and refusals to callers
      * @param zone the availability zone of the entry, preferred among equal runners
      * @param clock the clock of the process
-     * @param limits the limits on what the entry sends to runners
+     * @param limits the limits on the attempts of requests
      * @param metrics the metrics of requests
      * @param quarantine the quarantine for content that crashes runners
      * @param crashMonitor the monitor of the runners that have no side
@@ -31,7 +31,7 @@
             CallerPort callers,
             String zone,
             Clock clock,
-            SendLimits limits,
+            AttemptLimits limits,
             GatewayMetrics metrics,
             ContentQuarantine quarantine,
             CrashMonitor crashMonitor) {
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/DispatcherHarness.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/DispatcherHarness.java
@@ -28,6 +28,8 @@
 
     private static final long TIMEOUT_MILLIS = 1_000;
 
+    private static final long MAX_HELD_ANSWER_BYTES = 16_000_000;
+
     final ManualClock clock = new ManualClock(1_000_000_000L);
 
     final RunnerTable table = new RunnerTable(clock);
@@ -56,6 +58,10 @@
     }
 
     DispatcherHarness(RetryLimits limits) {
+        this(limits, MAX_HELD_ANSWER_BYTES);
+    }
+
+    DispatcherHarness(RetryLimits limits, long maxHeldAnswerBytes) {
         PrometheusRegistry registry = new PrometheusRegistry();
         PermitClient permits = new PermitClient("edge-1", table, (runner, frame) -> permitRequests.add(frame), () -> 4);
         quarantine = new ContentQuarantine((host, frame) -> {}, () -> false, clock, registry);
@@ -65,7 +71,7 @@
                 FakeCaller.PORT,
                 "regina",
                 clock,
-                new SendLimits(limits, permits),
+                new AttemptLimits(limits, permits, maxHeldAnswerBytes),
                 new GatewayMetrics(registry),
                 quarantine,
                 new CrashMonitor(probe, server -> "/health", quarantine::strikeReceived, clock, registry));
--- a/http/src/main/java/org/arbutusstack/http/event/EventStreamParser.java
+++ b/http/src/main/java/org/arbutusstack/http/event/EventStreamParser.java
@@ -30,6 +30,9 @@
 
     private static final int MIN_BUFFER_BYTES = 128;
 
+    /** A buffer that has grown further for one event is not kept for the next ones. */
+    private static final int MAX_KEPT_BUFFER_BYTES = 8_192;
+
     private static final int FIRST_PRINTABLE = 0x20;
 
     private static final int DELETE = 0x7f;
@@ -190,6 +193,9 @@
     }
 
     private void reset() {
+        if (length > MAX_KEPT_BUFFER_BYTES) {
+            buffer = new byte[0];
+        }
         length = 0;
         lineStart = 0;
         colon = -1;
@@ -209,4 +215,13 @@
     public boolean isWithinEvent() {
         return length > 0;
     }
+
+    /**
+     * Return the size of the buffer of the event that is being received.
+     *
+     * @return the size, in bytes
+     */
+    public int heldBytes() {
+        return buffer.length;
+    }
 }
