--- a/http/src/main/java/org/arbutusstack/http/client/HttpClient.java
+++ b/http/src/main/java/org/arbutusstack/http/client/HttpClient.java
@@ -37,7 +37,21 @@
      * @return a future of the complete response, which fails with an {@link HttpException}
      */
     default CompletableFuture<HttpReply> call(HttpTarget target, HttpCall call, long deadlineNanos) {
-        CollectingListener listener = new CollectingListener();
+        return call(target, call, deadlineNanos, CollectingListener.MAX_RESPONSE_BYTES);
+    }
+
+    /**
+     * Send a call and collect its response up to a limit.
+     *
+     * @param target the server to call
+     * @param call the call to send
+     * @param deadlineNanos the instant of {@link System#nanoTime()} at which the call fails
+     * @param maxResponseBytes the maximum size of the body of the response, in bytes
+     * @return a future of the complete response, which fails with an {@link HttpException}
+     */
+    default CompletableFuture<HttpReply> call(
+            HttpTarget target, HttpCall call, long deadlineNanos, int maxResponseBytes) {
+        CollectingListener listener = new CollectingListener(maxResponseBytes);
         listener.setHandle(stream(target, call, deadlineNanos, listener));
         return listener.reply();
     }
@@ -51,13 +65,14 @@
      * @param target the server to call
      * @param call the call to send
      * @param deadlineNanos the instant of {@link System#nanoTime()} at which the call fails
+     * @param maxResponseBytes the maximum size of the body of the response, in bytes
      * @return the complete response
      * @throws InterruptedException if the waiting thread is interrupted
      * @throws ExecutionException if the call fails, with an {@link HttpException} as its cause
      */
-    default HttpReply await(HttpTarget target, HttpCall call, long deadlineNanos)
+    default HttpReply await(HttpTarget target, HttpCall call, long deadlineNanos, int maxResponseBytes)
             throws InterruptedException, ExecutionException {
-        CollectingListener listener = new CollectingListener();
+        CollectingListener listener = new CollectingListener(maxResponseBytes);
         Cancellable handle = stream(target, call, deadlineNanos, listener);
         listener.setHandle(handle);
         while (true) {
@@ -103,12 +118,18 @@
 
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
+        private final int maxResponseBytes;
+
         private int responseStatus;
 
         private boolean tooLong;
 
         private Cancellable call;
 
+        CollectingListener(int maxResponseBytes) {
+            this.maxResponseBytes = maxResponseBytes;
+        }
+
         CompletableFuture<HttpReply> reply() {
             return future;
         }
@@ -139,9 +160,9 @@
             if (tooLong) {
                 return;
             }
-            if (body.size() + bytes.length > MAX_RESPONSE_BYTES) {
+            if (body.size() + bytes.length > maxResponseBytes) {
                 future.completeExceptionally(
-                        new HttpException("Got an answer of more than " + MAX_RESPONSE_BYTES + " bytes", true, null));
+                        new HttpException("Got an answer of more than " + maxResponseBytes + " bytes", true, null));
                 cancelTooLong();
                 return;
             }
--- a/http/src/test/java/org/arbutusstack/http/client/ResponseHeadMonitorTests.java
+++ b/http/src/test/java/org/arbutusstack/http/client/ResponseHeadMonitorTests.java
@@ -14,7 +14,7 @@
         HttpCall call = new HttpCall("GET", "/", Map.of(), new byte[0]);
         long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
         return new UndertowExchange(
-                client, HttpTarget.parse("127.0.0.1:1"), call, deadlineNanos, new HttpClient.CollectingListener());
+                client, HttpTarget.parse("127.0.0.1:1"), call, deadlineNanos, new HttpClient.CollectingListener(1_000));
     }
 
     @Test
--- a/side/src/main/java/org/arbutusstack/side/BackendClient.java
+++ b/side/src/main/java/org/arbutusstack/side/BackendClient.java
@@ -24,6 +24,9 @@
 
     private static final long CALL_TIMEOUT_MILLIS = 1_000;
 
+    /** Many times the size of what a backend server says of its load or of an order. */
+    private static final int MAX_REPLY_BYTES = 1_048_576;
+
     private final HttpClient client;
 
     private final HttpTarget target;
@@ -75,7 +78,11 @@
     }
 
     void sendOrder(EngineOrder order) {
-        client.call(target, HttpCall.post("/orders", order.json()), clock.deadlineNanos(orderTimeoutMillis))
+        client.call(
+                        target,
+                        HttpCall.post("/orders", order.json()),
+                        clock.deadlineNanos(orderTimeoutMillis),
+                        MAX_REPLY_BYTES)
                 .whenComplete((reply, failure) -> {
                     String detail = failure == null ? null : String.valueOf(failure.getMessage());
                     if (failure == null && !reply.isSuccess()) {
@@ -89,7 +96,7 @@
         ObjectNode body = MAPPER.createObjectNode();
         body.put("request_id", work.frame().id().toString());
         byte[] json = body.toString().getBytes(StandardCharsets.UTF_8);
-        client.call(target, HttpCall.post("/cancel", json), clock.deadlineNanos(CALL_TIMEOUT_MILLIS));
+        client.call(target, HttpCall.post("/cancel", json), clock.deadlineNanos(CALL_TIMEOUT_MILLIS), MAX_REPLY_BYTES);
     }
 
     /** Close the idle connections to a backend server that stopped responding on one of its connections. */
@@ -99,7 +106,7 @@
 
     void requestLoad() {
         long requestedAtNanos = clock.nowNanos();
-        client.call(target, HttpCall.get("/load"), clock.deadlineNanos(CALL_TIMEOUT_MILLIS))
+        client.call(target, HttpCall.get("/load"), clock.deadlineNanos(CALL_TIMEOUT_MILLIS), MAX_REPLY_BYTES)
                 .whenComplete((reply, failure) -> {
                     boolean usable = failure == null && reply.isSuccess();
                     events.accept(new SideEvent.LoadReported(usable ? parse(reply.body()) : null, requestedAtNanos));
