Join relayed events only where there are several, and touch the account only on change

ServerSentEvent.join serves both ways; AnswerMemory says whether an update changed anything. No behavior changed; EventStreamParserTests, GarbledStreamTests, AnswerMemoryTests, FaultyRunnerTests and the tests of requests and work pass.

--- a/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerMemory.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerMemory.java
@@ -9,8 +9,8 @@
  * Account of the bytes of answers that are held until they can be relayed.
  *
  * <p>Answers that never end would exhaust the memory of the process together, though each of them is bounded. Once all
- * hold more than the limit, the one that holds the most is given up, so that short answers are not affected by the long
- * ones of others. Confined to one thread.
+ * hold more than the limit, the longest is given up, so that short answers are not affected by the long ones of others.
+ * Confined to one thread.
  *
  * @param <H> the type of what holds an answer
  */
@@ -42,20 +42,24 @@
         return Runtime.getRuntime().maxMemory() / HEAP_DIVISOR;
     }
 
-    /** Set what an answer holds. */
-    void update(H holder, long bytes) {
+    /** Set what an answer holds; return whether that changed the account. */
+    boolean update(H holder, long bytes) {
         if (bytes < MIN_ACCOUNTED_BYTES) {
-            release(holder);
-            return;
+            return release(holder);
         }
         Long before = bytesByHolder.put(holder, bytes);
         totalBytes += bytes - (before == null ? 0 : before);
+        return true;
     }
 
-    /** Remove an answer that is no longer held. */
-    void release(H holder) {
+    /** Remove an answer that is no longer held; return whether it was accounted for. */
+    boolean release(H holder) {
+        if (bytesByHolder.isEmpty()) {
+            return false;
+        }
         Long before = bytesByHolder.remove(holder);
         totalBytes -= before == null ? 0 : before;
+        return before != null;
     }
 
     boolean isExceeded() {
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
@@ -1,6 +1,7 @@
 package org.arbutusstack.gateway.request;
 
-import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
+import java.util.List;
 import org.arbutusstack.gateway.runner.KnownRunner;
 import org.arbutusstack.gateway.runner.RunnerNotice;
 import org.arbutusstack.http.event.EventStreamParser;
@@ -86,17 +87,17 @@
     /** Relay the events that the received bytes complete, up to one that does not continue the stream. */
     void bytesReceived(ActiveRequest active, CurrentAttempt attempt, byte[] bytes) {
         EventStreamParser.Result parsed = attempt.events().parse(bytes);
-        ByteArrayOutputStream relayed = new ByteArrayOutputStream();
+        List<ServerSentEvent> relayed = new ArrayList<>(parsed.events().size());
         String fault = "";
         for (ServerSentEvent event : parsed.events()) {
             fault = active.events().add(event);
             if (!fault.isEmpty()) {
                 break;
             }
-            relayed.writeBytes(event.bytes());
+            relayed.add(event);
         }
-        if (relayed.size() > 0) {
-            relayEvents(active, attempt, relayed.toByteArray());
+        if (!relayed.isEmpty()) {
+            relayEvents(active, attempt, ServerSentEvent.join(relayed));
         }
         if (fault.isEmpty() && parsed.isTooLong()) {
             answerTooLarge(active, attempt);
@@ -113,7 +114,9 @@
 
     /** Account for the bytes that an attempt holds, and give up the longest answers while all are too long together. */
     void hold(CurrentAttempt attempt, long bytes) {
-        memory.update(attempt, bytes);
+        if (!memory.update(attempt, bytes)) {
+            return;
+        }
         while (memory.isExceeded()) {
             CurrentAttempt longest = memory.largest();
             memory.release(longest);
@@ -125,7 +128,9 @@
 
     /** Stop accounting for an attempt that has ended. */
     void release(CurrentAttempt attempt) {
-        memory.release(attempt);
+        if (memory.release(attempt)) {
+            metrics.updateHeldAnswers(memory.totalBytes());
+        }
     }
 
     /**
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/CurrentAttempt.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/CurrentAttempt.java
@@ -76,11 +76,12 @@
         return eventRelayed || body.size() > 0;
     }
 
+    /** Record that an event of the answer was relayed. */
     void recordEvent() {
         eventRelayed = true;
     }
 
-    /** Update the runner's first-event estimate with the time that this attempt, the first one, took. */
+    /** Update the runner's first-event estimate with the time that this attempt, which opened the stream, took. */
     void recordFirstEvent(long nowNanos) {
         firstEventAtNanos = nowNanos;
         runner.speed().recordFirstEvent(queueEstimate, nowNanos - sentAtNanos);
--- a/side/src/main/java/org/arbutusstack/side/WorkRunner.java
+++ b/side/src/main/java/org/arbutusstack/side/WorkRunner.java
@@ -1,8 +1,9 @@
 package org.arbutusstack.side;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.List;
 import org.arbutusstack.http.client.HttpException;
 import org.arbutusstack.http.event.EventStreamParser;
 import org.arbutusstack.http.event.ServerSentEvent;
@@ -183,23 +184,21 @@
     /** Relay the events that the received bytes complete, up to the one that ends the stream or to bytes that are none. */
     private void relayEvents(WorkItem work, byte[] bytes) {
         EventStreamParser.Result parsed = work.events().parse(bytes);
-        ByteArrayOutputStream relayed = new ByteArrayOutputStream();
-        int count = 0;
+        List<ServerSentEvent> relayed = new ArrayList<>(parsed.events().size());
         String fault = parsed.fault();
         for (ServerSentEvent event : parsed.events()) {
             if (!event.hasData()) {
                 fault = "an event without data";
                 break;
             }
-            relayed.writeBytes(event.bytes());
-            count++;
+            relayed.add(event);
             if (Arrays.equals(event.bytes(), TERMINAL_EVENT)) {
                 work.markComplete();
                 break;
             }
         }
-        if (count > 0) {
-            answers.sendPart(work, relayed.toByteArray(), count);
+        if (!relayed.isEmpty()) {
+            answers.sendPart(work, ServerSentEvent.join(relayed), relayed.size());
         }
         if (!fault.isEmpty() && !work.isComplete()) {
             RefusalReason reason = parsed.isTooLong() ? RefusalReason.ANSWER_TOO_LARGE : RefusalReason.BACKEND_ERROR;
