--- a/http/src/test/java/org/arbutusstack/http/server/ResponseStreamTests.java
+++ b/http/src/test/java/org/arbutusstack/http/server/ResponseStreamTests.java
@@ -62,7 +62,7 @@
         caller.getOutputStream().write("GET / HTTP/1.1\r\nHost: h\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
     }
 
-    /** Guards against the source of a response going on for a caller that was disconnected since it reads too slowly. */
+    /** Guards against the source of a response going on for a caller that was disconnected for reading too slowly. */
     @Test
     public void shouldReportCloseWhenCallerReadsTooSlowly() throws Exception {
         call(stream -> {
--- a/side/src/main/java/org/arbutusstack/side/WorkRunner.java
+++ b/side/src/main/java/org/arbutusstack/side/WorkRunner.java
@@ -181,7 +181,7 @@
         }
     }
 
-    /** Relay the events that the received bytes complete, up to the one that ends the stream or to bytes that are none. */
+    /** Relay the events that the received bytes complete, up to the last of the stream or to bytes that are none. */
     private void relayEvents(WorkItem work, byte[] bytes) {
         EventStreamParser.Result parsed = work.events().parse(bytes);
         List<ServerSentEvent> relayed = new ArrayList<>(parsed.events().size());
