Log content whose strikes other content explains, and how many of its strikes count

The logs could not tell content that is held by no rule although it has enough strikes (hypothesis 2) from content whose strikes do not count (hypothesis 3): both showed nowhere.

Change: event=strikes-explained names the keys that have enough strikes and are in no rule, with key:counted/all; a gauge counts them. suspect_keys of lost-content-sent has the same figures, and losses-dismissed names the keys. No decision changed.

--- a/gateway/src/main/java/org/arbutusstack/gateway/quarantine/ContentQuarantine.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/quarantine/ContentQuarantine.java
@@ -62,12 +62,16 @@
 
     private final Gauge ruleGauge;
 
+    private final Gauge explainedGauge;
+
     private QuarantineRecord persisted = QuarantineRecord.EMPTY;
 
     private List<QuarantineRule> persistedRules = List.of();
 
     private List<QuarantineRule> loggedRules = List.of();
 
+    private Set<String> loggedExplainedKeys = Set.of();
+
     /**
      * Create an empty quarantine.
      *
@@ -93,6 +97,10 @@
                 .name("arbutus_quarantine_rules")
                 .help("rules in force that keep content from runners")
                 .register(registry);
+        this.explainedGauge = Gauge.builder()
+                .name("arbutus_quarantine_explained_keys")
+                .help("keys with enough strikes for a rule whose crashes other content explains")
+                .register(registry);
     }
 
     /**
@@ -105,14 +113,20 @@
     }
 
     /**
-     * Return the keys that have strikes, whether or not a rule refuses them.
+     * Describe the keys that have strikes, whether or not a rule refuses them.
      *
      * @param keys the keys of the content of a request
-     * @return those that are suspect
+     * @return each key that is suspect, with the number of its strikes that count and of all of them
      */
-    public List<String> suspects(Collection<String> keys) {
+    public List<String> describeSuspects(Collection<String> keys) {
+        long nowNanos = clock.nowNanos();
         return keys.stream()
-                .filter(key -> strikes.isSuspect(key, clock.nowNanos()))
+                .filter(key -> strikes.isSuspect(key, nowNanos))
+                .map(key -> key
+                        + ':'
+                        + strikes.countedStrikes(key, nowNanos)
+                        + '/'
+                        + strikes.strikesOf(key, nowNanos).size())
                 .toList();
     }
 
@@ -262,6 +276,7 @@
 
     /** Log rules that have come into force or were lifted, with the evidence for each. */
     private void rulesChanged() {
+        explainedKeysChanged();
         List<QuarantineRule> rules = rules();
         if (rules.equals(loggedRules)) {
             return;
@@ -283,6 +298,19 @@
         probes.retain(rules);
     }
 
+    /** Log content that would be refused if no other content explained its strikes. */
+    private void explainedKeysChanged() {
+        Set<String> explainedKeys = strikes.explainedKeys(clock.nowNanos());
+        if (explainedKeys.equals(loggedExplainedKeys)) {
+            return;
+        }
+        explainedGauge.set(explainedKeys.size());
+        if (!loggedExplainedKeys.containsAll(explainedKeys)) {
+            logger.warn("event=strikes-explained {}", String.join(",", describeSuspects(new TreeSet<>(explainedKeys))));
+        }
+        loggedExplainedKeys = explainedKeys;
+    }
+
     private static Set<Set<String>> keySetsOf(List<QuarantineRule> rules) {
         return rules.stream().map(QuarantineRule::keys).collect(Collectors.toSet());
     }
--- a/gateway/src/main/java/org/arbutusstack/gateway/quarantine/RunnerCrashes.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/quarantine/RunnerCrashes.java
@@ -143,7 +143,10 @@
             return frames;
         }
         if (hasUnexplainedLoss() && polledAtNanos - lastLossAtNanos > 0) {
-            logger.info("event=losses-dismissed started_at={} keys={}", startedAtMillis, lostSentAtNanos.size());
+            logger.info(
+                    "event=losses-dismissed started_at={} keys={}",
+                    startedAtMillis,
+                    String.join(",", lostSentAtNanos.keySet()));
             lostSentAtNanos.clear();
         }
         return List.of();
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestQuarantine.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestQuarantine.java
@@ -67,7 +67,7 @@
 
     /** Record that an attempt is sent to a runner. */
     void attemptSent(ActiveRequest active, KnownRunner runner) {
-        losses.recordSent(active, runner, () -> quarantine.suspects(active.allKeys()));
+        losses.recordSent(active, runner, () -> quarantine.describeSuspects(active.allKeys()));
     }
 
     /** Record that the answer to a request began. */
--- a/routing/src/main/java/org/arbutusstack/routing/StrikeRegistry.java
+++ b/routing/src/main/java/org/arbutusstack/routing/StrikeRegistry.java
@@ -196,6 +196,32 @@
         return !strikesOf(key, nowNanos).isEmpty();
     }
 
+    /**
+     * Return the number of the strikes of some content that count.
+     *
+     * @param key the key of the content
+     * @param nowNanos the current time of the process clock, in nanoseconds
+     * @return the strikes that are independent of each other
+     */
+    public int countedStrikes(String key, long nowNanos) {
+        return policy.independent(strikesOf(key, nowNanos)).size();
+    }
+
+    /**
+     * Return the content that has enough strikes to be refused but is in no rule, since other content explains them.
+     *
+     * @param nowNanos the current time of the process clock, in nanoseconds
+     * @return its keys
+     */
+    public Set<String> explainedKeys(long nowNanos) {
+        Set<String> ruled =
+                rules(nowNanos).stream().flatMap(rule -> rule.keys().stream()).collect(Collectors.toSet());
+        return candidates.stream()
+                .filter(key -> !ruled.contains(key)
+                        && policy.isRefused(strikesByKey.get(key).values()))
+                .collect(Collectors.toSet());
+    }
+
     /**
      * Return whether a request with just this content is refused.
      *
