Failing tests: a harmful request is not refused when others were lost beside it

CrashingRequestReplayTests replays the entries and crash monitors of a plain service in virtual time, with the repeats of entries and callers.

--- /dev/null
+++ b/gateway/src/test/java/org/arbutusstack/gateway/quarantine/CrashingRequestReplayTests.java
@@ -0,0 +1,86 @@
+package org.arbutusstack.gateway.quarantine;
+
+import static org.testng.Assert.assertTrue;
+
+import java.util.IntSummaryStatistics;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.ToDoubleFunction;
+import java.util.stream.IntStream;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * Replays loads in which requests crash the servers of a plain service, with the delays of real ones, on the decisions
+ * of entries. Guards against sending such a request for too long, and against refusing sound ones.
+ */
+public class CrashingRequestReplayTests {
+
+    /** The users' rule: arrivals of the request later than three seconds after its third crash. */
+    private static final int MAX_LATE_ARRIVALS = 3;
+
+    /** The users' bound on proper requests that are refused: five and one in five hundred. */
+    private static final int REFUSALS_ALLOWED = 5;
+
+    private static final int REQUESTS_PER_REFUSAL = 500;
+
+    private static final int SEEDS = 100;
+
+    @DataProvider
+    public Object[][] loads() {
+        return new Object[][] {
+            {"padana-badge", new PlainServiceReplay.Load(5, 3, 4, 10, 2, 1)},
+            {"harmful requests are frequent", new PlainServiceReplay.Load(5, 3, 4, 10, 8, 1)},
+            {"most sound requests are repeated", new PlainServiceReplay.Load(5, 3, 20, 2, 2, 1)},
+            {"three harmful requests", new PlainServiceReplay.Load(5, 3, 4, 10, 4, 3)},
+            {"grown", new PlainServiceReplay.Load(27, 4, 26, 65, 6, 1)},
+            {"twelve servers", new PlainServiceReplay.Load(33, 12, 60, 150, 10, 2)}
+        };
+    }
+
+    /** Guards against sound requests that are lost on the same servers taking the blame of the harmful one. */
+    @Test(dataProvider = "loads")
+    public void shouldKeepHarmfulRequestFromServersWhenSoundOnesAreLostBesideIt(
+            String name, PlainServiceReplay.Load load) {
+        List<PlainServiceReplay.Result> results = IntStream.range(0, SEEDS)
+                .mapToObj(seed -> new PlainServiceReplay(load, seed).run())
+                .toList();
+        String seen = summaryOf(name, results);
+        System.out.println(seen);
+        for (PlainServiceReplay.Result result : results) {
+            assertTrue(result.lateArrivals() <= MAX_LATE_ARRIVALS, seen);
+            assertTrue(result.soundRefused() <= REFUSALS_ALLOWED + result.sound() / REQUESTS_PER_REFUSAL, seen);
+        }
+    }
+
+    private static String summaryOf(String name, List<PlainServiceReplay.Result> results) {
+        IntSummaryStatistics late = results.stream()
+                .mapToInt(PlainServiceReplay.Result::lateArrivals)
+                .summaryStatistics();
+        IntSummaryStatistics refused = results.stream()
+                .mapToInt(PlainServiceReplay.Result::soundRefused)
+                .summaryStatistics();
+        long broken = results.stream()
+                .filter(result -> result.lateArrivals() > MAX_LATE_ARRIVALS)
+                .count();
+        return String.format(
+                Locale.ROOT,
+                "%s: %d of %d seeds late, arrivals too late mean %.2f most %d, sound refused mean %.2f most %d of %.0f,"
+                        + " crashes %.1f, servers up %.3f",
+                name,
+                broken,
+                results.size(),
+                late.getAverage(),
+                late.getMax(),
+                refused.getAverage(),
+                refused.getMax(),
+                mean(results, PlainServiceReplay.Result::sound),
+                mean(results, PlainServiceReplay.Result::crashes),
+                mean(results, PlainServiceReplay.Result::upShare));
+    }
+
+    private static double mean(
+            List<PlainServiceReplay.Result> results, ToDoubleFunction<PlainServiceReplay.Result> figure) {
+        return results.stream().mapToDouble(figure).average().orElse(0);
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/arbutusstack/gateway/quarantine/PlainServiceReplay.java
@@ -0,0 +1,299 @@
+package org.arbutusstack.gateway.quarantine;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.Consumer;
+import org.arbutusstack.gateway.runner.RunnerEntry;
+import org.arbutusstack.http.client.HttpTarget;
+import org.arbutusstack.kernel.time.ManualClock;
+import org.arbutusstack.wire.frame.StrikeFrame;
+
+/**
+ * Virtual-time run of the quarantines and crash monitors of several entries before the servers of a plain service, some
+ * of whose requests crash the servers that run them. Entries and callers repeat what is lost.
+ */
+final class PlainServiceReplay {
+
+    private static final long DURATION_MILLIS = 30_000;
+
+    private static final long HARM_STARTS_MILLIS = 4_000;
+
+    private static final long STABLE_WINDOW_MILLIS = 3_000;
+
+    private static final int CRASHES_UNTIL_COUNTED = 3;
+
+    private static final long LINK_MILLIS = 2;
+
+    private static final long TICK_MILLIS = 10;
+
+    private static final long RESTART_MILLIS = 2_800;
+
+    private static final long MIN_WORK_MILLIS = 30;
+
+    private static final int WORK_SPREAD_MILLIS = 120;
+
+    private static final int CALLER_ATTEMPTS = 2;
+
+    private static final int CALLER_RETRY_SPREAD_MILLIS = 400;
+
+    private final Load load;
+
+    private final ReplayLoop loop;
+
+    private final Random random;
+
+    private final ManualClock clock;
+
+    private final RunnerCrashes relay;
+
+    private final List<Entry> entries = new ArrayList<>();
+
+    private final List<Server> servers = new ArrayList<>();
+
+    private final int[] crashes;
+
+    /** When each harmful request crashed its third server; after the end of the replay as long as it has not. */
+    private final long[] thirdCrashMillis;
+
+    private final int[] lateArrivals;
+
+    private int sound;
+
+    private int soundRefused;
+
+    private long serverMillisUp;
+
+    PlainServiceReplay(Load load, long seed) {
+        this.load = load;
+        this.loop = new ReplayLoop(seed);
+        this.random = loop.random();
+        this.clock = loop.clock();
+        this.relay = new RunnerCrashes("relay", clock);
+        this.crashes = new int[load.harmfulRequests()];
+        this.thirdCrashMillis = new long[load.harmfulRequests()];
+        this.lateArrivals = new int[load.harmfulRequests()];
+    }
+
+    /**
+     * Load of a replay.
+     *
+     * @param entries the number of entries
+     * @param servers the number of servers
+     * @param safePerSecond the sound requests that an entry repeats
+     * @param unsafePerSecond the sound requests that an entry does not repeat
+     * @param harmfulPerSecond the requests that crash servers, which are safe ones
+     * @param harmfulRequests how many different ones there are
+     */
+    record Load(
+            int entries,
+            int servers,
+            double safePerSecond,
+            double unsafePerSecond,
+            double harmfulPerSecond,
+            int harmfulRequests) {}
+
+    /**
+     * Outcome of a replay.
+     *
+     * @param sound the sound requests
+     * @param soundRefused those that the quarantine refused
+     * @param lateArrivals the arrivals of a harmful request too late after its third crash; of several, of the worst
+     * @param crashes the servers lost
+     * @param upShare the servers that are up, as a share of all, on average from the first harmful request on
+     */
+    record Result(int sound, int soundRefused, int lateArrivals, int crashes, double upShare) {}
+
+    /** Request of a caller; {@code harmful} is the number of the harmful request, or negative. */
+    private record Call(List<String> keys, int harmful, int entryAttempts, int callerAttempt) {}
+
+    private record Sent(Entry entry, Call call, int sends, long sentAtNanos) {}
+
+    private final class Entry {
+
+        final ContentQuarantine quarantine;
+
+        final CrashMonitor monitor;
+
+        Entry() {
+            PrometheusRegistry registry = new PrometheusRegistry();
+            quarantine = new ContentQuarantine((host, frame) -> relay(frame), () -> false, clock, registry);
+            monitor = new CrashMonitor(this::probe, server -> "/health", this::struck, clock, registry);
+        }
+
+        private void struck(StrikeFrame strike) {
+            quarantine.strikeReceived(strike);
+            relay(strike);
+        }
+
+        private void probe(
+                RunnerEntry server, String path, long deadlineNanos, Consumer<LivenessProbe.Result> listener) {
+            Server probed = servers.get(Integer.parseInt(server.id()));
+            loop.after(LINK_MILLIS, () -> listener.accept(probed.answerTo(server)));
+        }
+
+        void tick() {
+            monitor.tick();
+            loop.after(TICK_MILLIS, this::tick);
+        }
+
+        void submit(Call call) {
+            boolean refused = quarantine.ruleFor(call.keys()).isPresent();
+            soundRefused += call.harmful() < 0 && refused ? 1 : 0;
+            if (!refused) {
+                send(call, 1);
+            }
+        }
+
+        void send(Call call, int sends) {
+            List<Server> up = servers.stream().filter(server -> !server.down).toList();
+            if (!up.isEmpty() && quarantine.ruleFor(call.keys()).isEmpty()) {
+                up.get(random.nextInt(up.size())).run(new Sent(this, call, sends, clock.nowNanos()));
+            }
+        }
+
+        void lost(Sent sent, RunnerEntry server) {
+            monitor.lost(
+                    server, clock.millisSince(sent.sentAtNanos()), sent.call().keys());
+            if (sent.sends() < sent.call().entryAttempts()) {
+                send(sent.call(), sent.sends() + 1);
+            } else if (sent.call().callerAttempt() < CALLER_ATTEMPTS) {
+                Call call = sent.call();
+                Call next = new Call(call.keys(), call.harmful(), call.entryAttempts(), call.callerAttempt() + 1);
+                loop.after(1 + random.nextInt(CALLER_RETRY_SPREAD_MILLIS), () -> anyEntry()
+                        .submit(next));
+            }
+        }
+
+        void answered(Call call) {
+            quarantine.begun(call.keys().subList(0, 1));
+            quarantine.completed(call.keys().get(1));
+        }
+    }
+
+    private final class Server {
+
+        final int number;
+
+        final List<Sent> running = new ArrayList<>();
+
+        long startedAtMillis = 1;
+
+        boolean down;
+
+        Server(int number) {
+            this.number = number;
+        }
+
+        RunnerEntry entry() {
+            HttpTarget address = new HttpTarget("10.0.0." + (number + 1), 80);
+            return new RunnerEntry(
+                    Integer.toString(number), "orderdesk", address, "z1", startedAtMillis, 8, false, Map.of());
+        }
+
+        LivenessProbe.Result answerTo(RunnerEntry expected) {
+            if (down) {
+                return LivenessProbe.Result.REFUSED;
+            }
+            return expected.startedAtMillis() == startedAtMillis
+                    ? LivenessProbe.Result.SAME_INCARNATION
+                    : LivenessProbe.Result.OTHER_INCARNATION;
+        }
+
+        void run(Sent sent) {
+            int harmful = sent.call().harmful();
+            if (harmful >= 0 && loop.nowMillis() > thirdCrashMillis[harmful] + STABLE_WINDOW_MILLIS) {
+                lateArrivals[harmful]++;
+            }
+            running.add(sent);
+            long incarnation = startedAtMillis;
+            loop.after(MIN_WORK_MILLIS + random.nextInt(WORK_SPREAD_MILLIS), () -> {
+                if (!down && incarnation == startedAtMillis) {
+                    workEnded(sent);
+                }
+            });
+        }
+
+        private void workEnded(Sent sent) {
+            int harmful = sent.call().harmful();
+            if (harmful >= 0) {
+                crashes[harmful]++;
+                thirdCrashMillis[harmful] =
+                        crashes[harmful] == CRASHES_UNTIL_COUNTED ? loop.nowMillis() : thirdCrashMillis[harmful];
+                crash();
+            } else {
+                running.remove(sent);
+                loop.after(LINK_MILLIS, () -> sent.entry().answered(sent.call()));
+            }
+        }
+
+        private void crash() {
+            down = true;
+            RunnerEntry ended = entry();
+            for (Sent sent : running) {
+                loop.after(LINK_MILLIS, () -> sent.entry().lost(sent, ended));
+            }
+            running.clear();
+            loop.after(RESTART_MILLIS + random.nextInt(CALLER_RETRY_SPREAD_MILLIS), () -> {
+                startedAtMillis++;
+                down = false;
+            });
+        }
+    }
+
+    private void relay(StrikeFrame frame) {
+        loop.after(LINK_MILLIS, () -> relay.received(frame)
+                .forEach(passedOn -> entries.forEach(
+                        entry -> loop.after(LINK_MILLIS, () -> entry.quarantine.strikeReceived(passedOn)))));
+    }
+
+    private Entry anyEntry() {
+        return entries.get(random.nextInt(entries.size()));
+    }
+
+    Result run() {
+        for (int number = 0; number < load.servers(); number++) {
+            servers.add(new Server(number));
+        }
+        for (int number = 0; number < load.entries(); number++) {
+            entries.add(new Entry());
+        }
+        Arrays.fill(thirdCrashMillis, DURATION_MILLIS);
+        entries.forEach(Entry::tick);
+        arriveSound(load.safePerSecond(), 2);
+        arriveSound(load.unsafePerSecond(), 1);
+        loop.after(HARM_STARTS_MILLIS, this::arriveHarmful);
+        loop.after(HARM_STARTS_MILLIS, this::countServersUp);
+        loop.runUntil(DURATION_MILLIS);
+        int late = Arrays.stream(lateArrivals).max().orElse(0);
+        double upShare = (double) serverMillisUp / load.servers() / (DURATION_MILLIS - HARM_STARTS_MILLIS);
+        return new Result(sound, soundRefused, late, Arrays.stream(crashes).sum(), upShare);
+    }
+
+    private void countServersUp() {
+        serverMillisUp +=
+                TICK_MILLIS * servers.stream().filter(server -> !server.down).count();
+        loop.after(TICK_MILLIS, this::countServersUp);
+    }
+
+    private static List<String> keysOf(String request) {
+        return List.of("request:" + request, "answer:" + request);
+    }
+
+    private void arriveSound(double perSecond, int entryAttempts) {
+        loop.after(loop.exponentialMillis(perSecond), () -> {
+            sound++;
+            anyEntry().submit(new Call(keysOf("sound" + loop.eventCount()), -1, entryAttempts, 1));
+            arriveSound(perSecond, entryAttempts);
+        });
+    }
+
+    private void arriveHarmful() {
+        int number = random.nextInt(load.harmfulRequests());
+        anyEntry().submit(new Call(keysOf("harmful" + number), number, 2, 1));
+        loop.after(loop.exponentialMillis(load.harmfulPerSecond()), this::arriveHarmful);
+    }
+}
--- a/gateway/src/test/java/org/arbutusstack/gateway/quarantine/QuarantineReplay.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/quarantine/QuarantineReplay.java
@@ -3,9 +3,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.PriorityQueue;
 import java.util.Random;
-import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.kernel.time.ManualClock;
 import org.arbutusstack.wire.frame.LostRequestFrame;
 import org.arbutusstack.wire.frame.StrikeFrame;
@@ -38,18 +36,16 @@
 
     private final Load load;
 
-    private final Random random;
+    private final ReplayLoop loop;
 
-    private final ManualClock clock = new ManualClock(1_000_000_000L);
+    private final Random random;
 
-    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private final ManualClock clock;
 
     private final List<ContentQuarantine> entries = new ArrayList<>();
 
     private final List<Runner> runners = new ArrayList<>();
 
-    private long nowMillis;
-
     /** When the fifth crash was; after the end of the replay as long as there was none. */
     private long fifthCrashMillis = DURATION_MILLIS;
 
@@ -61,11 +57,11 @@
 
     private int soundRefused;
 
-    private int eventCount;
-
     QuarantineReplay(Load load, long seed) {
         this.load = load;
-        this.random = new Random(seed);
+        this.loop = new ReplayLoop(seed);
+        this.random = loop.random();
+        this.clock = loop.clock();
     }
 
     /**
@@ -82,16 +78,6 @@
     /** Outcome of a replay. */
     record Result(int sound, int soundRefused, int harmfulCrashes, int lateArrivals) {}
 
-    private record Event(long atMillis, int order, Runnable action) implements Comparable<Event> {
-
-        @Override
-        public int compareTo(Event other) {
-            return atMillis == other.atMillis
-                    ? Integer.compare(order, other.order)
-                    : Long.compare(atMillis, other.atMillis);
-        }
-    }
-
     /** Request in flight at a runner. */
     private record Sent(int entry, List<String> keys, long sentAtNanos, boolean harmful) {}
 
@@ -117,13 +103,13 @@
             down = true;
             long crashedIncarnation = incarnation;
             for (Sent sent : List.copyOf(unbegun)) {
-                after(LINK_MILLIS, () -> {
+                loop.after(LINK_MILLIS, () -> {
                     long agoMillis = clock.millisSince(sent.sentAtNanos());
                     publish(crashes.lost(new LostRequestFrame(crashedIncarnation, agoMillis, sent.keys())));
                 });
             }
             unbegun.clear();
-            after(RESTART_MILLIS, () -> {
+            loop.after(RESTART_MILLIS, () -> {
                 incarnation++;
                 down = false;
             });
@@ -131,47 +117,34 @@
 
         void poll() {
             publish(down ? crashes.pollFailed() : crashes.pollAnswered(incarnation, clock.nowNanos()));
-            after(POLL_MILLIS, this::poll);
+            loop.after(POLL_MILLIS, this::poll);
         }
 
         void publish(List<StrikeFrame> frames) {
             for (StrikeFrame frame : frames) {
-                entries.forEach(entry -> after(LINK_MILLIS, () -> entry.strikeReceived(frame)));
+                entries.forEach(entry -> loop.after(LINK_MILLIS, () -> entry.strikeReceived(frame)));
             }
         }
     }
 
-    private void after(long millis, Runnable action) {
-        events.add(new Event(nowMillis + millis, eventCount++, action));
-    }
-
-    private long exponentialMillis(double perSecond) {
-        return Math.max(1, Math.round(-Math.log(1 - random.nextDouble()) * 1_000 / perSecond));
-    }
-
     Result run() {
         for (int number = 0; number < load.runners(); number++) {
             Runner runner = new Runner(number);
             runners.add(runner);
-            after(random.nextInt((int) POLL_MILLIS), runner::poll);
+            loop.after(random.nextInt((int) POLL_MILLIS), runner::poll);
         }
         for (int number = 0; number < load.entries(); number++) {
             entries.add(new ContentQuarantine(
-                    (host, frame) -> after(LINK_MILLIS, () -> retract(host, frame)),
+                    (host, frame) -> loop.after(LINK_MILLIS, () -> retract(host, frame)),
                     () -> false,
                     clock,
                     new PrometheusRegistry()));
         }
-        after(1, this::arrive);
+        loop.after(1, this::arrive);
         if (load.crashesPerSecond() > 0) {
-            after(exponentialMillis(load.crashesPerSecond()), this::crashByThemselves);
-        }
-        while (nowMillis < DURATION_MILLIS) {
-            Event next = events.remove();
-            clock.advanceNanos((next.atMillis() - nowMillis) * Clock.NANOS_PER_MILLI);
-            nowMillis = next.atMillis();
-            next.action().run();
+            loop.after(loop.exponentialMillis(load.crashesPerSecond()), this::crashByThemselves);
         }
+        loop.runUntil(DURATION_MILLIS);
         return new Result(sound, soundRefused, harmfulCrashes, lateArrivals);
     }
 
@@ -189,7 +162,7 @@
                 runner.crash();
             }
         }
-        after(exponentialMillis(load.crashesPerSecond()), this::crashByThemselves);
+        loop.after(loop.exponentialMillis(load.crashesPerSecond()), this::crashByThemselves);
     }
 
     private String middlePart() {
@@ -197,12 +170,12 @@
     }
 
     private void arrive() {
-        boolean harmful = nowMillis >= HARM_STARTS_MILLIS && random.nextDouble() < load.harmfulShare();
+        boolean harmful = loop.nowMillis() >= HARM_STARTS_MILLIS && random.nextDouble() < load.harmfulShare();
         List<String> keys = new ArrayList<>(List.of("part:first" + random.nextInt(2), middlePart()));
         if (harmful) {
             keys.add(HARMFUL);
         }
-        keys.add("request:" + eventCount);
+        keys.add("request:" + loop.eventCount());
         int entry = random.nextInt(entries.size());
         boolean refused = entries.get(entry).ruleFor(keys).isPresent();
         sound += harmful ? 0 : 1;
@@ -211,24 +184,24 @@
         if (!refused && !up.isEmpty()) {
             send(up.get(random.nextInt(up.size())), new Sent(entry, keys, clock.nowNanos(), harmful));
         }
-        after(exponentialMillis(load.requestsPerSecond()), this::arrive);
+        loop.after(loop.exponentialMillis(load.requestsPerSecond()), this::arrive);
     }
 
     private void send(Runner runner, Sent sent) {
-        lateArrivals += sent.harmful() && nowMillis > fifthCrashMillis + STABLE_WINDOW_MILLIS ? 1 : 0;
+        lateArrivals += sent.harmful() && loop.nowMillis() > fifthCrashMillis + STABLE_WINDOW_MILLIS ? 1 : 0;
         runner.unbegun.add(sent);
         long incarnation = runner.incarnation;
-        after(MIN_FIRST_EVENT_MILLIS + random.nextInt(FIRST_EVENT_SPREAD_MILLIS), () -> {
+        loop.after(MIN_FIRST_EVENT_MILLIS + random.nextInt(FIRST_EVENT_SPREAD_MILLIS), () -> {
             if (runner.down || runner.incarnation != incarnation) {
                 return;
             }
             if (sent.harmful()) {
                 harmfulCrashes++;
-                fifthCrashMillis = harmfulCrashes == CRASHES_UNTIL_COUNTED ? nowMillis : fifthCrashMillis;
+                fifthCrashMillis = harmfulCrashes == CRASHES_UNTIL_COUNTED ? loop.nowMillis() : fifthCrashMillis;
                 runner.crash();
             } else {
                 runner.unbegun.remove(sent);
-                after(LINK_MILLIS, () -> entries.get(sent.entry()).begun(sent.keys()));
+                loop.after(LINK_MILLIS, () -> entries.get(sent.entry()).begun(sent.keys()));
             }
         });
     }
--- a/routing/src/test/java/org/arbutusstack/routing/StrikeRegistryTests.java
+++ b/routing/src/test/java/org/arbutusstack/routing/StrikeRegistryTests.java
@@ -147,4 +147,75 @@
         assertEquals(registry.clear("beside").size(), 3);
         assertTrue(registry.isRefused("harmful", 300));
     }
+
+    /** Strike a request, and the answer to it, in losses that are 100 ms apart. */
+    private static void strikeRequest(StrikeRegistry registry, String request, int... losses) {
+        for (int loss : losses) {
+            long struckAtNanos = loss * 100_000_000L;
+            for (String key : List.of("request:" + request, "answer:" + request)) {
+                registry.add(
+                        new Strike(key, "loss" + loss, struckAtNanos - 50_000_000, struckAtNanos, 10_000_000_000L));
+            }
+        }
+    }
+
+    private static boolean isRequestRefused(StrikeRegistry registry, String request) {
+        return registry.rules(2_000_000_000).stream()
+                .anyMatch(rule -> rule.refuses(Set.of("part:p", "request:" + request, "answer:" + request)));
+    }
+
+    /** Guards against a rule that needs the keys of two requests, which refuses neither. */
+    @Test
+    public void shouldRefuseEachRequestWhenTwoWereLostInTheSameCrashes() {
+        StrikeRegistry registry = sharedContent();
+        strikeRequest(registry, "harmful", 1, 2, 3);
+        strikeRequest(registry, "beside", 1, 2, 3);
+        assertTrue(isRequestRefused(registry, "harmful"));
+        assertTrue(isRequestRefused(registry, "beside"));
+    }
+
+    /** Guards against a request that was lost as often as another explaining the crashes of that one. */
+    @Test
+    public void shouldRefuseRequestWhenAnotherWithAsManyStrikesExplainsOnlySomeOfItsCrashes() {
+        StrikeRegistry registry = sharedContent();
+        strikeRequest(registry, "sound", 1, 2, 3);
+        strikeRequest(registry, "harmful", 2, 3, 4);
+        assertTrue(isRequestRefused(registry, "harmful"));
+    }
+
+    /** Guards against a second harmful request having to crash three more engines once the first is refused. */
+    @Test
+    public void shouldRefuseSecondHarmfulRequestAtItsNextCrashWhenTheFirstExplainedEarlierOnes() {
+        StrikeRegistry registry = sharedContent();
+        strikeRequest(registry, "first", 1, 2, 3, 4, 5);
+        strikeRequest(registry, "second", 3, 4, 5);
+        assertFalse(isRequestRefused(registry, "second"));
+        strikeRequest(registry, "second", 6);
+        assertTrue(isRequestRefused(registry, "second"));
+    }
+
+    /** Guards against a sound request that is lost beside two harmful ones in turn being refused with them. */
+    @Test
+    public void shouldNotRefuseRequestWhoseCrashesTwoOthersExplainTogether() {
+        StrikeRegistry registry = sharedContent();
+        strikeRequest(registry, "first", 1, 2, 3, 4);
+        strikeRequest(registry, "second", 5, 6, 7, 8);
+        strikeRequest(registry, "beside", 3, 4, 5);
+        assertTrue(isRequestRefused(registry, "first"));
+        assertTrue(isRequestRefused(registry, "second"));
+        assertFalse(isRequestRefused(registry, "beside"));
+        assertEquals(registry.explainedKeys(2_000_000_000), Set.of("request:beside", "answer:beside"));
+    }
+
+    /** Guards against the crash that two isolated requests have in common clearing one of them. */
+    @Test
+    public void shouldRefuseIsolatedRequestWhenItsFirstLossWasBesideAnother() {
+        StrikeRegistry registry = new StrikeRegistry(10, StrikePolicy.ISOLATED_REQUEST);
+        for (String digest : List.of("a", "b")) {
+            registry.add(strike(digest, "together"));
+            registry.add(strike(digest, "alone-" + digest));
+        }
+        assertTrue(registry.isRefused("a", 0));
+        assertTrue(registry.isRefused("b", 0));
+    }
 }
