Judge each lost request by itself, so that none hides behind others lost beside it

Cause: content that was struck in the same crashes shared one rule, which refuses what has all of its keys. No request has the keys of two requests, so the rule refused neither. And a request with as many strikes as another explained the crashes of that one, which then needed three more of its own.

Change: each request has a rule of its own. Its strikes are explained only by content that more strikes implicate; any strike that remains is held against it, since it was sent again after the others. Shared content is judged as before, so decisions on prompt parts do not change. The native way uses the same registry for whole requests and gains the same.

Tried and dropped: to count losses side by side once a later loss confirms them.

--- a/gateway/src/test/java/org/arbutusstack/gateway/quarantine/PlainServiceReplay.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/quarantine/PlainServiceReplay.java
@@ -40,6 +40,8 @@
 
     private static final int CALLER_RETRY_SPREAD_MILLIS = 400;
 
+    private static final int FAILURE_SPREAD_MILLIS = 10;
+
     private final Load load;
 
     private final ReplayLoop loop;
@@ -87,6 +89,8 @@
      * @param unsafePerSecond the sound requests that an entry does not repeat
      * @param harmfulPerSecond the requests that crash servers, which are safe ones
      * @param harmfulRequests how many different ones there are
+     * @param popularShare the share of the safe sound requests that are one and the same
+     * @param failuresPerSecond the failures that end all servers at once
      */
     record Load(
             int entries,
@@ -94,7 +98,34 @@
             double safePerSecond,
             double unsafePerSecond,
             double harmfulPerSecond,
-            int harmfulRequests) {}
+            int harmfulRequests,
+            double popularShare,
+            double failuresPerSecond) {
+
+        Load withPopular(double share) {
+            return new Load(
+                    entries,
+                    servers,
+                    safePerSecond,
+                    unsafePerSecond,
+                    harmfulPerSecond,
+                    harmfulRequests,
+                    share,
+                    failuresPerSecond);
+        }
+
+        Load withFailures(double perSecond) {
+            return new Load(
+                    entries,
+                    servers,
+                    safePerSecond,
+                    unsafePerSecond,
+                    harmfulPerSecond,
+                    harmfulRequests,
+                    popularShare,
+                    perSecond);
+        }
+    }
 
     /**
      * Outcome of a replay.
@@ -230,7 +261,10 @@
             }
         }
 
-        private void crash() {
+        void crash() {
+            if (down) {
+                return;
+            }
             down = true;
             RunnerEntry ended = entry();
             for (Sent sent : running) {
@@ -265,7 +299,12 @@
         entries.forEach(Entry::tick);
         arriveSound(load.safePerSecond(), 2);
         arriveSound(load.unsafePerSecond(), 1);
-        loop.after(HARM_STARTS_MILLIS, this::arriveHarmful);
+        if (load.harmfulRequests() > 0) {
+            loop.after(HARM_STARTS_MILLIS, this::arriveHarmful);
+        }
+        if (load.failuresPerSecond() > 0) {
+            loop.after(HARM_STARTS_MILLIS, this::failAll);
+        }
         loop.after(HARM_STARTS_MILLIS, this::countServersUp);
         loop.runUntil(DURATION_MILLIS);
         int late = Arrays.stream(lateArrivals).max().orElse(0);
@@ -279,6 +318,12 @@
         loop.after(TICK_MILLIS, this::countServersUp);
     }
 
+    /** End all servers, within a few milliseconds as connections break one after the other. */
+    private void failAll() {
+        servers.forEach(server -> loop.after(random.nextInt(FAILURE_SPREAD_MILLIS), server::crash));
+        loop.after(loop.exponentialMillis(load.failuresPerSecond()), this::failAll);
+    }
+
     private static List<String> keysOf(String request) {
         return List.of("request:" + request, "answer:" + request);
     }
@@ -286,7 +331,9 @@
     private void arriveSound(double perSecond, int entryAttempts) {
         loop.after(loop.exponentialMillis(perSecond), () -> {
             sound++;
-            anyEntry().submit(new Call(keysOf("sound" + loop.eventCount()), -1, entryAttempts, 1));
+            boolean isPopular = entryAttempts > 1 && random.nextDouble() < load.popularShare();
+            String request = isPopular ? "popular" : "sound" + loop.eventCount();
+            anyEntry().submit(new Call(keysOf(request), -1, entryAttempts, 1));
             arriveSound(perSecond, entryAttempts);
         });
     }
--- a/routing/src/main/java/org/arbutusstack/routing/ContentKeys.java
+++ b/routing/src/main/java/org/arbutusstack/routing/ContentKeys.java
@@ -20,6 +20,8 @@
 
     private static final String ANSWER_PREFIX = "answer:";
 
+    private static final char PREFIX_END = ':';
+
     private static final int DIGEST_HEX_DIGITS = 32;
 
     private ContentKeys() {}
@@ -59,6 +61,16 @@
         return key.startsWith(REQUEST_PREFIX) || key.startsWith(ANSWER_PREFIX);
     }
 
+    /**
+     * Return what the key of a request and that of the answer to it have in common.
+     *
+     * @param key the key
+     * @return the key without its prefix, if it has one
+     */
+    static String withoutPrefix(String key) {
+        return key.substring(key.indexOf(PREFIX_END) + 1);
+    }
+
     /**
      * Return the key that only a complete answer clears.
      *
--- a/routing/src/main/java/org/arbutusstack/routing/StrikePolicy.java
+++ b/routing/src/main/java/org/arbutusstack/routing/StrikePolicy.java
@@ -16,6 +16,11 @@
         List<Strike> independent(Collection<Strike> strikes) {
             return List.copyOf(strikes);
         }
+
+        @Override
+        boolean isOfOneRequest(String key) {
+            return true;
+        }
     },
 
     /**
@@ -38,6 +43,11 @@
             }
             return counted;
         }
+
+        @Override
+        boolean isOfOneRequest(String key) {
+            return ContentKeys.isOfOneRequest(key);
+        }
     };
 
     private final int strikesToRefuse;
@@ -49,6 +59,9 @@
     /** Return the strikes that are independent of each other, and therefore count. */
     abstract List<Strike> independent(Collection<Strike> strikes);
 
+    /** Return whether a key is that of one request rather than of content that many requests share. */
+    abstract boolean isOfOneRequest(String key);
+
     /** Return whether content with a number of strikes may be refused, if all of them count. */
     boolean mayRefuse(int strikes) {
         return strikes >= strikesToRefuse;
--- a/routing/src/main/java/org/arbutusstack/routing/StrikeRegistry.java
+++ b/routing/src/main/java/org/arbutusstack/routing/StrikeRegistry.java
@@ -1,6 +1,7 @@
 package org.arbutusstack.routing;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -252,34 +253,68 @@
      * Derive the rules: repeatedly take the content that best explains the remaining losses, and remove the losses that
      * it explains from all other content. Content that was never answered explains them better than other content does,
      * and then content with more strikes.
+     *
+     * <p>Shared content is refused only if enough of its losses remain, since it is beside other content all the time.
+     * A request was sent again after each of its losses, so that any of them that remains is held against it.
      */
     private List<QuarantineRule> deriveRules() {
         Map<String, Map<String, Strike>> unexplained = new HashMap<>();
-        candidates.forEach(key -> unexplained.put(key, new HashMap<>(strikesByKey.get(key))));
+        for (String key : candidates) {
+            Map<String, Strike> strikes = strikesByKey.get(key);
+            if (policy.isRefused(strikes.values())) {
+                unexplained.put(key, new HashMap<>(strikes));
+            }
+        }
         List<QuarantineRule> derived = new ArrayList<>();
-        while (true) {
-            unexplained.values().removeIf(strikes -> !policy.isRefused(strikes.values()));
-            if (unexplained.isEmpty()) {
-                return List.copyOf(derived);
+        while (!unexplained.isEmpty()) {
+            Set<String> explained = new HashSet<>();
+            for (Set<String> keys : mostSuspect(unexplained)) {
+                derived.add(ruleFor(keys));
+                for (String key : keys) {
+                    Map<String, Strike> strikes = unexplained.remove(key);
+                    if (policy.isRefused(strikes.values())) {
+                        explained.addAll(strikes.keySet());
+                    }
+                }
             }
-            String best = Collections.max(
-                    unexplained.keySet(),
-                    Comparator.<String, Boolean>comparing(key -> !hasBegun.test(key))
-                            .thenComparing(key -> unexplained.get(key).size())
-                            .thenComparing(Comparator.naturalOrder()));
-            Set<String> incidents = Set.copyOf(unexplained.get(best).keySet());
-            Set<String> keys = unexplained.keySet().stream()
-                    .filter(key -> hasBegun.test(key) == hasBegun.test(best)
-                            && unexplained.get(key).keySet().equals(incidents))
-                    .collect(Collectors.toSet());
-            derived.add(ruleFor(keys));
-            unexplained.keySet().removeAll(keys);
-            unexplained.values().forEach(strikes -> strikes.keySet().removeAll(incidents));
+            unexplained.values().forEach(strikes -> strikes.keySet().removeAll(explained));
+            unexplained.entrySet().removeIf(entry -> isExplained(entry.getKey(), entry.getValue()));
+        }
+        return List.copyOf(derived);
+    }
+
+    private boolean isExplained(String key, Map<String, Strike> remaining) {
+        return policy.isOfOneRequest(key) ? remaining.isEmpty() : !policy.isRefused(remaining.values());
+    }
+
+    /**
+     * Select the content that best explains the remaining losses.
+     *
+     * @return the sets of keys that a rule each refuses: those of each request, as no request has the keys of two; or
+     *     those of the shared content that was struck in the same losses, which may be refused only together
+     */
+    private Collection<Set<String>> mostSuspect(Map<String, Map<String, Strike>> unexplained) {
+        Comparator<String> bySuspicion = Comparator.<String, Boolean>comparing(key -> !hasBegun.test(key))
+                .thenComparing(key -> unexplained.get(key).size());
+        String best = Collections.max(unexplained.keySet(), bySuspicion.thenComparing(Comparator.naturalOrder()));
+        List<String> equallySuspect = unexplained.keySet().stream()
+                .filter(key -> bySuspicion.compare(key, best) == 0)
+                .toList();
+        Map<String, Set<String>> keysByRequest = equallySuspect.stream()
+                .filter(policy::isOfOneRequest)
+                .collect(Collectors.groupingBy(ContentKeys::withoutPrefix, Collectors.toSet()));
+        if (!keysByRequest.isEmpty()) {
+            return keysByRequest.values();
         }
+        Set<String> incidents = unexplained.get(best).keySet();
+        return List.of(equallySuspect.stream()
+                .filter(key -> unexplained.get(key).keySet().equals(incidents))
+                .collect(Collectors.toSet()));
     }
 
     private QuarantineRule ruleFor(Set<String> keys) {
-        Map<String, Strike> strikes = strikesByKey.get(keys.iterator().next());
+        Map<String, Strike> strikes = new HashMap<>();
+        keys.forEach(key -> strikes.putAll(strikesByKey.get(key)));
         long lastStruckAtNanos = Long.MIN_VALUE;
         long expiresAtNanos = Long.MIN_VALUE;
         for (Strike strike : strikes.values()) {
