Send a request whose losses side by side decide nothing one at a time

Cause: copies of one request that end servers within 20 ms of each other count once, as what a common failure ends must not be blamed. Until two more crashes counted, all entries sent copies freely, most of them at the moment in which all servers were back.

Change: a request with as many strikes as one that is refused, too few of which count, is undecided. Each entry sends one copy of it at a time, after a random part of a time that grows with the number of entries (TrialSchedule). A crash then counts, as its copy was sent after the others; an answer clears it. The others wait for their turn; nothing is refused for it.

--- a/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
@@ -13,6 +13,7 @@
 import org.arbutusstack.gateway.quarantine.ContentQuarantine;
 import org.arbutusstack.gateway.quarantine.CrashMonitor;
 import org.arbutusstack.gateway.quarantine.QuarantineRecord;
+import org.arbutusstack.gateway.quarantine.TrialSchedule;
 import org.arbutusstack.gateway.request.AttemptLimits;
 import org.arbutusstack.gateway.request.GatewayMetrics;
 import org.arbutusstack.gateway.request.RequestDispatcher;
@@ -104,7 +105,9 @@
         this.clock = dependencies.clock();
         this.runners = new RunnerTable(clock);
         this.metrics = new GatewayMetrics(dependencies.metrics());
-        this.quarantine = new ContentQuarantine(this::sendToSide, this::isPlanning, clock, dependencies.metrics());
+        TrialSchedule trials = new TrialSchedule(dependencies.name(), this::entryCount, clock);
+        this.quarantine =
+                new ContentQuarantine(this::sendToSide, this::isPlanning, trials, clock, dependencies.metrics());
         this.crashMonitor =
                 new CrashMonitor(dependencies.probe(), this::healthPathOf, this::struck, clock, dependencies.metrics());
         this.permits = new PermitClient(dependencies.name(), runners, this::sendToAccountant, this::entryCount);
--- a/gateway/src/main/java/org/arbutusstack/gateway/quarantine/ContentQuarantine.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/quarantine/ContentQuarantine.java
@@ -56,6 +56,8 @@
 
     private final QuarantineProbes probes;
 
+    private final TrialSchedule trials;
+
     private final Counter strikeCounter;
 
     private final Counter clearedCounter;
@@ -77,14 +79,20 @@
      *
      * @param sides sends a frame to the side on a host, or to those that relay it if there is none
      * @param isProber returns whether this entry is the one that may probe rules
+     * @param trials the schedule of requests with undecided content
      * @param clock the clock of the process
      * @param registry the metrics registry of the process
      */
     public ContentQuarantine(
-            BiConsumer<String, StrikeFrame> sides, BooleanSupplier isProber, Clock clock, PrometheusRegistry registry) {
+            BiConsumer<String, StrikeFrame> sides,
+            BooleanSupplier isProber,
+            TrialSchedule trials,
+            Clock clock,
+            PrometheusRegistry registry) {
         this.sides = Assert.notNull(sides, "sides");
         this.clock = Assert.notNull(clock, "clock");
         this.probes = new QuarantineProbes(isProber, clock);
+        this.trials = Assert.notNull(trials, "trials");
         this.strikeCounter = Counter.builder()
                 .name("arbutus_quarantine_strikes_total")
                 .help("strikes heard of, one for each content key and crash of a runner")
@@ -150,6 +158,19 @@
         return probes.tryAcquire(rule);
     }
 
+    /**
+     * Decide whether a request that no rule refuses, and that a runner could take now, is sent.
+     *
+     * @param keys the keys of its content
+     * @return {@code false} if another request with the same content has to show first whether it is harmful
+     */
+    public boolean maySend(Collection<String> keys) {
+        long nowNanos = clock.nowNanos();
+        Optional<String> undecided =
+                keys.stream().filter(key -> strikes.isUndecided(key, nowNanos)).findFirst();
+        return undecided.isEmpty() || trials.tryAcquire(undecided.get());
+    }
+
     /** Return the rules in force; a persisted rule only if no rule with some of its keys has replaced it. */
     private List<QuarantineRule> rules() {
         List<QuarantineRule> current = strikes.rules(clock.nowNanos());
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatcher.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatcher.java
@@ -161,7 +161,7 @@
             refuse(active, drainingRefusal(), DRAINING_RETRY_AFTER_MILLIS);
             return;
         }
-        if (choice instanceof RunnerChooser.Choice.Send send) {
+        if (choice instanceof RunnerChooser.Choice.Send send && quarantine.maySend(active)) {
             send(active, send.runner());
         } else if (choice instanceof RunnerChooser.Choice.QueryStatus query) {
             active.countStatusQuery();
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestQuarantine.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestQuarantine.java
@@ -46,6 +46,11 @@
         return rule;
     }
 
+    /** Return whether a request is sent; it waits while another shows whether their common content is harmful. */
+    boolean maySend(ActiveRequest active) {
+        return !quarantine.isWatching() || active.isProbe() || quarantine.maySend(active.allKeys());
+    }
+
     /** Create the refusal by a rule. It says "not run" rather than "rejected", since the request itself is proper. */
     Refusal refusalBy(QuarantineRule rule) {
         return Refusal.notRun(RefusalReason.QUARANTINED, rule.describe(clock));
--- a/gateway/src/test/java/org/arbutusstack/gateway/quarantine/ContentQuarantineTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/quarantine/ContentQuarantineTests.java
@@ -34,6 +34,7 @@
         quarantine = new ContentQuarantine(
                 (host, frame) -> retracted.add(host + ' ' + frame.key()),
                 () -> prober,
+                new TrialSchedule("edge-1", () -> 1, clock),
                 clock,
                 new PrometheusRegistry());
     }
--- a/gateway/src/test/java/org/arbutusstack/gateway/quarantine/PlainServiceReplay.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/quarantine/PlainServiceReplay.java
@@ -38,6 +38,8 @@
 
     private static final int CALLER_ATTEMPTS = 2;
 
+    private static final long CALLER_PATIENCE_MILLIS = 1_000;
+
     private static final int CALLER_RETRY_SPREAD_MILLIS = 400;
 
     private static final int FAILURE_SPREAD_MILLIS = 10;
@@ -67,6 +69,8 @@
 
     private int soundRefused;
 
+    private int soundExpired;
+
     private long serverMillisUp;
 
     PlainServiceReplay(Load load, long seed) {
@@ -131,7 +135,7 @@
      * Outcome of a replay.
      *
      * @param sound the sound requests
-     * @param soundRefused those that the quarantine refused
+     * @param soundRefused those that the quarantine refused, or held until their callers left
      * @param lateArrivals the arrivals of a harmful request too late after its third crash; of several, of the worst
      * @param crashes the servers lost
      * @param upShare the servers that are up, as a share of all, on average from the first harmful request on
@@ -141,7 +145,7 @@
     /** Request of a caller; {@code harmful} is the number of the harmful request, or negative. */
     private record Call(List<String> keys, int harmful, int entryAttempts, int callerAttempt) {}
 
-    private record Sent(Entry entry, Call call, int sends, long sentAtNanos) {}
+    private record Sent(Entry entry, Call call, int sends, long deadlineMillis, long sentAtNanos) {}
 
     private final class Entry {
 
@@ -151,7 +155,8 @@
 
         Entry() {
             PrometheusRegistry registry = new PrometheusRegistry();
-            quarantine = new ContentQuarantine((host, frame) -> relay(frame), () -> false, clock, registry);
+            TrialSchedule trials = new TrialSchedule("edge-" + entries.size(), load::entries, clock);
+            quarantine = new ContentQuarantine((host, frame) -> relay(frame), () -> false, trials, clock, registry);
             monitor = new CrashMonitor(this::probe, server -> "/health", this::struck, clock, registry);
         }
 
@@ -172,17 +177,24 @@
         }
 
         void submit(Call call) {
-            boolean refused = quarantine.ruleFor(call.keys()).isPresent();
-            soundRefused += call.harmful() < 0 && refused ? 1 : 0;
-            if (!refused) {
-                send(call, 1);
-            }
+            route(call, 1, loop.nowMillis() + CALLER_PATIENCE_MILLIS);
         }
 
-        void send(Call call, int sends) {
+        private void route(Call call, int sends, long deadlineMillis) {
+            if (quarantine.ruleFor(call.keys()).isPresent()) {
+                soundRefused += call.harmful() < 0 ? 1 : 0;
+                return;
+            }
             List<Server> up = servers.stream().filter(server -> !server.down).toList();
-            if (!up.isEmpty() && quarantine.ruleFor(call.keys()).isEmpty()) {
-                up.get(random.nextInt(up.size())).run(new Sent(this, call, sends, clock.nowNanos()));
+            if (up.isEmpty()) {
+                return;
+            }
+            if (quarantine.maySend(call.keys())) {
+                up.get(random.nextInt(up.size())).run(new Sent(this, call, sends, deadlineMillis, clock.nowNanos()));
+            } else if (loop.nowMillis() < deadlineMillis) {
+                loop.after(TICK_MILLIS, () -> route(call, sends, deadlineMillis));
+            } else {
+                soundExpired += call.harmful() < 0 ? 1 : 0;
             }
         }
 
@@ -190,7 +202,7 @@
             monitor.lost(
                     server, clock.millisSince(sent.sentAtNanos()), sent.call().keys());
             if (sent.sends() < sent.call().entryAttempts()) {
-                send(sent.call(), sent.sends() + 1);
+                route(sent.call(), sent.sends() + 1, sent.deadlineMillis());
             } else if (sent.call().callerAttempt() < CALLER_ATTEMPTS) {
                 Call call = sent.call();
                 Call next = new Call(call.keys(), call.harmful(), call.entryAttempts(), call.callerAttempt() + 1);
@@ -309,7 +321,8 @@
         loop.runUntil(DURATION_MILLIS);
         int late = Arrays.stream(lateArrivals).max().orElse(0);
         double upShare = (double) serverMillisUp / load.servers() / (DURATION_MILLIS - HARM_STARTS_MILLIS);
-        return new Result(sound, soundRefused, late, Arrays.stream(crashes).sum(), upShare);
+        return new Result(
+                sound, soundRefused + soundExpired, late, Arrays.stream(crashes).sum(), upShare);
     }
 
     private void countServersUp() {
--- a/gateway/src/test/java/org/arbutusstack/gateway/quarantine/QuarantineRecordTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/quarantine/QuarantineRecordTests.java
@@ -19,7 +19,12 @@
     private final ManualClock clock = new ManualClock(5_000_000_000L);
 
     private ContentQuarantine quarantine() {
-        return new ContentQuarantine((host, frame) -> {}, () -> false, clock, new PrometheusRegistry());
+        return new ContentQuarantine(
+                (host, frame) -> {},
+                () -> false,
+                new TrialSchedule("edge-1", () -> 1, clock),
+                clock,
+                new PrometheusRegistry());
     }
 
     private QuarantineRecord record(String... keys) {
--- a/gateway/src/test/java/org/arbutusstack/gateway/quarantine/QuarantineReplay.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/quarantine/QuarantineReplay.java
@@ -137,6 +137,7 @@
             entries.add(new ContentQuarantine(
                     (host, frame) -> loop.after(LINK_MILLIS, () -> retract(host, frame)),
                     () -> false,
+                    new TrialSchedule("edge-" + number, load::entries, clock),
                     clock,
                     new PrometheusRegistry()));
         }
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/DispatcherHarness.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/DispatcherHarness.java
@@ -9,6 +9,7 @@
 import org.arbutusstack.gateway.config.RouteKind;
 import org.arbutusstack.gateway.quarantine.ContentQuarantine;
 import org.arbutusstack.gateway.quarantine.CrashMonitor;
+import org.arbutusstack.gateway.quarantine.TrialSchedule;
 import org.arbutusstack.gateway.runner.PermitClient;
 import org.arbutusstack.gateway.runner.RunnerEntry;
 import org.arbutusstack.gateway.runner.RunnerTable;
@@ -64,7 +65,8 @@
     DispatcherHarness(RetryLimits limits, long maxHeldAnswerBytes) {
         PrometheusRegistry registry = new PrometheusRegistry();
         PermitClient permits = new PermitClient("edge-1", table, (runner, frame) -> permitRequests.add(frame), () -> 4);
-        quarantine = new ContentQuarantine((host, frame) -> {}, () -> false, clock, registry);
+        quarantine = new ContentQuarantine(
+                (host, frame) -> {}, () -> false, new TrialSchedule("edge-1", () -> 1, clock), clock, registry);
         dispatcher = RequestDispatchers.create(
                 table,
                 runners,
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/QuarantinedRequestTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/QuarantinedRequestTests.java
@@ -159,6 +159,29 @@
         assertFalse(send("first").isAnswered());
     }
 
+    /** Guards against many copies of a request crashing all servers at the moment in which they are back. */
+    @Test
+    public void shouldSendOneCopyAtATimeWhenItsLossesDoNotTellWhetherItIsHarmful() {
+        String key =
+                ContentKeys.ofRequest(List.of(), "POST /p/x\nm1/", new byte[0]).get(0);
+        for (int crash = 0; crash < 3; crash++) {
+            harness.quarantine.strikeReceived(new StrikeFrame(key, "h " + crash, true, 60_000, 20, 5));
+        }
+        int sends = harness.runners.sent.size();
+        List<FakeCaller> callers = List.of(send(), send(), send());
+        assertEquals(harness.runners.sent.size(), sends);
+        harness.clock.advanceMillis(1_200);
+        send();
+        assertEquals(harness.runners.sent.size(), sends + 1);
+        begin(harness.runners.last());
+        for (FakeCaller caller : callers) {
+            assertFalse(caller.isAnswered());
+            harness.table.byId("a").status(status(), link);
+            harness.dispatcher.tick();
+        }
+        assertEquals(harness.runners.sent.size(), sends + 4, "all once the answer has begun");
+    }
+
     private static void begin(FakeRunners.Sent attempt) {
         attempt.head(200, AnswerKind.ATTESTED, true);
         attempt.bytes("id: 1\ndata: x\n\n");
--- a/routing/src/main/java/org/arbutusstack/routing/StrikeRegistry.java
+++ b/routing/src/main/java/org/arbutusstack/routing/StrikeRegistry.java
@@ -42,6 +42,9 @@
     /** The rules that follow from the strikes; null if they have to be derived again. */
     private List<QuarantineRule> rules = List.of();
 
+    /** Requests with enough strikes that no rule refuses and nothing explains; derived with the rules. */
+    private Set<String> undecidedKeys = Set.of();
+
     /**
      * Create an empty registry without knowledge of answers.
      *
@@ -208,6 +211,18 @@
         return policy.independent(strikesOf(key, nowNanos)).size();
     }
 
+    /**
+     * Return whether a request has as many strikes as one that is refused, but nothing tells whether it was the cause.
+     *
+     * @param key the key of the content
+     * @param nowNanos the current time of the process clock, in nanoseconds
+     * @return {@code true} if the next loss or answer decides whether it is refused
+     */
+    public boolean isUndecided(String key, long nowNanos) {
+        rules(nowNanos);
+        return undecidedKeys.contains(key);
+    }
+
     /**
      * Return the content that has enough strikes to be refused but is in no rule, since other content explains them.
      *
@@ -255,7 +270,8 @@
      * and then content with more strikes.
      *
      * <p>Shared content is refused only if enough of its losses remain, since it is beside other content all the time.
-     * A request was sent again after each of its losses, so that any of them that remains is held against it.
+     * A request was sent again after each of its losses, so that any of them that remains is held against it; if they do
+     * not count separately, it is undecided.
      */
     private List<QuarantineRule> deriveRules() {
         Map<String, Map<String, Strike>> unexplained = new HashMap<>();
@@ -265,6 +281,9 @@
                 unexplained.put(key, new HashMap<>(strikes));
             }
         }
+        Set<String> unruledKeys = new HashSet<>(candidates);
+        unruledKeys.removeAll(unexplained.keySet());
+        Set<String> allExplained = new HashSet<>();
         List<QuarantineRule> derived = new ArrayList<>();
         while (!unexplained.isEmpty()) {
             Set<String> explained = new HashSet<>();
@@ -279,7 +298,12 @@
             }
             unexplained.values().forEach(strikes -> strikes.keySet().removeAll(explained));
             unexplained.entrySet().removeIf(entry -> isExplained(entry.getKey(), entry.getValue()));
+            allExplained.addAll(explained);
         }
+        undecidedKeys = unruledKeys.stream()
+                .filter(key -> policy.isOfOneRequest(key)
+                        && !allExplained.containsAll(strikesByKey.get(key).keySet()))
+                .collect(Collectors.toUnmodifiableSet());
         return List.copyOf(derived);
     }
 
--- a/routing/src/test/java/org/arbutusstack/routing/StrikeRegistryTests.java
+++ b/routing/src/test/java/org/arbutusstack/routing/StrikeRegistryTests.java
@@ -207,6 +207,24 @@
         assertEquals(registry.explainedKeys(2_000_000_000), Set.of("request:beside", "answer:beside"));
     }
 
+    private static void strikeSideBySide(StrikeRegistry registry, String request) {
+        for (long engine = 0; engine < 3; engine++) {
+            long struckAtNanos = 100_000_000 + engine * 5_000_000;
+            registry.add(new Strike("request:" + request, "loss" + engine, 50_000_000, struckAtNanos, 10_000_000_000L));
+        }
+    }
+
+    /** Guards against copies that crash engines side by side being sent as freely as before. */
+    @Test
+    public void shouldBeUndecidedWhenCopiesOfRequestAreLostSideBySide() {
+        StrikeRegistry registry = sharedContent();
+        strikeSideBySide(registry, "a");
+        assertFalse(isRequestRefused(registry, "a"));
+        assertTrue(registry.isUndecided("request:a", 200_000_000));
+        registry.clear("request:a");
+        assertFalse(registry.isUndecided("request:a", 200_000_000));
+    }
+
     /** Guards against the crash that two isolated requests have in common clearing one of them. */
     @Test
     public void shouldRefuseIsolatedRequestWhenItsFirstLossWasBesideAnother() {
