Remember which requests were answered, so that a popular one is not blamed

Change: answers to requests with bodies of up to 16 KiB are always recorded, apart from those to prompt parts so that neither evicts the other. A request that was answered before is judged as shared content is: explained strikes do not count against it, and it is never undecided.

Two StrikeRegistryTests were red before.

--- a/gateway/src/main/java/org/arbutusstack/gateway/quarantine/ContentQuarantine.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/quarantine/ContentQuarantine.java
@@ -17,6 +17,7 @@
 import org.arbutusstack.kernel.Assert;
 import org.arbutusstack.kernel.collect.RecentlyUsedMap;
 import org.arbutusstack.kernel.time.Clock;
+import org.arbutusstack.routing.ContentKeys;
 import org.arbutusstack.routing.QuarantineRule;
 import org.arbutusstack.routing.Strike;
 import org.arbutusstack.routing.StrikePolicy;
@@ -41,18 +42,21 @@
 
     private static final int MAX_KEYS = 10_000;
 
-    /** Keys whose last answer is remembered; several times the prompt parts in use within the delay of a strike. */
+    /** Keys of a kind whose last answer is remembered; several times those in use within the delay of a strike. */
     private static final int MAX_BEGUN_KEYS = 4_096;
 
     private final BiConsumer<String, StrikeFrame> sides;
 
     private final Clock clock;
 
-    /** When answers to requests with a key last began; the least recently used key is evicted first. */
-    private final Map<String, Long> begunAtNanos = new RecentlyUsedMap<>(MAX_BEGUN_KEYS);
+    /** When answers to requests with a prompt part last began; the least recently used key is evicted first. */
+    private final Map<String, Long> partsBegunAtNanos = new RecentlyUsedMap<>(MAX_BEGUN_KEYS);
 
-    private final StrikeRegistry strikes =
-            new StrikeRegistry(MAX_KEYS, StrikePolicy.SHARED_CONTENT, begunAtNanos::containsKey);
+    /** When the answer to a whole request last began, and when it was last complete. */
+    private final Map<String, Long> requestsBegunAtNanos = new RecentlyUsedMap<>(MAX_BEGUN_KEYS);
+
+    private final StrikeRegistry strikes = new StrikeRegistry(
+            MAX_KEYS, StrikePolicy.SHARED_CONTENT, key -> begunAtNanos(key).containsKey(key));
 
     private final QuarantineProbes probes;
 
@@ -195,7 +199,7 @@
     public void begun(Collection<String> keys) {
         long nowNanos = clock.nowNanos();
         for (String key : keys) {
-            begunAtNanos.put(key, nowNanos);
+            begunAtNanos(key).put(key, nowNanos);
         }
         boolean changed = false;
         for (String key : keys) {
@@ -212,11 +216,16 @@
      * @param answerKey the key of the answer
      */
     public void completed(String answerKey) {
+        requestsBegunAtNanos.put(answerKey, clock.nowNanos());
         if (clear(answerKey)) {
             rulesChanged();
         }
     }
 
+    private Map<String, Long> begunAtNanos(String key) {
+        return ContentKeys.isOfOneRequest(key) ? requestsBegunAtNanos : partsBegunAtNanos;
+    }
+
     private boolean clear(String key) {
         List<Strike> cleared = strikes.clear(key);
         Set<String> hosts = new HashSet<>();
@@ -255,7 +264,7 @@
             add(Strike.of(frame, clock));
         } else if (frame.incident().isEmpty()) {
             // The answer began before now, but not necessarily after a strike that is yet to arrive.
-            begunAtNanos.putIfAbsent(frame.key(), clock.deadlineNanos(-RunnerCrashes.RETENTION_MILLIS));
+            begunAtNanos(frame.key()).putIfAbsent(frame.key(), clock.deadlineNanos(-RunnerCrashes.RETENTION_MILLIS));
             strikes.clear(frame.key());
             narrowPersistedRules(frame.key());
         } else {
@@ -265,7 +274,7 @@
     }
 
     private void add(Strike strike) {
-        Long begunNanos = begunAtNanos.get(strike.key());
+        Long begunNanos = begunAtNanos(strike.key()).get(strike.key());
         if (begunNanos != null && begunNanos - strike.struckAtNanos() > 0) {
             clearedCounter.inc();
             sides.accept(RunnerCrashes.hostOf(strike.incident()), StrikeFrame.retraction(strike.key(), ""));
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestQuarantine.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestQuarantine.java
@@ -18,6 +18,9 @@
  */
 final class RequestQuarantine {
 
+    /** Limit on the bodies that are digested while no content is suspect. */
+    private static final int MAX_REMEMBERED_BODY_BYTES = 16_384;
+
     private final ContentQuarantine quarantine;
 
     private final CrashMonitor crashMonitor;
@@ -77,9 +80,8 @@
 
     /** Record that the answer to a request began. */
     void answerBegun(ActiveRequest active) {
-        boolean isWatching = quarantine.isWatching();
         quarantine.begun(
-                isWatching
+                isIdentified(active)
                         ? active.contentKeys()
                         : ContentKeys.ofParts(active.request().sharedParts()));
     }
@@ -87,8 +89,13 @@
     /** Record that the answer to a request is complete. */
     void answerCompleted(ActiveRequest active) {
         losses.recordAnswered(active);
-        if (quarantine.isWatching()) {
+        if (isIdentified(active)) {
             quarantine.completed(active.answerKey());
         }
     }
+
+    /** Return whether the whole request matters: it may be suspect, or a digest of it is cheap enough to know it later. */
+    private boolean isIdentified(ActiveRequest active) {
+        return quarantine.isWatching() || active.request().body().length <= MAX_REMEMBERED_BODY_BYTES;
+    }
 }
--- a/routing/src/main/java/org/arbutusstack/routing/ContentKeys.java
+++ b/routing/src/main/java/org/arbutusstack/routing/ContentKeys.java
@@ -57,7 +57,7 @@
      * @param key the key
      * @return whether only repeats of the request have the key
      */
-    static boolean isOfOneRequest(String key) {
+    public static boolean isOfOneRequest(String key) {
         return key.startsWith(REQUEST_PREFIX) || key.startsWith(ANSWER_PREFIX);
     }
 
--- a/routing/src/main/java/org/arbutusstack/routing/StrikeRegistry.java
+++ b/routing/src/main/java/org/arbutusstack/routing/StrikeRegistry.java
@@ -270,8 +270,8 @@
      * and then content with more strikes.
      *
      * <p>Shared content is refused only if enough of its losses remain, since it is beside other content all the time.
-     * A request was sent again after each of its losses, so that any of them that remains is held against it; if they do
-     * not count separately, it is undecided.
+     * A request that was never answered was sent again after each of its losses, so that any of them that remains is held
+     * against it; if they do not count separately, it is undecided.
      */
     private List<QuarantineRule> deriveRules() {
         Map<String, Map<String, Strike>> unexplained = new HashMap<>();
@@ -301,14 +301,19 @@
             allExplained.addAll(explained);
         }
         undecidedKeys = unruledKeys.stream()
-                .filter(key -> policy.isOfOneRequest(key)
+                .filter(key -> isUnansweredRequest(key)
                         && !allExplained.containsAll(strikesByKey.get(key).keySet()))
                 .collect(Collectors.toUnmodifiableSet());
         return List.copyOf(derived);
     }
 
+    /** Return whether a key is that of a request that is not known to be served, as a popular one soon is. */
+    private boolean isUnansweredRequest(String key) {
+        return policy.isOfOneRequest(key) && !hasBegun.test(key);
+    }
+
     private boolean isExplained(String key, Map<String, Strike> remaining) {
-        return policy.isOfOneRequest(key) ? remaining.isEmpty() : !policy.isRefused(remaining.values());
+        return isUnansweredRequest(key) ? remaining.isEmpty() : !policy.isRefused(remaining.values());
     }
 
     /**
--- a/routing/src/test/java/org/arbutusstack/routing/StrikeRegistryTests.java
+++ b/routing/src/test/java/org/arbutusstack/routing/StrikeRegistryTests.java
@@ -194,6 +194,16 @@
         assertTrue(isRequestRefused(registry, "second"));
     }
 
+    /** Guards against a popular request that was in flight beside a harmful one being refused with it. */
+    @Test
+    public void shouldNotRefuseAnsweredRequestWhenHarmfulOneExplainsMostOfItsCrashes() {
+        StrikeRegistry registry = new StrikeRegistry(100, StrikePolicy.SHARED_CONTENT, key -> key.endsWith("popular"));
+        strikeRequest(registry, "harmful", 1, 2, 3);
+        strikeRequest(registry, "popular", 1, 2, 4);
+        assertTrue(isRequestRefused(registry, "harmful"));
+        assertFalse(isRequestRefused(registry, "popular"));
+    }
+
     /** Guards against a sound request that is lost beside two harmful ones in turn being refused with them. */
     @Test
     public void shouldNotRefuseRequestWhoseCrashesTwoOthersExplainTogether() {
@@ -225,6 +235,15 @@
         assertFalse(registry.isUndecided("request:a", 200_000_000));
     }
 
+    /** Guards against a request that most callers send being held up by a failure of all engines. */
+    @Test
+    public void shouldNotBeUndecidedWhenRequestWasAnsweredBefore() {
+        StrikeRegistry registry =
+                new StrikeRegistry(100, StrikePolicy.SHARED_CONTENT, key -> key.equals("request:popular"));
+        strikeSideBySide(registry, "popular");
+        assertFalse(registry.isUndecided("request:popular", 200_000_000));
+    }
+
     /** Guards against the crash that two isolated requests have in common clearing one of them. */
     @Test
     public void shouldRefuseIsolatedRequestWhenItsFirstLossWasBesideAnother() {
