Log each request that is sent while nothing tells whether its content is harmful

A request that waits for such a trial (TrialSchedule) left no line: an operator could not tell why it was sent late. event=undecided-content-sent names the keys with their strikes; one line a trial, at most one each 300 ms and content. No decision changed.

--- a/gateway/src/main/java/org/arbutusstack/gateway/quarantine/ContentQuarantine.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/quarantine/ContentQuarantine.java
@@ -172,7 +172,14 @@
         long nowNanos = clock.nowNanos();
         Optional<String> undecided =
                 keys.stream().filter(key -> strikes.isUndecided(key, nowNanos)).findFirst();
-        return undecided.isEmpty() || trials.tryAcquire(undecided.get());
+        if (undecided.isEmpty()) {
+            return true;
+        }
+        boolean acquired = trials.tryAcquire(undecided.get());
+        if (acquired) {
+            logger.info("event=undecided-content-sent {}", String.join(",", describeSuspects(keys)));
+        }
+        return acquired;
     }
 
     /** Return the rules in force; a persisted rule only if no rule with some of its keys has replaced it. */
