--- a/gateway/src/main/java/org/arbutusstack/gateway/quarantine/TrialSchedule.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/quarantine/TrialSchedule.java
@@ -8,8 +8,8 @@
 import org.arbutusstack.kernel.time.Clock;
 
 /**
- * Schedule of the requests with undecided content, which are sent one at a time: a crash or an answer decides what holds
- * for the others.
+ * Schedule of the requests with undecided content, which are sent one at a time: a crash or an answer decides what
+ * holds for the others.
  *
  * <p>Entries do not know of each other's trials. Each waits for a random part of a time that grows with their number,
  * so that the first trial is decided before most of the others would begin. Confined to the entry's event loop.
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestQuarantine.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestQuarantine.java
@@ -94,7 +94,7 @@
         }
     }
 
-    /** Return whether the whole request matters: it may be suspect, or a digest of it is cheap enough to know it later. */
+    /** Return whether the whole request is identified: it may be suspect, or a digest costs little and helps later. */
     private boolean isIdentified(ActiveRequest active) {
         return quarantine.isWatching() || active.request().body().length <= MAX_REMEMBERED_BODY_BYTES;
     }
--- a/routing/src/main/java/org/arbutusstack/routing/StrikeRegistry.java
+++ b/routing/src/main/java/org/arbutusstack/routing/StrikeRegistry.java
@@ -270,8 +270,8 @@
      * and then content with more strikes.
      *
      * <p>Shared content is refused only if enough of its losses remain, since it is beside other content all the time.
-     * A request that was never answered was sent again after each of its losses, so that any of them that remains is held
-     * against it; if they do not count separately, it is undecided.
+     * A request that was never answered was sent again after each of its losses, so that any of them that remains is
+     * held against it; if they do not count separately, it is undecided.
      */
     private List<QuarantineRule> deriveRules() {
         Map<String, Map<String, Strike>> unexplained = new HashMap<>();
