Tests wait until a process listens on the ports that they call

SideStopTests had failed so once on 4 December.

Cause: ProcessCluster.awaitUp waited for the state dump on the admin port, which an entry opens first. Log of the failed run: the operators' port answers at 20:41:08.716, the process has started at 20:41:08.838, the refused calls lie between.

Change: awaitUp also waits until the callers' and operators' ports accept connections. The checks of the tests are as they were.

--- a/testkit/src/main/java/org/arbutusstack/testkit/process/ProcessCluster.java
+++ b/testkit/src/main/java/org/arbutusstack/testkit/process/ProcessCluster.java
@@ -4,6 +4,9 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.File;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -46,6 +49,11 @@
 
     private static final String LOOPBACK = "127.0.0.1";
 
+    /** Flags of the ports on which processes take calls of callers and operators. */
+    private static final List<String> CALL_PORT_FLAGS = List.of("caller-port", "operator-port");
+
+    private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+
     private static final long CALL_SECONDS = 60;
 
     private static final long POLL_MILLIS = 20;
@@ -315,14 +323,29 @@
     }
 
     /**
-     * Wait until a process answers on its admin port.
+     * Wait until a process answers on its admin port and accepts connections on its ports for callers and operators,
+     * which it opens later.
      *
      * @param process the process
      * @param seconds the maximum time to wait, in seconds
      * @return whether it answered in time
      */
     public boolean awaitUp(DaemonProcess process, long seconds) {
-        return awaitTrue(seconds, () -> state(process).has("role"));
+        return awaitTrue(
+                seconds,
+                () -> state(process).has("role")
+                        && CALL_PORT_FLAGS.stream()
+                                .filter(flag -> process.flag(flag) != null)
+                                .allMatch(flag -> isListening(process.port(flag))));
+    }
+
+    private static boolean isListening(int port) {
+        try (Socket socket = new Socket()) {
+            socket.connect(new InetSocketAddress(LOOPBACK, port), CONNECT_TIMEOUT_MILLIS);
+            return true;
+        } catch (IOException notListening) {
+            return false;
+        }
     }
 
     /**
