--- a/gateway/src/main/java/org/arbutusstack/gateway/config/Route.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/config/Route.java
@@ -18,6 +18,7 @@
  * @param maxAttempts the maximum number of attempts that may have run one request
  * @param sticky whether requests share prompt prefixes
  * @param resumable whether a stream may be resumed at another runner
+ * @param isPublic whether callers need no key, even if the configuration has teams
  */
 public record Route(
         String name,
@@ -31,7 +32,8 @@
         List<WeightedService> backends,
         int maxAttempts,
         boolean sticky,
-        boolean resumable) {
+        boolean resumable,
+        boolean isPublic) {
 
     private static final long MIN_CALLER_TIMEOUT_MILLIS = 2_000;
 
--- a/gateway/src/main/java/org/arbutusstack/gateway/config/ServingConfig.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/config/ServingConfig.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import org.arbutusstack.kernel.Assert;
 
 /**
  * A version of the routes, services and limits that operators have configured. Immutable.
@@ -25,8 +26,10 @@
 
     private final int routeCount;
 
+    private final TeamDirectory teams;
+
     /**
-     * Create a version.
+     * Create a version without teams.
      *
      * @param version the version number; a later version has a higher one
      * @param routes the routes
@@ -34,6 +37,21 @@
      * @param maxBodyBytes the maximum length of a request body, in bytes
      */
     public ServingConfig(long version, List<Route> routes, List<ServedService> services, long maxBodyBytes) {
+        this(version, routes, services, maxBodyBytes, TeamDirectory.EMPTY);
+    }
+
+    /**
+     * Create a version.
+     *
+     * @param version the version number; a later version has a higher one
+     * @param routes the routes
+     * @param services the services
+     * @param maxBodyBytes the maximum length of a request body, in bytes
+     * @param teams the teams, by whose keys callers are identified; empty if callers need no keys
+     */
+    public ServingConfig(
+            long version, List<Route> routes, List<ServedService> services, long maxBodyBytes, TeamDirectory teams) {
+        this.teams = Assert.notNull(teams, "teams");
         this.version = version;
         this.maxBodyBytes = maxBodyBytes;
         this.routeCount = routes.size();
@@ -67,6 +85,15 @@
         return maxBodyBytes;
     }
 
+    /**
+     * Return the teams.
+     *
+     * @return the teams; empty if callers need no keys
+     */
+    public TeamDirectory teams() {
+        return teams;
+    }
+
     /**
      * Return the number of routes.
      *
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/InboundRequest.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/InboundRequest.java
@@ -2,7 +2,10 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.arbutusstack.gateway.config.Route;
+import org.arbutusstack.gateway.config.Team;
+import org.arbutusstack.kernel.Assert;
 import org.arbutusstack.routing.ContentKeys;
 
 /**
@@ -15,6 +18,7 @@
  * @param body the body; not copied
  * @param route the route that matches the request
  * @param service the service selected for the request
+ * @param team the team of the caller's key; empty if the caller needs no key
  * @param model the model; empty for a plain service
  * @param adapter the adapter; empty for none
  * @param promptTokens the number of tokens of the prompt; zero if unknown
@@ -33,6 +37,7 @@
         byte[] body,
         Route route,
         String service,
+        Optional<Team> team,
         String model,
         String adapter,
         int promptTokens,
@@ -45,6 +50,7 @@
 
     /** Copy the collections. */
     public InboundRequest {
+        Assert.notNull(team, "team");
         headers = Map.copyOf(headers);
         sharedParts = List.copyOf(sharedParts);
     }
@@ -68,6 +74,16 @@
         return ContentKeys.ofRequest(sharedParts, method + ' ' + target + '\n' + model + '/' + adapter, body);
     }
 
+    /**
+     * Return what the request counts against the allotment of its team.
+     *
+     * @return the cost in the unit of the allotment; zero if the request has no team
+     */
+    public double allotmentCost() {
+        return team.map(known -> known.unit().costOf(promptTokens, outputTokens, known.plainTokens()))
+                .orElse(0.0);
+    }
+
     /**
      * Return whether the request is for a model.
      *
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/DispatcherHarness.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/DispatcherHarness.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.arbutusstack.gateway.config.Route;
 import org.arbutusstack.gateway.config.RouteKind;
@@ -106,7 +107,8 @@
                 List.of(new Route.WeightedService(service, 1)),
                 maxAttempts,
                 false,
-                resumable);
+                resumable,
+                false);
     }
 
     static Route slowRoute() {
@@ -122,6 +124,7 @@
                 List.of(new Route.WeightedService(ENGINE, 1)),
                 1,
                 false,
+                false,
                 false);
     }
 
@@ -145,6 +148,7 @@
                         new byte[0],
                         route,
                         route.serviceFor(0),
+                        Optional.empty(),
                         model,
                         adapter,
                         100,
--- a/model/src/main/java/org/arbutusstack/model/request/RefusalReason.java
+++ b/model/src/main/java/org/arbutusstack/model/request/RefusalReason.java
@@ -12,6 +12,12 @@
     UNKNOWN_TARGET(404),
     /** A header that the call requires is missing. */
     MISSING_HEADER(400),
+    /** The request has no key, or one that no team holds. */
+    UNKNOWN_KEY(401),
+    /** The team of the request has used up its allotment. */
+    OVER_ALLOTMENT(429),
+    /** The configuration may no longer be in force, so that keys that were withdrawn cannot be told from valid ones. */
+    CONFIG_STALE(503),
     /** The request is quarantined, since it crashed backend servers. */
     QUARANTINED(422),
     /** A queue is full. */
