--- a/gateway/src/main/java/org/arbutusstack/gateway/config/Route.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/config/Route.java
@@ -40,6 +40,9 @@
     /** Longest target of an interactive route: no user watches the answers of slower ones. */
     private static final long INTERACTIVE_TARGET_MILLIS = 1_000;
 
+    /** Shortest target of a deferrable route: bursts and loads of models end well before it. */
+    private static final long DEFERRABLE_TARGET_MILLIS = 5_000;
+
     /** Check the route and copy the list. */
     public Route {
         Assert.hasText(name, "name");
@@ -78,6 +81,15 @@
         return 2 * priority + (targetMillis > INTERACTIVE_TARGET_MILLIS ? 1 : 0);
     }
 
+    /**
+     * Return whether requests of this route can wait while others go first.
+     *
+     * @return whether the target leaves time for it
+     */
+    public boolean isDeferrable() {
+        return targetMillis >= DEFERRABLE_TARGET_MILLIS;
+    }
+
     /**
      * Select the service for one request by weight.
      *
--- a/gateway/src/main/java/org/arbutusstack/gateway/config/ServingConfig.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/config/ServingConfig.java
@@ -94,6 +94,15 @@
         return teams;
     }
 
+    /**
+     * Return the routes.
+     *
+     * @return the routes for all hosts, in no particular order
+     */
+    public List<Route> routes() {
+        return routesByHost.values().stream().flatMap(List::stream).toList();
+    }
+
     /**
      * Return the number of routes.
      *
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/ActiveRequest.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/ActiveRequest.java
@@ -35,6 +35,8 @@
 
     private boolean awaitsModel;
 
+    private boolean heldForRoom;
+
     private int possibleRuns;
 
     private boolean mayHaveRun;
@@ -156,6 +158,15 @@
         awaitsModel = awaited;
     }
 
+    /** Return whether the request was held when it was last routed, since no runner had room for its prompt. */
+    boolean isHeldForRoom() {
+        return heldForRoom;
+    }
+
+    void heldForRoom(boolean held) {
+        heldForRoom = held;
+    }
+
     int sends() {
         return sends;
     }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/CurrentAttempt.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/CurrentAttempt.java
@@ -84,7 +84,7 @@
     /** Update the runner's first-event estimate with the time that this attempt, which opened the stream, took. */
     void recordFirstEvent(long nowNanos) {
         firstEventAtNanos = nowNanos;
-        runner.speed().recordFirstEvent(queueEstimate, nowNanos - sentAtNanos);
+        runner.speed().recordFirstEvent(queueEstimate, owner.request().prefillTokens(), nowNanos - sentAtNanos);
     }
 
     /**
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/InboundRequest.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/InboundRequest.java
@@ -84,6 +84,15 @@
                 .orElse(0.0);
     }
 
+    /**
+     * Return the urgency of the request in an engine.
+     *
+     * @return the urgency; zero is the most urgent
+     */
+    public int urgency() {
+        return route.urgency();
+    }
+
     /**
      * Return whether the request is for a model.
      *
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatcher.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatcher.java
@@ -53,13 +53,15 @@
     private final Set<ActiveRequest> inFlight = new LinkedHashSet<>();
 
     /** Requests in flight without an attempt in progress. */
-    private final Set<ActiveRequest> waiting = new LinkedHashSet<>();
+    private final WaitingRequests waiting;
 
-    private final RetryBudgets retries;
+    private final PromptAdmission admission;
+
+    private final TeamUsage teamUsage;
 
-    private final DeferredCallers deferredCallers;
+    private final RetryBudgets retries;
 
-    private final LoadForecast loadForecast;
+    private final ModelDemand modelDemand;
 
     private final DrainState drainState;
 
@@ -70,6 +72,7 @@
      */
     RequestDispatcher(
             RunnerChooser chooser,
+            PromptAdmission admission,
             RunnerPort runnerPort,
             CallerPort callers,
             Clock clock,
@@ -77,6 +80,9 @@
             GatewayMetrics metrics,
             RequestQuarantine quarantine) {
         this.chooser = Assert.notNull(chooser, "chooser");
+        this.admission = Assert.notNull(admission, "admission");
+        this.teamUsage = new TeamUsage(clock);
+        this.waiting = new WaitingRequests(admission, teamUsage);
         this.runnerPort = Assert.notNull(runnerPort, "runnerPort");
         this.callers = Assert.notNull(callers, "callers");
         this.clock = Assert.notNull(clock, "clock");
@@ -86,8 +92,7 @@
         this.log = new DecisionLog(clock);
         this.quarantine = Assert.notNull(quarantine, "quarantine");
         this.retries = new RetryBudgets(this.limits);
-        this.deferredCallers = new DeferredCallers(clock);
-        this.loadForecast = new LoadForecast(clock);
+        this.modelDemand = new ModelDemand(chooser, clock);
         this.drainState = new DrainState(clock);
         this.relay = new AnswerRelay(this, runnerPort, callers, clock, limits, metrics, log, quarantine);
     }
@@ -98,7 +103,9 @@
      * @param next the configuration; the load forecast uses its engine models
      */
     public void config(ServingConfig next) {
-        loadForecast.config(next);
+        modelDemand.config(next);
+        admission.config(next);
+        teamUsage.config(next);
     }
 
     /**
@@ -155,7 +162,12 @@
                     clock.millisUntil(rule.get().expiresAtNanos()));
             return;
         }
+        if (mustYield(active)) {
+            active.heldForRoom(true);
+            return;
+        }
         RunnerChooser.Choice choice = chooser.choose(active);
+        active.heldForRoom(choice instanceof RunnerChooser.Choice.AwaitRoom);
         active.awaitsModel(choice instanceof RunnerChooser.Choice.AwaitModel);
         if (drainState.isDraining() && !(choice instanceof RunnerChooser.Choice.Send)) {
             refuse(active, drainingRefusal(), DRAINING_RETRY_AFTER_MILLIS);
@@ -174,7 +186,7 @@
             String detail = "the runners that can serve it would begin after " + atCapacity.firstEventMillis() + " ms";
             long spreadMillis = limits.spreadRetryAfterMillis(request.id());
             long retryAfterMillis = Math.max(spreadMillis, atCapacity.retryAfterMillis());
-            deferredCallers.addRefusedAtCapacity(request, retryAfterMillis);
+            modelDemand.addRefusedAtCapacity(request, retryAfterMillis);
             refuse(active, Refusal.notRun(RefusalReason.DEADLINE_UNREACHABLE, detail), retryAfterMillis);
         } else if (choice instanceof RunnerChooser.Choice.AwaitModel) {
             awaitModel(active);
@@ -184,17 +196,22 @@
         }
     }
 
+    /** Return whether a request is held since one that goes before it is held for room. */
+    private boolean mustYield(ActiveRequest active) {
+        InboundRequest request = active.request();
+        return !drainState.isDraining()
+                && admission.isManaged(request)
+                && admission.mayHold(request)
+                && waiting.isPreceded(active);
+    }
+
     /** Await a load expected before the caller times out; else refuse, with the expected load time as Retry-After. */
     private void awaitModel(ActiveRequest active) {
-        InboundRequest request = active.request();
-        long loadMillis = chooser.loadMillis(request, loadForecast);
-        long callerEndNanos = request.arrivedNanos() + request.route().callerTimeoutMillis() * Clock.NANOS_PER_MILLI;
-        long remainingMillis = Math.min(clock.millisUntil(callerEndNanos), clock.millisUntil(request.deadlineNanos()));
-        if (loadMillis >= remainingMillis) {
-            deferredCallers.addAwaitingModel(request, loadMillis);
+        modelDemand.loadBeyondPatienceMillis(active.request()).ifPresent(loadMillis -> {
+            modelDemand.addAwaitingModel(active.request(), loadMillis);
             String detail = "no runner holds the model, and a load ends after the caller has left";
             refuse(active, Refusal.notRun(RefusalReason.DEADLINE_UNREACHABLE, detail), loadMillis);
-        }
+        });
     }
 
     private void awaitAdapter(ActiveRequest active, KnownRunner runner) {
@@ -213,6 +230,7 @@
         active.beginAttempt(attempt);
         waiting.remove(active);
         runner.recordSent(request.prefillTokens());
+        teamUsage.recordSent(request);
         if (!request.adapter().isEmpty()) {
             runner.reportAdapterUse(request.model(), request.adapter());
         }
@@ -340,7 +358,7 @@
 
     /** Route all waiting requests again after the set of known runners has changed. */
     public void runnersChanged() {
-        new ArrayList<>(waiting).forEach(this::route);
+        waiting.inOrder().forEach(this::route);
     }
 
     /**
@@ -349,7 +367,7 @@
      * @param runner the runner
      */
     public void runnerChanged(KnownRunner runner) {
-        for (ActiveRequest active : new ArrayList<>(waiting)) {
+        for (ActiveRequest active : waiting.inOrder()) {
             InboundRequest request = active.request();
             if (request.service().equals(runner.entry().service()) && runner.holds(request.model())) {
                 route(active);
@@ -381,11 +399,7 @@
      * @return the counts by model name
      */
     public Map<String, ModelRequestCount> requestsByModel(String service) {
-        Map<String, ModelRequestCount> counts = ModelRequestCount.byModel(inFlight, service);
-        deferredCallers
-                .requestsByModel(service)
-                .forEach((model, count) -> counts.merge(model, count, ModelRequestCount::plus));
-        return counts;
+        return modelDemand.requestsByModel(inFlight, service);
     }
 
     /**
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatchers.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatchers.java
@@ -35,9 +35,11 @@
             GatewayMetrics metrics,
             ContentQuarantine quarantine,
             CrashMonitor crashMonitor) {
-        RunnerChooser chooser = new RunnerChooser(runners, new TwoChoiceSelector(zone), zone, clock);
+        PromptAdmission admission = new PromptAdmission(clock);
+        RunnerChooser chooser = new RunnerChooser(runners, new TwoChoiceSelector(zone), zone, admission, clock);
         return new RequestDispatcher(
                 chooser,
+                admission,
                 runnerPort,
                 callers,
                 clock,
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 import org.arbutusstack.gateway.runner.KnownRunner;
 import org.arbutusstack.gateway.runner.RunnerEntry;
 import org.arbutusstack.gateway.runner.RunnerTable;
@@ -38,7 +39,15 @@
 
     private final Clock clock;
 
-    RunnerChooser(RunnerTable runners, TwoChoiceSelector engineSelector, String zone, Clock clock) {
+    private final PromptAdmission admission;
+
+    RunnerChooser(
+            RunnerTable runners,
+            TwoChoiceSelector engineSelector,
+            String zone,
+            PromptAdmission admission,
+            Clock clock) {
+        this.admission = Assert.notNull(admission, "admission");
         this.runners = Assert.notNull(runners, "runners");
         this.engineSelector = Assert.notNull(engineSelector, "engineSelector");
         this.zone = Assert.notNull(zone, "zone");
@@ -69,6 +78,9 @@
         /** Request permits of runners that limit their requests and wait for one: no other runner can serve it. */
         record AwaitPermit(List<KnownRunner> runners) implements Choice {}
 
+        /** Hold the request until the prompts that its candidates were sent have been read. */
+        record AwaitRoom() implements Choice {}
+
         /** Wait for the model: no runner holds it. */
         record AwaitModel() implements Choice {}
 
@@ -146,12 +158,28 @@
         if (chosen.needsLivenessCheck()) {
             return new Choice.QueryStatus(List.of(chosen));
         }
+        Optional<KnownRunner> withRoom = admission.select(active, ranked(chosen, pair));
+        if (withRoom.isEmpty()) {
+            return new Choice.AwaitRoom();
+        }
+        chosen = withRoom.get();
         boolean ready = request.adapter().isEmpty() || needs.hasAdapterOn(chosen.view());
         return ready
                 ? new Choice.Send(chosen)
                 : new Choice.AwaitAdapter(runners.byId(selectAdapterLoader(needs, candidates, chosen.view())));
     }
 
+    /** Return the chosen runner, followed by the other candidates. */
+    private List<KnownRunner> ranked(KnownRunner chosen, List<RunnerView> pair) {
+        List<KnownRunner> ranked = new ArrayList<>();
+        ranked.add(chosen);
+        pair.stream()
+                .map(view -> runners.byId(view.name()))
+                .filter(runner -> runner != chosen)
+                .forEach(ranked::add);
+        return ranked;
+    }
+
     /** Exclude the runners that limit their requests and for which there is no permit, and mark them as wanted. */
     private static List<KnownRunner> withoutLimited(List<KnownRunner> candidates) {
         List<KnownRunner> permitted = new ArrayList<>(candidates);
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/KnownRunner.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/KnownRunner.java
@@ -355,6 +355,15 @@
                 entry.id(), entry.service(), entry.zone(), models, adapters, reported + unread, outstanding + unread);
     }
 
+    /**
+     * Return the prompt tokens that all entries have sent to the runner and that it may not have read yet.
+     *
+     * @return the number of tokens, by the last status and the requests of this entry since
+     */
+    public long unreadPromptTokens() {
+        return prompts.tokens();
+    }
+
     /**
      * Return the model that the runner is loading or about to load.
      *
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/RunnerSpeed.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/RunnerSpeed.java
@@ -2,6 +2,7 @@
 
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.routing.FirstEventEstimator;
+import org.arbutusstack.routing.PrefillSpeed;
 
 /**
  * Estimator of how fast a runner starts and completes requests, from those that this entry has sent. Confined to the
@@ -13,6 +14,8 @@
 
     private final FirstEventEstimator estimate = new FirstEventEstimator();
 
+    private final PrefillSpeed prefillSpeed = new PrefillSpeed();
+
     RunnerSpeed(KnownRunner runner) {
         this.runner = runner;
     }
@@ -24,7 +27,8 @@
      */
     public QueueEstimate queueEstimate() {
         int unstarted = runner.unstarted();
-        return new QueueEstimate(unstarted, estimate.slotWaitMillis(unstarted, runner.running(), slots()));
+        long slotWaitMillis = estimate.slotWaitMillis(unstarted, runner.running(), slots());
+        return new QueueEstimate(unstarted, slotWaitMillis, runner.unreadPromptTokens());
     }
 
     /** Return the number of slots; one if the runner does not report it. */
@@ -36,10 +40,22 @@
      * Record the time to the first event of a request.
      *
      * @param queueEstimate the queue when the request was sent
+     * @param promptTokens the number of tokens in the request's prompt
      * @param nanos the time from then to the first event, in nanoseconds
      */
-    public void recordFirstEvent(QueueEstimate queueEstimate, long nanos) {
-        estimate.observed(queueEstimate.unstarted(), nanos / Clock.NANOS_PER_MILLI - queueEstimate.slotWaitMillis());
+    public void recordFirstEvent(QueueEstimate queueEstimate, int promptTokens, long nanos) {
+        long millis = nanos / Clock.NANOS_PER_MILLI - queueEstimate.slotWaitMillis();
+        estimate.observed(queueEstimate.unstarted(), millis);
+        prefillSpeed.observed(queueEstimate.unreadTokens() + promptTokens, millis);
+    }
+
+    /**
+     * Return how fast the runner reads prompts.
+     *
+     * @return the estimate in tokens per millisecond
+     */
+    public double prefillTokensPerMilli() {
+        return prefillSpeed.tokensPerMilli();
     }
 
     /**
@@ -65,6 +81,7 @@
      *
      * @param unstarted the number of requests without a first event
      * @param slotWaitMillis the expected wait for a slot, in milliseconds
+     * @param unreadTokens the prompt tokens that wait to be read
      */
-    public record QueueEstimate(int unstarted, long slotWaitMillis) {}
+    public record QueueEstimate(int unstarted, long slotWaitMillis, long unreadTokens) {}
 }
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/UnreadPrompts.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/UnreadPrompts.java
@@ -40,8 +40,13 @@
         sent.add(tokens);
     }
 
+    /** Return the number of unread prompt tokens. */
+    long tokens() {
+        return sent.left(reportedTokens, reportedAtNanos) + sent.tokens();
+    }
+
     /** Return the load of the unread prompts as a number of running requests. */
     int equivalentRequests() {
-        return (int) ((sent.left(reportedTokens, reportedAtNanos) + sent.tokens()) / TOKENS_PER_REQUEST);
+        return (int) (tokens() / TOKENS_PER_REQUEST);
     }
 }
--- a/gateway/src/test/java/org/arbutusstack/gateway/runner/PromptBurstTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/runner/PromptBurstTests.java
@@ -52,7 +52,7 @@
 
         private final String name;
 
-        private final ReplayedEngine engine = new ReplayedEngine();
+        private final ReplayedEngine engine = new ReplayedEngine(ReplayedEngine.FURTHER);
 
         private final TreeMap<Double, Integer> requests = new TreeMap<>();
 
--- a/gateway/src/test/java/org/arbutusstack/gateway/runner/ReplayedEngine.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/runner/ReplayedEngine.java
@@ -9,22 +9,16 @@
 /**
  * Simulated engine that works in steps: each step generates one token of every stream and reads a chunk of the waiting
  * prompts.
- *
- * <p>The figures are those published for the engines of the scenario further.
  */
 final class ReplayedEngine {
 
-    private static final int SLOTS = 24;
+    /** The figures published for the engines of the scenario further. */
+    static final Figures FURTHER = new Figures(24, 5.2, 38.4, 4_096, 1.7, 6);
 
-    private static final double STEP_MILLIS = 5.2;
+    /** The figures published for the engines of the scenario barcas. */
+    static final Figures BARCAS = new Figures(32, 10.1, 20.4, 2_048, 5.3, 3);
 
-    private static final double TOKENS_PER_MILLI = 38.4;
-
-    private static final double CHUNK_TOKENS = 4_096;
-
-    private static final double SETUP_MILLIS = 1.7;
-
-    private static final int TOKENS_PER_EVENT = 6;
+    private final Figures figures;
 
     private final Deque<Stream> waiting = new ArrayDeque<>();
 
@@ -32,10 +26,32 @@
 
     private double nowMillis;
 
+    ReplayedEngine(Figures figures) {
+        this.figures = figures;
+    }
+
+    /**
+     * Published figures of an engine.
+     *
+     * @param slots the requests that run at once
+     * @param stepMillis the time of a step without prompts, in milliseconds
+     * @param tokensPerMilli the prompt tokens read in a millisecond
+     * @param chunkTokens the prompt tokens read in a step at most
+     * @param setupMillis the time that each prompt adds to the step in which it is complete, in milliseconds
+     * @param tokensPerEvent the tokens in an event of a stream
+     */
+    record Figures(
+            int slots,
+            double stepMillis,
+            double tokensPerMilli,
+            double chunkTokens,
+            double setupMillis,
+            int tokensPerEvent) {}
+
     /** Request with the timing that its caller observes. */
     static final class Stream {
 
-        private final double sentMillis;
+        private final double arrivedMillis;
 
         private final int outputTokens;
 
@@ -49,8 +65,8 @@
 
         private double maxGapMillis;
 
-        Stream(double sentMillis, double promptTokens, int outputTokens) {
-            this.sentMillis = sentMillis;
+        Stream(double arrivedMillis, double promptTokens, int outputTokens) {
+            this.arrivedMillis = arrivedMillis;
             this.unreadTokens = promptTokens;
             this.outputTokens = outputTokens;
         }
@@ -60,13 +76,13 @@
         }
 
         private void recordFirstEvent(double atMillis) {
-            firstEventMillis = atMillis - sentMillis;
+            firstEventMillis = atMillis - arrivedMillis;
             lastEventMillis = atMillis;
         }
 
-        private void recordToken(double atMillis) {
+        private void recordToken(double atMillis, int tokensPerEvent) {
             generatedTokens++;
-            if (generatedTokens % TOKENS_PER_EVENT == 0 || generatedTokens >= outputTokens) {
+            if (generatedTokens % tokensPerEvent == 0 || generatedTokens >= outputTokens) {
                 maxGapMillis = Math.max(maxGapMillis, atMillis - lastEventMillis);
                 lastEventMillis = atMillis;
             }
@@ -94,8 +110,8 @@
 
     private void step() {
         List<Stream> read = new ArrayList<>();
-        double left = CHUNK_TOKENS;
-        while (!waiting.isEmpty() && left > 0 && running.size() + read.size() < SLOTS) {
+        double left = figures.chunkTokens();
+        while (!waiting.isEmpty() && left > 0 && running.size() + read.size() < figures.slots()) {
             Stream next = waiting.peek();
             double chunk = Math.min(left, next.unreadTokens);
             next.unreadTokens -= chunk;
@@ -104,10 +120,12 @@
                 read.add(waiting.poll());
             }
         }
-        nowMillis += STEP_MILLIS + (CHUNK_TOKENS - left) / TOKENS_PER_MILLI + read.size() * SETUP_MILLIS;
+        nowMillis += figures.stepMillis()
+                + (figures.chunkTokens() - left) / figures.tokensPerMilli()
+                + read.size() * figures.setupMillis();
         for (Iterator<Stream> streams = running.iterator(); streams.hasNext(); ) {
             Stream stream = streams.next();
-            stream.recordToken(nowMillis);
+            stream.recordToken(nowMillis, figures.tokensPerEvent());
             if (stream.generatedTokens >= stream.outputTokens) {
                 streams.remove();
             }
