Test the holding of prompts, and count late streams by cause

Cause: nothing told whether a stream was late by its first event or by a gap, and the decision to hold had a scratch replay only.

--- a/gateway/src/main/java/org/arbutusstack/gateway/request/ActiveRequest.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/ActiveRequest.java
@@ -163,8 +163,11 @@
         return heldForRoom;
     }
 
-    void heldForRoom(boolean held) {
+    /** Set whether the request is held for room; return whether it was not before. */
+    boolean heldForRoom(boolean held) {
+        boolean begins = held && !heldForRoom;
         heldForRoom = held;
+        return begins;
     }
 
     int sends() {
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/DecisionLog.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/DecisionLog.java
@@ -46,21 +46,31 @@
         }
     }
 
-    /** Log a stream whose first event or longest gap exceeded its target, with its timing. */
-    void answered(ActiveRequest active) {
+    /** Count a stream whose first event or longest gap exceeded its target, and log it with its timing. */
+    void answered(ActiveRequest active, GatewayMetrics metrics) {
         boolean late = active.request().route().kind().isStreaming()
                 && active.progress().isLate();
+        if (late) {
+            metrics.countLateStream(active.request(), active.progress().isFirstEventLate());
+        }
         if (late && throttle.tryAcquire()) {
             KnownRunner runner =
                     active.attempt() == null ? null : active.attempt().runner();
             logger.info(
-                    "event=late {} {} {}",
+                    "event=late {} {} {} sent_after_ms={}",
                     describe(active),
                     stateOf(runner),
-                    active.progress().describe());
+                    active.progress().describe(),
+                    sentAfterMillis(active));
         }
     }
 
+    /** Return how long the request was held before its last attempt, in milliseconds. */
+    private static long sentAfterMillis(ActiveRequest active) {
+        long arrivedNanos = active.request().arrivedNanos();
+        return active.attempt() == null ? 0 : (active.attempt().sentAtNanos() - arrivedNanos) / Clock.NANOS_PER_MILLI;
+    }
+
     /** Log an attempt whose connection ended without a complete answer, with what it had in common with others. */
     void lost(ActiveRequest active, CurrentAttempt attempt) {
         if (throttle.tryAcquire()) {
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/GatewayMetrics.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/GatewayMetrics.java
@@ -34,6 +34,10 @@
 
     private final Gauge heldAnswerBytes;
 
+    private final Counter lateStreams;
+
+    private final Counter heldForRoom;
+
     /**
      * Create and register the metrics.
      *
@@ -84,6 +88,16 @@
                 .name("arbutus_gateway_requests_waiting")
                 .help("requests that wait for a model or an adapter")
                 .register(registry);
+        lateStreams = Counter.builder()
+                .name("arbutus_gateway_late_streams_total")
+                .help("complete streams that exceeded a target, by service and whether first_event or gap did")
+                .labelNames(SERVICE, "cause")
+                .register(registry);
+        heldForRoom = Counter.builder()
+                .name("arbutus_gateway_held_for_room_total")
+                .help("requests that were held since their prompts would have delayed running streams, by service")
+                .labelNames(SERVICE)
+                .register(registry);
         heldAnswerBytes = Gauge.builder()
                 .name("arbutus_gateway_held_answer_bytes")
                 .help("size of the long answers that are held until they can be relayed")
@@ -118,6 +132,16 @@
         }
     }
 
+    void countLateStream(InboundRequest request, boolean isFirstEventLate) {
+        lateStreams
+                .labelValues(request.service(), isFirstEventLate ? "first_event" : "gap")
+                .inc();
+    }
+
+    void countHeldForRoom(InboundRequest request) {
+        heldForRoom.labelValues(request.service()).inc();
+    }
+
     void countLostContentSent(InboundRequest request) {
         lostContentSent.labelValues(request.service()).inc();
     }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatcher.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatcher.java
@@ -13,7 +13,6 @@
 import org.arbutusstack.kernel.Assert;
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.model.request.Refusal;
-import org.arbutusstack.model.request.RefusalKind;
 import org.arbutusstack.model.request.RefusalReason;
 import org.arbutusstack.routing.QuarantineRule;
 
@@ -91,7 +90,7 @@
         this.metrics = Assert.notNull(metrics, "metrics");
         this.log = new DecisionLog(clock);
         this.quarantine = Assert.notNull(quarantine, "quarantine");
-        this.retries = new RetryBudgets(this.limits);
+        this.retries = new RetryBudgets(this.limits, clock);
         this.modelDemand = new ModelDemand(chooser, clock);
         this.drainState = new DrainState(clock);
         this.relay = new AnswerRelay(this, runnerPort, callers, clock, limits, metrics, log, quarantine);
@@ -162,12 +161,12 @@
                     clock.millisUntil(rule.get().expiresAtNanos()));
             return;
         }
-        if (mustYield(active)) {
-            active.heldForRoom(true);
+        if (!drainState.isDraining() && waiting.mustYield(active)) {
+            hold(active, true);
             return;
         }
         RunnerChooser.Choice choice = chooser.choose(active);
-        active.heldForRoom(choice instanceof RunnerChooser.Choice.AwaitRoom);
+        hold(active, choice instanceof RunnerChooser.Choice.AwaitRoom);
         active.awaitsModel(choice instanceof RunnerChooser.Choice.AwaitModel);
         if (drainState.isDraining() && !(choice instanceof RunnerChooser.Choice.Send)) {
             refuse(active, drainingRefusal(), DRAINING_RETRY_AFTER_MILLIS);
@@ -196,13 +195,10 @@
         }
     }
 
-    /** Return whether a request is held since one that goes before it is held for room. */
-    private boolean mustYield(ActiveRequest active) {
-        InboundRequest request = active.request();
-        return !drainState.isDraining()
-                && admission.isManaged(request)
-                && admission.mayHold(request)
-                && waiting.isPreceded(active);
+    private void hold(ActiveRequest active, boolean held) {
+        if (active.heldForRoom(held)) {
+            metrics.countHeldForRoom(active.request());
+        }
     }
 
     /** Await a load expected before the caller times out; else refuse, with the expected load time as Retry-After. */
@@ -245,7 +241,7 @@
 
     /** End a request whose answer was relayed completely. */
     void complete(ActiveRequest active, String outcome) {
-        log.answered(active);
+        log.answered(active, metrics);
         active.releaseAttempt();
         end(active, outcome);
     }
@@ -254,7 +250,7 @@
     void retryOrRefuse(ActiveRequest active, Refusal refusal) {
         KnownRunner runner = active.attempt() == null ? null : active.attempt().runner();
         active.attemptFailed(refusal);
-        if (mayRetry(active, refusal)) {
+        if (retries.mayRetry(active, refusal)) {
             log.retried(active, runner, refusal);
             metrics.countRetry(active.request(), refusal.reason());
             route(active);
@@ -266,17 +262,6 @@
         }
     }
 
-    private boolean mayRetry(ActiveRequest active, Refusal refusal) {
-        InboundRequest request = active.request();
-        boolean safe = refusal.kind().mayRepeat(request.route().mayRepeat());
-        boolean permitted = active.possibleRuns() < request.route().maxAttempts() && active.sends() < limits.maxSends();
-        if (!safe || !permitted || clock.isPast(request.deadlineNanos())) {
-            return false;
-        }
-        boolean unsent = refusal.kind() == RefusalKind.NOT_RUN && refusal.reason() == RefusalReason.BACKEND_LOST;
-        return unsent || retries.of(request.service()).tryAcquire();
-    }
-
     private void refuse(ActiveRequest active, Refusal refusal, long retryAfterMillis) {
         Refusal reported = refusal.afterAttempts(active.mayHaveRun());
         log.refused(active, reported);
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/StreamProgress.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/StreamProgress.java
@@ -34,8 +34,12 @@
 
     /** Return whether the first event or a gap between events exceeded its target. */
     boolean isLate() {
-        return firstMillis > request.route().targetMillis()
-                || maxGapMillis > request.route().targetGapMillis();
+        return isFirstEventLate() || maxGapMillis > request.route().targetGapMillis();
+    }
+
+    /** Return whether the first event came after its target, so that the gaps are not what made the stream late. */
+    boolean isFirstEventLate() {
+        return firstMillis > request.route().targetMillis();
     }
 
     String describe() {
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/WaitingRequests.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/WaitingRequests.java
@@ -58,9 +58,12 @@
         return ordered;
     }
 
-    /** Return whether a request for the same model that is held for room goes before a request. */
-    boolean isPreceded(ActiveRequest active) {
+    /** Return whether a request is to be held since one for the same model that goes before it is held for room. */
+    boolean mustYield(ActiveRequest active) {
         InboundRequest request = active.request();
+        if (!isManaged(active) || !admission.mayHold(request)) {
+            return false;
+        }
         for (ActiveRequest other : requests) {
             boolean competes = other != active
                     && other.isHeldForRoom()
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/DispatcherHarness.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/DispatcherHarness.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import org.arbutusstack.gateway.config.Route;
 import org.arbutusstack.gateway.config.RouteKind;
+import org.arbutusstack.gateway.config.Team;
 import org.arbutusstack.gateway.quarantine.ContentQuarantine;
 import org.arbutusstack.gateway.quarantine.CrashMonitor;
 import org.arbutusstack.gateway.quarantine.TrialSchedule;
@@ -137,6 +138,10 @@
     }
 
     FakeCaller send(Route route, String model, String adapter) {
+        return send(route, model, adapter, null);
+    }
+
+    FakeCaller send(Route route, String model, String adapter, Team team) {
         number++;
         FakeCaller caller = new FakeCaller();
         dispatcher.submit(
@@ -148,7 +153,7 @@
                         new byte[0],
                         route,
                         route.serviceFor(0),
-                        Optional.empty(),
+                        Optional.ofNullable(team),
                         model,
                         adapter,
                         100,
--- a/routing/src/main/java/org/arbutusstack/routing/PrefillBudget.java
+++ b/routing/src/main/java/org/arbutusstack/routing/PrefillBudget.java
@@ -4,8 +4,8 @@
  * Bound on the prompt tokens that entries send to a runner within a short time, so that the streams that run there keep
  * their target gap.
  *
- * <p>An engine reads waiting prompts in pieces between the tokens of its streams, and an event of a stream holds several
- * tokens. While more prompt tokens wait than the engine reads within the target gap, every event takes longer than the
+ * <p>An engine reads waiting prompts in pieces between the tokens of its streams, and an event of a stream holds
+ * several tokens. While more prompt tokens wait than the engine reads within the target gap, every event takes longer than the
  * gap, so that all streams of the runner are late although their first events were in time. The load is a burst of
  * prompts from many entries at one runner. Stateless and thread-safe.
  *
@@ -13,9 +13,6 @@
  */
 public final class PrefillBudget {
 
-    /** Share of the target gap left for prompts; the rest is for the tokens of the event itself and for the network. */
-    private static final double USABLE_GAP_SHARE = 0.8;
-
     /** Share of the budget that deferrable work may use, so that it does not delay prompts whose callers watch. */
     private static final double DEFERRABLE_SHARE = 0.5;
 
@@ -30,7 +27,7 @@
      * @return the number of tokens
      */
     public static long tokens(long targetGapMillis, double tokensPerMilli, boolean deferrable) {
-        double tokens = targetGapMillis * USABLE_GAP_SHARE * tokensPerMilli;
+        double tokens = targetGapMillis * tokensPerMilli;
         return (long) (deferrable ? tokens * DEFERRABLE_SHARE : tokens);
     }
 
