--- a/routing/src/main/java/org/arbutusstack/routing/PrefillBudget.java
+++ b/routing/src/main/java/org/arbutusstack/routing/PrefillBudget.java
@@ -5,8 +5,8 @@
  * their target gap.
  *
  * <p>An engine reads waiting prompts in pieces between the tokens of its streams, and an event of a stream holds
- * several tokens. While more prompt tokens wait than the engine reads within the target gap, every event takes longer than the
- * gap, so that all streams of the runner are late although their first events were in time. The load is a burst of
+ * several tokens. While more prompt tokens wait than the engine reads within the target gap, every event takes longer
+ * than the gap, so that all streams of the runner are late although their first events were in time. The load is a burst of
  * prompts from many entries at one runner. Stateless and thread-safe.
  *
  * @see PromptWindow
