Serve callers late in gaps instead of refusing them twice

Cause: admission knew only 'in time' and 'refused', though a late answer still helps its caller. Change: LateAdmission lets such a request wait while the gaps seen lately reach it before half of its caller's patience; it is sent only to a runner that begins it at once and has room for its prompt, so that it displaces no request that is in time. Only for services with deferrable routes.

--- a/gateway/src/main/java/org/arbutusstack/gateway/request/ActiveRequest.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/ActiveRequest.java
@@ -37,6 +37,8 @@
 
     private boolean heldForRoom;
 
+    private boolean awaitsGap;
+
     private int possibleRuns;
 
     private boolean mayHaveRun;
@@ -158,6 +160,15 @@
         awaitsModel = awaited;
     }
 
+    /** Return whether no runner could begin the request in time, so that it waits for one that begins at once. */
+    boolean awaitsGap() {
+        return awaitsGap;
+    }
+
+    void awaitsGap(boolean awaited) {
+        awaitsGap = awaited;
+    }
+
     /** Return whether the request was held when it was last routed, since no runner had room for its prompt. */
     boolean isHeldForRoom() {
         return heldForRoom;
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/DrainState.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/DrainState.java
@@ -2,6 +2,8 @@
 
 import org.arbutusstack.kernel.Assert;
 import org.arbutusstack.kernel.time.Clock;
+import org.arbutusstack.model.request.Refusal;
+import org.arbutusstack.model.request.RefusalReason;
 
 /** Whether an entry is draining, and which requests it then still accepts. Confined to the entry's event loop. */
 final class DrainState {
@@ -9,6 +11,9 @@
     /** Time reserved for a plain request before shutdown: more than twice the longest target specified for one. */
     private static final long PLAIN_REQUEST_MILLIS = 1_000;
 
+    /** Retry-After for requests refused while draining: another entry can serve them at once. */
+    static final long RETRY_AFTER_MILLIS = 50;
+
     private final Clock clock;
 
     private boolean draining;
@@ -46,4 +51,8 @@
                 ? !clock.isPast(endNanos - PLAIN_REQUEST_MILLIS * Clock.NANOS_PER_MILLI)
                 : request.deadlineNanos() - endNanos <= 0;
     }
+
+    static Refusal refusal() {
+        return Refusal.notRun(RefusalReason.LEAVING, "this entry is leaving");
+    }
 }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/PromptAdmission.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/PromptAdmission.java
@@ -51,9 +51,13 @@
         return !managedServices.isEmpty() && request.needsModel() && managedServices.contains(request.service());
     }
 
-    /** Return the first of the runners that has room for the request; empty if it is to be held. */
+    /**
+     * Return the first of the runners that has room for the request; empty if it is to be held. One that is late in any
+     * case never makes the streams of others late as well.
+     */
     Optional<KnownRunner> select(ActiveRequest active, List<KnownRunner> ranked) {
-        if (!isManaged(active.request()) || !mayHold(active.request())) {
+        boolean maySend = !active.awaitsGap() && !mayHold(active.request());
+        if (!isManaged(active.request()) || maySend) {
             return Optional.of(ranked.get(0));
         }
         return ranked.stream()
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatcher.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatcher.java
@@ -26,9 +26,6 @@
  */
 public final class RequestDispatcher {
 
-    /** Retry-After for requests refused while draining: another entry can serve them at once. */
-    private static final long DRAINING_RETRY_AFTER_MILLIS = 50;
-
     private final RunnerChooser chooser;
 
     private final RunnerPort runnerPort;
@@ -54,10 +51,6 @@
     /** Requests in flight without an attempt in progress. */
     private final WaitingRequests waiting;
 
-    private final PromptAdmission admission;
-
-    private final TeamUsage teamUsage;
-
     private final RetryBudgets retries;
 
     private final ModelDemand modelDemand;
@@ -79,9 +72,7 @@
             GatewayMetrics metrics,
             RequestQuarantine quarantine) {
         this.chooser = Assert.notNull(chooser, "chooser");
-        this.admission = Assert.notNull(admission, "admission");
-        this.teamUsage = new TeamUsage(clock);
-        this.waiting = new WaitingRequests(admission, teamUsage);
+        this.waiting = new WaitingRequests(admission, clock);
         this.runnerPort = Assert.notNull(runnerPort, "runnerPort");
         this.callers = Assert.notNull(callers, "callers");
         this.clock = Assert.notNull(clock, "clock");
@@ -103,8 +94,7 @@
      */
     public void config(ServingConfig next) {
         modelDemand.config(next);
-        admission.config(next);
-        teamUsage.config(next);
+        waiting.config(next);
     }
 
     /**
@@ -119,7 +109,7 @@
         inFlight.add(active);
         response.onClose(() -> callerDisconnected(active));
         if (!drainState.accepts(request)) {
-            refuse(active, drainingRefusal(), DRAINING_RETRY_AFTER_MILLIS);
+            refuse(active, DrainState.refusal(), DrainState.RETRY_AFTER_MILLIS);
             return;
         }
         route(active);
@@ -169,7 +159,7 @@
         hold(active, choice instanceof RunnerChooser.Choice.AwaitRoom);
         active.awaitsModel(choice instanceof RunnerChooser.Choice.AwaitModel);
         if (drainState.isDraining() && !(choice instanceof RunnerChooser.Choice.Send)) {
-            refuse(active, drainingRefusal(), DRAINING_RETRY_AFTER_MILLIS);
+            refuse(active, DrainState.refusal(), DrainState.RETRY_AFTER_MILLIS);
             return;
         }
         if (choice instanceof RunnerChooser.Choice.Send send && quarantine.maySend(active)) {
@@ -181,7 +171,7 @@
             permits.request(await.runners());
         } else if (choice instanceof RunnerChooser.Choice.AwaitAdapter await) {
             awaitAdapter(active, await.runner());
-        } else if (choice instanceof RunnerChooser.Choice.AtCapacity atCapacity) {
+        } else if (choice instanceof RunnerChooser.Choice.AtCapacity atCapacity && !awaitGap(active, atCapacity)) {
             String detail = "the runners that can serve it would begin after " + atCapacity.firstEventMillis() + " ms";
             long spreadMillis = limits.spreadRetryAfterMillis(request.id());
             long retryAfterMillis = Math.max(spreadMillis, atCapacity.retryAfterMillis());
@@ -195,6 +185,12 @@
         }
     }
 
+    /** Let a request wait that cannot be in time any more, unless no gap is expected or the runners name a limit. */
+    private boolean awaitGap(ActiveRequest active, RunnerChooser.Choice.AtCapacity atCapacity) {
+        active.awaitsGap(atCapacity.retryAfterMillis() == 0 && waiting.mayAwaitGap(active));
+        return active.awaitsGap();
+    }
+
     private void hold(ActiveRequest active, boolean held) {
         if (active.heldForRoom(held)) {
             metrics.countHeldForRoom(active.request());
@@ -224,9 +220,8 @@
         InboundRequest request = active.request();
         CurrentAttempt attempt = new CurrentAttempt(relay, active, runner, clock.nowNanos());
         active.beginAttempt(attempt);
-        waiting.remove(active);
+        waiting.recordSent(active);
         runner.recordSent(request.prefillTokens());
-        teamUsage.recordSent(request);
         if (!request.adapter().isEmpty()) {
             runner.reportAdapterUse(request.model(), request.adapter());
         }
@@ -309,15 +304,11 @@
         drainState.start(endNanos);
         for (ActiveRequest active : new ArrayList<>(inFlight)) {
             if (active.attempt() == null) {
-                refuse(active, drainingRefusal(), DRAINING_RETRY_AFTER_MILLIS);
+                refuse(active, DrainState.refusal(), DrainState.RETRY_AFTER_MILLIS);
             }
         }
     }
 
-    private static Refusal drainingRefusal() {
-        return Refusal.notRun(RefusalReason.LEAVING, "this entry is leaving");
-    }
-
     /** Cancel all attempts and refuse all requests in flight, so each caller is answered before the process ends. */
     public void endAll() {
         for (ActiveRequest active : new ArrayList<>(inFlight)) {
@@ -326,7 +317,7 @@
                 String detail = "this entry had to end before the answer";
                 active.attemptFailed(Refusal.outcomeUnknown(RefusalReason.LEAVING, detail));
             }
-            refuse(active, active.lastRefusal() == null ? drainingRefusal() : active.lastRefusal(), 0);
+            refuse(active, active.lastRefusal() == null ? DrainState.refusal() : active.lastRefusal(), 0);
         }
     }
 
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/WaitingRequests.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/WaitingRequests.java
@@ -5,7 +5,9 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import org.arbutusstack.gateway.config.ServingConfig;
 import org.arbutusstack.kernel.Assert;
+import org.arbutusstack.kernel.time.Clock;
 
 /**
  * Requests in flight without an attempt in progress, and the order in which they are routed again.
@@ -21,10 +23,16 @@
 
     private final PromptAdmission admission;
 
+    private final TeamUsage usage;
+
+    private final LateAdmission lateAdmission;
+
     private final Comparator<ActiveRequest> order;
 
-    WaitingRequests(PromptAdmission admission, TeamUsage usage) {
+    WaitingRequests(PromptAdmission admission, Clock clock) {
         this.admission = Assert.notNull(admission, "admission");
+        this.usage = new TeamUsage(clock);
+        this.lateAdmission = new LateAdmission(admission, clock);
         this.order = Comparator.<ActiveRequest>comparingInt(active -> isManaged(active) ? 1 : 0)
                 .thenComparingInt(active -> isManaged(active) ? active.request().urgency() : 0)
                 .thenComparingDouble(active ->
@@ -37,6 +45,25 @@
         return admission.isManaged(active.request());
     }
 
+    void config(ServingConfig next) {
+        admission.config(next);
+        usage.config(next);
+    }
+
+    /** Remove a request that is being sent to a runner, and record what that says of its team and of gaps. */
+    void recordSent(ActiveRequest active) {
+        requests.remove(active);
+        usage.recordSent(active.request());
+        if (active.awaitsGap()) {
+            lateAdmission.recordGap(active.request());
+        }
+    }
+
+    /** Return whether a request that no runner can begin in time waits for one that begins at once. */
+    boolean mayAwaitGap(ActiveRequest active) {
+        return lateAdmission.mayWait(active.request(), countAheadForGap(active));
+    }
+
     void add(ActiveRequest active) {
         requests.add(active);
     }
@@ -58,6 +85,26 @@
         return ordered;
     }
 
+    /** Count the requests for the same model that wait for a gap and go before a request. */
+    private int countAheadForGap(ActiveRequest active) {
+        int ahead = 0;
+        boolean arrivedBefore = true;
+        for (ActiveRequest other : requests) {
+            if (other == active) {
+                arrivedBefore = false;
+            } else if (other.awaitsGap() && isSameModel(other, active)) {
+                int compared = order.compare(other, active);
+                ahead += compared < 0 || compared == 0 && arrivedBefore ? 1 : 0;
+            }
+        }
+        return ahead;
+    }
+
+    private static boolean isSameModel(ActiveRequest one, ActiveRequest other) {
+        return one.request().model().equals(other.request().model())
+                && one.request().service().equals(other.request().service());
+    }
+
     /** Return whether a request is to be held since one for the same model that goes before it is held for room. */
     boolean mustYield(ActiveRequest active) {
         InboundRequest request = active.request();
@@ -65,11 +112,10 @@
             return false;
         }
         for (ActiveRequest other : requests) {
-            boolean competes = other != active
+            if (other != active
                     && other.isHeldForRoom()
-                    && other.request().model().equals(request.model())
-                    && other.request().service().equals(request.service());
-            if (competes && order.compare(other, active) < 0) {
+                    && isSameModel(other, active)
+                    && order.compare(other, active) < 0) {
                 return true;
             }
         }
