The follower of the store tells as of when its listener is up to date

Cause: an entry must not accept a key longer than the revocation limit after it was withdrawn. For that it has to know since when its view of the store may be out of date, and a host that was suspended cannot tell by its steady clock.

Change: PrefixListener.onConfirmed receives the readings of both clocks at the sending of each call that was answered completely, after its changes were passed on. Failed calls, lost history, an answer behind the known revision and results that the listener did not process confirm nothing. A listener that needs it is told early after a failure. Nothing changes for other listeners. ManualClock can move its wall clock alone.

--- a/kernel/src/main/java/org/arbutusstack/kernel/time/ManualClock.java
+++ b/kernel/src/main/java/org/arbutusstack/kernel/time/ManualClock.java
@@ -13,6 +13,9 @@
 
     private final AtomicLong nanos;
 
+    /** Time by which the wall clock is ahead of the monotonic one. */
+    private final AtomicLong wallAheadMillis = new AtomicLong();
+
     /** Create a clock whose current time is zero. */
     public ManualClock() {
         this(0);
@@ -34,7 +37,7 @@
 
     @Override
     public long wallMillis() {
-        return nanos.get() / NANOS_PER_MILLI;
+        return nanos.get() / NANOS_PER_MILLI + wallAheadMillis.get();
     }
 
     /** Advance the clock instead of waiting. */
@@ -60,4 +63,13 @@
     public void advanceNanos(long advanceNanos) {
         nanos.addAndGet(advanceNanos);
     }
+
+    /**
+     * Move the wall clock alone: forward as in a suspension of the host, or back as when it is set.
+     *
+     * @param millis the time to move it by, in milliseconds; negative to set it back
+     */
+    public void moveWallMillis(long millis) {
+        wallAheadMillis.addAndGet(millis);
+    }
 }
--- a/store/src/main/java/org/arbutusstack/store/PrefixFollower.java
+++ b/store/src/main/java/org/arbutusstack/store/PrefixFollower.java
@@ -4,6 +4,7 @@
 import org.arbutusstack.kernel.Assert;
 import org.arbutusstack.kernel.service.Service;
 import org.arbutusstack.kernel.time.Clock;
+import org.arbutusstack.kernel.time.ClockReading;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -22,6 +23,9 @@
 
     private static final long READ_TIMEOUT_MILLIS = 1_000;
 
+    /** The wait of a call that has to be answered at once. */
+    private static final long MIN_WAIT_MILLIS = 1;
+
     /** The pause after a failed call, doubled with each further failure. */
     private static final long INITIAL_RETRY_MILLIS = 250;
 
@@ -50,6 +54,9 @@
 
     private boolean current;
 
+    /** Whether the listener has processed all results since the last snapshot; not if it threw an exception. */
+    private boolean complete;
+
     private long retryMillis = INITIAL_RETRY_MILLIS;
 
     /**
@@ -111,6 +118,9 @@
 
     /** Make one call and pass its result to the listener. */
     void poll() {
+        if (!complete && listener.needsEarlyConfirmation()) {
+            current = false;
+        }
         boolean succeeded = current ? readChanges() : readSnapshot();
         if (!succeeded) {
             reader.reconnect();
@@ -120,6 +130,7 @@
     }
 
     private boolean readSnapshot() {
+        ClockReading sentAt = ClockReading.of(clock);
         StoreResult<PrefixSnapshot> read = reader.snapshot(prefix, clock.deadlineNanos(READ_TIMEOUT_MILLIS));
         if (!(read instanceof StoreResult.Done<PrefixSnapshot> done)) {
             recordFailure(read);
@@ -128,22 +139,40 @@
         recordSuccess();
         revision = done.value().revision();
         current = true;
+        complete = false;
         listener.onSnapshot(done.value());
+        complete = true;
+        listener.onConfirmed(sentAt);
         return true;
     }
 
     private boolean readChanges() {
+        boolean early = storeLost && listener.needsEarlyConfirmation();
+        ClockReading sentAt = ClockReading.of(clock);
         StoreResult<PrefixChanges> result = reader.changesAfter(
-                prefix, revision, waitMillis, clock.deadlineNanos(waitMillis + DEADLINE_SLACK_MILLIS));
+                prefix,
+                revision,
+                early ? MIN_WAIT_MILLIS : waitMillis,
+                clock.deadlineNanos(waitMillis + DEADLINE_SLACK_MILLIS));
         if (!(result instanceof StoreResult.Done<PrefixChanges> done)) {
             recordFailure(result);
             return false;
         }
         recordSuccess();
         if (done.value() instanceof PrefixChanges.Known known) {
+            // A service that is behind the known revision does not know the latest changes.
+            boolean confirmed = known.revision() >= revision;
             revision = Math.max(revision, known.revision());
             if (!known.items().isEmpty()) {
+                boolean completeBefore = complete;
+                complete = false;
                 listener.onChanges(known.items());
+                complete = completeBefore;
+            }
+            if (confirmed && complete) {
+                listener.onConfirmed(sentAt);
+            }
+            if (!known.items().isEmpty()) {
                 clock.pause(rateLimiter.pauseMillis());
             }
             return true;
--- a/store/src/main/java/org/arbutusstack/store/PrefixListener.java
+++ b/store/src/main/java/org/arbutusstack/store/PrefixListener.java
@@ -1,6 +1,7 @@
 package org.arbutusstack.store;
 
 import java.util.List;
+import org.arbutusstack.kernel.time.ClockReading;
 
 /** Listener for the keys with a prefix; called by the thread of the follower and must not block. */
 public interface PrefixListener {
@@ -24,4 +25,22 @@
 
     /** Called when the service responds again; a snapshot or changes follow. */
     void onStoreRegained();
+
+    /**
+     * Called after each call that the service answered completely, when its result has been passed on: no change that
+     * the service acknowledged before the call was sent is missing.
+     *
+     * @param sentAt the clocks when the call was sent
+     */
+    default void onConfirmed(ClockReading sentAt) {}
+
+    /**
+     * Return whether the listener has to be told soon after a failure that nothing has changed; the first call after it
+     * then does not wait for a change.
+     *
+     * @return {@code true} if {@link #onConfirmed} is urgent after a failure
+     */
+    default boolean needsEarlyConfirmation() {
+        return false;
+    }
 }
--- /dev/null
+++ b/store/src/test/java/org/arbutusstack/store/PrefixFollowerTests.java
@@ -0,0 +1,169 @@
+package org.arbutusstack.store;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import org.arbutusstack.kernel.time.Clock;
+import org.arbutusstack.kernel.time.ClockReading;
+import org.arbutusstack.kernel.time.ManualClock;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests which calls confirm that the listener knows all changes, and as of when. */
+public class PrefixFollowerTests {
+
+    private static final long WAIT_MILLIS = 1_000;
+
+    private static final KeyValue ITEM = new KeyValue("op/config", new byte[] {1}, 5);
+
+    private final Deque<StoreResult<PrefixChanges>> answers = new ArrayDeque<>();
+
+    private final List<Long> waits = new ArrayList<>();
+
+    private ManualClock clock;
+
+    private RecordingListener listener;
+
+    private PrefixFollower follower;
+
+    @BeforeMethod
+    void readSnapshot() {
+        answers.clear();
+        waits.clear();
+        clock = new ManualClock();
+        listener = new RecordingListener();
+        follower = new PrefixFollower(new ScriptedReader(), "", WAIT_MILLIS, 100, listener, clock);
+        follower.poll();
+        listener.events.clear();
+    }
+
+    private static StoreResult<PrefixChanges> changes(long revision, KeyValue... items) {
+        return new StoreResult.Done<>(new PrefixChanges.Known(List.of(items), revision));
+    }
+
+    /** Guards against a lease that counts from the answer: a change acknowledged during the call may be missing. */
+    @Test
+    public void shouldConfirmAsOfSendingAfterChangesArePassedOn() {
+        clock.advanceMillis(500);
+        answers.add(changes(6, ITEM));
+        follower.poll();
+        assertEquals(listener.events, List.of("changes", "confirmed 510"));
+    }
+
+    /** Guards against a watch whose connection died without notice, which tells nothing about the configuration. */
+    @Test
+    public void shouldConfirmNothingWhenCallFailsOrHistoryIsLost() {
+        answers.add(new StoreResult.Unknown<>("timed out"));
+        answers.add(new StoreResult.Done<>(new PrefixChanges.HistoryLost()));
+        follower.poll();
+        follower.poll();
+        assertEquals(listener.events, List.of());
+    }
+
+    /** Guards against an answer of a replica that does not know the latest changes yet. */
+    @Test
+    public void shouldConfirmNothingWhenServiceIsBehindKnownRevision() {
+        answers.add(changes(4));
+        follower.poll();
+        assertEquals(listener.events, List.of());
+    }
+
+    /** Guards against a lease that ends since the first call after a failure waits for a change in vain. */
+    @Test
+    public void shouldNotWaitForChangeAfterFailureWhenConfirmationIsUrgent() {
+        for (boolean urgent : new boolean[] {false, true}) {
+            waits.clear();
+            listener.isUrgent = urgent;
+            answers.add(new StoreResult.NotDone<>("down"));
+            answers.add(changes(5));
+            answers.add(changes(5));
+            for (int call = 0; call < 3; call++) {
+                follower.poll();
+            }
+            assertEquals(waits, List.of(WAIT_MILLIS, urgent ? 1 : WAIT_MILLIS, WAIT_MILLIS));
+        }
+    }
+
+    /** Guards against confirming a configuration that was lost since the listener threw an exception. */
+    @Test
+    public void shouldReadAllKeysAgainBeforeConfirmingWhenListenerFailed() {
+        listener.isUrgent = true;
+        listener.fails = true;
+        answers.add(changes(6, ITEM));
+        assertThrows(IllegalStateException.class, follower::poll);
+        listener.fails = false;
+        follower.poll();
+        assertEquals(listener.events.get(0), "snapshot");
+        assertEquals(listener.events.size(), 2);
+    }
+
+    /** Reader whose calls take ten milliseconds. */
+    private final class ScriptedReader implements PrefixReader {
+
+        @Override
+        public StoreResult<PrefixSnapshot> snapshot(String prefix, long deadlineNanos) {
+            clock.advanceMillis(10);
+            return new StoreResult.Done<>(new PrefixSnapshot(List.of(), 5));
+        }
+
+        @Override
+        public StoreResult<PrefixChanges> changesAfter(
+                String prefix, long revision, long waitMillis, long deadlineNanos) {
+            waits.add(waitMillis);
+            clock.advanceMillis(10);
+            return answers.remove();
+        }
+
+        @Override
+        public void reconnect() {
+            // The script does not depend on connections.
+        }
+    }
+
+    /** Listener that records the calls. */
+    private static final class RecordingListener implements PrefixListener {
+
+        private final List<String> events = new ArrayList<>();
+
+        private boolean isUrgent;
+
+        private boolean fails;
+
+        @Override
+        public void onSnapshot(PrefixSnapshot snapshot) {
+            events.add("snapshot");
+        }
+
+        @Override
+        public void onChanges(List<KeyValue> items) {
+            if (fails) {
+                throw new IllegalStateException("failed");
+            }
+            events.add("changes");
+        }
+
+        @Override
+        public void onConfirmed(ClockReading sentAt) {
+            events.add("confirmed " + sentAt.firstNanos() / Clock.NANOS_PER_MILLI);
+        }
+
+        @Override
+        public boolean needsEarlyConfirmation() {
+            return isUrgent;
+        }
+
+        @Override
+        public void onStoreLost() {
+            // Not part of these tests.
+        }
+
+        @Override
+        public void onStoreRegained() {
+            // Not part of these tests.
+        }
+    }
+}
