Callers identify themselves by keys of teams, which can be withdrawn strictly

Cause: deployments whose tenants share the runners need callers to be told apart, the team's name and urgency at the runner, and keys that stop within revoke-ms after they were withdrawn, on hosts that are cut off, frozen or suspended.

Change: package gateway.team decides: TeamGate admits a request by its key, ConfigLease tells whether the configuration is fresh enough, UrgencyRanking ranks the combinations of priorities. Log lines name the team; metrics by team are bounded at 64. Without teams, decisions and headers are as before.

--- a/gateway/src/main/java/org/arbutusstack/gateway/config/Route.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/config/Route.java
@@ -75,7 +75,16 @@
      * @return the urgency; zero is the most urgent
      */
     public int urgency() {
-        return 2 * priority + (targetMillis > INTERACTIVE_TARGET_MILLIS ? 1 : 0);
+        return 2 * priority + (isInteractive() ? 0 : 1);
+    }
+
+    /**
+     * Return whether a user may watch the answers of the route's requests.
+     *
+     * @return whether their target is short enough
+     */
+    public boolean isInteractive() {
+        return targetMillis <= INTERACTIVE_TARGET_MILLIS;
     }
 
     /**
--- a/gateway/src/main/java/org/arbutusstack/gateway/config/ServingConfig.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/config/ServingConfig.java
@@ -24,7 +24,7 @@
 
     private final long maxBodyBytes;
 
-    private final int routeCount;
+    private final List<Route> routes;
 
     private final TeamDirectory teams;
 
@@ -54,7 +54,7 @@
         this.teams = Assert.notNull(teams, "teams");
         this.version = version;
         this.maxBodyBytes = maxBodyBytes;
-        this.routeCount = routes.size();
+        this.routes = List.copyOf(routes);
         for (Route route : routes) {
             routesByHost
                     .computeIfAbsent(route.host().toLowerCase(Locale.ROOT), host -> new ArrayList<>())
@@ -100,7 +100,16 @@
      * @return the number of routes for all hosts
      */
     public int routeCount() {
-        return routeCount;
+        return routes.size();
+    }
+
+    /**
+     * Return the routes.
+     *
+     * @return the routes for all hosts, in no particular order
+     */
+    public List<Route> routes() {
+        return routes;
     }
 
     /**
--- a/gateway/src/main/java/org/arbutusstack/gateway/config/Team.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/config/Team.java
@@ -44,4 +44,10 @@
     public boolean isLimited() {
         return ratePerSecond > 0;
     }
+
+    /** Return the name only, so that the digests of the keys never reach a log line. */
+    @Override
+    public String toString() {
+        return "Team[" + name + ']';
+    }
 }
--- a/gateway/src/main/java/org/arbutusstack/gateway/entry/EntryDependencies.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/entry/EntryDependencies.java
@@ -1,6 +1,7 @@
 package org.arbutusstack.gateway.entry;
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.OptionalLong;
 import org.arbutusstack.gateway.quarantine.LivenessProbe;
 import org.arbutusstack.gateway.request.CallerPort;
 import org.arbutusstack.gateway.request.RetryLimits;
@@ -25,6 +26,8 @@
  * @param probe finds out whether backend servers still run
  * @param callers writes answers and refusals to callers
  * @param retries the limits on retries
+ * @param revokeMillis the time after which a withdrawn key of a team may no longer be accepted, in milliseconds; empty
+ *     for no limit
  * @param clock the clock of the process
  * @param metrics the metrics registry of the process
  */
@@ -41,5 +44,6 @@
         LivenessProbe probe,
         CallerPort callers,
         RetryLimits retries,
+        OptionalLong revokeMillis,
         Clock clock,
         PrometheusRegistry metrics) {}
--- a/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
@@ -23,6 +23,7 @@
 import org.arbutusstack.gateway.runner.RunnerEntry;
 import org.arbutusstack.gateway.runner.RunnerTable;
 import org.arbutusstack.gateway.runner.SideLinks;
+import org.arbutusstack.gateway.team.TeamGate;
 import org.arbutusstack.kernel.Assert;
 import org.arbutusstack.kernel.service.Service;
 import org.arbutusstack.kernel.time.Clock;
@@ -86,6 +87,8 @@
 
     private final PlannerLink plannerLink;
 
+    private final TeamGate teamGate;
+
     private final String identity;
 
     private volatile ServingConfig config;
@@ -105,6 +108,7 @@
         this.clock = dependencies.clock();
         this.runners = new RunnerTable(clock);
         this.metrics = new GatewayMetrics(dependencies.metrics());
+        this.teamGate = new TeamGate(dependencies.revokeMillis(), clock);
         TrialSchedule trials = new TrialSchedule(dependencies.name(), this::entryCount, clock);
         this.quarantine =
                 new ContentQuarantine(this::sendToSide, this::isPlanning, trials, clock, dependencies.metrics());
@@ -203,6 +207,8 @@
             // runners.
             runners.all().forEach(KnownRunner::recordLiveness);
         }
+        teamGate.tick();
+        metrics.updateConfigAge(teamGate.configAgeMillis());
         runners.tick();
         dispatcher.entries(sides.entryCount().entries());
         dispatcher.tick();
@@ -236,6 +242,7 @@
             return;
         }
         config = next;
+        teamGate.config(next);
         sides.config(next);
         planner.config(next);
         dispatcher.config(next);
@@ -251,6 +258,15 @@
         return config;
     }
 
+    /**
+     * Return the gate that admits callers by their keys.
+     *
+     * @return the gate; knows no configuration until {@link #config()} does
+     */
+    public TeamGate teamGate() {
+        return teamGate;
+    }
+
     /**
      * Return the dispatcher of the requests in flight.
      *
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/DecisionLog.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/DecisionLog.java
@@ -28,7 +28,8 @@
     static String describe(ActiveRequest active) {
         InboundRequest request = active.request();
         return "request=" + request.id() + " route=" + request.route().name() + " service=" + request.service()
-                + " model=" + request.model() + " adapter=" + request.adapter() + " sends=" + active.sends();
+                + " model=" + request.model() + " adapter=" + request.adapter() + " sends=" + active.sends()
+                + request.team().map(team -> " team=" + team.name()).orElse("");
     }
 
     private static String stateOf(KnownRunner runner) {
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/GatewayMetrics.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/GatewayMetrics.java
@@ -5,6 +5,7 @@
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.util.Locale;
+import java.util.OptionalLong;
 import org.arbutusstack.model.request.RefusalReason;
 
 /** Metrics of the requests of callers. Safe for use by any thread. */
@@ -12,6 +13,8 @@
 
     private static final double NANOS_PER_SECOND = 1e9;
 
+    private static final double MILLIS_PER_SECOND = 1e3;
+
     private static final String SERVICE = "service";
 
     private final Counter outcomes;
@@ -34,6 +37,12 @@
 
     private final Gauge heldAnswerBytes;
 
+    private final Counter teamOutcomes;
+
+    private final Gauge configAge;
+
+    private final TeamLabels teamLabels = new TeamLabels();
+
     /**
      * Create and register the metrics.
      *
@@ -88,10 +97,22 @@
                 .name("arbutus_gateway_held_answer_bytes")
                 .help("size of the long answers that are held until they can be relayed")
                 .register(registry);
+        teamOutcomes = Counter.builder()
+                .name("arbutus_gateway_team_requests_total")
+                .help("requests of callers with a key by team and outcome")
+                .labelNames("team", "outcome")
+                .register(registry);
+        configAge = Gauge.builder()
+                .name("arbutus_gateway_config_age_seconds")
+                .help("age of what is known of the configuration if it has teams; -1 if unknown")
+                .register(registry);
     }
 
     void recordOutcome(InboundRequest request, String outcome) {
         outcomes.labelValues(request.service(), kindOf(request), outcome).inc();
+        request.team()
+                .ifPresent(team ->
+                        teamOutcomes.labelValues(teamLabels.of(team), outcome).inc());
     }
 
     void recordFirstByte(InboundRequest request, long nowNanos) {
@@ -131,6 +152,15 @@
         badInput.labelValues(reason.label()).inc();
     }
 
+    /**
+     * Update the age of the known configuration.
+     *
+     * @param ageMillis the age in milliseconds; empty if it is unknown
+     */
+    public void updateConfigAge(OptionalLong ageMillis) {
+        configAge.set(ageMillis.isPresent() ? ageMillis.getAsLong() / MILLIS_PER_SECOND : -1);
+    }
+
     void updateHeldAnswers(long bytes) {
         heldAnswerBytes.set(bytes);
     }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/InboundRequest.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/InboundRequest.java
@@ -28,6 +28,7 @@
  * @param resumedEventId the identifier of the last event that the caller has of a stream that it resumes; empty if none
  * @param arrivedNanos the time at which the request was read
  * @param deadlineNanos the earlier of the caller's deadline and the timeout of the route
+ * @param urgency the urgency in an engine; zero is the most urgent
  */
 public record InboundRequest(
         String id,
@@ -46,7 +47,8 @@
         List<String> sharedParts,
         String resumedEventId,
         long arrivedNanos,
-        long deadlineNanos) {
+        long deadlineNanos,
+        int urgency) {
 
     /** Copy the collections. */
     public InboundRequest {
@@ -55,6 +57,46 @@
         sharedParts = List.copyOf(sharedParts);
     }
 
+    /** Create a request with the urgency of its route. */
+    public InboundRequest(
+            String id,
+            String method,
+            String target,
+            Map<String, String> headers,
+            byte[] body,
+            Route route,
+            String service,
+            Optional<Team> team,
+            String model,
+            String adapter,
+            int promptTokens,
+            int outputTokens,
+            long prefixHash,
+            List<String> sharedParts,
+            String resumedEventId,
+            long arrivedNanos,
+            long deadlineNanos) {
+        this(
+                id,
+                method,
+                target,
+                headers,
+                body,
+                route,
+                service,
+                team,
+                model,
+                adapter,
+                promptTokens,
+                outputTokens,
+                prefixHash,
+                sharedParts,
+                resumedEventId,
+                arrivedNanos,
+                deadlineNanos,
+                route.urgency());
+    }
+
     /**
      * Return the number of prompt tokens that an engine has to process.
      *
--- a/testkit/src/main/java/org/arbutusstack/testkit/platform/PlatformRunnerStandIn.java
+++ b/testkit/src/main/java/org/arbutusstack/testkit/platform/PlatformRunnerStandIn.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.ServerConnection;
+import io.undertow.util.HeaderMap;
 import io.undertow.util.HttpString;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -54,6 +55,9 @@
 
     private final List<String> runs = Collections.synchronizedList(new ArrayList<>());
 
+    /** The headers of the last request, one line for each header field. */
+    private volatile String lastHeaders = "";
+
     private final AtomicInteger turnedAway = new AtomicInteger();
 
     private final Set<ServerConnection> connections = ConcurrentHashMap.newKeySet();
@@ -167,6 +171,15 @@
         return List.copyOf(runs);
     }
 
+    /**
+     * Return the headers of the last request.
+     *
+     * @return one line for each header field, in the order of their names
+     */
+    public String lastHeaders() {
+        return lastHeaders;
+    }
+
     /**
      * Return the number of requests that the runner turned away because it was at capacity.
      *
@@ -256,6 +269,7 @@
     }
 
     private void handleRequest(HttpServerExchange exchange) {
+        lastHeaders = describe(exchange.getRequestHeaders());
         String target = exchange.getRequestHeaders().getFirst("Target-Instance");
         String request = exchange.getRequestHeaders().getFirst(REQUEST_ID);
         exchange.getResponseHeaders().put(REQUEST_ID, request);
@@ -299,6 +313,13 @@
         });
     }
 
+    private static String describe(HeaderMap headers) {
+        List<String> lines = new ArrayList<>();
+        headers.forEach(values -> values.forEach(value -> lines.add(values.getHeaderName() + ": " + value)));
+        Collections.sort(lines);
+        return String.join("\n", lines);
+    }
+
     /** Send the events that precede the crash, and crash once they had the time to leave. */
     private void crashWithin(ResponseStream stream) {
         stream.head(OK, "text/event-stream");
