--- a/gateway/src/main/java/org/arbutusstack/gateway/team/ConfigLease.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/team/ConfigLease.java
@@ -20,8 +20,8 @@
 public final class ConfigLease {
 
     /**
-     * The part of the time limit that is not used: it covers clocks that run at different rates (0.05%) and a wall clock
-     * that is corrected late after a suspension.
+     * The part of the time limit that is not used: it covers clocks that run at different rates (0.05%) and a wall
+     * clock that is corrected late after a suspension.
      */
     private static final int MARGIN_PARTS = 10;
 
--- a/gateway/src/test/java/org/arbutusstack/gateway/team/ConfigLeaseTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/team/ConfigLeaseTests.java
@@ -112,7 +112,7 @@
         assertFalse(lease.isValid());
     }
 
-    /** Guards against a lease that ends although a wall clock is only adjusted gradually, at its usual limit of 0.05%. */
+    /** Guards against a lease that ends although the wall clock is only adjusted gradually, by up to 0.05%. */
     @Test
     public void shouldStayValidWhenWallClockIsAdjustedGradually() {
         for (int second = 1; second <= 600; second++) {
--- a/kernel/src/main/java/org/arbutusstack/kernel/time/ClockReading.java
+++ b/kernel/src/main/java/org/arbutusstack/kernel/time/ClockReading.java
@@ -25,7 +25,7 @@
     }
 
     /**
-     * Return an upper bound of the time elapsed since an earlier reading, which includes the time for which the host was
+     * Return an upper bound of the time elapsed since an earlier reading, including the time for which the host was
      * suspended.
      *
      * @param earlier the earlier reading
