--- a/gateway/src/main/java/org/arbutusstack/gateway/config/ServingConfig.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/config/ServingConfig.java
@@ -24,7 +24,7 @@
 
     private final long maxBodyBytes;
 
-    private final int routeCount;
+    private final List<Route> routes;
 
     private final TeamDirectory teams;
 
@@ -54,7 +54,7 @@
         this.teams = Assert.notNull(teams, "teams");
         this.version = version;
         this.maxBodyBytes = maxBodyBytes;
-        this.routeCount = routes.size();
+        this.routes = List.copyOf(routes);
         for (Route route : routes) {
             routesByHost
                     .computeIfAbsent(route.host().toLowerCase(Locale.ROOT), host -> new ArrayList<>())
@@ -95,21 +95,21 @@
     }
 
     /**
-     * Return the routes.
+     * Return the number of routes.
      *
-     * @return the routes for all hosts, in no particular order
+     * @return the number of routes for all hosts
      */
-    public List<Route> routes() {
-        return routesByHost.values().stream().flatMap(List::stream).toList();
+    public int routeCount() {
+        return routes.size();
     }
 
     /**
-     * Return the number of routes.
+     * Return the routes.
      *
-     * @return the number of routes for all hosts
+     * @return the routes for all hosts, in no particular order
      */
-    public int routeCount() {
-        return routeCount;
+    public List<Route> routes() {
+        return routes;
     }
 
     /**
