Decide which availability zones a request may use

Cause: the zone of an entry only breaks ties between two runners of equal load, so two thirds of all requests leave their zone while all zones are idle.

--- a/daemon/src/main/java/org/arbutusstack/daemon/PlatformCommand.java
+++ b/daemon/src/main/java/org/arbutusstack/daemon/PlatformCommand.java
@@ -74,7 +74,7 @@
             exitWithMistakes(List.of(PlatformSettings.FILE_VARIABLE + " and " + LINK_KEY_VARIABLE + " must be set"));
             return Optional.empty();
         }
-        PlatformSettings.Result result = PlatformSettings.read(Path.of(file), role.servesCallers());
+        PlatformSettings.Result result = PlatformSettings.read(Path.of(file), role.servesCallers(), environment);
         if (result instanceof PlatformSettings.Result.Valid valid) {
             Kernel kernel = start(valid.settings(), new LinkKey(linkKey));
             ReloadSignal.onReload(() -> reload(Path.of(file), valid.settings()));
@@ -86,7 +86,7 @@
 
     /** Validate the settings file again and log the result; changed settings take effect at the next start only. */
     private void reload(Path file, PlatformSettings activeSettings) {
-        PlatformSettings.Result result = PlatformSettings.read(file, role.servesCallers());
+        PlatformSettings.Result result = PlatformSettings.read(file, role.servesCallers(), environment);
         if (result instanceof PlatformSettings.Result.Valid valid) {
             logger.info("event=reload changed={}", !valid.settings().equals(activeSettings));
         } else if (result instanceof PlatformSettings.Result.Invalid invalid) {
--- a/gateway/src/main/java/org/arbutusstack/gateway/entry/EntryDependencies.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/entry/EntryDependencies.java
@@ -16,6 +16,8 @@
  * @param name the name of the entry
  * @param address the IP address of its host
  * @param zone its availability zone
+ * @param zonePenaltyMillis the delay that a request takes to stay in its zone, in milliseconds; zero to choose runners
+ *     without regard to zones
  * @param sidePort the port on which sides accept links
  * @param entryPort the port on which entries accept links
  * @param loop the event loop of the entry
@@ -32,6 +34,7 @@
         String name,
         String address,
         String zone,
+        long zonePenaltyMillis,
         int sidePort,
         int entryPort,
         IoLoop loop,
--- a/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
@@ -18,6 +18,7 @@
 import org.arbutusstack.gateway.request.GatewayMetrics;
 import org.arbutusstack.gateway.request.RequestDispatcher;
 import org.arbutusstack.gateway.request.RequestDispatchers;
+import org.arbutusstack.gateway.request.ZoneCandidates;
 import org.arbutusstack.gateway.runner.KnownRunner;
 import org.arbutusstack.gateway.runner.PermitClient;
 import org.arbutusstack.gateway.runner.RunnerEntry;
@@ -76,6 +77,8 @@
 
     private final PermitClient permits;
 
+    private final ZoneCandidates zones;
+
     private final RequestDispatcher dispatcher;
 
     private final SideLinks sides;
@@ -111,11 +114,12 @@
         this.crashMonitor =
                 new CrashMonitor(dependencies.probe(), this::healthPathOf, this::struck, clock, dependencies.metrics());
         this.permits = new PermitClient(dependencies.name(), runners, this::sendToAccountant, this::entryCount);
+        this.zones = new ZoneCandidates(dependencies.zone(), dependencies.zonePenaltyMillis(), clock);
         this.dispatcher = RequestDispatchers.create(
                 runners,
                 dependencies.runners(),
                 dependencies.callers(),
-                dependencies.zone(),
+                zones,
                 clock,
                 AttemptLimits.ofProcess(dependencies.retries(), permits),
                 metrics,
@@ -369,6 +373,15 @@
         return quarantine.describe();
     }
 
+    /**
+     * Describe the requests that leave the availability zone for the state dump of the process.
+     *
+     * @return one line for each pool of requests and zone that receives a share of it
+     */
+    public List<String> describeZones() {
+        return zones.describe();
+    }
+
     /**
      * Describe the requests in flight for the state dump of the process.
      *
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/ActiveRequest.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/ActiveRequest.java
@@ -9,6 +9,7 @@
 import org.arbutusstack.model.request.Refusal;
 import org.arbutusstack.model.request.RefusalKind;
 import org.arbutusstack.routing.ContentKeys;
+import org.arbutusstack.routing.ZoneReason;
 
 /** A request in flight and the state of its attempts. Confined to the entry's event loop. */
 final class ActiveRequest {
@@ -51,6 +52,8 @@
 
     private List<String> contentKeys;
 
+    private ZoneReason zoneReason;
+
     ActiveRequest(InboundRequest request, ResponseSink response) {
         this.request = request;
         this.response = response;
@@ -147,6 +150,15 @@
         statusQueries++;
     }
 
+    /** Return why the request stays in its zone or leaves it, or {@code null} if zones are not considered. */
+    ZoneReason zoneReason() {
+        return zoneReason;
+    }
+
+    void zoneReason(ZoneReason reason) {
+        zoneReason = reason;
+    }
+
     /** Return whether no runner held the model when the request was last routed. */
     boolean awaitsModel() {
         return awaitsModel;
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
@@ -191,6 +191,7 @@
                     active, Refusal.outcomeUnknown(RefusalReason.BACKEND_ERROR, "the stream was not resumed"));
         } else if (attempt.head().isSuccess()) {
             attempt.runner().outcomes().succeeded();
+            attempt.recordAnswer(clock.nowNanos());
             quarantine.answerBegun(active);
             relayAnswer(active, answer);
         } else {
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/CurrentAttempt.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/CurrentAttempt.java
@@ -87,6 +87,11 @@
         runner.speed().recordFirstEvent(queueEstimate, nowNanos - sentAtNanos);
     }
 
+    /** Update the runner's estimate with the duration of a complete answer that is no stream. */
+    void recordAnswer(long nowNanos) {
+        runner.speed().recordAnswer(nowNanos - sentAtNanos);
+    }
+
     /**
      * Update the runner's estimate with the duration of a complete stream. A resumed stream is ignored: another attempt
      * received its first event.
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/DecisionLog.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/DecisionLog.java
@@ -28,7 +28,10 @@
     static String describe(ActiveRequest active) {
         InboundRequest request = active.request();
         return "request=" + request.id() + " route=" + request.route().name() + " service=" + request.service()
-                + " model=" + request.model() + " adapter=" + request.adapter() + " sends=" + active.sends();
+                + " model=" + request.model() + " adapter=" + request.adapter() + " sends=" + active.sends()
+                + (active.zoneReason() == null
+                        ? ""
+                        : " zone_reason=" + active.zoneReason().label());
     }
 
     private static String stateOf(KnownRunner runner) {
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/GatewayMetrics.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/GatewayMetrics.java
@@ -5,6 +5,7 @@
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.util.Locale;
+import org.arbutusstack.gateway.runner.KnownRunner;
 import org.arbutusstack.model.request.RefusalReason;
 
 /** Metrics of the requests of callers. Safe for use by any thread. */
@@ -24,6 +25,10 @@
 
     private final Counter limitedSends;
 
+    private final Counter zoneSends;
+
+    private final ZoneLabels zoneLabels = new ZoneLabels();
+
     private final Counter badInput;
 
     private final Histogram firstByte;
@@ -65,6 +70,12 @@
                 .help("requests sent to runners that have named a limit, by service")
                 .labelNames(SERVICE)
                 .register(registry);
+        zoneSends = Counter.builder()
+                .name("arbutus_gateway_zone_sends_total")
+                .help(
+                        "requests sent by availability zone of the runner and reason to stay or leave, if a penalty is set")
+                .labelNames("zone", "reason")
+                .register(registry);
         badInput = Counter.builder()
                 .name("arbutus_gateway_bad_input_total")
                 .help("requests refused before they were routed, by reason")
@@ -112,9 +123,13 @@
         lost.labelValues(request.service(), Boolean.toString(begun)).inc();
     }
 
-    void countSend(InboundRequest request, boolean isLimited) {
-        if (isLimited) {
-            limitedSends.labelValues(request.service()).inc();
+    void countSend(ActiveRequest active, KnownRunner runner) {
+        if (runner.limit().isActive()) {
+            limitedSends.labelValues(active.request().service()).inc();
+        }
+        if (active.zoneReason() != null) {
+            String zone = zoneLabels.label(runner.entry().zone());
+            zoneSends.labelValues(zone, active.zoneReason().label()).inc();
         }
     }
 
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatcher.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatcher.java
@@ -218,7 +218,7 @@
         }
         log.sent(active, runner);
         quarantine.attemptSent(active, runner);
-        metrics.countSend(request, runner.limit().isActive());
+        metrics.countSend(active, runner);
         String lastEventId = active.isOpened() ? active.events().lastId() : "";
         boolean sentBefore = active.hasFailedOn(runner.entry().id());
         attempt.handle(
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatchers.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatchers.java
@@ -17,7 +17,7 @@
      * @param runners the known runners
      * @param runnerPort sends requests to runners
      * @param callers writes answers and refusals to callers
-     * @param zone the availability zone of the entry, preferred among equal runners
+     * @param zones the choice of availability zones; its home zone is preferred among equal runners
      * @param clock the clock of the process
      * @param limits the limits on the attempts of requests
      * @param metrics the metrics of requests
@@ -29,13 +29,14 @@
             RunnerTable runners,
             RunnerPort runnerPort,
             CallerPort callers,
-            String zone,
+            ZoneCandidates zones,
             Clock clock,
             AttemptLimits limits,
             GatewayMetrics metrics,
             ContentQuarantine quarantine,
             CrashMonitor crashMonitor) {
-        RunnerChooser chooser = new RunnerChooser(runners, new TwoChoiceSelector(zone), zone, clock);
+        TwoChoiceSelector selector = new TwoChoiceSelector(zones.homeZone());
+        RunnerChooser chooser = new RunnerChooser(runners, selector, zones.homeZone(), zones, clock);
         return new RequestDispatcher(
                 chooser,
                 runnerPort,
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
@@ -36,12 +36,16 @@
 
     private final String zone;
 
+    private final ZoneCandidates zones;
+
     private final Clock clock;
 
-    RunnerChooser(RunnerTable runners, TwoChoiceSelector engineSelector, String zone, Clock clock) {
+    RunnerChooser(
+            RunnerTable runners, TwoChoiceSelector engineSelector, String zone, ZoneCandidates zones, Clock clock) {
         this.runners = Assert.notNull(runners, "runners");
         this.engineSelector = Assert.notNull(engineSelector, "engineSelector");
         this.zone = Assert.notNull(zone, "zone");
+        this.zones = Assert.notNull(zones, "zones");
         this.clock = Assert.notNull(clock, "clock");
     }
 
@@ -91,7 +95,9 @@
         if (permitted.isEmpty()) {
             return awaitPermit(active, available);
         }
-        return withoutFailedOrSuspected(active, permitted).stream()
+        return zones
+                .restrict(active, withoutFailedOrSuspected(active, permitted), firstEventLimitMillis(active))
+                .stream()
                 .min(Comparator.<KnownRunner>comparingInt(KnownRunner::outstanding)
                         .thenComparing(runner -> !runner.entry().zone().equals(zone))
                         .thenComparing(runner -> runner.entry().id()))
@@ -118,10 +124,11 @@
                 .filter(runner -> !runner.needsLivenessCheck())
                 .toList();
         boolean queriesExhausted = active.statusQueries() >= MAX_STATUS_QUERIES && !recentlyReported.isEmpty();
-        List<KnownRunner> candidates = queriesExhausted ? recentlyReported : responsive;
-        if (candidates.isEmpty()) {
+        List<KnownRunner> reported = queriesExhausted ? recentlyReported : responsive;
+        if (reported.isEmpty()) {
             return new Choice.AwaitStatus();
         }
+        List<KnownRunner> candidates = zones.restrict(active, reported, firstEventLimitMillis(active));
         RoutingRequest needs = new RoutingRequest(
                 request.service(),
                 request.model(),
@@ -141,7 +148,7 @@
         KnownRunner preferredRunner = runners.byId(engineSelector.better(pair).name());
         KnownRunner chosen = selectWithinLimit(active, candidates, preferredRunner);
         if (chosen == null) {
-            return atCapacity(responsive);
+            return atCapacity(zones.isEnabled() ? candidates : responsive);
         }
         if (chosen.needsLivenessCheck()) {
             return new Choice.QueryStatus(List.of(chosen));
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/HostLiveness.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/HostLiveness.java
@@ -47,8 +47,11 @@
 
     private int sentSinceSignal;
 
+    private final FadingAverage replies;
+
     HostLiveness(Clock clock) {
         this.clock = clock;
+        this.replies = new FadingAverage(clock);
     }
 
     /**
@@ -58,6 +61,9 @@
      * @param nextWithinMillis the longest time until the next status if the host is alive, in milliseconds
      */
     void recordStatus(Link from, long nextWithinMillis) {
+        if (statusRequested) {
+            replies.add(pendingMillis());
+        }
         link = from;
         linkOpen = true;
         timedOut = false;
@@ -110,6 +116,19 @@
         statusRequested = true;
     }
 
+    /**
+     * Return the usual time from a status request to the status, in milliseconds, or the time for which the pending
+     * request has not been answered if that is longer. Zero if no request was answered recently.
+     */
+    double replyMillis() {
+        boolean pending = linkOpen && statusRequested;
+        return Math.max(replies.millis(), pending ? pendingMillis() : 0);
+    }
+
+    private double pendingMillis() {
+        return (clock.nowNanos() - requestedAtNanos) / (double) Clock.NANOS_PER_MILLI;
+    }
+
     /** Return whether the side has not answered a status request in time. */
     boolean isStatusOverdue() {
         return linkOpen && statusRequested && isPast(requestedAtNanos, OVERDUE_MILLIS);
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/KnownRunner.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/KnownRunner.java
@@ -27,7 +27,7 @@
 
     private final RunnerOutcomes outcomes;
 
-    private final RunnerSpeed speed = new RunnerSpeed(this);
+    private final RunnerSpeed speed;
 
     private final RunnerLimit limit;
 
@@ -57,6 +57,7 @@
     KnownRunner(RunnerEntry entry, Clock clock) {
         this.clock = clock;
         this.liveness = new HostLiveness(clock);
+        this.speed = new RunnerSpeed(this, liveness, clock);
         this.prompts = new UnreadPrompts(clock);
         this.limit = new RunnerLimit(entry, clock);
         this.outcomes = new RunnerOutcomes(this, liveness, clock);
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/RunnerSpeed.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/RunnerSpeed.java
@@ -11,10 +11,21 @@
 
     private final KnownRunner runner;
 
+    private final HostLiveness liveness;
+
     private final FirstEventEstimator estimate = new FirstEventEstimator();
 
-    RunnerSpeed(KnownRunner runner) {
+    /** Time by which first events came later than estimated when their requests were sent. */
+    private final FadingAverage excess;
+
+    /** Time from sending a request to its complete answer, for answers that are no streams. */
+    private final FadingAverage answers;
+
+    RunnerSpeed(KnownRunner runner, HostLiveness liveness, Clock clock) {
         this.runner = runner;
+        this.liveness = liveness;
+        this.excess = new FadingAverage(clock);
+        this.answers = new FadingAverage(clock);
     }
 
     /**
@@ -24,7 +35,8 @@
      */
     public QueueEstimate queueEstimate() {
         int unstarted = runner.unstarted();
-        return new QueueEstimate(unstarted, estimate.slotWaitMillis(unstarted, runner.running(), slots()));
+        long slotWaitMillis = estimate.slotWaitMillis(unstarted, runner.running(), slots());
+        return new QueueEstimate(unstarted, slotWaitMillis, firstEventMillis());
     }
 
     /** Return the number of slots; one if the runner does not report it. */
@@ -39,7 +51,9 @@
      * @param nanos the time from then to the first event, in nanoseconds
      */
     public void recordFirstEvent(QueueEstimate queueEstimate, long nanos) {
-        estimate.observed(queueEstimate.unstarted(), nanos / Clock.NANOS_PER_MILLI - queueEstimate.slotWaitMillis());
+        long millis = nanos / Clock.NANOS_PER_MILLI;
+        excess.add(Math.max(0, millis - queueEstimate.firstEventMillis()));
+        estimate.observed(queueEstimate.unstarted(), millis - queueEstimate.slotWaitMillis());
     }
 
     /**
@@ -51,6 +65,44 @@
         estimate.ended(nanos / Clock.NANOS_PER_MILLI);
     }
 
+    /**
+     * Record a complete answer that is no stream.
+     *
+     * @param nanos the time from sending the request to its end, in nanoseconds
+     */
+    public void recordAnswer(long nanos) {
+        answers.add(nanos / (double) Clock.NANOS_PER_MILLI);
+    }
+
+    /**
+     * Return the usual time of answers that are no streams.
+     *
+     * @return the moving average in milliseconds; not a number if there was no answer recently
+     */
+    public double answerMillis() {
+        return answers.isCurrent() ? answers.lastMillis() : Double.NaN;
+    }
+
+    /**
+     * Return the measured delay that adds to the estimate, as on a slow link: the time from a status request to its
+     * answer, and the time by which first events were later than estimated.
+     *
+     * @return the delay in milliseconds, which fades to zero without measurements
+     */
+    public double delayMillis() {
+        return liveness.replyMillis() + excess.millis();
+    }
+
+    /**
+     * Return whether another request would wait for a slot.
+     *
+     * @return whether the requests at the runner take all its slots
+     */
+    public boolean isFull() {
+        int load = runner.hasStatus() ? runner.unstarted() + runner.running() : runner.outstanding();
+        return runner.entry().slots() > 0 && load >= runner.entry().slots();
+    }
+
     /**
      * Estimate the time to the first event of one more request.
      *
@@ -65,6 +117,7 @@
      *
      * @param unstarted the number of requests without a first event
      * @param slotWaitMillis the expected wait for a slot, in milliseconds
+     * @param firstEventMillis the expected time to the first event, in milliseconds
      */
-    public record QueueEstimate(int unstarted, long slotWaitMillis) {}
+    public record QueueEstimate(int unstarted, long slotWaitMillis, long firstEventMillis) {}
 }
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/DispatcherHarness.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/DispatcherHarness.java
@@ -34,6 +34,8 @@
 
     final ManualClock clock = new ManualClock(1_000_000_000L);
 
+    final PrometheusRegistry registry = new PrometheusRegistry();
+
     final RunnerTable table = new RunnerTable(clock);
 
     final FakeRunners runners = new FakeRunners();
@@ -45,6 +47,8 @@
     /** Requests for permits, which the test answers. */
     final List<Frame> permitRequests = new ArrayList<>();
 
+    final ZoneCandidates zones;
+
     final RequestDispatcher dispatcher;
 
     /** The shared prompt parts of the requests that are sent. */
@@ -64,15 +68,19 @@
     }
 
     DispatcherHarness(RetryLimits limits, long maxHeldAnswerBytes) {
-        PrometheusRegistry registry = new PrometheusRegistry();
+        this(limits, maxHeldAnswerBytes, 0);
+    }
+
+    DispatcherHarness(RetryLimits limits, long maxHeldAnswerBytes, long zonePenaltyMillis) {
         PermitClient permits = new PermitClient("edge-1", table, (runner, frame) -> permitRequests.add(frame), () -> 4);
         quarantine = new ContentQuarantine(
                 (host, frame) -> {}, () -> false, new TrialSchedule("edge-1", () -> 1, clock), clock, registry);
+        zones = new ZoneCandidates("regina", zonePenaltyMillis, clock);
         dispatcher = RequestDispatchers.create(
                 table,
                 runners,
                 FakeCaller.PORT,
-                "regina",
+                zones,
                 clock,
                 new AttemptLimits(limits, permits, maxHeldAnswerBytes),
                 new GatewayMetrics(registry),
