--- a/daemon/src/test/java/org/arbutusstack/daemon/SettingsPageTests.java
+++ b/daemon/src/test/java/org/arbutusstack/daemon/SettingsPageTests.java
@@ -7,6 +7,7 @@
 import java.nio.file.Path;
 import org.arbutusstack.kernel.setting.Setting;
 import org.arbutusstack.kernel.setting.SettingKind;
+import org.arbutusstack.platform.PlatformSettings;
 import org.testng.annotations.Test;
 
 /**
@@ -30,7 +31,19 @@
             page.append(" | ").append(defaultOf(setting)).append(" | ").append(setting.description());
             page.append(" |\n");
         }
-        return page.toString();
+        Setting penalty = PlatformSettings.ZONE_PENALTY;
+        return page.append("\n## On the users' platform\n\n`")
+                .append(penalty.variable())
+                .append("` (")
+                .append(permitted(penalty))
+                .append(", default ")
+                .append(defaultOf(penalty))
+                .append(", variable only) is the delay in ms that a request of usual size takes to stay\n"
+                        + "in the availability zone of its entry (`platform-entry`), as traffic between zones costs money and"
+                        + " time. Requests leave the zone\nonly while it is slower than another one by more than that;"
+                        + " 0 or unset: runners are chosen over all zones alike. Take the one-way delay\nbetween the zones"
+                        + " several times, such as 20. See docs/design/zone-overflow.md.\n")
+                .toString();
     }
 
     private static String permitted(Setting setting) {
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
@@ -148,7 +148,7 @@
         KnownRunner preferredRunner = runners.byId(engineSelector.better(pair).name());
         KnownRunner chosen = selectWithinLimit(active, candidates, preferredRunner);
         if (chosen == null) {
-            return atCapacity(zones.isEnabled() ? candidates : responsive);
+            return atCapacity(responsive);
         }
         if (chosen.needsLivenessCheck()) {
             return new Choice.QueryStatus(List.of(chosen));
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/ZoneCandidates.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/ZoneCandidates.java
@@ -60,11 +60,6 @@
         return homeZone;
     }
 
-    /** Return whether requests are restricted to zones. */
-    boolean isEnabled() {
-        return overflow != null;
-    }
-
     /**
      * Return the runners that a request may use.
      *
@@ -108,6 +103,9 @@
                         || runner.hasStatus()
                         || runner.entry().zone().equals(homeZone))
                 .toList();
+        if (request.adapter().isEmpty()) {
+            return known.isEmpty() ? candidates : known;
+        }
         String adapterKey = RunnerEntry.adapterKey(request.model(), request.adapter());
         List<KnownRunner> withAdapter = known.stream()
                 .filter(runner -> runner.view().adapters().contains(adapterKey))
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/RunnerSpeed.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/RunnerSpeed.java
@@ -15,7 +15,7 @@
 
     private final FirstEventEstimator estimate = new FirstEventEstimator();
 
-    /** Time by which first events came later than estimated when their requests were sent. */
+    /** Time by which first events came later than estimated when their requests were sent; negative if earlier. */
     private final FadingAverage excess;
 
     /** Time from sending a request to its complete answer, for answers that are no streams. */
@@ -52,7 +52,7 @@
      */
     public void recordFirstEvent(QueueEstimate queueEstimate, long nanos) {
         long millis = nanos / Clock.NANOS_PER_MILLI;
-        excess.add(Math.max(0, millis - queueEstimate.firstEventMillis()));
+        excess.add(millis - queueEstimate.firstEventMillis());
         estimate.observed(queueEstimate.unstarted(), millis - queueEstimate.slotWaitMillis());
     }
 
@@ -90,7 +90,7 @@
      * @return the delay in milliseconds, which fades to zero without measurements
      */
     public double delayMillis() {
-        return liveness.replyMillis() + excess.millis();
+        return liveness.replyMillis() + Math.max(0, excess.millis());
     }
 
     /**
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/DispatcherHarness.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/DispatcherHarness.java
@@ -89,8 +89,12 @@
     }
 
     RunnerEntry runner(String id, String service, String... models) {
+        return runnerIn("regina", id, service, models);
+    }
+
+    RunnerEntry runnerIn(String zone, String id, String service, String... models) {
         RunnerEntry entry = new RunnerEntry(
-                id, service, new HttpTarget("10.0.0." + (table.all().size() + 1), 80), "regina", 1, 8, false, Map.of());
+                id, service, new HttpTarget("10.0.0." + (table.all().size() + 1), 80), zone, 1, 8, false, Map.of());
         if (models.length > 0) {
             Map<String, Set<String>> held = new java.util.HashMap<>();
             for (String model : models) {
--- a/gateway/src/test/java/org/arbutusstack/gateway/runner/KnownRunnerTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/runner/KnownRunnerTests.java
@@ -45,6 +45,20 @@
         assertEquals(runner.unstarted(), 2);
     }
 
+    /** Guards against requests that leave for another zone over a link that has become slow. */
+    @Test
+    public void shouldMeasureDelayWhenStatusIsPendingAndForgetItLater() {
+        runner.status(status(7, "m1"), new RecordingLink());
+        assertEquals(runner.speed().delayMillis(), 0, 1e-9);
+        runner.requestStatus();
+        clock.advanceMillis(90);
+        assertEquals(runner.speed().delayMillis(), 90, 1e-9, "not yet answered");
+        runner.status(status(7, "m1"), new RecordingLink());
+        assertEquals(runner.speed().delayMillis(), 90, 1e-9, "answered after 90 ms");
+        clock.advanceMillis(20_000);
+        assertTrue(runner.speed().delayMillis() < 5, "it is tried again");
+    }
+
     @Test
     public void shouldIgnoreStatusWhenIncarnationDiffers() {
         runner.status(status(6, "m1"), null);
--- a/routing/src/main/java/org/arbutusstack/routing/ZoneShares.java
+++ b/routing/src/main/java/org/arbutusstack/routing/ZoneShares.java
@@ -187,12 +187,7 @@
             double stepMillis,
             double pauseMillis,
             Consumer<ZoneShareChange> changes) {
-        double homeNowMillis = home.totalMillis(unloadedMillis);
-        boolean isFirst = Double.isNaN(homeMillis);
-        homeMillis = isFirst ? homeNowMillis : approach(homeMillis, homeNowMillis, pauseMillis, SMOOTHING_MILLIS);
-        unloadedMillis = isFirst
-                ? homeNowMillis
-                : Math.min(homeNowMillis, approach(unloadedMillis, homeNowMillis, pauseMillis, UNLOADED_MILLIS));
+        smoothHome(home, pauseMillis);
         double idleFall = FALL_PER_SECOND * (pauseMillis - stepMillis) / MILLIS_PER_SECOND;
         for (ZoneOutlook other : others) {
             double nowMillis = other.totalMillis(unloadedMillis) - other.delayMillis();
@@ -217,6 +212,19 @@
         }
     }
 
+    /** Update the figures of the home zone; they remain as they are while nothing is known of it. */
+    private void smoothHome(ZoneOutlook home, double pauseMillis) {
+        if (Double.isNaN(home.firstEventMillis())) {
+            return;
+        }
+        double nowMillis = home.totalMillis(0);
+        boolean isFirst = Double.isNaN(homeMillis);
+        homeMillis = isFirst ? nowMillis : approach(homeMillis, nowMillis, pauseMillis, SMOOTHING_MILLIS);
+        unloadedMillis = isFirst
+                ? nowMillis
+                : Math.min(nowMillis, approach(unloadedMillis, nowMillis, pauseMillis, UNLOADED_MILLIS));
+    }
+
     private static double approach(double from, double to, double pauseMillis, double constantMillis) {
         return from + (1 - Math.exp(-pauseMillis / constantMillis)) * (to - from);
     }
