--- a/daemon/src/test/java/org/arbutusstack/daemon/SettingsPageTests.java
+++ b/daemon/src/test/java/org/arbutusstack/daemon/SettingsPageTests.java
@@ -31,19 +31,22 @@
             page.append(" | ").append(defaultOf(setting)).append(" | ").append(setting.description());
             page.append(" |\n");
         }
-        Setting penalty = PlatformSettings.ZONE_PENALTY;
-        return page.append("\n## On the users' platform\n\n`")
-                .append(penalty.variable())
-                .append("` (")
-                .append(permitted(penalty))
-                .append(", default ")
-                .append(defaultOf(penalty))
-                .append(", variable only) is the delay in ms that a request of usual size takes to stay\n"
-                        + "in the availability zone of its entry (`platform-entry`), as traffic between zones costs money and"
-                        + " time. Requests leave the zone\nonly while it is slower than another one by more than that;"
-                        + " 0 or unset: runners are chosen over all zones alike. Take the one-way delay\nbetween the zones"
-                        + " several times, such as 20. See docs/design/zone-overflow.md.\n")
-                .toString();
+        return page.append(zoneSection(PlatformSettings.ZONE_PENALTY)).toString();
+    }
+
+    private static String zoneSection(Setting penalty) {
+        return String.join(
+                "\n",
+                "",
+                "## On the users' platform",
+                "",
+                "`" + penalty.variable() + "` (" + permitted(penalty) + ", default " + defaultOf(penalty)
+                        + ", variable only) is the delay in ms",
+                "that a request of usual size takes to stay in the availability zone of its entry (`platform-entry`),",
+                "as traffic between zones costs money and time. Requests leave the zone only while it is slower than",
+                "another one by more than that. 0 or unset: runners are chosen over all zones alike. Take several",
+                "times the one-way delay between the zones, such as 20. See docs/design/zone-overflow.md.",
+                "");
     }
 
     private static String permitted(Setting setting) {
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/GatewayMetrics.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/GatewayMetrics.java
@@ -72,8 +72,7 @@
                 .register(registry);
         zoneSends = Counter.builder()
                 .name("arbutus_gateway_zone_sends_total")
-                .help(
-                        "requests sent by availability zone of the runner and reason to stay or leave, if a penalty is set")
+                .help("requests sent by zone of the runner and reason to stay or leave, if a penalty is set")
                 .labelNames("zone", "reason")
                 .register(registry);
         badInput = Counter.builder()
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/ZoneCandidates.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/ZoneCandidates.java
@@ -45,8 +45,8 @@
      * Create the restriction.
      *
      * @param homeZone the availability zone of the entry
-     * @param penaltyMillis the delay that a request takes to stay in its zone, in milliseconds; zero to let each request
-     *     use all zones
+     * @param penaltyMillis the delay that a request takes to stay in its zone, in milliseconds; zero to let each
+     *     request use all zones
      * @param clock the clock of the process
      */
     public ZoneCandidates(String homeZone, long penaltyMillis, Clock clock) {
--- a/routing/src/test/java/org/arbutusstack/routing/ZoneOverflowReplayTests.java
+++ b/routing/src/test/java/org/arbutusstack/routing/ZoneOverflowReplayTests.java
@@ -11,8 +11,8 @@
 import org.testng.annotations.Test;
 
 /**
- * Replays of the loads that {@link ZoneOverflow} addresses. The bounds are the goals for callers: 95 in 100 first events
- * in time while the servers of all zones together suffice, and the worst zone at 0.95 of the mean.
+ * Replays of the loads that {@link ZoneOverflow} addresses. The bounds are the goals for callers: 95 in 100 first
+ * events in time while the servers of all zones together suffice, and the worst zone at 0.95 of the mean.
  */
 public class ZoneOverflowReplayTests {
 
