--- a/daemon/src/test/java/org/arbutusstack/daemon/SettingsPageTests.java
+++ b/daemon/src/test/java/org/arbutusstack/daemon/SettingsPageTests.java
@@ -7,6 +7,7 @@
 import java.nio.file.Path;
 import org.arbutusstack.kernel.setting.Setting;
 import org.arbutusstack.kernel.setting.SettingKind;
+import org.arbutusstack.platform.PlatformSettings;
 import org.testng.annotations.Test;
 
 /**
@@ -30,7 +31,22 @@
             page.append(" | ").append(defaultOf(setting)).append(" | ").append(setting.description());
             page.append(" |\n");
         }
-        return page.toString();
+        return page.append(zoneSection(PlatformSettings.ZONE_PENALTY)).toString();
+    }
+
+    private static String zoneSection(Setting penalty) {
+        return String.join(
+                "\n",
+                "",
+                "## On the users' platform",
+                "",
+                "`" + penalty.variable() + "` (" + permitted(penalty) + ", default " + defaultOf(penalty)
+                        + ", variable only) is the delay in ms",
+                "that a request of usual size takes to stay in the availability zone of its entry (`platform-entry`),",
+                "as traffic between zones costs money and time. Requests leave the zone only while it is slower than",
+                "another one by more than that. 0 or unset: runners are chosen over all zones alike. Take several",
+                "times the one-way delay between the zones, such as 20. See docs/design/zone-overflow.md.",
+                "");
     }
 
     private static String permitted(Setting setting) {
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/DecisionLog.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/DecisionLog.java
@@ -29,7 +29,10 @@
         InboundRequest request = active.request();
         return "request=" + request.id() + " route=" + request.route().name() + " service=" + request.service()
                 + " model=" + request.model() + " adapter=" + request.adapter() + " sends=" + active.sends()
-                + request.team().map(team -> " team=" + team.name()).orElse("");
+                + request.team().map(team -> " team=" + team.name()).orElse("")
+                + (active.zoneReason() == null
+                        ? ""
+                        : " zone_reason=" + active.zoneReason().label());
     }
 
     private static String stateOf(KnownRunner runner) {
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
@@ -37,6 +37,8 @@
 
     private final String zone;
 
+    private final ZoneCandidates zones;
+
     private final Clock clock;
 
     private final PromptAdmission admission;
@@ -45,12 +47,14 @@
             RunnerTable runners,
             TwoChoiceSelector engineSelector,
             String zone,
+            ZoneCandidates zones,
             PromptAdmission admission,
             Clock clock) {
         this.admission = Assert.notNull(admission, "admission");
         this.runners = Assert.notNull(runners, "runners");
         this.engineSelector = Assert.notNull(engineSelector, "engineSelector");
         this.zone = Assert.notNull(zone, "zone");
+        this.zones = Assert.notNull(zones, "zones");
         this.clock = Assert.notNull(clock, "clock");
     }
 
@@ -103,7 +107,9 @@
         if (permitted.isEmpty()) {
             return awaitPermit(active, available);
         }
-        return withoutFailedOrSuspected(active, permitted).stream()
+        return zones
+                .restrict(active, withoutFailedOrSuspected(active, permitted), firstEventLimitMillis(active))
+                .stream()
                 .min(Comparator.<KnownRunner>comparingInt(KnownRunner::outstanding)
                         .thenComparing(runner -> !runner.entry().zone().equals(zone))
                         .thenComparing(runner -> runner.entry().id()))
@@ -130,10 +136,11 @@
                 .filter(runner -> !runner.needsLivenessCheck())
                 .toList();
         boolean queriesExhausted = active.statusQueries() >= MAX_STATUS_QUERIES && !recentlyReported.isEmpty();
-        List<KnownRunner> candidates = queriesExhausted ? recentlyReported : responsive;
-        if (candidates.isEmpty()) {
+        List<KnownRunner> reported = queriesExhausted ? recentlyReported : responsive;
+        if (reported.isEmpty()) {
             return new Choice.AwaitStatus();
         }
+        List<KnownRunner> candidates = zones.restrict(active, reported, firstEventLimitMillis(active));
         RoutingRequest needs = new RoutingRequest(
                 request.service(),
                 request.model(),
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/RunnerSpeed.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/RunnerSpeed.java
@@ -12,12 +12,23 @@
 
     private final KnownRunner runner;
 
+    private final HostLiveness liveness;
+
     private final FirstEventEstimator estimate = new FirstEventEstimator();
 
     private final PrefillSpeed prefillSpeed = new PrefillSpeed();
 
-    RunnerSpeed(KnownRunner runner) {
+    /** Time by which first events came later than estimated when their requests were sent; negative if earlier. */
+    private final FadingAverage excess;
+
+    /** Time from sending a request to its complete answer, for answers that are no streams. */
+    private final FadingAverage answers;
+
+    RunnerSpeed(KnownRunner runner, HostLiveness liveness, Clock clock) {
         this.runner = runner;
+        this.liveness = liveness;
+        this.excess = new FadingAverage(clock);
+        this.answers = new FadingAverage(clock);
     }
 
     /**
@@ -28,7 +39,7 @@
     public QueueEstimate queueEstimate() {
         int unstarted = runner.unstarted();
         long slotWaitMillis = estimate.slotWaitMillis(unstarted, runner.running(), slots());
-        return new QueueEstimate(unstarted, slotWaitMillis, runner.unreadPromptTokens());
+        return new QueueEstimate(unstarted, slotWaitMillis, firstEventMillis(), runner.unreadPromptTokens());
     }
 
     /** Return the number of slots; one if the runner does not report it. */
@@ -44,9 +55,11 @@
      * @param nanos the time from then to the first event, in nanoseconds
      */
     public void recordFirstEvent(QueueEstimate queueEstimate, int promptTokens, long nanos) {
-        long millis = nanos / Clock.NANOS_PER_MILLI - queueEstimate.slotWaitMillis();
-        estimate.observed(queueEstimate.unstarted(), millis);
-        prefillSpeed.observed(queueEstimate.unreadTokens() + promptTokens, millis);
+        long millis = nanos / Clock.NANOS_PER_MILLI;
+        long readMillis = millis - queueEstimate.slotWaitMillis();
+        excess.add(millis - queueEstimate.firstEventMillis());
+        estimate.observed(queueEstimate.unstarted(), readMillis);
+        prefillSpeed.observed(queueEstimate.unreadTokens() + promptTokens, readMillis);
     }
 
     /**
@@ -67,6 +80,44 @@
         estimate.ended(nanos / Clock.NANOS_PER_MILLI);
     }
 
+    /**
+     * Record a complete answer that is no stream.
+     *
+     * @param nanos the time from sending the request to its end, in nanoseconds
+     */
+    public void recordAnswer(long nanos) {
+        answers.add(nanos / (double) Clock.NANOS_PER_MILLI);
+    }
+
+    /**
+     * Return the usual time of answers that are no streams.
+     *
+     * @return the moving average in milliseconds; not a number if there was no answer recently
+     */
+    public double answerMillis() {
+        return answers.isCurrent() ? answers.lastMillis() : Double.NaN;
+    }
+
+    /**
+     * Return the measured delay that adds to the estimate, as on a slow link: the time from a status request to its
+     * answer, and the time by which first events were later than estimated.
+     *
+     * @return the delay in milliseconds, which fades to zero without measurements
+     */
+    public double delayMillis() {
+        return liveness.replyMillis() + Math.max(0, excess.millis());
+    }
+
+    /**
+     * Return whether another request would wait for a slot.
+     *
+     * @return whether the requests at the runner take all its slots
+     */
+    public boolean isFull() {
+        int load = runner.hasStatus() ? runner.unstarted() + runner.running() : runner.outstanding();
+        return runner.entry().slots() > 0 && load >= runner.entry().slots();
+    }
+
     /**
      * Estimate the time to the first event of one more request.
      *
@@ -81,7 +132,8 @@
      *
      * @param unstarted the number of requests without a first event
      * @param slotWaitMillis the expected wait for a slot, in milliseconds
+     * @param firstEventMillis the expected time to the first event, in milliseconds
      * @param unreadTokens the prompt tokens that wait to be read
      */
-    public record QueueEstimate(int unstarted, long slotWaitMillis, long unreadTokens) {}
+    public record QueueEstimate(int unstarted, long slotWaitMillis, long firstEventMillis, long unreadTokens) {}
 }
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/DispatcherHarness.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/DispatcherHarness.java
@@ -35,6 +35,8 @@
 
     final ManualClock clock = new ManualClock(1_000_000_000L);
 
+    final PrometheusRegistry registry = new PrometheusRegistry();
+
     final RunnerTable table = new RunnerTable(clock);
 
     final FakeRunners runners = new FakeRunners();
@@ -46,6 +48,8 @@
     /** Requests for permits, which the test answers. */
     final List<Frame> permitRequests = new ArrayList<>();
 
+    final ZoneCandidates zones;
+
     final RequestDispatcher dispatcher;
 
     /** The shared prompt parts of the requests that are sent. */
@@ -65,15 +69,19 @@
     }
 
     DispatcherHarness(RetryLimits limits, long maxHeldAnswerBytes) {
-        PrometheusRegistry registry = new PrometheusRegistry();
+        this(limits, maxHeldAnswerBytes, 0);
+    }
+
+    DispatcherHarness(RetryLimits limits, long maxHeldAnswerBytes, long zonePenaltyMillis) {
         PermitClient permits = new PermitClient("edge-1", table, (runner, frame) -> permitRequests.add(frame), () -> 4);
         quarantine = new ContentQuarantine(
                 (host, frame) -> {}, () -> false, new TrialSchedule("edge-1", () -> 1, clock), clock, registry);
+        zones = new ZoneCandidates("regina", zonePenaltyMillis, clock);
         dispatcher = RequestDispatchers.create(
                 table,
                 runners,
                 FakeCaller.PORT,
-                "regina",
+                zones,
                 clock,
                 new AttemptLimits(limits, permits, maxHeldAnswerBytes),
                 new GatewayMetrics(registry),
@@ -82,8 +90,12 @@
     }
 
     RunnerEntry runner(String id, String service, String... models) {
+        return runnerIn("regina", id, service, models);
+    }
+
+    RunnerEntry runnerIn(String zone, String id, String service, String... models) {
         RunnerEntry entry = new RunnerEntry(
-                id, service, new HttpTarget("10.0.0." + (table.all().size() + 1), 80), "regina", 1, 8, false, Map.of());
+                id, service, new HttpTarget("10.0.0." + (table.all().size() + 1), 80), zone, 1, 8, false, Map.of());
         if (models.length > 0) {
             Map<String, Set<String>> held = new java.util.HashMap<>();
             for (String model : models) {
