--- a/gateway/src/main/java/org/arbutusstack/gateway/entry/EntryDependencies.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/entry/EntryDependencies.java
@@ -1,6 +1,7 @@
 package org.arbutusstack.gateway.entry;
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.arbutusstack.gateway.pressure.Backpressure;
 import org.arbutusstack.gateway.quarantine.LivenessProbe;
 import org.arbutusstack.gateway.request.CallerPort;
 import org.arbutusstack.gateway.request.RetryLimits;
@@ -25,6 +26,7 @@
  * @param probe finds out whether backend servers still run
  * @param callers writes answers and refusals to callers
  * @param retries the limits on retries
+ * @param backpressure the bounds on what is held for slow callers and slow runners
  * @param clock the clock of the process
  * @param metrics the metrics registry of the process
  */
@@ -41,5 +43,6 @@
         LivenessProbe probe,
         CallerPort callers,
         RetryLimits retries,
+        Backpressure backpressure,
         Clock clock,
         PrometheusRegistry metrics) {}
--- a/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
@@ -117,7 +117,7 @@
                 dependencies.callers(),
                 dependencies.zone(),
                 clock,
-                AttemptLimits.ofProcess(dependencies.retries(), permits),
+                AttemptLimits.ofProcess(dependencies.retries(), permits, dependencies.backpressure()),
                 metrics,
                 quarantine,
                 crashMonitor);
@@ -208,6 +208,7 @@
         dispatcher.tick();
         crashMonitor.tick();
         permits.tick();
+        dependencies.backpressure().tick();
     }
 
     private void plan() {
@@ -369,6 +370,15 @@
         return quarantine.describe();
     }
 
+    /**
+     * Describe the bytes held for callers and runners for the state dump of the process.
+     *
+     * @return one line
+     */
+    public String describeBackpressure() {
+        return dependencies.backpressure().describe();
+    }
+
     /**
      * Describe the requests in flight for the state dump of the process.
      *
--- /dev/null
+++ b/gateway/src/main/java/org/arbutusstack/gateway/pressure/package-info.java
@@ -0,0 +1,2 @@
+/** Backpressure: the memory that an entry holds for callers and runners that are slow, and the bounds on it. */
+package org.arbutusstack.gateway.pressure;
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerMemory.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerMemory.java
@@ -72,6 +72,11 @@
                 .getKey();
     }
 
+    /** Return what an answer holds, or zero if it is not accounted for. */
+    long bytesOf(H holder) {
+        return bytesByHolder.getOrDefault(holder, 0L);
+    }
+
     long totalBytes() {
         return totalBytes;
     }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.arbutusstack.gateway.pressure.Backpressure;
 import org.arbutusstack.gateway.runner.KnownRunner;
 import org.arbutusstack.gateway.runner.RunnerNotice;
 import org.arbutusstack.http.event.EventStreamParser;
@@ -38,6 +39,8 @@
 
     private final AnswerMemory<CurrentAttempt> memory;
 
+    private final Backpressure backpressure;
+
     AnswerRelay(
             RequestDispatcher dispatcher,
             RunnerPort runnerPort,
@@ -55,6 +58,7 @@
         this.log = Assert.notNull(log, "log");
         this.quarantine = Assert.notNull(quarantine, "quarantine");
         this.memory = new AnswerMemory<>(limits.maxHeldAnswerBytes());
+        this.backpressure = limits.backpressure();
     }
 
     /** Fail the attempt at once if the head shows that the answer is not the runner's, without waiting for the body. */
@@ -124,15 +128,52 @@
             rejectAnswer(longest.owner(), longest, RefusalReason.ANSWER_TOO_LARGE, detail);
         }
         metrics.updateHeldAnswers(memory.totalBytes());
+        String id = attempt.owner().request().id();
+        backpressure.answerHeld(
+                attempt,
+                id,
+                memory.bytesOf(attempt),
+                () -> giveUp(
+                        attempt, RefusalReason.ANSWER_TOO_LARGE, "the entry has no memory left to hold the answer"));
     }
 
     /** Stop accounting for an attempt that has ended. */
     void release(CurrentAttempt attempt) {
+        backpressure.sendEnded(attempt);
         if (memory.release(attempt)) {
+            backpressure.answerReleased(attempt);
             metrics.updateHeldAnswers(memory.totalBytes());
         }
     }
 
+    /** Watch the body of an attempt that was just sent, if the request may be repeated at another runner. */
+    void sendBegun(CurrentAttempt attempt, RunnerPort.Attempt sent) {
+        ActiveRequest active = attempt.owner();
+        InboundRequest request = active.request();
+        boolean mayRetry = request.route().mayRepeat()
+                && active.possibleRuns() + 1 < request.route().maxAttempts();
+        if (mayRetry) {
+            backpressure.sending(
+                    attempt,
+                    sent::unsentBytes,
+                    request.body().length,
+                    request.route().callerTimeoutMillis(),
+                    request.deadlineNanos(),
+                    () -> sendTooSlow(attempt));
+        }
+    }
+
+    private void sendTooSlow(CurrentAttempt attempt) {
+        attempt.runner().outcomes().failed();
+        giveUp(attempt, RefusalReason.BACKEND_LOST, "the runner read the request too slowly");
+    }
+
+    /** End an attempt that may have run, although neither its answer nor its connection is at fault. */
+    private void giveUp(CurrentAttempt attempt, RefusalReason reason, String detail) {
+        attempt.cancel();
+        dispatcher.retryOrRefuse(attempt.owner(), Refusal.outcomeUnknown(reason, detail));
+    }
+
     /**
      * Fail an attempt whose answer cannot be relayed although its connection did not break, which is no sign that the
      * runner crashed.
@@ -147,7 +188,13 @@
         openStream(active, attempt);
         attempt.recordEvent();
         active.progress().recordEvents(clock.nowNanos(), attempt.runner().running());
+        write(active, bytes, true);
+    }
+
+    /** Write to the caller's connection, which may end this or another answer to free memory. */
+    private void write(ActiveRequest active, byte[] bytes, boolean streamed) {
         active.response().write(bytes);
+        backpressure.written(active.response(), active.request().id(), bytes.length, streamed);
     }
 
     private void openStream(ActiveRequest active, CurrentAttempt attempt) {
@@ -223,7 +270,7 @@
         metrics.recordFirstByte(active.request(), clock.nowNanos());
         callers.open(active.response(), answer.head(), answer.body().length);
         if (answer.body().length > 0) {
-            active.response().write(answer.body());
+            write(active, answer.body(), false);
         }
         active.response().end();
         if (answer.head().isSuccess()) {
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/AttemptLimits.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/AttemptLimits.java
@@ -1,5 +1,6 @@
 package org.arbutusstack.gateway.request;
 
+import org.arbutusstack.gateway.pressure.Backpressure;
 import org.arbutusstack.gateway.runner.PermitClient;
 import org.arbutusstack.kernel.Assert;
 
@@ -9,14 +10,17 @@
  * @param retries the limits on retries
  * @param permits the permits of runners that limit their requests
  * @param maxHeldAnswerBytes the maximum size of all answers that are held until they can be relayed, in bytes
+ * @param backpressure the bounds on what is held for slow callers and slow runners
  */
-public record AttemptLimits(RetryLimits retries, PermitClient permits, long maxHeldAnswerBytes) {
+public record AttemptLimits(
+        RetryLimits retries, PermitClient permits, long maxHeldAnswerBytes, Backpressure backpressure) {
 
     /** Check the components. */
     public AttemptLimits {
         Assert.notNull(retries, "retries");
         Assert.notNull(permits, "permits");
         Assert.atLeast(maxHeldAnswerBytes, 1, "maxHeldAnswerBytes");
+        Assert.notNull(backpressure, "backpressure");
     }
 
     /**
@@ -24,9 +28,10 @@
      *
      * @param retries the limits on retries
      * @param permits the permits of runners that limit their requests
+     * @param backpressure the bounds on what is held for slow callers and slow runners
      * @return the limits
      */
-    public static AttemptLimits ofProcess(RetryLimits retries, PermitClient permits) {
-        return new AttemptLimits(retries, permits, AnswerMemory.maxBytesOfHeap());
+    public static AttemptLimits ofProcess(RetryLimits retries, PermitClient permits, Backpressure backpressure) {
+        return new AttemptLimits(retries, permits, AnswerMemory.maxBytesOfHeap(), backpressure);
     }
 }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/CurrentAttempt.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/CurrentAttempt.java
@@ -60,6 +60,8 @@
         handle = sent;
         if (cancelled) {
             sent.cancel();
+        } else if (isCurrent()) {
+            relay.sendBegun(this, sent);
         }
     }
 
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerPort.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerPort.java
@@ -39,5 +39,14 @@
 
         /** Close the connection of the attempt, which informs the runner that its answer is no longer needed. */
         void cancel();
+
+        /**
+         * Return how much of the body of the request the runner's connection has not taken.
+         *
+         * @return the number of bytes; zero once the body was sent or the attempt has ended
+         */
+        default long unsentBytes() {
+            return 0;
+        }
     }
 }
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/DispatcherHarness.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/DispatcherHarness.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import org.arbutusstack.gateway.config.Route;
 import org.arbutusstack.gateway.config.RouteKind;
+import org.arbutusstack.gateway.pressure.Backpressure;
 import org.arbutusstack.gateway.quarantine.ContentQuarantine;
 import org.arbutusstack.gateway.quarantine.CrashMonitor;
 import org.arbutusstack.gateway.quarantine.TrialSchedule;
@@ -32,6 +33,8 @@
 
     private static final long MAX_HELD_ANSWER_BYTES = 16_000_000;
 
+    private static final long MAX_HELD_BYTES = 48_000_000;
+
     final ManualClock clock = new ManualClock(1_000_000_000L);
 
     final RunnerTable table = new RunnerTable(clock);
@@ -40,6 +43,8 @@
 
     final ContentQuarantine quarantine;
 
+    final Backpressure backpressure;
+
     final FakeProbe probe = new FakeProbe();
 
     /** Requests for permits, which the test answers. */
@@ -66,6 +71,7 @@
     DispatcherHarness(RetryLimits limits, long maxHeldAnswerBytes) {
         PrometheusRegistry registry = new PrometheusRegistry();
         PermitClient permits = new PermitClient("edge-1", table, (runner, frame) -> permitRequests.add(frame), () -> 4);
+        backpressure = new Backpressure(MAX_HELD_BYTES, true, clock, registry);
         quarantine = new ContentQuarantine(
                 (host, frame) -> {}, () -> false, new TrialSchedule("edge-1", () -> 1, clock), clock, registry);
         dispatcher = RequestDispatchers.create(
@@ -74,7 +80,7 @@
                 FakeCaller.PORT,
                 "regina",
                 clock,
-                new AttemptLimits(limits, permits, maxHeldAnswerBytes),
+                new AttemptLimits(limits, permits, maxHeldAnswerBytes, backpressure),
                 new GatewayMetrics(registry),
                 quarantine,
                 new CrashMonitor(probe, server -> "/health", quarantine::strikeReceived, clock, registry));
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/FakeCaller.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/FakeCaller.java
@@ -70,7 +70,8 @@
         closeTask = task;
     }
 
-    void disconnect() {
+    @Override
+    public void disconnect() {
         closeTask.run();
     }
 
--- a/http/src/main/java/org/arbutusstack/http/client/HttpClient.java
+++ b/http/src/main/java/org/arbutusstack/http/client/HttpClient.java
@@ -103,6 +103,15 @@
 
         /** Fail the call and close its connection if its deadline has passed. May be called by any thread. */
         default void checkDeadline() {}
+
+        /**
+         * Return how much of the body of the call the connection has not taken. May be called by any thread.
+         *
+         * @return the number of bytes; zero once the body was sent or the call has ended
+         */
+        default long unsentBytes() {
+            return 0;
+        }
     }
 
     /** Listener that collects a response into one {@link HttpReply}. */
--- a/http/src/main/java/org/arbutusstack/http/client/UndertowExchange.java
+++ b/http/src/main/java/org/arbutusstack/http/client/UndertowExchange.java
@@ -7,13 +7,11 @@
 import io.undertow.client.ClientRequest;
 import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
-import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Map;
-import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.slf4j.Logger;
@@ -72,6 +70,8 @@
 
     private boolean requestWritten;
 
+    private volatile long unsentBytes;
+
     private long remainingBodyBytes = -1;
 
     private long keepAliveMillis = -1;
@@ -107,6 +107,7 @@
         this.call = call;
         this.deadlineNanos = deadlineNanos;
         this.listener = listener;
+        this.unsentBytes = call.body().length;
     }
 
     void connect(UndertowClient client, XnioWorker worker, ByteBufferPool pool) {
@@ -207,10 +208,17 @@
         }
     }
 
+    @Override
+    public long unsentBytes() {
+        return ended.get() ? 0 : unsentBytes;
+    }
+
     private void writeBody(StreamSinkChannel sink, ByteBuffer body) {
         try {
             while (body.hasRemaining()) {
-                if (sink.write(body) == 0) {
+                int count = sink.write(body);
+                unsentBytes = body.remaining();
+                if (count == 0) {
                     sink.getWriteSetter().set(channel -> writeBody(channel, body));
                     sink.resumeWrites();
                     return;
@@ -240,9 +248,9 @@
             public void completed(ClientExchange exchange) {
                 headReceived = true;
                 owner.headMonitor().remove(UndertowExchange.this);
-                Map<String, String> headers = headersOf(exchange);
-                remainingBodyBytes = parseFirstNumber(headers.get("Content-Length"));
-                keepAliveMillis = parseFirstNumber(headers.get("Keep-Alive")) * MILLIS_PER_SECOND;
+                Map<String, String> headers = ResponseHeaders.of(exchange);
+                remainingBodyBytes = ResponseHeaders.firstNumber(headers.get("Content-Length"));
+                keepAliveMillis = ResponseHeaders.firstNumber(headers.get("Keep-Alive")) * MILLIS_PER_SECOND;
                 listener.onHead(exchange.getResponse().getResponseCode(), headers);
                 if (ended.get()) {
                     return;
@@ -261,21 +269,6 @@
         };
     }
 
-    /** Collect the headers by name without regard to case; the values of repeated headers are joined by commas. */
-    private static Map<String, String> headersOf(ClientExchange exchange) {
-        Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
-        for (HeaderValues values : exchange.getResponse().getResponseHeaders()) {
-            headers.put(values.getHeaderName().toString(), String.join(", ", values));
-        }
-        return headers;
-    }
-
-    /** Return the first whole number in a header, or a negative number if there is none. */
-    private static long parseFirstNumber(String header) {
-        String digits = header == null ? "" : header.replaceFirst("^\\D*(\\d{1,9}).*$", "$1");
-        return digits.isEmpty() || !Character.isDigit(digits.charAt(0)) ? -1 : Long.parseLong(digits);
-    }
-
     private void readBody(StreamSourceChannel source) {
         if (awaitsTurn) {
             source.suspendReads();
--- a/http/src/main/java/org/arbutusstack/http/server/ResponseSink.java
+++ b/http/src/main/java/org/arbutusstack/http/server/ResponseSink.java
@@ -51,6 +51,20 @@
     /** Close the connection, so that the caller can tell that the response is incomplete. */
     void abort();
 
+    /** Close the connection as {@link #abort()} does, and run the task of {@link #onClose} as if the caller had left. */
+    default void disconnect() {
+        abort();
+    }
+
+    /**
+     * Return the size of the parts that were sent and that the connection has not taken, since the caller reads slowly.
+     *
+     * @return the size in bytes; zero if the connection is closed
+     */
+    default long pendingBytes() {
+        return 0;
+    }
+
     /**
      * Return whether the caller's connection is closed or the response has been sent.
      *
--- a/http/src/main/java/org/arbutusstack/http/server/ResponseStream.java
+++ b/http/src/main/java/org/arbutusstack/http/server/ResponseStream.java
@@ -175,8 +175,14 @@
         disconnect();
     }
 
+    @Override
+    public synchronized long pendingBytes() {
+        return closed ? 0 : pendingBytes;
+    }
+
     /** Close the connection, whose close listener then reports that the caller has gone. */
-    private void disconnect() {
+    @Override
+    public void disconnect() {
         markClosed();
         exchange.getIoThread().execute(() -> IoUtils.safeClose(exchange.getConnection()));
     }
--- a/model/src/main/java/org/arbutusstack/model/request/RefusalReason.java
+++ b/model/src/main/java/org/arbutusstack/model/request/RefusalReason.java
@@ -22,6 +22,8 @@
     QUARANTINED(422),
     /** A queue is full. */
     QUEUE_FULL(503),
+    /** The entry holds as many bytes for others as its memory allows. */
+    MEMORY_FULL(503),
     /** No runner that holds the model is reachable. */
     NO_RUNNER(503),
     /** The answer cannot be complete before the deadline. */
