Bounds on the streams of slow callers, where contracts has pressure

A caller that stops reading was cut off only at 4 MiB of its own, besides up to 4 MiB in the system's send buffer; there was no bound on all of them together. With the contract, a stream ends beyond 1/16 of the account's bound, the slowest one beyond a third for all, and an answer of which nothing is read for 30 s. The connection is closed without the last chunk and the attempt is cancelled; nothing is counted against the runner. The send buffer of callers' connections is limited to 128 KiB there.

--- a/gateway/src/main/java/org/arbutusstack/gateway/pressure/UnreadAnswers.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/pressure/UnreadAnswers.java
@@ -78,7 +78,7 @@
             end("stream-share", watched.holding);
         }
         while (account.bytesOf(HoldingKind.UNREAD) > account.maxBytes() / SUM_DIVISOR) {
-            account.worst(HoldingKind.UNREAD).ifPresent(worst -> end("sum-of-unread", worst));
+            account.worst(HoldingKind.UNREAD).ifPresent(worst -> end("sum", worst));
         }
     }
 
@@ -86,7 +86,7 @@
     void endIdle() {
         for (Watched each : new ArrayList<>(watchedByResponse.values())) {
             if (each.holding.bytes() > 0 && each.holding.progress().millisSinceMoved() >= MAX_IDLE_MILLIS) {
-                end("nothing-read", each.holding);
+                end("idle", each.holding);
             }
         }
     }
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/DispatcherHarness.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/DispatcherHarness.java
@@ -55,6 +55,9 @@
     /** The shared prompt parts of the requests that are sent. */
     List<String> sharedParts = List.of();
 
+    /** The body of the requests that are sent. */
+    byte[] body = new byte[0];
+
     /** The last event that the callers of the requests that are sent have. */
     String resumedEventId = "";
 
@@ -151,7 +154,7 @@
                         "POST",
                         "/p/x",
                         Map.of(),
-                        new byte[0],
+                        body,
                         route,
                         route.serviceFor(0),
                         Optional.empty(),
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/FakeCaller.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/FakeCaller.java
@@ -19,6 +19,11 @@
 
     boolean aborted;
 
+    /** Whether nothing that is written is read. */
+    boolean readsNothing;
+
+    private long pendingBytes;
+
     private Runnable closeTask;
 
     /** Writes answers and refusals to fake callers. */
@@ -47,6 +52,7 @@
     @Override
     public boolean write(byte[] bytes) {
         body.append(new String(bytes, StandardCharsets.UTF_8));
+        pendingBytes += readsNothing ? bytes.length : 0;
         return true;
     }
 
@@ -60,6 +66,11 @@
         aborted = true;
     }
 
+    @Override
+    public long pendingBytes() {
+        return pendingBytes;
+    }
+
     @Override
     public boolean isClosed() {
         return ended || aborted;
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/FakeRunners.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/FakeRunners.java
@@ -24,7 +24,17 @@
             AnswerListener listener) {
         Sent attempt = new Sent(runner, request, lastEventId, listener);
         sent.add(attempt);
-        return () -> attempt.cancelled = true;
+        return new Attempt() {
+            @Override
+            public void cancel() {
+                attempt.cancelled = true;
+            }
+
+            @Override
+            public long unsentBytes() {
+                return attempt.unsentBytes;
+            }
+        };
     }
 
     @Override
@@ -49,6 +59,9 @@
 
         boolean cancelled;
 
+        /** How much of the body the runner does not read. */
+        long unsentBytes;
+
         /** What the runner says about itself in its answer. */
         RunnerNotice notice = RunnerNotice.NONE;
 
@@ -57,6 +70,7 @@
             this.request = request;
             this.lastEventId = lastEventId;
             this.listener = listener;
+            this.unsentBytes = request.body().length;
         }
 
         void head(int status, AnswerKind kind, boolean eventStream) {
--- a/http/src/main/java/org/arbutusstack/http/loop/IoLoop.java
+++ b/http/src/main/java/org/arbutusstack/http/loop/IoLoop.java
@@ -73,11 +73,13 @@
      * @param port the port
      * @param maxBodyBytes the maximum size of a request body
      * @param idleMillis how long a connection may wait for its next request, in milliseconds
+     * @param sendBufferBytes the size of the system's send buffer of each connection; zero to let the system choose
      * @param handler the handler of the requests
      * @return the listener, not yet started
      */
-    public Undertow listener(String address, int port, long maxBodyBytes, int idleMillis, HttpHandler handler) {
-        return HttpServers.build(address, port, worker, maxBodyBytes, idleMillis, handler);
+    public Undertow listener(
+            String address, int port, long maxBodyBytes, int idleMillis, int sendBufferBytes, HttpHandler handler) {
+        return HttpServers.build(address, port, worker, maxBodyBytes, idleMillis, sendBufferBytes, handler);
     }
 
     /**
--- a/http/src/main/java/org/arbutusstack/http/server/HttpServers.java
+++ b/http/src/main/java/org/arbutusstack/http/server/HttpServers.java
@@ -4,6 +4,7 @@
 import io.undertow.UndertowOptions;
 import io.undertow.server.HttpHandler;
 import org.arbutusstack.kernel.Assert;
+import org.xnio.Options;
 import org.xnio.XnioWorker;
 
 /**
@@ -66,13 +67,23 @@
      * @param worker the worker with the shared threads
      * @param maxBodyBytes the maximum size of a request body
      * @param idleMillis how long a connection may wait for its next request, in milliseconds
+     * @param sendBufferBytes the size of the system's send buffer of each connection; zero to let the system choose
      * @param handler the handler of the requests
      * @return the listener, not yet started
      */
     public static Undertow build(
-            String address, int port, XnioWorker worker, long maxBodyBytes, int idleMillis, HttpHandler handler) {
-        return builder(address, port, 1, maxBodyBytes, handler)
-                .setWorker(worker)
+            String address,
+            int port,
+            XnioWorker worker,
+            long maxBodyBytes,
+            int idleMillis,
+            int sendBufferBytes,
+            HttpHandler handler) {
+        Undertow.Builder builder = builder(address, port, 1, maxBodyBytes, handler);
+        if (sendBufferBytes > 0) {
+            builder.setSocketOption(Options.SEND_BUFFER, sendBufferBytes);
+        }
+        return builder.setWorker(worker)
                 .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, idleMillis)
                 .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEAD_TIMEOUT_MILLIS)
                 .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEAD_BYTES)
--- a/http/src/main/java/org/arbutusstack/http/server/ResponseSink.java
+++ b/http/src/main/java/org/arbutusstack/http/server/ResponseSink.java
@@ -51,7 +51,7 @@
     /** Close the connection, so that the caller can tell that the response is incomplete. */
     void abort();
 
-    /** Close the connection as {@link #abort()} does, and run the task of {@link #onClose} as if the caller had left. */
+    /** Close the connection, and run the task of {@link #onClose} as if the caller had left. */
     default void disconnect() {
         abort();
     }
