Client: keep the connection open after a body that does not fit into its buffers

The write listener stayed registered after the last byte of a body and ended the request again, which closed the client's half of the TCP connection. A server that watches for the close of its caller takes that for a caller that has left: an entry cancelled requests with large bodies of our own client, and a runner may cancel those of an entry. Uploads to the stand-ins succeed, as these do not watch.

--- a/http/src/main/java/org/arbutusstack/http/client/UndertowExchange.java
+++ b/http/src/main/java/org/arbutusstack/http/client/UndertowExchange.java
@@ -224,6 +224,9 @@
                     return;
                 }
             }
+            // A second shutdown, by a listener that is called again, would close the client's half of the connection.
+            sink.getWriteSetter().set(null);
+            sink.suspendWrites();
             sink.shutdownWrites();
             if (sink.flush()) {
                 requestWritten = true;
