--- a/gateway/src/main/java/org/arbutusstack/gateway/entry/EntryDependencies.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/entry/EntryDependencies.java
@@ -2,6 +2,7 @@
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.util.OptionalLong;
+import org.arbutusstack.gateway.pressure.Backpressure;
 import org.arbutusstack.gateway.quarantine.LivenessProbe;
 import org.arbutusstack.gateway.request.CallerPort;
 import org.arbutusstack.gateway.request.RetryLimits;
@@ -30,6 +31,7 @@
  * @param retries the limits on retries
  * @param revokeMillis the time after which a withdrawn key of a team may no longer be accepted, in milliseconds; empty
  *     for no limit
+ * @param backpressure the bounds on what is held for slow callers and slow runners
  * @param clock the clock of the process
  * @param metrics the metrics registry of the process
  */
@@ -48,5 +50,6 @@
         CallerPort callers,
         RetryLimits retries,
         OptionalLong revokeMillis,
+        Backpressure backpressure,
         Clock clock,
         PrometheusRegistry metrics) {}
--- a/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
@@ -125,7 +125,7 @@
                 dependencies.callers(),
                 zones,
                 clock,
-                AttemptLimits.ofProcess(dependencies.retries(), permits),
+                AttemptLimits.ofProcess(dependencies.retries(), permits, dependencies.backpressure()),
                 metrics,
                 quarantine,
                 crashMonitor);
@@ -218,6 +218,7 @@
         dispatcher.tick();
         crashMonitor.tick();
         permits.tick();
+        dependencies.backpressure().tick();
     }
 
     private void plan() {
@@ -398,6 +399,15 @@
         return zones.describe();
     }
 
+    /**
+     * Describe the bytes held for callers and runners for the state dump of the process.
+     *
+     * @return one line
+     */
+    public String describeBackpressure() {
+        return dependencies.backpressure().describe();
+    }
+
     /**
      * Describe the requests in flight for the state dump of the process.
      *
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/DispatcherHarness.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/DispatcherHarness.java
@@ -9,6 +9,7 @@
 import org.arbutusstack.gateway.config.Route;
 import org.arbutusstack.gateway.config.RouteKind;
 import org.arbutusstack.gateway.config.Team;
+import org.arbutusstack.gateway.pressure.Backpressure;
 import org.arbutusstack.gateway.quarantine.ContentQuarantine;
 import org.arbutusstack.gateway.quarantine.CrashMonitor;
 import org.arbutusstack.gateway.quarantine.TrialSchedule;
@@ -33,6 +34,8 @@
 
     private static final long MAX_HELD_ANSWER_BYTES = 16_000_000;
 
+    private static final long MAX_HELD_BYTES = 48_000_000;
+
     final ManualClock clock = new ManualClock(1_000_000_000L);
 
     final PrometheusRegistry registry = new PrometheusRegistry();
@@ -43,6 +46,8 @@
 
     final ContentQuarantine quarantine;
 
+    final Backpressure backpressure;
+
     final FakeProbe probe = new FakeProbe();
 
     /** Requests for permits, which the test answers. */
@@ -55,6 +60,9 @@
     /** The shared prompt parts of the requests that are sent. */
     List<String> sharedParts = List.of();
 
+    /** The body of the requests that are sent. */
+    byte[] body = new byte[0];
+
     /** The last event that the callers of the requests that are sent have. */
     String resumedEventId = "";
 
@@ -74,6 +82,7 @@
 
     DispatcherHarness(RetryLimits limits, long maxHeldAnswerBytes, long zonePenaltyMillis) {
         PermitClient permits = new PermitClient("edge-1", table, (runner, frame) -> permitRequests.add(frame), () -> 4);
+        backpressure = new Backpressure(MAX_HELD_BYTES, true, clock, registry);
         quarantine = new ContentQuarantine(
                 (host, frame) -> {}, () -> false, new TrialSchedule("edge-1", () -> 1, clock), clock, registry);
         zones = new ZoneCandidates("regina", zonePenaltyMillis, clock);
@@ -83,7 +92,7 @@
                 FakeCaller.PORT,
                 zones,
                 clock,
-                new AttemptLimits(limits, permits, maxHeldAnswerBytes),
+                new AttemptLimits(limits, permits, maxHeldAnswerBytes, backpressure),
                 new GatewayMetrics(registry),
                 quarantine,
                 new CrashMonitor(probe, server -> "/health", quarantine::strikeReceived, clock, registry));
@@ -162,7 +171,7 @@
                         "POST",
                         "/p/x",
                         Map.of(),
-                        new byte[0],
+                        body,
                         route,
                         route.serviceFor(0),
                         Optional.ofNullable(team),
