--- /dev/null
+++ b/gateway/src/main/java/org/arbutusstack/gateway/allotment/AllotmentShare.java
@@ -0,0 +1,61 @@
+package org.arbutusstack.gateway.allotment;
+
+import java.util.function.BooleanSupplier;
+import java.util.function.IntSupplier;
+import org.arbutusstack.kernel.Assert;
+import org.arbutusstack.kernel.time.Clock;
+
+/**
+ * Number of entries that share the allotments, of which an entry owns one part each.
+ *
+ * <p>A count that is too low makes the parts add up to more than the allotment. Sides count too few entries while these
+ * start or reconnect, and in a part of a network that is cut in two; so the count does not fall while an entry is not
+ * linked to most sides and shortly after, and a process that has just started assumes more than there are. Does no I/O;
+ * confined to the entry's event loop.
+ */
+public final class AllotmentShare {
+
+    /** Count of a process that has just started; larger than any deployment. */
+    private static final int FIRST_ENTRIES = 64;
+
+    /** Time after which the counts of the sides include all entries that reconnect at once: several reports. */
+    private static final long SETTLE_MILLIS = 1_000;
+
+    private final IntSupplier reported;
+
+    private final BooleanSupplier linked;
+
+    private final Clock clock;
+
+    private int held = FIRST_ENTRIES;
+
+    private long settledAtNanos;
+
+    /**
+     * Create the count of a process that has just started.
+     *
+     * @param reported returns the number of entries that sides have reported lately
+     * @param linked returns whether this entry is linked to most of the sides that the directory lists
+     * @param clock the clock of the process
+     */
+    public AllotmentShare(IntSupplier reported, BooleanSupplier linked, Clock clock) {
+        this.reported = Assert.notNull(reported, "reported");
+        this.linked = Assert.notNull(linked, "linked");
+        this.clock = Assert.notNull(clock, "clock");
+        this.settledAtNanos = clock.deadlineNanos(SETTLE_MILLIS);
+    }
+
+    /**
+     * Return the number of entries that share the allotments; called at least once in a tick.
+     *
+     * @return the number, at least 1
+     */
+    public int entries() {
+        if (!linked.getAsBoolean()) {
+            settledAtNanos = clock.deadlineNanos(SETTLE_MILLIS);
+        }
+        int count = Math.max(1, reported.getAsInt());
+        held = clock.isPast(settledAtNanos) ? count : Math.max(held, count);
+        return held;
+    }
+}
--- a/wire/src/main/java/org/arbutusstack/wire/frame/Frame.java
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/Frame.java
@@ -38,6 +38,8 @@
                 RequestSentFrame,
                 LostRequestFrame,
                 PermitRequestFrame,
+                AllotmentRequestFrame,
+                AllotmentGrantFrame,
                 PermitFrame,
                 StatusRequestFrame,
                 RunnerOutcomeFrame,
--- a/wire/src/main/java/org/arbutusstack/wire/frame/FrameType.java
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/FrameType.java
@@ -78,7 +78,13 @@
     PERMIT_REQUEST(69, PermitRequestFrame::read),
 
     /** See {@link PermitFrame}. */
-    PERMIT(70, PermitFrame::read);
+    PERMIT(70, PermitFrame::read),
+
+    /** See {@link AllotmentRequestFrame}. */
+    ALLOTMENT_REQUEST(71, AllotmentRequestFrame::read),
+
+    /** See {@link AllotmentGrantFrame}. */
+    ALLOTMENT_GRANT(72, AllotmentGrantFrame::read);
 
     private final int code;
 
