--- a/gateway/src/main/java/org/arbutusstack/gateway/allotment/AllotmentAccount.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/allotment/AllotmentAccount.java
@@ -30,6 +30,9 @@
     /** Requests within that time from which on tokens are kept; blocks for fewer would mostly expire unused. */
     private static final double MIN_KEPT_REQUESTS = 2;
 
+    /** Longest wait for a block where tokens are kept; the entry asks again for certain. */
+    private static final long MAX_KEPT_WAIT_MILLIS = 1_000;
+
     /** Interval between requests for tokens while no request of a caller waits, and while one does. */
     private static final long INTERVAL_MILLIS = 100;
 
@@ -79,9 +82,6 @@
 
     private double reserved;
 
-    /** Whether a request was refused since the last grant, so that the next block is of use although none waits. */
-    private boolean refusedSinceGrant;
-
     /** Time up to which refused callers have been asked to return. */
     private long promisedUntilNanos;
 
@@ -186,7 +186,6 @@
 
     /** Refuse a request, and name a time up to which the supply of this entry covers all who were refused before. */
     private Admission refuse(double cost, int entries) {
-        refusedSinceGrant = true;
         long nowNanos = clock.nowNanos();
         long startNanos = Math.max(nowNanos, supplyAtNanos);
         if (!session.hasKeeper()) {
@@ -266,20 +265,21 @@
         }
         double wanted = Math.max(0, target + heldCost - tokens);
         double least = holds.isEmpty() ? demand.meanCost() : Math.max(0, holds.peekFirst().cost - tokens);
-        return Optional.of(request(entries, wanted, Math.min(wanted, least), true));
+        long maxWaitMillis = target > 0 ? MAX_KEPT_WAIT_MILLIS : MAX_WAIT_MILLIS;
+        if (target == 0 && !holds.isEmpty()) {
+            maxWaitMillis = Math.max(1, clock.millisUntil(holds.peekFirst().endsAtNanos));
+        }
+        return Optional.of(request(entries, wanted, Math.min(wanted, least), (int) maxWaitMillis));
     }
 
-    /** Return the tokens to keep: those for a part of the demand, or for a request like the one refused last. */
+    /** Return the tokens to keep: those for a part of the demand, or none if requests are too few to use them. */
     private double targetTokens() {
         double kept = Math.min(demand.perSecond(), team.ratePerSecond()) * TARGET_SECONDS;
-        if (kept >= MIN_KEPT_REQUESTS * demand.meanCost()) {
-            return kept;
-        }
-        return refusedSinceGrant ? demand.meanCost() : 0;
+        return kept >= MIN_KEPT_REQUESTS * demand.meanCost() ? kept : 0;
     }
 
-    private Outgoing request(int entries, double wanted, double minimum, boolean answered) {
-        KeeperSession.Echo echo = session.beginRequest(answered);
+    private Outgoing request(int entries, double wanted, double minimum, int maxWaitMillis) {
+        KeeperSession.Echo echo = session.beginRequest(maxWaitMillis > 0);
         if (echo.keeperId() != 0) {
             balance.lendOwn();
         }
@@ -296,7 +296,8 @@
                         team.burst(),
                         1.0 / entries,
                         wanted,
-                        minimum));
+                        minimum,
+                        maxWaitMillis));
     }
 
     /** Apply the answer to a request, unless it is late. */
@@ -307,7 +308,6 @@
         if (grant.tokens() > 0) {
             balance.add(grant.tokens(), session.sentAtElapsedNanos());
             granted.record(grant.tokens());
-            refusedSinceGrant = false;
         }
         reserved = grant.reserved();
         supplyAtNanos = clock.deadlineNanos(grant.waitMillis());
@@ -322,7 +322,7 @@
         if (!followed || recent || session.isPending() || !session.lends()) {
             return Optional.empty();
         }
-        return Optional.of(request(entries, 0, 0, false));
+        return Optional.of(request(entries, 0, 0, 0));
     }
 
     void giveBack(AllotmentReceipt receipt) {
--- a/gateway/src/main/java/org/arbutusstack/gateway/allotment/AllotmentPool.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/allotment/AllotmentPool.java
@@ -22,14 +22,11 @@
     private static final double BLOCK_SECONDS = 0.25;
 
     /** Least capacity in seconds of the rate, since tokens arrive between the requests of entries. */
-    private static final double MIN_CAPACITY_SECONDS = 0.1;
+    private static final double MIN_CAPACITY_SECONDS = 0.25;
 
     /** Time for which a want counts when blocks are sized; two intervals between the requests of an entry. */
     private static final long WANT_MILLIS = 500;
 
-    /** Longest wait for which a block is kept; later ones are not worth the wait of callers. */
-    private static final long MAX_KEPT_WAIT_MILLIS = 1_000;
-
     private static final long MAX_WAIT_MILLIS = 5_000;
 
     /** Time after which a block is no longer kept; covers the ticks of an entry and a round trip. */
@@ -129,23 +126,23 @@
             return new Grant(granted, 0, 0);
         }
         double next = granted > 0 ? Math.min(block, request.wanted() - granted) : block;
-        return keep(request.entry(), granted, next);
+        return keep(request, granted, next);
     }
 
     /** Keep a block for an entry, unless the wait for it is too long. */
-    private Grant keep(String entry, double granted, double block) {
-        double missing = keptAhead(entry) + neededFor(block) - balance;
+    private Grant keep(AllotmentRequestFrame request, double granted, double block) {
+        double missing = keptAhead(request.entry()) + neededFor(block) - balance;
         boolean starting = filledAt.nanos() - startedAtNanos < START_MILLIS * Clock.NANOS_PER_MILLI;
         double expectedRate = starting ? fullRate() : rate();
         int waitMillis =
                 (int) Math.min(MAX_WAIT_MILLIS, Math.max(0, Math.ceil(missing / expectedRate * MILLIS_PER_SECOND)));
         waitMillis = Math.max(MIN_WAIT_MILLIS, waitMillis);
-        if (waitMillis > MAX_KEPT_WAIT_MILLIS) {
-            places.remove(entry);
+        if (waitMillis > request.maxWaitMillis()) {
+            places.remove(request.entry());
             return new Grant(granted, waitMillis, 0);
         }
         long endsAtNanos = filledAt.nanos() + (waitMillis + CLAIM_MILLIS) * Clock.NANOS_PER_MILLI;
-        places.put(entry, new Place(block, endsAtNanos));
+        places.put(request.entry(), new Place(block, endsAtNanos));
         return new Grant(granted, waitMillis, block);
     }
 
--- a/wire/src/main/java/org/arbutusstack/wire/frame/AllotmentRequestFrame.java
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/AllotmentRequestFrame.java
@@ -19,6 +19,7 @@
  * @param share the part of the allotment that belongs to the entry, above 0 and at most 1
  * @param wanted the units that the entry can use now
  * @param minimum the units below which a grant is of no use, at most those wanted
+ * @param maxWaitMillis the longest wait after which the entry can still use them, in milliseconds
  */
 public record AllotmentRequestFrame(
         String team,
@@ -31,7 +32,8 @@
         double burst,
         double share,
         double wanted,
-        double minimum)
+        double minimum,
+        int maxWaitMillis)
         implements Frame {
 
     /** Check the numbers. */
@@ -60,7 +62,8 @@
                 unpacker.unpackDouble(),
                 unpacker.unpackDouble(),
                 unpacker.unpackDouble(),
-                unpacker.unpackDouble());
+                unpacker.unpackDouble(),
+                unpacker.unpackInt());
     }
 
     /**
@@ -90,5 +93,6 @@
         packer.packDouble(share);
         packer.packDouble(wanted);
         packer.packDouble(minimum);
+        packer.packInt(maxWaitMillis);
     }
 }
