Admit requests of teams under their allotments

The dispatcher asks the gate before a runner is chosen; requests that wait are held by TeamAdmission, and tokens of requests that did not run go back. Sides answer on the threads of their links. The Retry-After now counts the requests that wait: a caller that came back on time found the tokens taken.

--- a/gateway/src/main/java/org/arbutusstack/gateway/agent/AgentMetrics.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/agent/AgentMetrics.java
@@ -13,6 +13,8 @@
 
     private final Counter permits;
 
+    private final Counter allotmentGrants;
+
     AgentMetrics(PrometheusRegistry registry) {
         this.orders = Counter.builder()
                 .name("arbutus_attendant_orders_total")
@@ -28,6 +30,11 @@
                 .help("permits requested by entries for backend servers that limit their requests")
                 .labelNames("granted")
                 .register(registry);
+        this.allotmentGrants = Counter.builder()
+                .name("arbutus_attendant_allotment_grants_total")
+                .help("answers to entries that asked for tokens of a team's allotment, by whether they got any")
+                .labelNames("granted")
+                .register(registry);
     }
 
     void countOrder(OrderOutcome outcome) {
@@ -38,6 +45,10 @@
         restarts.inc();
     }
 
+    void countAllotmentGrant(boolean granted) {
+        allotmentGrants.labelValues(Boolean.toString(granted)).inc();
+    }
+
     void countPermit(boolean granted) {
         permits.labelValues(Boolean.toString(granted)).inc();
     }
--- a/gateway/src/main/java/org/arbutusstack/gateway/agent/RunnerAgent.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/agent/RunnerAgent.java
@@ -22,8 +22,6 @@
 import org.arbutusstack.wire.frame.Frame;
 import org.arbutusstack.wire.frame.LostRequestFrame;
 import org.arbutusstack.wire.frame.ModelOrderFrame;
-import org.arbutusstack.wire.frame.PermitFrame;
-import org.arbutusstack.wire.frame.PermitRequestFrame;
 import org.arbutusstack.wire.frame.RequestSentFrame;
 import org.arbutusstack.wire.frame.RunnerOutcomeFrame;
 import org.arbutusstack.wire.frame.RunnerStatusFrame;
@@ -95,7 +93,7 @@
 
     private final Thread thread;
 
-    private final PermitAllocator permits;
+    private final EntryRequests requests;
 
     private final AgentMetrics metrics;
 
@@ -129,8 +127,8 @@
         this.health = new SharedHealth(clock);
         this.crashes = new RunnerCrashes(address.getHostString(), clock);
         this.prompts = new PromptWindow(clock);
-        this.permits = new PermitAllocator(clock);
         this.metrics = new AgentMetrics(registry);
+        this.requests = new EntryRequests(metrics, clock);
         this.thread = new Thread(this::run, "attendant");
         this.thread.setDaemon(true);
     }
@@ -181,6 +179,15 @@
         return lastStatus;
     }
 
+    /**
+     * Describe the pools of teams' allotments for the state dump of the process.
+     *
+     * @return one line for each team
+     */
+    public List<String> describeAllotments() {
+        return requests.describe();
+    }
+
     private void run() {
         while (running) {
             try {
@@ -363,10 +370,7 @@
                 answerStatusRequest(link);
                 return;
             }
-            if (frame instanceof PermitRequestFrame request) {
-                PermitFrame answer = permits.request(request);
-                metrics.countPermit(answer.isGranted());
-                link.send(answer);
+            if (requests.answer(link, frame, links)) {
                 return;
             }
             if (frame instanceof RequestSentFrame request) {
--- a/gateway/src/main/java/org/arbutusstack/gateway/allotment/AllotmentAccount.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/allotment/AllotmentAccount.java
@@ -191,6 +191,8 @@
         if (!session.hasKeeper()) {
             startNanos = Math.max(startNanos, session.loanEndNanos());
         }
+        double ahead = heldCost - balance.tokens() - (clock.isPast(supplyAtNanos) ? 0 : reserved);
+        startNanos += millisFor(ahead, grantRate(entries)) * Clock.NANOS_PER_MILLI;
         long costNanos = millisFor(cost, grantRate(entries)) * Clock.NANOS_PER_MILLI;
         long latestNanos = nowNanos + MAX_RETRY_AFTER_MILLIS * Clock.NANOS_PER_MILLI;
         promisedUntilNanos = Math.min(latestNanos, Math.max(promisedUntilNanos, startNanos) + costNanos);
--- a/gateway/src/main/java/org/arbutusstack/gateway/allotment/AllotmentGate.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/allotment/AllotmentGate.java
@@ -27,6 +27,9 @@
 
     private static final Logger logger = LoggerFactory.getLogger(AllotmentGate.class);
 
+    /** Interval between ticks, in milliseconds: a fraction of the longest wait for tokens. */
+    public static final long TICK_MILLIS = 20;
+
     /** Least interval between updates of the gauges. */
     private static final long GAUGE_MILLIS = 500;
 
@@ -188,7 +191,7 @@
 
     /** Decide on requests that have waited long enough, and ask keepers for tokens that are needed. */
     public void tick() {
-        if (accounts.isEmpty()) {
+        if (limitedTeams.isEmpty()) {
             return;
         }
         share.entries();
--- a/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
@@ -4,6 +4,8 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.UUID;
+import org.arbutusstack.gateway.allotment.AllotmentGate;
+import org.arbutusstack.gateway.allotment.AllotmentShare;
 import org.arbutusstack.gateway.config.ServedService;
 import org.arbutusstack.gateway.config.ServingConfig;
 import org.arbutusstack.gateway.plan.DemandRecord;
@@ -27,6 +29,7 @@
 import org.arbutusstack.kernel.service.Service;
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.placement.FleetPlanner;
+import org.arbutusstack.wire.frame.AllotmentGrantFrame;
 import org.arbutusstack.wire.frame.Frame;
 import org.arbutusstack.wire.frame.PermitFrame;
 import org.arbutusstack.wire.frame.StrikeFrame;
@@ -76,6 +79,8 @@
 
     private final PermitClient permits;
 
+    private final AllotmentGate allotments;
+
     private final RequestDispatcher dispatcher;
 
     private final SideLinks sides;
@@ -110,25 +115,27 @@
                 new ContentQuarantine(this::sendToSide, this::isPlanning, trials, clock, dependencies.metrics());
         this.crashMonitor =
                 new CrashMonitor(dependencies.probe(), this::healthPathOf, this::struck, clock, dependencies.metrics());
-        this.permits = new PermitClient(dependencies.name(), runners, this::sendToAccountant, this::entryCount);
+        this.sides = new SideLinks(
+                dependencies.transport(),
+                dependencies.sidePort(),
+                runners,
+                dependencies.loop(),
+                clock,
+                runner -> dispatcher().runnerChanged(runner),
+                this::frameReceived);
+        this.permits = new PermitClient(dependencies.name(), runners, sides::sendToAccountant, this::entryCount);
+        AllotmentShare share = new AllotmentShare(this::entryCount, sides::isLinkedToMost, clock);
+        this.allotments = new AllotmentGate(dependencies.name(), sides, share, clock, dependencies.metrics());
         this.dispatcher = RequestDispatchers.create(
                 runners,
                 dependencies.runners(),
                 dependencies.callers(),
                 dependencies.zone(),
                 clock,
-                AttemptLimits.ofProcess(dependencies.retries(), permits),
+                AttemptLimits.ofProcess(dependencies.retries(), permits, allotments),
                 metrics,
                 quarantine,
                 crashMonitor);
-        this.sides = new SideLinks(
-                dependencies.transport(),
-                dependencies.sidePort(),
-                runners,
-                dependencies.loop(),
-                clock,
-                dispatcher::runnerChanged,
-                this::frameReceived);
         this.identity = dependencies.address() + ":" + dependencies.entryPort() + " " + UUID.randomUUID();
         this.election = new PlannerElection(dependencies.store(), identity, clock);
         this.planner = new ModelPlanner(
@@ -155,6 +162,7 @@
         dependencies.loop().every(TICK_MILLIS, this::tick);
         dependencies.loop().every(LINK_CHECK_MILLIS, sides::tick);
         dependencies.loop().every(PLAN_MILLIS, this::plan);
+        dependencies.loop().every(AllotmentGate.TICK_MILLIS, allotments::tick);
     }
 
     @Override
@@ -167,15 +175,13 @@
         return sides.entryCount().entries();
     }
 
-    private boolean sendToAccountant(RunnerEntry runner, Frame frame) {
-        return sides.sendToAccountant(runner, frame);
-    }
-
-    private void frameReceived(Frame frame) {
+    private void frameReceived(String host, Frame frame) {
         if (frame instanceof StrikeFrame strike) {
             quarantine.strikeReceived(strike);
         } else if (frame instanceof PermitFrame permit && permits.received(permit)) {
             dispatcher.runnersChanged();
+        } else if (frame instanceof AllotmentGrantFrame grant) {
+            allotments.received(host, grant);
         }
     }
 
@@ -239,6 +245,7 @@
         sides.config(next);
         planner.config(next);
         dispatcher.config(next);
+        allotments.config(next);
         logger.info("event=config-in-force version={} routes={}", next.version(), next.routeCount());
     }
 
@@ -369,6 +376,15 @@
         return quarantine.describe();
     }
 
+    /**
+     * Describe the allotments of teams for the state dump of the process.
+     *
+     * @return one line for each team in use
+     */
+    public List<String> describeAllotments() {
+        return allotments.describe();
+    }
+
     /**
      * Describe the requests in flight for the state dump of the process.
      *
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/ActiveRequest.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/ActiveRequest.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import org.arbutusstack.gateway.allotment.AllotmentReceipt;
 import org.arbutusstack.gateway.runner.KnownRunner;
 import org.arbutusstack.http.server.ResponseSink;
 import org.arbutusstack.model.request.Refusal;
@@ -51,6 +52,8 @@
 
     private List<String> contentKeys;
 
+    private AllotmentReceipt allotment;
+
     ActiveRequest(InboundRequest request, ResponseSink response) {
         this.request = request;
         this.response = response;
@@ -91,6 +94,15 @@
         return keys;
     }
 
+    /** Return the tokens of its team's allotment that the request has taken, or {@code null} if it has none. */
+    AllotmentReceipt allotment() {
+        return allotment;
+    }
+
+    void allotment(AllotmentReceipt receipt) {
+        allotment = receipt;
+    }
+
     ResponseSink response() {
         return response;
     }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/AttemptLimits.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/AttemptLimits.java
@@ -1,5 +1,6 @@
 package org.arbutusstack.gateway.request;
 
+import org.arbutusstack.gateway.allotment.AllotmentGate;
 import org.arbutusstack.gateway.runner.PermitClient;
 import org.arbutusstack.kernel.Assert;
 
@@ -8,14 +9,17 @@
  *
  * @param retries the limits on retries
  * @param permits the permits of runners that limit their requests
+ * @param allotments the gate for the requests of teams
  * @param maxHeldAnswerBytes the maximum size of all answers that are held until they can be relayed, in bytes
  */
-public record AttemptLimits(RetryLimits retries, PermitClient permits, long maxHeldAnswerBytes) {
+public record AttemptLimits(
+        RetryLimits retries, PermitClient permits, AllotmentGate allotments, long maxHeldAnswerBytes) {
 
     /** Check the components. */
     public AttemptLimits {
         Assert.notNull(retries, "retries");
         Assert.notNull(permits, "permits");
+        Assert.notNull(allotments, "allotments");
         Assert.atLeast(maxHeldAnswerBytes, 1, "maxHeldAnswerBytes");
     }
 
@@ -24,9 +28,10 @@
      *
      * @param retries the limits on retries
      * @param permits the permits of runners that limit their requests
+     * @param allotments the gate for the requests of teams
      * @return the limits
      */
-    public static AttemptLimits ofProcess(RetryLimits retries, PermitClient permits) {
-        return new AttemptLimits(retries, permits, AnswerMemory.maxBytesOfHeap());
+    public static AttemptLimits ofProcess(RetryLimits retries, PermitClient permits, AllotmentGate allotments) {
+        return new AttemptLimits(retries, permits, allotments, AnswerMemory.maxBytesOfHeap());
     }
 }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/DrainState.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/DrainState.java
@@ -2,10 +2,15 @@
 
 import org.arbutusstack.kernel.Assert;
 import org.arbutusstack.kernel.time.Clock;
+import org.arbutusstack.model.request.Refusal;
+import org.arbutusstack.model.request.RefusalReason;
 
 /** Whether an entry is draining, and which requests it then still accepts. Confined to the entry's event loop. */
 final class DrainState {
 
+    /** Retry-After for requests refused while draining: another entry can serve them at once. */
+    static final long RETRY_AFTER_MILLIS = 50;
+
     /** Time reserved for a plain request before shutdown: more than twice the longest target specified for one. */
     private static final long PLAIN_REQUEST_MILLIS = 1_000;
 
@@ -20,6 +25,11 @@
         this.clock = Assert.notNull(clock, "clock");
     }
 
+    /** Return the refusal of a request that another entry can serve. */
+    static Refusal refusal() {
+        return Refusal.notRun(RefusalReason.LEAVING, "this entry is leaving");
+    }
+
     boolean isDraining() {
         return draining;
     }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatcher.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatcher.java
@@ -27,9 +27,6 @@
  */
 public final class RequestDispatcher {
 
-    /** Retry-After for requests refused while draining: another entry can serve them at once. */
-    private static final long DRAINING_RETRY_AFTER_MILLIS = 50;
-
     private final RunnerChooser chooser;
 
     private final RunnerPort runnerPort;
@@ -63,6 +60,8 @@
 
     private final DrainState drainState;
 
+    private final TeamAdmission admission;
+
     /**
      * Create a dispatcher: the chooser chooses the runner for each attempt, the ports send requests to runners and
      * write answers and refusals to callers, the clock is that of the process, the limits are those on what is sent to
@@ -89,6 +88,7 @@
         this.deferredCallers = new DeferredCallers(clock);
         this.loadForecast = new LoadForecast(clock);
         this.drainState = new DrainState(clock);
+        this.admission = new TeamAdmission(limits.allotments(), this::route, this::refuse);
         this.relay = new AnswerRelay(this, runnerPort, callers, clock, limits, metrics, log, quarantine);
     }
 
@@ -113,10 +113,10 @@
         inFlight.add(active);
         response.onClose(() -> callerDisconnected(active));
         if (!drainState.accepts(request)) {
-            refuse(active, drainingRefusal(), DRAINING_RETRY_AFTER_MILLIS);
+            refuse(active, DrainState.refusal(), DrainState.RETRY_AFTER_MILLIS);
             return;
         }
-        route(active);
+        admission.submit(active);
     }
 
     /**
@@ -158,7 +158,7 @@
         RunnerChooser.Choice choice = chooser.choose(active);
         active.awaitsModel(choice instanceof RunnerChooser.Choice.AwaitModel);
         if (drainState.isDraining() && !(choice instanceof RunnerChooser.Choice.Send)) {
-            refuse(active, drainingRefusal(), DRAINING_RETRY_AFTER_MILLIS);
+            refuse(active, DrainState.refusal(), DrainState.RETRY_AFTER_MILLIS);
             return;
         }
         if (choice instanceof RunnerChooser.Choice.Send send && quarantine.maySend(active)) {
@@ -260,6 +260,7 @@
     }
 
     private void refuse(ActiveRequest active, Refusal refusal, long retryAfterMillis) {
+        admission.giveBackUnlessRun(active);
         Refusal reported = refusal.afterAttempts(active.mayHaveRun());
         log.refused(active, reported);
         end(active, reported.kind().label() + '-' + reported.reason().label());
@@ -293,6 +294,7 @@
             attempt.cancel();
         }
         log.callerDisconnected(active);
+        admission.giveBackUnlessRun(active);
         active.releaseAttempt();
         end(active, "caller-gone");
     }
@@ -306,15 +308,11 @@
         drainState.start(endNanos);
         for (ActiveRequest active : new ArrayList<>(inFlight)) {
             if (active.attempt() == null) {
-                refuse(active, drainingRefusal(), DRAINING_RETRY_AFTER_MILLIS);
+                refuse(active, DrainState.refusal(), DrainState.RETRY_AFTER_MILLIS);
             }
         }
     }
 
-    private static Refusal drainingRefusal() {
-        return Refusal.notRun(RefusalReason.LEAVING, "this entry is leaving");
-    }
-
     /** Cancel all attempts and refuse all requests in flight, so each caller is answered before the process ends. */
     public void endAll() {
         for (ActiveRequest active : new ArrayList<>(inFlight)) {
@@ -323,7 +321,7 @@
                 String detail = "this entry had to end before the answer";
                 active.attemptFailed(Refusal.outcomeUnknown(RefusalReason.LEAVING, detail));
             }
-            refuse(active, active.lastRefusal() == null ? drainingRefusal() : active.lastRefusal(), 0);
+            refuse(active, active.lastRefusal() == null ? DrainState.refusal() : active.lastRefusal(), 0);
         }
     }
 
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/SideLinks.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/SideLinks.java
@@ -5,10 +5,14 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
+import org.arbutusstack.gateway.allotment.KeeperLinks;
 import org.arbutusstack.gateway.config.EngineModel;
 import org.arbutusstack.gateway.config.EngineSpec;
 import org.arbutusstack.gateway.config.ServedService;
@@ -31,7 +35,7 @@
  *
  * <p>Confined to the entry's event loop.
  */
-public final class SideLinks {
+public final class SideLinks implements KeeperLinks {
 
     private static final Logger logger = LoggerFactory.getLogger(SideLinks.class);
 
@@ -43,6 +47,9 @@
     /** Announced status intervals without any frame after which a link is closed. */
     private static final int MAX_MISSED_INTERVALS = 3;
 
+    /** Part of the sides without which the others may not count all entries; allows for a few hosts that are lost. */
+    private static final double MOST_SIDES = 0.9;
+
     /** Sides that pass on one frame, so that it arrives although one of them has just been lost. */
     private static final int RELAYS = 2;
 
@@ -61,7 +68,7 @@
 
     private final Consumer<KnownRunner> statusListener;
 
-    private final Consumer<Frame> frameListener;
+    private final BiConsumer<String, Frame> frameListener;
 
     private final Map<String, Side> sidesByHost = new HashMap<>();
 
@@ -78,7 +85,7 @@
      * @param loop the entry's event loop
      * @param clock the clock of the process
      * @param statusListener notified with each runner to which a status was applied
-     * @param frameListener notified with each other frame of a side
+     * @param frameListener notified with the address of a side's host and each other frame of the side
      */
     public SideLinks(
             LinkTransport transport,
@@ -87,7 +94,7 @@
             Ring<Runnable> loop,
             Clock clock,
             Consumer<KnownRunner> statusListener,
-            Consumer<Frame> frameListener) {
+            BiConsumer<String, Frame> frameListener) {
         this.transport = Assert.notNull(transport, "transport");
         this.port = port;
         this.runners = Assert.notNull(runners, "runners");
@@ -117,13 +124,31 @@
         return entryCount;
     }
 
+    @Override
+    public Optional<String> firstInRank(String key, Predicate<String> usable) {
+        return sidesByHost.values().stream()
+                .filter(side -> side.open && usable.test(side.host))
+                .min(Comparator.comparingLong(side -> rank(key, side)))
+                .map(side -> side.host);
+    }
+
+    @Override
+    public boolean isOpen(String host) {
+        Side side = sidesByHost.get(host);
+        return side != null && side.open;
+    }
+
     /**
-     * Send a frame to the side on a host, if there is a link to it.
+     * Return whether there are links to most of the sides that the directory lists, so that these count most entries.
      *
-     * @param host the address of the host
-     * @param frame the frame
-     * @return {@code false} if no side is known on the host
+     * @return whether at most a tenth of the sides is not linked
      */
+    public boolean isLinkedToMost() {
+        long open = sidesByHost.values().stream().filter(side -> side.open).count();
+        return open >= sidesByHost.size() * MOST_SIDES;
+    }
+
+    @Override
     public boolean send(String host, Frame frame) {
         Side side = sidesByHost.get(host);
         if (side != null && side.open) {
@@ -332,7 +357,7 @@
         public void onFrame(Link from, Frame frame) {
             boolean accepted = frame instanceof RunnerStatusFrame status
                     ? loop.offer(() -> handleStatus(this, from, status))
-                    : loop.offer(() -> frameListener.accept(frame));
+                    : loop.offer(() -> frameListener.accept(host, frame));
             if (!accepted) {
                 logger.warn("event=ring-full duty=entry frame={}", frame.type());
             }
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/DispatcherHarness.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/DispatcherHarness.java
@@ -6,8 +6,13 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
+import org.arbutusstack.gateway.allotment.AllotmentGate;
+import org.arbutusstack.gateway.allotment.AllotmentShare;
+import org.arbutusstack.gateway.allotment.KeeperLinks;
 import org.arbutusstack.gateway.config.Route;
 import org.arbutusstack.gateway.config.RouteKind;
+import org.arbutusstack.gateway.config.Team;
 import org.arbutusstack.gateway.quarantine.ContentQuarantine;
 import org.arbutusstack.gateway.quarantine.CrashMonitor;
 import org.arbutusstack.gateway.quarantine.TrialSchedule;
@@ -40,6 +45,12 @@
 
     final ContentQuarantine quarantine;
 
+    /** Gate of the only entry, without a keeper. */
+    final AllotmentGate allotments;
+
+    /** The team of the requests that are sent. */
+    Optional<Team> team = Optional.empty();
+
     final FakeProbe probe = new FakeProbe();
 
     /** Requests for permits, which the test answers. */
@@ -66,6 +77,8 @@
     DispatcherHarness(RetryLimits limits, long maxHeldAnswerBytes) {
         PrometheusRegistry registry = new PrometheusRegistry();
         PermitClient permits = new PermitClient("edge-1", table, (runner, frame) -> permitRequests.add(frame), () -> 4);
+        AllotmentShare share = new AllotmentShare(() -> 1, () -> true, clock);
+        allotments = new AllotmentGate("edge-1", new NoKeepers(), share, clock, registry);
         quarantine = new ContentQuarantine(
                 (host, frame) -> {}, () -> false, new TrialSchedule("edge-1", () -> 1, clock), clock, registry);
         dispatcher = RequestDispatchers.create(
@@ -74,7 +87,7 @@
                 FakeCaller.PORT,
                 "regina",
                 clock,
-                new AttemptLimits(limits, permits, maxHeldAnswerBytes),
+                new AttemptLimits(limits, permits, allotments, maxHeldAnswerBytes),
                 new GatewayMetrics(registry),
                 quarantine,
                 new CrashMonitor(probe, server -> "/health", quarantine::strikeReceived, clock, registry));
@@ -148,7 +161,7 @@
                         new byte[0],
                         route,
                         route.serviceFor(0),
-                        Optional.empty(),
+                        team,
                         model,
                         adapter,
                         100,
@@ -169,4 +182,23 @@
             runners.last().answer(200, AnswerKind.ATTESTED, "ok");
         }
     }
+
+    /** Links of an entry without a side. */
+    private static final class NoKeepers implements KeeperLinks {
+
+        @Override
+        public Optional<String> firstInRank(String key, Predicate<String> usable) {
+            return Optional.empty();
+        }
+
+        @Override
+        public boolean isOpen(String host) {
+            return false;
+        }
+
+        @Override
+        public boolean send(String host, Frame frame) {
+            return false;
+        }
+    }
 }
--- a/wire/src/test/java/org/arbutusstack/wire/frame/FrameCodecTests.java
+++ b/wire/src/test/java/org/arbutusstack/wire/frame/FrameCodecTests.java
@@ -41,7 +41,8 @@
             {new LostRequestFrame(1_700_000_000_000L, 250, List.of("part:a", "request:b"))},
             {new PermitRequestFrame("i-1@1700000000000", 1.5, 120)},
             {new PermitFrame("i-1@1700000000000", 420)},
-            {new AllotmentRequestFrame("raven", "edge-1", 9, -7, 12_345, 3, 142_654, 142_654, 1 / 22.0, 3_000, 250, 150)},
+            {new AllotmentRequestFrame("raven", "edge-1", 9, -7, 12_345, 3, 142_654, 142_654, 1 / 22.0, 3_000, 250, 150)
+            },
             {new AllotmentRequestFrame("raven", "edge-1", 0, 0, 0, 3, 5, 0, 1, 0, 0, 0)},
             {new AllotmentGrantFrame("raven", 9, -7, 12_345, 2_500.5, 40, 900)}
         };
