--- a/gateway/src/main/java/org/arbutusstack/gateway/allotment/AllotmentAccount.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/allotment/AllotmentAccount.java
@@ -339,7 +339,7 @@
         return holds.size();
     }
 
-    /** Return the time until the pool has more for this entry, in milliseconds; empty if it is not known to be empty. */
+    /** Return the time until the pool has more for this entry, in milliseconds; empty if that is not known. */
     OptionalLong emptyMillis() {
         return clock.isPast(supplyAtNanos) ? OptionalLong.empty() : OptionalLong.of(clock.millisUntil(supplyAtNanos));
     }
--- a/gateway/src/main/java/org/arbutusstack/gateway/allotment/AllotmentPool.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/allotment/AllotmentPool.java
@@ -11,7 +11,9 @@
  *
  * <p>Addresses 22 to 33 entries that ask for several times the allotment in uneven parts. Entries that ask for more
  * than there is get blocks in proportion to what they want, in the order in which they asked. A block that is not there
- * yet is kept for the entry until shortly after the time at which it is told to ask again. Does no I/O; not thread-safe.
+ * yet is kept for the entry until shortly after the time at which it is told to ask again.
+ *
+ * <p>Does no I/O; not thread-safe.
  */
 final class AllotmentPool {
 
