--- a/gateway/src/main/java/org/arbutusstack/gateway/allotment/AllotmentShare.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/allotment/AllotmentShare.java
@@ -1,5 +1,6 @@
 package org.arbutusstack.gateway.allotment;
 
+import java.util.Arrays;
 import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
 import org.arbutusstack.kernel.Assert;
@@ -18,6 +19,9 @@
     /** Count of a process that has just started; larger than any deployment. */
     private static final int FIRST_ENTRIES = 64;
 
+    /** Part of the sides whose counts are not higher than the one that is used. */
+    private static final double TYPICAL_PART = 0.75;
+
     /** Time after which the counts of the sides include all entries that reconnect at once: several reports. */
     private static final long SETTLE_MILLIS = 1_000;
 
@@ -45,6 +49,18 @@
         this.settledAtNanos = clock.deadlineNanos(SETTLE_MILLIS);
     }
 
+    /**
+     * Return the typical one of the counts of several sides. The highest is not: a side that was cut off counts each
+     * entry twice until it notices that the old links are closed.
+     *
+     * @param counts the numbers of entries that the sides counted; sorted by this method
+     * @return the upper quartile, or the highest of up to four counts; zero if there is none
+     */
+    public static int typicalOf(int[] counts) {
+        Arrays.sort(counts);
+        return counts.length == 0 ? 0 : counts[(int) (counts.length * TYPICAL_PART)];
+    }
+
     /**
      * Return the number of entries that share the allotments; called at least once in a tick.
      *
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/SideLinks.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/SideLinks.java
@@ -12,6 +12,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import org.arbutusstack.gateway.allotment.AllotmentShare;
 import org.arbutusstack.gateway.allotment.KeeperLinks;
 import org.arbutusstack.gateway.config.EngineModel;
 import org.arbutusstack.gateway.config.EngineSpec;
@@ -74,6 +75,8 @@
 
     private final EntryCount entryCount;
 
+    private final EntryCount typicalEntryCount;
+
     private ServingConfig config;
 
     /**
@@ -101,6 +104,7 @@
         this.loop = Assert.notNull(loop, "loop");
         this.clock = Assert.notNull(clock, "clock");
         this.entryCount = new EntryCount(clock);
+        this.typicalEntryCount = new EntryCount(clock);
         this.statusListener = Assert.notNull(statusListener, "statusListener");
         this.frameListener = Assert.notNull(frameListener, "frameListener");
     }
@@ -157,6 +161,15 @@
         return side != null;
     }
 
+    /**
+     * Return the estimate of the number of entries from what most sides report.
+     *
+     * @return the estimate, which a few sides that count too many do not change
+     */
+    public EntryCount typicalEntryCount() {
+        return typicalEntryCount;
+    }
+
     /**
      * Send a frame to the side that keeps account of a runner for all entries: the one on its host or, for a runner
      * without a side, the one that all entries choose by its identifier.
@@ -213,6 +226,10 @@
         for (String host : requiredHosts) {
             sidesByHost.computeIfAbsent(host, Side::new).tick();
         }
+        typicalEntryCount.report(AllotmentShare.typicalOf(sidesByHost.values().stream()
+                .filter(side -> side.open && side.reportedEntries > 0)
+                .mapToInt(side -> side.reportedEntries)
+                .toArray()));
         for (KnownRunner runner : runners.all()) {
             EngineSpec spec = specOf(runner);
             if (spec != null) {
@@ -232,6 +249,7 @@
             if (runner.entry().address().address().equals(side.host)) {
                 side.statusIntervalMillis = status.nextWithinMillis();
                 entryCount.report(status.entries());
+                side.reportedEntries = status.entries();
                 runner.status(status, link);
                 statusListener.accept(runner);
             }
@@ -273,6 +291,9 @@
 
         private long statusIntervalMillis;
 
+        /** Entries that the side counted in its last status; zero if it has sent none. */
+        private int reportedEntries;
+
         private long connectedAtNanos;
 
         Side(String host) {
--- a/gateway/src/test/java/org/arbutusstack/gateway/allotment/AllotmentUseTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/allotment/AllotmentUseTests.java
@@ -78,6 +78,58 @@
         }
     }
 
+    /** Guards against the shares of entries without callers of the team that lie unused. */
+    @Test
+    public void shouldUseAllotmentWhenOnlyFewEntriesHaveCallers() {
+        for (int seed = 0; seed < 3; seed++) {
+            AllotmentWorld world = new AllotmentWorld(seed, 22, 29);
+            world.team("raven", AllotmentUnit.TOKEN, RATE, RATE);
+            for (int number = 0; number < 3; number++) {
+                world.load(world.entries.get(number), "raven", RATE, 1_000);
+            }
+            world.run(DURATION);
+            double used = world.admittedUnits("raven", START, DURATION) / (RATE * (DURATION - START)) * 1e6;
+            double idleFrames = world.entries.subList(3, 22).stream()
+                    .flatMap(entry -> entry.framesByTeamSecond.values().stream())
+                    .mapToInt(Integer::intValue)
+                    .average()
+                    .orElse(0);
+            System.out.printf(
+                    "overload at 3 of 22 entries seed=%d used=%.3f frames max=%d idle=%.1f%n",
+                    seed, used, maxFrames(world), idleFrames);
+            assertTrue(used >= 0.9, "used " + used);
+            assertTrue(maxFrames(world) <= MAX_FRAMES_PER_SECOND, "frames " + maxFrames(world));
+        }
+    }
+
+    /** Guards against a keeper whose loss stops a team for longer than the loans to it last. */
+    @Test
+    public void shouldUseAllotmentAgainWhenKeeperIsLost() {
+        for (int seed = 0; seed < 6; seed++) {
+            AllotmentWorld world = uneven(22, 2 * RATE, RATE, 500, seed);
+            long lost = 10 * AllotmentWorld.SECOND;
+            boolean isFrozen = seed % 2 == 0;
+            world.at(lost, () -> {
+                AllotmentWorld.Side keeper = world.keeperOf("raven");
+                if (isFrozen) {
+                    keeper.pause(6 * AllotmentWorld.SECOND, false);
+                } else {
+                    keeper.kill(6 * AllotmentWorld.SECOND);
+                }
+            });
+            world.run(DURATION);
+            long again = lost + 2 * AllotmentWorld.SECOND;
+            double gap = 2 - world.admittedUnits("raven", lost, again) / RATE;
+            double used = world.admittedUnits("raven", again, DURATION) / (RATE * (DURATION - again)) * 1e6;
+            System.out.printf(
+                    "overload keeper lost frozen=%s seed=%d unused=%.2f s, then used=%.3f%n",
+                    isFrozen, seed, gap, used);
+            assertTrue(gap <= 1.5, "unused for " + gap + " s");
+            assertTrue(used >= 0.9, "used " + used);
+            assertTrue(world.excess("raven", 0, DURATION, RATE, RATE) <= 0, "seed " + seed);
+        }
+    }
+
     @DataProvider
     public Object[][] underloads() {
         return new Object[][] {{22, 0.8, 500.0}, {33, 0.8, 1_500.0}, {33, 0.3, 5_000.0}};
@@ -98,4 +150,23 @@
             assertTrue(maxFrames(world) <= MAX_FRAMES_PER_SECOND, "frames " + maxFrames(world));
         }
     }
+
+    /** Guards against a pool that is empty at each of the few requests of a small team. */
+    @Test
+    public void shouldRefuseHardlyAnyWhenTeamHasFewRequests() {
+        for (int seed = 0; seed < 3; seed++) {
+            AllotmentWorld world = new AllotmentWorld(seed, 22, 29);
+            world.team("wren", AllotmentUnit.REQUEST, 5, 10);
+            for (AllotmentWorld.Entry entry : world.entries) {
+                world.load(entry, "wren", 2.0 / 22, 1).refusedFromMicros = START;
+            }
+            world.run(6 * DURATION);
+            long arrived = world.loads.stream().mapToLong(load -> load.arrived).sum();
+            long refused = world.loads.stream().mapToLong(load -> load.refused).sum();
+            System.out.printf(
+                    "underload 2 of 5 requests a second seed=%d refused %d of %d frames max=%d mean=%.1f%n",
+                    seed, refused, arrived, maxFrames(world), meanFrames(world));
+            assertTrue(refused * 50 < arrived, refused + " of " + arrived);
+        }
+    }
 }
--- a/gateway/src/test/java/org/arbutusstack/gateway/allotment/AllotmentWorld.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/allotment/AllotmentWorld.java
@@ -84,6 +84,12 @@
         return new ServingConfig(configVersion, List.of(), List.of(), 1_000, new TeamDirectory(teams.values()));
     }
 
+    /** Return the side that keeps a team's pool. */
+    Side keeperOf(String team) {
+        String host = entries.get(0).firstInRank(team, any -> true).orElseThrow();
+        return sides.stream().filter(side -> side.host.equals(host)).findFirst().orElseThrow();
+    }
+
     void at(long micros, Runnable action) {
         events.add(new Event(Math.max(micros, nowMicros), eventCount++, action));
     }
@@ -300,7 +306,10 @@
         }
 
         private void report() {
-            sides.stream().filter(this::isOpen).forEach(side -> count.report(side.reportedLinks));
+            count.report(AllotmentShare.typicalOf(sides.stream()
+                    .filter(this::isOpen)
+                    .mapToInt(side -> side.reportedLinks)
+                    .toArray()));
             handle(nowMicros + REPORT_MICROS, this::report);
         }
 
