--- a/gateway/src/test/java/org/arbutusstack/gateway/allotment/TokenBalanceTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/allotment/TokenBalanceTests.java
@@ -8,6 +8,7 @@
 import org.arbutusstack.gateway.config.AllotmentUnit;
 import org.arbutusstack.gateway.config.Team;
 import org.arbutusstack.kernel.time.ManualClock;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /** Tests {@link TokenBalance} of one of ten entries. */
@@ -15,14 +16,21 @@
 
     private static final int ENTRIES = 10;
 
-    private final ManualClock clock = new ManualClock();
+    private ManualClock clock;
 
-    private final ElapsedTime elapsed = new ElapsedTime(clock);
+    private ElapsedTime elapsed;
 
-    private final TokenBalance balance = new TokenBalance(clock, elapsed);
+    private TokenBalance balance;
 
     private final Team team = new Team("raven", Set.of(), OptionalInt.empty(), AllotmentUnit.TOKEN, 1_000, 1_000, 200);
 
+    @BeforeMethod
+    public void setUp() {
+        clock = new ManualClock();
+        elapsed = new ElapsedTime(clock);
+        balance = new TokenBalance(clock, elapsed);
+    }
+
     /** Guards against tokens that are used in a later window in addition to its own, also if they were given back. */
     @Test
     public void shouldDropTokensAfterTheirLifetime() {
