--- a/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
@@ -2,8 +2,12 @@
 
 import java.net.InetSocketAddress;
 import java.util.Collection;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.UUID;
+import org.arbutusstack.gateway.allotment.AllotmentGate;
+import org.arbutusstack.gateway.allotment.AllotmentShare;
 import org.arbutusstack.gateway.config.ServedService;
 import org.arbutusstack.gateway.config.ServingConfig;
 import org.arbutusstack.gateway.plan.DemandRecord;
@@ -12,7 +16,6 @@
 import org.arbutusstack.gateway.plan.PlannerLink;
 import org.arbutusstack.gateway.quarantine.ContentQuarantine;
 import org.arbutusstack.gateway.quarantine.CrashMonitor;
-import org.arbutusstack.gateway.quarantine.QuarantineRecord;
 import org.arbutusstack.gateway.quarantine.TrialSchedule;
 import org.arbutusstack.gateway.request.AttemptLimits;
 import org.arbutusstack.gateway.request.GatewayMetrics;
@@ -29,6 +32,7 @@
 import org.arbutusstack.kernel.service.Service;
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.placement.FleetPlanner;
+import org.arbutusstack.wire.frame.AllotmentGrantFrame;
 import org.arbutusstack.wire.frame.Frame;
 import org.arbutusstack.wire.frame.PermitFrame;
 import org.arbutusstack.wire.frame.StrikeFrame;
@@ -58,9 +62,6 @@
     /** Requests in flight that one copy of a model serves well: a third of an engine's batch. */
     private static final double REQUESTS_PER_COPY = 12;
 
-    /** Time within which a written record is usually read back; the follower collects changes for most of it. */
-    private static final long READ_BACK_MILLIS = 2_000;
-
     /** Idle time of a model at which its last copy is worth half as much as that of a model requested just now. */
     private static final long IDLE_MILLIS = 4_000;
 
@@ -80,6 +81,8 @@
 
     private final ZoneCandidates zones;
 
+    private final AllotmentGate allotments;
+
     private final RequestDispatcher dispatcher;
 
     private final SideLinks sides;
@@ -98,8 +101,7 @@
 
     private long tickedAtNanos;
 
-    /** Time until which the record persisted last may not have been read back yet. */
-    private long quarantinePersistedUntilNanos;
+    private final QuarantinePersistence quarantinePersistence;
 
     /**
      * Create an entry.
@@ -117,28 +119,31 @@
                 new ContentQuarantine(this::sendToSide, this::isPlanning, trials, clock, dependencies.metrics());
         this.crashMonitor =
                 new CrashMonitor(dependencies.probe(), this::healthPathOf, this::struck, clock, dependencies.metrics());
-        this.permits = new PermitClient(dependencies.name(), runners, this::sendToAccountant, this::entryCount);
+        this.sides = new SideLinks(
+                dependencies.transport(),
+                dependencies.sidePort(),
+                runners,
+                dependencies.loop(),
+                clock,
+                runner -> dispatcher().runnerChanged(runner),
+                this::frameReceived);
+        this.permits = new PermitClient(dependencies.name(), runners, sides::sendToAccountant, this::entryCount);
         this.zones = new ZoneCandidates(dependencies.zone(), dependencies.zonePenaltyMillis(), clock);
+        AllotmentShare share = new AllotmentShare(sides.typicalEntryCount()::entries, sides::isLinkedToMost, clock);
+        this.allotments = new AllotmentGate(dependencies.name(), sides, share, clock, dependencies.metrics());
         this.dispatcher = RequestDispatchers.create(
                 runners,
                 dependencies.runners(),
                 dependencies.callers(),
                 zones,
                 clock,
-                AttemptLimits.ofProcess(dependencies.retries(), permits, dependencies.backpressure()),
+                AttemptLimits.ofProcess(dependencies.retries(), permits, allotments, dependencies.backpressure()),
                 metrics,
                 quarantine,
                 crashMonitor);
-        this.sides = new SideLinks(
-                dependencies.transport(),
-                dependencies.sidePort(),
-                runners,
-                dependencies.loop(),
-                clock,
-                dispatcher::runnerChanged,
-                this::frameReceived);
         this.identity = dependencies.address() + ":" + dependencies.entryPort() + " " + UUID.randomUUID();
         this.election = new PlannerElection(dependencies.store(), identity, clock);
+        this.quarantinePersistence = new QuarantinePersistence(quarantine, election, clock);
         this.planner = new ModelPlanner(
                 dependencies.name(),
                 runners,
@@ -158,11 +163,11 @@
     public void start() {
         plannerLink.listen(new InetSocketAddress(dependencies.address(), dependencies.entryPort()));
         tickedAtNanos = clock.nowNanos();
-        quarantinePersistedUntilNanos = clock.nowNanos();
         election.start();
         dependencies.loop().every(TICK_MILLIS, this::tick);
         dependencies.loop().every(LINK_CHECK_MILLIS, sides::tick);
         dependencies.loop().every(PLAN_MILLIS, this::plan);
+        dependencies.loop().every(AllotmentGate.TICK_MILLIS, allotments::tick);
     }
 
     @Override
@@ -175,15 +180,13 @@
         return sides.entryCount().entries();
     }
 
-    private boolean sendToAccountant(RunnerEntry runner, Frame frame) {
-        return sides.sendToAccountant(runner, frame);
-    }
-
-    private void frameReceived(Frame frame) {
+    private void frameReceived(String host, Frame frame) {
         if (frame instanceof StrikeFrame strike) {
             quarantine.strikeReceived(strike);
         } else if (frame instanceof PermitFrame permit && permits.received(permit)) {
             dispatcher.runnersChanged();
+        } else if (frame instanceof AllotmentGrantFrame grant) {
+            allotments.received(host, grant);
         }
     }
 
@@ -224,17 +227,7 @@
     private void plan() {
         planner.tick();
         plannerLink.tick();
-        persistQuarantine();
-    }
-
-    /** Persist changed rules of the quarantine, and again until they have been read back, while this entry plans. */
-    private void persistQuarantine() {
-        if (election.holdsLease() && clock.isPast(quarantinePersistedUntilNanos)) {
-            quarantine.recordToPersist().ifPresent(record -> {
-                quarantinePersistedUntilNanos = clock.deadlineNanos(READ_BACK_MILLIS);
-                election.persist(QuarantineRecord.KEY, record.encode());
-            });
-        }
+        quarantinePersistence.tick();
     }
 
     /**
@@ -251,6 +244,7 @@
         sides.config(next);
         planner.config(next);
         dispatcher.config(next);
+        allotments.config(next);
         logger.info("event=config-in-force version={} routes={}", next.version(), next.routeCount());
     }
 
@@ -359,8 +353,7 @@
      * @param revision the store revision of the record
      */
     public void quarantineRecordChanged(String text, long revision) {
-        election.onRecordRead(QuarantineRecord.KEY, revision);
-        quarantine.recordRead(QuarantineRecord.decode(text));
+        quarantinePersistence.recordRead(text, revision);
     }
 
     /**
@@ -382,38 +375,18 @@
     }
 
     /**
-     * Describe the quarantine for the state dump of the process.
-     *
-     * @return one line for each rule and each strike
-     */
-    public List<String> describeQuarantine() {
-        return quarantine.describe();
-    }
-
-    /**
-     * Describe the requests that leave the availability zone for the state dump of the process.
-     *
-     * @return one line for each pool of requests and zone that receives a share of it
-     */
-    public List<String> describeZones() {
-        return zones.describe();
-    }
-
-    /**
-     * Describe the bytes held for callers and runners for the state dump of the process.
-     *
-     * @return one line
-     */
-    public String describeBackpressure() {
-        return dependencies.backpressure().describe();
-    }
-
-    /**
-     * Describe the requests in flight for the state dump of the process.
+     * Describe the state of the parts of this entry for the state dump of the process.
      *
-     * @return one line for each request
+     * @return lines by the name of the part: rules and strikes, shares that leave the availability zone, bytes held for
+     *     callers and runners, allotments of teams in use, and requests in flight
      */
-    public List<String> describe() {
-        return dispatcher.describe();
+    public Map<String, List<String>> describe() {
+        Map<String, List<String>> parts = new LinkedHashMap<>();
+        parts.put("quarantine", quarantine.describe());
+        parts.put("zones", zones.describe());
+        parts.put("backpressure", List.of(dependencies.backpressure().describe()));
+        parts.put("allotments", allotments.describe());
+        parts.put("requests", dispatcher.describe());
+        return parts;
     }
 }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/AttemptLimits.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/AttemptLimits.java
@@ -1,5 +1,6 @@
 package org.arbutusstack.gateway.request;
 
+import org.arbutusstack.gateway.allotment.AllotmentGate;
 import org.arbutusstack.gateway.pressure.Backpressure;
 import org.arbutusstack.gateway.runner.PermitClient;
 import org.arbutusstack.kernel.Assert;
@@ -9,16 +10,22 @@
  *
  * @param retries the limits on retries
  * @param permits the permits of runners that limit their requests
+ * @param allotments the gate for the requests of teams
  * @param maxHeldAnswerBytes the maximum size of all answers that are held until they can be relayed, in bytes
  * @param backpressure the bounds on what is held for slow callers and slow runners
  */
 public record AttemptLimits(
-        RetryLimits retries, PermitClient permits, long maxHeldAnswerBytes, Backpressure backpressure) {
+        RetryLimits retries,
+        PermitClient permits,
+        AllotmentGate allotments,
+        long maxHeldAnswerBytes,
+        Backpressure backpressure) {
 
     /** Check the components. */
     public AttemptLimits {
         Assert.notNull(retries, "retries");
         Assert.notNull(permits, "permits");
+        Assert.notNull(allotments, "allotments");
         Assert.atLeast(maxHeldAnswerBytes, 1, "maxHeldAnswerBytes");
         Assert.notNull(backpressure, "backpressure");
     }
@@ -28,10 +35,12 @@
      *
      * @param retries the limits on retries
      * @param permits the permits of runners that limit their requests
+     * @param allotments the gate for the requests of teams
      * @param backpressure the bounds on what is held for slow callers and slow runners
      * @return the limits
      */
-    public static AttemptLimits ofProcess(RetryLimits retries, PermitClient permits, Backpressure backpressure) {
-        return new AttemptLimits(retries, permits, AnswerMemory.maxBytesOfHeap(), backpressure);
+    public static AttemptLimits ofProcess(
+            RetryLimits retries, PermitClient permits, AllotmentGate allotments, Backpressure backpressure) {
+        return new AttemptLimits(retries, permits, allotments, AnswerMemory.maxBytesOfHeap(), backpressure);
     }
 }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/DrainState.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/DrainState.java
@@ -25,6 +25,11 @@
         this.clock = Assert.notNull(clock, "clock");
     }
 
+    /** Return the refusal of a request that another entry can serve. */
+    static Refusal refusal() {
+        return Refusal.notRun(RefusalReason.LEAVING, "this entry is leaving");
+    }
+
     boolean isDraining() {
         return draining;
     }
@@ -51,8 +56,4 @@
                 ? !clock.isPast(endNanos - PLAIN_REQUEST_MILLIS * Clock.NANOS_PER_MILLI)
                 : request.deadlineNanos() - endNanos <= 0;
     }
-
-    static Refusal refusal() {
-        return Refusal.notRun(RefusalReason.LEAVING, "this entry is leaving");
-    }
 }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatcher.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatcher.java
@@ -57,6 +57,8 @@
 
     private final DrainState drainState;
 
+    private final TeamAdmission admission;
+
     /**
      * Create a dispatcher: the chooser chooses the runner for each attempt, the ports send requests to runners and
      * write answers and refusals to callers, the clock is that of the process, the limits are those on what is sent to
@@ -84,6 +86,7 @@
         this.retries = new RetryBudgets(this.limits, clock);
         this.modelDemand = new ModelDemand(chooser, clock);
         this.drainState = new DrainState(clock);
+        this.admission = new TeamAdmission(limits.allotments(), this::route, this::refuse);
         this.relay = new AnswerRelay(this, runnerPort, callers, clock, limits, metrics, log, quarantine);
     }
 
@@ -112,7 +115,7 @@
             refuse(active, DrainState.refusal(), DrainState.RETRY_AFTER_MILLIS);
             return;
         }
-        route(active);
+        admission.submit(active);
     }
 
     /**
@@ -258,6 +261,7 @@
     }
 
     private void refuse(ActiveRequest active, Refusal refusal, long retryAfterMillis) {
+        admission.giveBackUnlessRun(active);
         Refusal reported = refusal.afterAttempts(active.mayHaveRun());
         log.refused(active, reported);
         end(active, reported.kind().label() + '-' + reported.reason().label());
@@ -291,6 +295,7 @@
             attempt.cancel();
         }
         log.callerDisconnected(active);
+        admission.giveBackUnlessRun(active);
         active.releaseAttempt();
         end(active, "caller-gone");
     }
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/SideLinks.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/SideLinks.java
@@ -5,10 +5,15 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
+import org.arbutusstack.gateway.allotment.AllotmentShare;
+import org.arbutusstack.gateway.allotment.KeeperLinks;
 import org.arbutusstack.gateway.config.EngineModel;
 import org.arbutusstack.gateway.config.EngineSpec;
 import org.arbutusstack.gateway.config.ServedService;
@@ -31,7 +36,7 @@
  *
  * <p>Confined to the entry's event loop.
  */
-public final class SideLinks {
+public final class SideLinks implements KeeperLinks {
 
     private static final Logger logger = LoggerFactory.getLogger(SideLinks.class);
 
@@ -43,6 +48,9 @@
     /** Announced status intervals without any frame after which a link is closed. */
     private static final int MAX_MISSED_INTERVALS = 3;
 
+    /** Part of the sides without which the others may not count all entries; allows for a few hosts that are lost. */
+    private static final double MOST_SIDES = 0.9;
+
     /** Sides that pass on one frame, so that it arrives although one of them has just been lost. */
     private static final int RELAYS = 2;
 
@@ -61,12 +69,14 @@
 
     private final Consumer<KnownRunner> statusListener;
 
-    private final Consumer<Frame> frameListener;
+    private final BiConsumer<String, Frame> frameListener;
 
     private final Map<String, Side> sidesByHost = new HashMap<>();
 
     private final EntryCount entryCount;
 
+    private final EntryCount typicalEntryCount;
+
     private ServingConfig config;
 
     /**
@@ -78,7 +88,7 @@
      * @param loop the entry's event loop
      * @param clock the clock of the process
      * @param statusListener notified with each runner to which a status was applied
-     * @param frameListener notified with each other frame of a side
+     * @param frameListener notified with the address of a side's host and each other frame of the side
      */
     public SideLinks(
             LinkTransport transport,
@@ -87,13 +97,14 @@
             Ring<Runnable> loop,
             Clock clock,
             Consumer<KnownRunner> statusListener,
-            Consumer<Frame> frameListener) {
+            BiConsumer<String, Frame> frameListener) {
         this.transport = Assert.notNull(transport, "transport");
         this.port = port;
         this.runners = Assert.notNull(runners, "runners");
         this.loop = Assert.notNull(loop, "loop");
         this.clock = Assert.notNull(clock, "clock");
         this.entryCount = new EntryCount(clock);
+        this.typicalEntryCount = new EntryCount(clock);
         this.statusListener = Assert.notNull(statusListener, "statusListener");
         this.frameListener = Assert.notNull(frameListener, "frameListener");
     }
@@ -117,13 +128,31 @@
         return entryCount;
     }
 
+    @Override
+    public Optional<String> firstInRank(String key, Predicate<String> usable) {
+        return sidesByHost.values().stream()
+                .filter(side -> side.open && usable.test(side.host))
+                .min(Comparator.comparingLong(side -> rank(key, side)))
+                .map(side -> side.host);
+    }
+
+    @Override
+    public boolean isOpen(String host) {
+        Side side = sidesByHost.get(host);
+        return side != null && side.open;
+    }
+
     /**
-     * Send a frame to the side on a host, if there is a link to it.
+     * Return whether there are links to most of the sides that the directory lists, so that these count most entries.
      *
-     * @param host the address of the host
-     * @param frame the frame
-     * @return {@code false} if no side is known on the host
+     * @return whether at most a tenth of the sides is not linked
      */
+    public boolean isLinkedToMost() {
+        long open = sidesByHost.values().stream().filter(side -> side.open).count();
+        return open >= sidesByHost.size() * MOST_SIDES;
+    }
+
+    @Override
     public boolean send(String host, Frame frame) {
         Side side = sidesByHost.get(host);
         if (side != null && side.open) {
@@ -132,6 +161,15 @@
         return side != null;
     }
 
+    /**
+     * Return the estimate of the number of entries from what most sides report.
+     *
+     * @return the estimate, which a few sides that count too many do not change
+     */
+    public EntryCount typicalEntryCount() {
+        return typicalEntryCount;
+    }
+
     /**
      * Send a frame to the side that keeps account of a runner for all entries: the one on its host or, for a runner
      * without a side, the one that all entries choose by its identifier.
@@ -188,6 +226,10 @@
         for (String host : requiredHosts) {
             sidesByHost.computeIfAbsent(host, Side::new).tick();
         }
+        typicalEntryCount.report(AllotmentShare.typicalOf(sidesByHost.values().stream()
+                .filter(side -> side.open && side.reportedEntries > 0)
+                .mapToInt(side -> side.reportedEntries)
+                .toArray()));
         for (KnownRunner runner : runners.all()) {
             EngineSpec spec = specOf(runner);
             if (spec != null) {
@@ -207,6 +249,7 @@
             if (runner.entry().address().address().equals(side.host)) {
                 side.statusIntervalMillis = status.nextWithinMillis();
                 entryCount.report(status.entries());
+                side.reportedEntries = status.entries();
                 runner.status(status, link);
                 statusListener.accept(runner);
             }
@@ -248,6 +291,9 @@
 
         private long statusIntervalMillis;
 
+        /** Entries that the side counted in its last status; zero if it has sent none. */
+        private int reportedEntries;
+
         private long connectedAtNanos;
 
         Side(String host) {
@@ -332,7 +378,7 @@
         public void onFrame(Link from, Frame frame) {
             boolean accepted = frame instanceof RunnerStatusFrame status
                     ? loop.offer(() -> handleStatus(this, from, status))
-                    : loop.offer(() -> frameListener.accept(frame));
+                    : loop.offer(() -> frameListener.accept(host, frame));
             if (!accepted) {
                 logger.warn("event=ring-full duty=entry frame={}", frame.type());
             }
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/DispatcherHarness.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/DispatcherHarness.java
@@ -6,6 +6,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
+import org.arbutusstack.gateway.allotment.AllotmentGate;
+import org.arbutusstack.gateway.allotment.AllotmentShare;
+import org.arbutusstack.gateway.allotment.KeeperLinks;
 import org.arbutusstack.gateway.config.Route;
 import org.arbutusstack.gateway.config.RouteKind;
 import org.arbutusstack.gateway.config.Team;
@@ -48,6 +52,12 @@
 
     final Backpressure backpressure;
 
+    /** Gate of the only entry, without a keeper. */
+    final AllotmentGate allotments;
+
+    /** The team of the requests that are sent. */
+    Optional<Team> team = Optional.empty();
+
     final FakeProbe probe = new FakeProbe();
 
     /** Requests for permits, which the test answers. */
@@ -83,6 +93,8 @@
     DispatcherHarness(RetryLimits limits, long maxHeldAnswerBytes, long zonePenaltyMillis) {
         PermitClient permits = new PermitClient("edge-1", table, (runner, frame) -> permitRequests.add(frame), () -> 4);
         backpressure = new Backpressure(MAX_HELD_BYTES, true, clock, registry);
+        AllotmentShare share = new AllotmentShare(() -> 1, () -> true, clock);
+        allotments = new AllotmentGate("edge-1", new NoKeepers(), share, clock, registry);
         quarantine = new ContentQuarantine(
                 (host, frame) -> {}, () -> false, new TrialSchedule("edge-1", () -> 1, clock), clock, registry);
         zones = new ZoneCandidates("regina", zonePenaltyMillis, clock);
@@ -92,7 +104,7 @@
                 FakeCaller.PORT,
                 zones,
                 clock,
-                new AttemptLimits(limits, permits, maxHeldAnswerBytes, backpressure),
+                new AttemptLimits(limits, permits, allotments, maxHeldAnswerBytes, backpressure),
                 new GatewayMetrics(registry),
                 quarantine,
                 new CrashMonitor(probe, server -> "/health", quarantine::strikeReceived, clock, registry));
@@ -162,7 +174,7 @@
         return send(route, model, adapter, null);
     }
 
-    FakeCaller send(Route route, String model, String adapter, Team team) {
+    FakeCaller send(Route route, String model, String adapter, Team requestTeam) {
         number++;
         FakeCaller caller = new FakeCaller();
         dispatcher.submit(
@@ -174,7 +186,7 @@
                         body,
                         route,
                         route.serviceFor(0),
-                        Optional.ofNullable(team),
+                        Optional.ofNullable(requestTeam).or(() -> team),
                         model,
                         adapter,
                         100,
@@ -195,4 +207,23 @@
             runners.last().answer(200, AnswerKind.ATTESTED, "ok");
         }
     }
+
+    /** Links of an entry without a side. */
+    private static final class NoKeepers implements KeeperLinks {
+
+        @Override
+        public Optional<String> firstInRank(String key, Predicate<String> usable) {
+            return Optional.empty();
+        }
+
+        @Override
+        public boolean isOpen(String host) {
+            return false;
+        }
+
+        @Override
+        public boolean send(String host, Frame frame) {
+            return false;
+        }
+    }
 }
