Do not send prompts to runners whose streams pause, and learn reading speeds from prompts that wait for nothing

Cause: the speed was learned from tokens that had been read before they were counted as waiting, so that the budget of a runner grew to three times what it reads in a gap; and runners that are slow for some hundred milliseconds got prompts. Change: PrefillSpeed ignores prompts behind others; the budget uses four fifths of the gap; StreamPauses tells by the streams of the entry itself that a runner makes no events.

--- a/gateway/src/main/java/org/arbutusstack/gateway/request/CurrentAttempt.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/CurrentAttempt.java
@@ -81,6 +81,7 @@
     /** Record that an event of the answer was relayed. */
     void recordEvent() {
         eventRelayed = true;
+        runner.speed().recordEvent();
     }
 
     /** Update the runner's first-event estimate with the time that this attempt, which opened the stream, took. */
@@ -138,6 +139,9 @@
     /** Release what the attempt uses. */
     void end() {
         runner.recordEnd();
+        if (firstEventAtNanos != 0) {
+            runner.speed().recordStreamEnd();
+        }
         relay.release(this);
     }
 
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/PromptAdmission.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/PromptAdmission.java
@@ -29,6 +29,9 @@
     /** Share of its target that a request may be held for, so that time for its first event is left. */
     private static final long TARGET_DIVISOR = 2;
 
+    /** Share of the target gap from which on a runner without events is not sent further prompts. */
+    private static final long PAUSE_DIVISOR = 2;
+
     private final Clock clock;
 
     private Set<String> managedServices = Set.of();
@@ -69,7 +72,9 @@
         Route route = request.route();
         long budgetTokens = PrefillBudget.tokens(
                 route.targetGapMillis(), runner.speed().prefillTokensPerMilli(), route.isDeferrable());
-        return PrefillBudget.admits(budgetTokens, runner.unreadPromptTokens(), request.prefillTokens());
+        boolean isPaused = runner.speed().pauseMillis() > route.targetGapMillis() / PAUSE_DIVISOR;
+        return !isPaused
+                && PrefillBudget.admits(budgetTokens, runner.speed().unreadPromptTokens(), request.prefillTokens());
     }
 
     /** Return whether a request may still be held. */
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/KnownRunner.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/KnownRunner.java
@@ -57,8 +57,8 @@
     KnownRunner(RunnerEntry entry, Clock clock) {
         this.clock = clock;
         this.liveness = new HostLiveness(clock);
-        this.speed = new RunnerSpeed(this, liveness, clock);
         this.prompts = new UnreadPrompts(clock);
+        this.speed = new RunnerSpeed(this, liveness, prompts, clock);
         this.limit = new RunnerLimit(entry, clock);
         this.outcomes = new RunnerOutcomes(this, liveness, clock);
         this.statusExpiresAtNanos = clock.nowNanos();
@@ -356,15 +356,6 @@
                 entry.id(), entry.service(), entry.zone(), models, adapters, reported + unread, outstanding + unread);
     }
 
-    /**
-     * Return the prompt tokens that all entries have sent to the runner and that it may not have read yet.
-     *
-     * @return the number of tokens, by the last status and the requests of this entry since
-     */
-    public long unreadPromptTokens() {
-        return prompts.tokens();
-    }
-
     /**
      * Return the model that the runner is loading or about to load.
      *
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/RunnerSpeed.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/RunnerSpeed.java
@@ -24,7 +24,13 @@
     /** Time from sending a request to its complete answer, for answers that are no streams. */
     private final FadingAverage answers;
 
-    RunnerSpeed(KnownRunner runner, HostLiveness liveness, Clock clock) {
+    private final UnreadPrompts prompts;
+
+    private final StreamPauses pauses;
+
+    RunnerSpeed(KnownRunner runner, HostLiveness liveness, UnreadPrompts prompts, Clock clock) {
+        this.prompts = prompts;
+        this.pauses = new StreamPauses(clock);
         this.runner = runner;
         this.liveness = liveness;
         this.excess = new FadingAverage(clock);
@@ -39,7 +45,7 @@
     public QueueEstimate queueEstimate() {
         int unstarted = runner.unstarted();
         long slotWaitMillis = estimate.slotWaitMillis(unstarted, runner.running(), slots());
-        return new QueueEstimate(unstarted, slotWaitMillis, firstEventMillis(), runner.unreadPromptTokens());
+        return new QueueEstimate(unstarted, slotWaitMillis, firstEventMillis(), unreadPromptTokens());
     }
 
     /** Return the number of slots; one if the runner does not report it. */
@@ -59,7 +65,36 @@
         long readMillis = millis - queueEstimate.slotWaitMillis();
         excess.add(millis - queueEstimate.firstEventMillis());
         estimate.observed(queueEstimate.unstarted(), readMillis);
-        prefillSpeed.observed(queueEstimate.unreadTokens() + promptTokens, readMillis);
+        prefillSpeed.observed(queueEstimate.unreadTokens(), promptTokens, readMillis);
+        pauses.streamBegan();
+    }
+
+    /** Record that an event of a stream was received after its first one. */
+    public void recordEvent() {
+        pauses.eventReceived();
+    }
+
+    /** Record that a stream whose first event was recorded has ended in any way. */
+    public void recordStreamEnd() {
+        pauses.streamEnded();
+    }
+
+    /**
+     * Return how long the streams of this entry at the runner have had no event.
+     *
+     * @return the time in milliseconds; zero if no stream is running
+     */
+    public long pauseMillis() {
+        return pauses.pauseMillis();
+    }
+
+    /**
+     * Return the prompt tokens that all entries have sent to the runner and that it may not have read yet.
+     *
+     * @return the number of tokens, by the last status and the requests of this entry since
+     */
+    public long unreadPromptTokens() {
+        return prompts.tokens();
     }
 
     /**
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/PromptAdmissionTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/PromptAdmissionTests.java
@@ -137,4 +137,20 @@
         assertEquals(
                 harness.runners.sent.get(before).request.team().orElseThrow().name(), "calm");
     }
+
+    /** Guards against prompts for a runner that stands still for a moment: all its streams wait for them as well. */
+    @Test
+    public void shouldHoldPromptWhileStreamsOfRunnerPause() {
+        report(0);
+        harness.send(INTERACTIVE, "m1");
+        harness.runners.last().streamHead(true);
+        harness.runners.last().bytes("id: 1\ndata: x\n\n");
+        harness.clock.advanceMillis(200);
+        report(0);
+        harness.send(INTERACTIVE, "m1");
+        assertEquals(harness.runners.sent.size(), 1);
+        harness.runners.sent.get(0).bytes("id: 2\ndata: x\n\n");
+        report(0);
+        assertEquals(harness.runners.sent.size(), 2);
+    }
 }
--- a/routing/src/main/java/org/arbutusstack/routing/PrefillBudget.java
+++ b/routing/src/main/java/org/arbutusstack/routing/PrefillBudget.java
@@ -13,6 +13,9 @@
  */
 public final class PrefillBudget {
 
+    /** Share of the target gap in which prompts are read; the rest is for the tokens of the event and their setup. */
+    private static final double USABLE_GAP_SHARE = 0.8;
+
     /** Share of the budget that deferrable work may use, so that it does not delay prompts whose callers watch. */
     private static final double DEFERRABLE_SHARE = 0.5;
 
@@ -27,7 +30,7 @@
      * @return the number of tokens
      */
     public static long tokens(long targetGapMillis, double tokensPerMilli, boolean deferrable) {
-        double tokens = targetGapMillis * tokensPerMilli;
+        double tokens = targetGapMillis * USABLE_GAP_SHARE * tokensPerMilli;
         return (long) (deferrable ? tokens * DEFERRABLE_SHARE : tokens);
     }
 
--- a/routing/src/main/java/org/arbutusstack/routing/PrefillSpeed.java
+++ b/routing/src/main/java/org/arbutusstack/routing/PrefillSpeed.java
@@ -19,6 +19,9 @@
     /** Below this, the steps between tokens take a large part of the time. */
     private static final long MIN_SAMPLE_TOKENS = 1_000;
 
+    /** Tokens of others that do not distort a sample, as a share of its own. */
+    private static final long MAX_UNREAD_DIVISOR = 10;
+
     /** Time of one batch step and of the network round trip. */
     private static final double STEP_MILLIS = 25;
 
@@ -27,16 +30,17 @@
     private double tokensPerMilli = INITIAL_TOKENS_PER_MILLI;
 
     /**
-     * Update the estimate.
+     * Update the estimate, unless prompts ahead of this one may have taken part of the time.
      *
-     * @param tokens the tokens of the prompt and of those ahead of it when it was sent
+     * @param unreadTokens the tokens that may have waited when the prompt was sent
+     * @param promptTokens the tokens of the prompt
      * @param millis the time from sending the request to its first event, in milliseconds
      */
-    public void observed(long tokens, long millis) {
-        if (tokens < MIN_SAMPLE_TOKENS) {
+    public void observed(long unreadTokens, long promptTokens, long millis) {
+        if (promptTokens < MIN_SAMPLE_TOKENS || unreadTokens > promptTokens / MAX_UNREAD_DIVISOR) {
             return;
         }
-        double sample = tokens / Math.max(1, millis - STEP_MILLIS);
+        double sample = promptTokens / Math.max(1, millis - STEP_MILLIS);
         double bounded = Math.max(MIN_TOKENS_PER_MILLI, Math.min(MAX_TOKENS_PER_MILLI, sample));
         tokensPerMilli += SMOOTHING_FACTOR * (bounded - tokensPerMilli);
     }
--- a/routing/src/test/java/org/arbutusstack/routing/PrefillSpeedTests.java
+++ b/routing/src/test/java/org/arbutusstack/routing/PrefillSpeedTests.java
@@ -13,7 +13,7 @@
     public void shouldFollowFastEngineWhenLongPromptsBeginSoon() {
         PrefillSpeed speed = new PrefillSpeed();
         for (int sample = 0; sample < 100; sample++) {
-            speed.observed(4_000, 25 + 100);
+            speed.observed(0, 4_000, 25 + 100);
         }
         assertEquals(speed.tokensPerMilli(), 40, 1);
     }
@@ -23,7 +23,7 @@
     public void shouldStayWithinBoundsWhenFirstEventIsVeryLate() {
         PrefillSpeed speed = new PrefillSpeed();
         for (int sample = 0; sample < 100; sample++) {
-            speed.observed(4_000, 60_000);
+            speed.observed(0, 4_000, 60_000);
         }
         assertTrue(speed.tokensPerMilli() >= 10, "speed " + speed.tokensPerMilli());
     }
@@ -32,7 +32,17 @@
     @Test
     public void shouldIgnoreShortPrompts() {
         PrefillSpeed speed = new PrefillSpeed();
-        speed.observed(100, 200);
+        speed.observed(0, 100, 200);
+        assertEquals(speed.tokensPerMilli(), 20, 0.001);
+    }
+
+    /** Guards against prompts that were read before they were reported as waiting, which made every engine look fast. */
+    @Test
+    public void shouldIgnorePromptsBehindOthers() {
+        PrefillSpeed speed = new PrefillSpeed();
+        for (int sample = 0; sample < 100; sample++) {
+            speed.observed(6_000, 2_000, 80);
+        }
         assertEquals(speed.tokensPerMilli(), 20, 0.001);
     }
 }
