Client: send the head before a large body, which Undertow otherwise ends by closing its half

The stack of the close shows AbstractFixedLengthStreamSinkConduit.terminateWrites with bytes remaining.

The sink's writes are suspended at the end, so that the listener is not called again. FakeSink of module entry overrides ResponseSink.disconnect, which has the same meaning.

--- a/entry/src/test/java/org/arbutusstack/entry/router/FakeSink.java
+++ b/entry/src/test/java/org/arbutusstack/entry/router/FakeSink.java
@@ -41,7 +41,8 @@
         return headers.get(name);
     }
 
-    void disconnect() {
+    @Override
+    public void disconnect() {
         closed = true;
     }
 
--- a/http/src/main/java/org/arbutusstack/http/client/UndertowExchange.java
+++ b/http/src/main/java/org/arbutusstack/http/client/UndertowExchange.java
@@ -40,6 +40,9 @@
     /** Maximum number of reads in a row, after which the I/O thread serves other connections and timers. */
     private static final int MAX_READS_PER_TURN = 16;
 
+    /** Bodies up to this size leave in one write with the head: a new connection's send buffer takes both. */
+    private static final int MAX_BYTES_WITH_HEAD = 8_192;
+
     /** Sixteen times the maximum size of a response head in the limits that users specify. */
     private static final long MAX_HEAD_BYTES = 256L * 1_024;
 
@@ -215,6 +218,13 @@
 
     private void writeBody(StreamSinkChannel sink, ByteBuffer body) {
         try {
+            // Undertow miscounts a body of which only a part leaves together with the head, and then ends it by a
+            // close.
+            if (body.remaining() > MAX_BYTES_WITH_HEAD && !sink.flush()) {
+                sink.getWriteSetter().set(channel -> writeBody(channel, body));
+                sink.resumeWrites();
+                return;
+            }
             while (body.hasRemaining()) {
                 int count = sink.write(body);
                 unsentBytes = body.remaining();
@@ -224,8 +234,7 @@
                     return;
                 }
             }
-            // A second shutdown, by a listener that is called again, would close the client's half of the connection.
-            sink.getWriteSetter().set(null);
+            // A sink whose writes stay resumed would call the listener again after the end.
             sink.suspendWrites();
             sink.shutdownWrites();
             if (sink.flush()) {
