--- a/gateway/src/main/java/org/arbutusstack/gateway/pressure/Backpressure.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/pressure/Backpressure.java
@@ -192,7 +192,7 @@
             for (SlowSends.Send slow : sends.takeTooSlow()) {
                 metrics.countDecision("slow-send");
                 logSlowSend(slow);
-                slow.giveUp().run();
+                slow.giveUp();
             }
         }
         endExcess();
@@ -201,10 +201,7 @@
 
     private void logSlowSend(SlowSends.Send slow) {
         if (throttle.tryAcquire()) {
-            logger.info(
-                    "event=slow-send-given-up unsent_bytes={} body_bytes={}",
-                    slow.unsentBytes().getAsLong(),
-                    slow.bodyBytes());
+            logger.info("event=slow-send-given-up {}", slow.describe());
         }
     }
 
--- a/gateway/src/main/java/org/arbutusstack/gateway/pressure/SlowSends.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/pressure/SlowSends.java
@@ -14,7 +14,7 @@
  *
  * <p>Load addressed: a runner that stops reading, or reads a body so slowly that it would not have read it before the
  * deadline. An attempt is given up after half of the time that the caller waits, so that the other half remains for
- * another runner, and only if the body would not be sent before the deadline at the speed so far. Confined to the
+ * another runner, and only if the body would not be sent before the deadline at the recent speed. Confined to the
  * entry's event loop.
  */
 final class SlowSends {
@@ -47,7 +47,8 @@
         long waitMillis = Math.min(callerTimeoutMillis, clock.millisUntil(deadlineNanos)) / 2;
         long waitEndNanos = clock.deadlineNanos(waitMillis);
         sendByAttempt.put(
-                attempt, new Send(unsentBytes, bodyBytes, clock.nowNanos(), waitEndNanos, deadlineNanos, giveUp));
+                attempt,
+                new Send(unsentBytes, bodyBytes, waitEndNanos, deadlineNanos, giveUp, new ProgressWindow(clock)));
     }
 
     void remove(Object attempt) {
@@ -61,7 +62,7 @@
         List<Send> tooSlow = new ArrayList<>();
         for (Map.Entry<Object, Send> entry : new ArrayList<>(sendByAttempt.entrySet())) {
             Send each = entry.getValue();
-            long unsentBytes = each.unsentBytes.getAsLong();
+            long unsentBytes = each.refresh();
             boolean isTooSlow = unsentBytes > 0 && clock.isPast(each.waitEndNanos) && isLate(each, unsentBytes);
             if (unsentBytes == 0 || isTooSlow) {
                 sendByAttempt.remove(entry.getKey());
@@ -73,31 +74,69 @@
         return tooSlow;
     }
 
+    /**
+     * Return whether the rest of a body would be sent after the deadline at the recent speed. The first part of a body
+     * only fills the buffers of the connection, so the average speed says nothing.
+     */
     private boolean isLate(Send send, long unsentBytes) {
-        double sentBytes = send.bodyBytes - unsentBytes;
-        double elapsedMillis = clock.millisSince(send.beganAtNanos);
-        return unsentBytes * elapsedMillis > sentBytes * clock.millisUntil(send.deadlineNanos);
+        return send.progress.millisSinceMoved() >= ProgressWindow.WINDOW_MILLIS
+                || unsentBytes * ProgressWindow.WINDOW_MILLIS
+                        > send.progress.recentBytes() * clock.millisUntil(send.deadlineNanos);
     }
 
     int size() {
         return sendByAttempt.size();
     }
 
-    /**
-     * A body that is being sent.
-     *
-     * @param unsentBytes the number of bytes that the runner's connection has not taken
-     * @param bodyBytes the size of the body
-     * @param beganAtNanos the time at which the attempt began
-     * @param waitEndNanos the time before which the attempt is not given up
-     * @param deadlineNanos the deadline of the request
-     * @param giveUp ends the attempt
-     */
-    record Send(
-            LongSupplier unsentBytes,
-            long bodyBytes,
-            long beganAtNanos,
-            long waitEndNanos,
-            long deadlineNanos,
-            Runnable giveUp) {}
+    /** A body that is being sent. */
+    static final class Send {
+
+        private final LongSupplier unsent;
+
+        private final long bodyBytes;
+
+        private final long waitEndNanos;
+
+        private final long deadlineNanos;
+
+        private final Runnable giveUp;
+
+        private final ProgressWindow progress;
+
+        private long unsentBytes;
+
+        private Send(
+                LongSupplier unsent,
+                long bodyBytes,
+                long waitEndNanos,
+                long deadlineNanos,
+                Runnable giveUp,
+                ProgressWindow progress) {
+            this.unsent = unsent;
+            this.bodyBytes = bodyBytes;
+            this.waitEndNanos = waitEndNanos;
+            this.deadlineNanos = deadlineNanos;
+            this.giveUp = giveUp;
+            this.progress = progress;
+            this.unsentBytes = bodyBytes;
+        }
+
+        /** Record what was sent since the last call; return what is not sent. */
+        private long refresh() {
+            long before = unsentBytes;
+            unsentBytes = unsent.getAsLong();
+            progress.moved(before - unsentBytes);
+            return unsentBytes;
+        }
+
+        /** End the attempt. */
+        void giveUp() {
+            giveUp.run();
+        }
+
+        String describe() {
+            return "unsent_bytes=" + unsentBytes + " body_bytes=" + bodyBytes + " still_ms="
+                    + progress.millisSinceMoved();
+        }
+    }
 }
--- a/gateway/src/test/java/org/arbutusstack/gateway/pressure/SlowPeerTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/pressure/SlowPeerTests.java
@@ -153,6 +153,17 @@
         assertEquals(givenUp.get(), 1);
     }
 
+    /** Guards against taking the bytes that fill the buffers of a connection for progress of the runner. */
+    @Test
+    public void shouldGiveUpSendWhenRunnerReadsNothingAfterBuffersAreFull() {
+        AtomicLong unsentBytes = send(4_000_000);
+        advance(unsentBytes, 3_900_000, 1);
+        advance(unsentBytes, 0, 23);
+        assertEquals(givenUp.get(), 0);
+        advance(unsentBytes, 0, 3);
+        assertEquals(givenUp.get(), 1);
+    }
+
     /** Connection of a caller that takes nothing by itself. */
     private static final class SlowSink implements ResponseSink {
 
