Order waiting requests by a share that does not change; end each request and attempt once

Change: TeamUsage decays only when something is sent; guards where an attempt or a request may have ended meanwhile; the account releases what it gives up.

--- a/gateway/src/main/java/org/arbutusstack/gateway/request/ActiveRequest.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/ActiveRequest.java
@@ -133,6 +133,7 @@
 
     /** End the attempt in progress, record the refusal and avoid its runner in further attempts. */
     void attemptFailed(Refusal refusal) {
+        awaitsGap = false;
         if (attempt != null) {
             failedRunners.add(attempt.runner().entry().id());
             attempt.end();
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
@@ -103,6 +103,10 @@
         if (!relayed.isEmpty()) {
             relayEvents(active, attempt, ServerSentEvent.join(relayed));
         }
+        if (active.attempt() != attempt) {
+            // The caller reads too slowly, and its stream was ended while the events were written.
+            return;
+        }
         if (fault.isEmpty() && parsed.isTooLong()) {
             answerTooLarge(active, attempt);
         } else if (!fault.isEmpty() || parsed.isRejected()) {
@@ -123,7 +127,7 @@
         }
         while (memory.isExceeded()) {
             CurrentAttempt longest = memory.largest();
-            memory.release(longest);
+            release(longest);
             String detail = "the answers in progress are too long to hold, this one the longest";
             rejectAnswer(longest.owner(), longest, RefusalReason.ANSWER_TOO_LARGE, detail);
         }
@@ -164,12 +168,21 @@
     }
 
     private void sendTooSlow(CurrentAttempt attempt) {
+        if (attempt.owner().attempt() != attempt) {
+            return;
+        }
         attempt.runner().outcomes().failed();
         giveUp(attempt, RefusalReason.BACKEND_LOST, "the runner read the request too slowly");
     }
 
-    /** End an attempt that may have run, although neither its answer nor its connection is at fault. */
+    /**
+     * End an attempt that may have run, although neither its answer nor its connection is at fault. Does nothing if it
+     * has already ended: ending one holding may end another that was found at the same time.
+     */
     private void giveUp(CurrentAttempt attempt, RefusalReason reason, String detail) {
+        if (attempt.owner().attempt() != attempt) {
+            return;
+        }
         attempt.cancel();
         dispatcher.retryOrRefuse(attempt.owner(), Refusal.outcomeUnknown(reason, detail));
     }
@@ -240,6 +253,8 @@
             attempt.runner().outcomes().succeeded();
             attempt.recordAnswer(clock.nowNanos());
             quarantine.answerBegun(active);
+            // The bytes are counted as unread by the caller from here on, and a ready answer is not given up.
+            release(attempt);
             relayAnswer(active, answer);
         } else {
             attempt.runner().outcomes().failed();
@@ -273,6 +288,9 @@
         if (answer.body().length > 0) {
             write(active, answer.body(), false);
         }
+        if (active.isEnded()) {
+            return;
+        }
         active.response().end();
         if (answer.head().isSuccess()) {
             quarantine.answerCompleted(active);
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatcher.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatcher.java
@@ -261,6 +261,9 @@
     }
 
     private void refuse(ActiveRequest active, Refusal refusal, long retryAfterMillis) {
+        if (active.isEnded()) {
+            return;
+        }
         admission.giveBackUnlessRun(active);
         Refusal reported = refusal.afterAttempts(active.mayHaveRun());
         log.refused(active, reported);
@@ -329,7 +332,7 @@
     /** End requests past their deadline and route waiting requests again. */
     public void tick() {
         for (ActiveRequest active : new ArrayList<>(inFlight)) {
-            if (clock.isPast(active.request().deadlineNanos())) {
+            if (!active.isEnded() && clock.isPast(active.request().deadlineNanos())) {
                 expire(active);
             }
         }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
@@ -167,7 +167,7 @@
         }
         Optional<KnownRunner> withRoom = admission.select(active, ranked(chosen, pair));
         if (withRoom.isEmpty()) {
-            return new Choice.AwaitRoom();
+            return active.awaitsGap() ? atCapacity(responsive) : new Choice.AwaitRoom();
         }
         chosen = withRoom.get();
         boolean ready = request.adapter().isEmpty() || needs.hasAdapterOn(chosen.view());
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/TeamUsage.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/TeamUsage.java
@@ -46,12 +46,14 @@
                 .retainAll(next.teams().all().stream().map(Team::name).toList());
     }
 
-    /** Return the share that a team has had; zero for a request without a team. */
+    /**
+     * Return the share that a team has had, as of the last request sent; zero for a request without a team. Does not
+     * change with time, so that requests can be ordered by it.
+     */
     double shareUsed(Optional<Team> team) {
-        if (team.isEmpty() || usedByTeam.isEmpty()) {
+        if (team.isEmpty()) {
             return 0;
         }
-        decay();
         return usedByTeam.getOrDefault(team.get().name(), 0.0);
     }
 
