--- a/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
@@ -124,7 +124,7 @@
                 runner -> dispatcher().runnerChanged(runner),
                 this::frameReceived);
         this.permits = new PermitClient(dependencies.name(), runners, sides::sendToAccountant, this::entryCount);
-        AllotmentShare share = new AllotmentShare(sides.typicalEntryCount()::entries, sides::isLinkedToMost, clock);
+        AllotmentShare share = new AllotmentShare(sides.typicalEntryCount()::entries, sides::linkedPart, clock);
         this.allotments = new AllotmentGate(dependencies.name(), sides, share, clock, dependencies.metrics());
         this.dispatcher = RequestDispatchers.create(
                 runners,
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/SideLinks.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/SideLinks.java
@@ -48,9 +48,6 @@
     /** Announced status intervals without any frame after which a link is closed. */
     private static final int MAX_MISSED_INTERVALS = 3;
 
-    /** Part of the sides without which the others may not count all entries; allows for a few hosts that are lost. */
-    private static final double MOST_SIDES = 0.9;
-
     /** Sides that pass on one frame, so that it arrives although one of them has just been lost. */
     private static final int RELAYS = 2;
 
@@ -143,13 +140,13 @@
     }
 
     /**
-     * Return whether there are links to most of the sides that the directory lists, so that these count most entries.
+     * Return to how many of the sides there are links.
      *
-     * @return whether at most a tenth of the sides is not linked
+     * @return the part of the sides of all runners in the directory, from 0 to 1; 1 if there is none
      */
-    public boolean isLinkedToMost() {
-        long open = sidesByHost.values().stream().filter(side -> side.open).count();
-        return open >= sidesByHost.size() * MOST_SIDES;
+    public double linkedPart() {
+        double open = sidesByHost.values().stream().filter(side -> side.open).count();
+        return sidesByHost.isEmpty() ? 1 : open / sidesByHost.size();
     }
 
     @Override
--- a/gateway/src/test/java/org/arbutusstack/gateway/allotment/AllotmentBoundTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/allotment/AllotmentBoundTests.java
@@ -27,15 +27,20 @@
         return (long) (random.nextDouble() * seconds * AllotmentWorld.SECOND);
     }
 
-    private static void disturb(AllotmentWorld world) {
+    /** Let something fail; in a long run, cuts and losses may outlast the time for which entries are counted. */
+    private static void disturb(AllotmentWorld world, boolean isLong) {
         Random random = world.random;
         AllotmentWorld.Entry entry = any(random, world.entries);
         AllotmentWorld.Side side = any(random, world.sides);
-        switch (random.nextInt(11)) {
+        switch (random.nextInt(12)) {
             case 0 -> entry.cut(side, upTo(random, 6));
             case 1 -> world.sides.forEach(each -> entry.cut(each, upTo(random, 6)));
             case 2 -> world.entries.forEach(each -> each.cut(side, upTo(random, 6)));
-            case 3 -> partition(world, upTo(random, 8));
+            case 3 -> partition(world, upTo(random, isLong ? 80 : 8));
+            case 10 ->
+                world.entries.stream()
+                        .filter(each -> random.nextInt(3) == 0)
+                        .forEach(each -> each.kill(upTo(random, isLong ? 80 : 20)));
             case 4 -> entry.kill(upTo(random, 2));
             case 5 -> side.kill(upTo(random, 4));
             case 6 -> entry.pause(upTo(random, 6), random.nextBoolean());
@@ -116,20 +121,25 @@
                 world.load(entry, "raven", RATE / world.entries.size(), cost);
             }
             boolean disturbed = seed % 8 != 0;
+            boolean isLong = seed % 10 == 1;
+            long duration = isLong ? 4 * DURATION : DURATION;
             int disturbances = random.nextInt(12);
             for (int number = 0; number < disturbances; number++) {
                 if (disturbed) {
-                    world.at(upTo(random, 32), () -> disturb(world));
+                    world.at(upTo(random, 32), () -> disturb(world, isLong));
                 }
             }
+            if (isLong) {
+                world.at(upTo(random, 20), () -> partition(world, 80 * AllotmentWorld.SECOND));
+            }
             boolean idle = false;
-            for (long micros = 0; micros < DURATION; micros += upTo(random, idle ? 3 : 12)) {
+            for (long micros = 0; micros < duration; micros += upTo(random, idle ? 3 : 12)) {
                 idle = !idle;
                 boolean isIdlePhase = idle;
                 world.at(micros, () -> changeDemand(world, demand, RATE, isIdlePhase));
             }
-            world.run(DURATION);
-            double excess = world.excess("raven", 0, DURATION, RATE, burst);
+            world.run(duration);
+            double excess = world.excess("raven", 0, duration, RATE, burst);
             double part = (excess + (RATE * 8 + burst) * 0.1 + 10_000) / RATE;
             worst = Math.max(worst, part);
             System.out.printf(
--- a/gateway/src/test/java/org/arbutusstack/gateway/allotment/AllotmentShareTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/allotment/AllotmentShareTests.java
@@ -2,21 +2,29 @@
 
 import static org.testng.Assert.assertEquals;
 
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.arbutusstack.kernel.time.ManualClock;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /** Tests {@link AllotmentShare}. */
 public class AllotmentShareTests {
 
-    private final ManualClock clock = new ManualClock();
+    private ManualClock clock;
 
-    private final AtomicInteger reported = new AtomicInteger(22);
+    private final AtomicInteger reported = new AtomicInteger();
 
-    private final AtomicBoolean linked = new AtomicBoolean(true);
+    private double linked;
 
-    private final AllotmentShare share = new AllotmentShare(reported::get, linked::get, clock);
+    private AllotmentShare share;
+
+    @BeforeMethod
+    public void setUp() {
+        clock = new ManualClock();
+        reported.set(22);
+        linked = 1;
+        share = new AllotmentShare(reported::get, () -> linked, clock);
+    }
 
     /** Guards against parts that add up to several allotments in a network that is cut in two for long. */
     @Test
@@ -24,17 +32,32 @@
         assertEquals(share.entries(), 64);
         clock.advanceMillis(1_000);
         assertEquals(share.entries(), 22);
-        linked.set(false);
+        linked = 0.5;
         reported.set(11);
         assertEquals(share.entries(), 22);
         clock.advanceMillis(600_000);
         assertEquals(share.entries(), 22);
-        linked.set(true);
+        linked = 1;
         assertEquals(share.entries(), 22);
         clock.advanceMillis(1_000);
         assertEquals(share.entries(), 11);
     }
 
+    /** Guards against an entry that was cut off for long and uses a part that the others have taken over. */
+    @Test
+    public void shouldGiveUpMostOfPartWhenCutOffForLong() {
+        clock.advanceMillis(1_000);
+        assertEquals(share.entries(), 22);
+        linked = 0.1;
+        reported.set(7);
+        clock.advanceMillis(24_000);
+        assertEquals(share.entries(), 22);
+        clock.advanceMillis(1_000);
+        assertEquals(share.entries(), 22 * 8);
+        linked = 0.25;
+        assertEquals(share.entries(), 22);
+    }
+
     /** Guards against half an allotment that lies unused, since one side counts each entry twice after a cut. */
     @Test
     public void shouldIgnoreFewSidesThatCountTooMany() {
--- a/gateway/src/test/java/org/arbutusstack/gateway/allotment/AllotmentWorld.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/allotment/AllotmentWorld.java
@@ -289,15 +289,15 @@
         private void start() {
             startedAtMicros = nowMicros;
             count = new EntryCountHarness(this);
-            share = new AllotmentShare(count::entries, this::isLinked, this);
+            share = new AllotmentShare(count::entries, this::linkedPart, this);
             gate = new AllotmentGate(name, this, share, this, new PrometheusRegistry());
             gate.config(config());
             handle(nowMicros + random.nextInt((int) TICK_MICROS), this::tick);
             handle(nowMicros + random.nextInt((int) REPORT_MICROS), this::report);
         }
 
-        private boolean isLinked() {
-            return sides.stream().filter(this::isOpen).count() >= 0.9 * sides.size();
+        private double linkedPart() {
+            return (double) sides.stream().filter(this::isOpen).count() / sides.size();
         }
 
         private void tick() {
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/DispatcherHarness.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/DispatcherHarness.java
@@ -77,7 +77,7 @@
     DispatcherHarness(RetryLimits limits, long maxHeldAnswerBytes) {
         PrometheusRegistry registry = new PrometheusRegistry();
         PermitClient permits = new PermitClient("edge-1", table, (runner, frame) -> permitRequests.add(frame), () -> 4);
-        AllotmentShare share = new AllotmentShare(() -> 1, () -> true, clock);
+        AllotmentShare share = new AllotmentShare(() -> 1, () -> 1, clock);
         allotments = new AllotmentGate("edge-1", new NoKeepers(), share, clock, registry);
         quarantine = new ContentQuarantine(
                 (host, frame) -> {}, () -> false, new TrialSchedule("edge-1", () -> 1, clock), clock, registry);
