--- a/gateway/src/main/java/org/arbutusstack/gateway/allotment/AllotmentShare.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/allotment/AllotmentShare.java
@@ -10,9 +10,9 @@
  * Number of entries that share the allotments, of which an entry owns one part each.
  *
  * <p>A count that is too low makes the parts add up to more than the allotment. Sides count too few entries while these
- * start or reconnect, and in a part of a network that is cut in two; so the count does not fall while an entry is not
- * linked to most sides and shortly after, and a process that has just started assumes more than there are. An entry that
- * has long been linked to few sides gives up most of its part, since those linked to most no longer count it.
+ * start or reconnect, and in a part of a network that is cut in two. The count thus does not fall while an entry is not
+ * linked to most sides, nor shortly after, and a process that has just started assumes more than there are. An entry
+ * that has long been linked to few sides gives up most of its part, since those linked to most no longer count it.
  *
  * <p>Does no I/O; confined to the entry's event loop.
  */
