--- a/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
@@ -129,7 +129,7 @@
                 this::frameReceived);
         this.permits = new PermitClient(dependencies.name(), runners, sides::sendToAccountant, this::entryCount);
         this.zones = new ZoneCandidates(dependencies.zone(), dependencies.zonePenaltyMillis(), clock);
-        AllotmentShare share = new AllotmentShare(sides.typicalEntryCount()::entries, sides::isLinkedToMost, clock);
+        AllotmentShare share = new AllotmentShare(sides.typicalEntryCount()::entries, sides::linkedPart, clock);
         this.allotments = new AllotmentGate(dependencies.name(), sides, share, clock, dependencies.metrics());
         this.dispatcher = RequestDispatchers.create(
                 runners,
