Let a team without a burst use the own share of an entry

Found by review: the own share of an entry was capped by the burst alone, so that without a keeper a team with a rate and no burst was refused for good, with a Retry-After that could not come true. Change: the own share holds a quarter of a second of the rate at least, as a pool does.

--- a/gateway/src/main/java/org/arbutusstack/gateway/allotment/TokenBalance.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/allotment/TokenBalance.java
@@ -27,6 +27,9 @@
 
     private static final double NANOS_PER_SECOND = 1e9;
 
+    /** Least capacity of the own share; an allotment without a burst would admit nothing otherwise. */
+    private static final double MIN_CAPACITY_SECONDS = 0.25;
+
     private final Clock clock;
 
     private final ElapsedTime elapsed;
@@ -68,7 +71,12 @@
         long nowNanos = clock.nowNanos();
         double gained = team.ratePerSecond() / entries * (nowNanos - ownFilledAtNanos) / NANOS_PER_SECOND;
         ownFilledAtNanos = nowNanos;
-        own = Math.min(own + gained, team.burst() / entries);
+        own = Math.min(own + gained, ownCapacity(team, entries));
+    }
+
+    /** Return what the own share holds at most; without a burst, the same part of the rate as a pool holds. */
+    private static double ownCapacity(Team team, int entries) {
+        return Math.max(team.burst(), team.ratePerSecond() * MIN_CAPACITY_SECONDS) / entries;
     }
 
     /** Drop what the own share has yielded, since it is lent. */
@@ -91,7 +99,7 @@
     /** Take the tokens of a request, if there are enough; blocks that expire first are used first. */
     Optional<AllotmentReceipt> take(Team team, double cost, int entries) {
         double available = tokens();
-        boolean isFull = own > 0 && own >= team.burst() / entries;
+        boolean isFull = own > 0 && own >= ownCapacity(team, entries);
         double advance = isFull ? team.ratePerSecond() / entries * ADVANCE_SECONDS : 0;
         if (available + advance < cost) {
             return Optional.empty();
