Add the command config check to arbutusctl

Change: arbutusctl config check FILE [--against FILE] [--output json] prints the findings; exit code 1 if there is an error.

--- a/ctl/src/main/java/org/arbutusstack/ctl/ArbutusControl.java
+++ b/ctl/src/main/java/org/arbutusstack/ctl/ArbutusControl.java
@@ -34,8 +34,13 @@
             "  audit request ID FILE...  shows what became of a request, from collected records",
             "  audit verify FILE...      verifies collected records against their anchors",
             "  explain ID FILE...        tells what became of a request, from the logs of all processes",
+            "  config check FILE         checks a configuration, and compares it with that of --against FILE",
             "exit codes: 0 done, 1 refused or fault found, 2 not certain, 3 not reachable, 64 wrong usage");
 
+    private static final String JSON_FORMAT = "json";
+
+    private static final Set<String> FORMATS = Set.of("text", JSON_FORMAT);
+
     private final Output output;
 
     private final TicketCommands tickets;
@@ -44,11 +49,14 @@
 
     private final AuditCommands audit;
 
+    private final ConfigCommands config;
+
     private ArbutusControl(EntryClient entries, Output output, Settings settings) {
         this.output = output;
         this.tickets = new TicketCommands(entries, output, settings.number(ControlSettings.WAIT));
         this.status = new StatusCommands(entries, output);
         this.audit = new AuditCommands(entries, output, hostsOf(settings));
+        this.config = new ConfigCommands(output, settings.text(ControlSettings.AGAINST));
     }
 
     private static Set<String> hostsOf(Settings settings) {
@@ -81,7 +89,13 @@
         }
         SettingsResult.Valid valid = (SettingsResult.Valid) result;
         Settings settings = valid.settings();
-        Output output = new Output(out, err, settings.flag(ControlSettings.JSON));
+        String format = settings.text(ControlSettings.OUTPUT);
+        if (!FORMATS.contains(format)) {
+            err.println("arbutusctl: --output (" + ControlSettings.OUTPUT.variable() + "): value '" + format
+                    + "', permitted: text or json");
+            return ExitCode.USAGE;
+        }
+        Output output = new Output(out, err, settings.flag(ControlSettings.JSON) || JSON_FORMAT.equals(format));
         try (UndertowHttpClient client = new UndertowHttpClient("control", 1)) {
             return new ArbutusControl(new EntryClient(client, settings, err), output, settings).run(valid.arguments());
         } catch (IllegalArgumentException mistake) {
@@ -98,6 +112,8 @@
             case "audit" -> runAuditCommand(rest);
             case "status" -> rest.isEmpty() ? status.status() : printUsage();
             case "explain" -> rest.size() > 1 ? runExplainCommand(rest) : printUsage();
+            case "config" ->
+                rest.size() == 2 && rest.get(0).equals("check") ? config.check(Path.of(rest.get(1))) : printUsage();
             case "dump" -> rest.size() == 1 ? status.dump(rest.get(0)) : printUsage();
             default -> printUsage();
         };
--- a/ctl/src/main/java/org/arbutusstack/ctl/ControlSettings.java
+++ b/ctl/src/main/java/org/arbutusstack/ctl/ControlSettings.java
@@ -24,9 +24,15 @@
     static final Setting HOSTS =
             Setting.text("hosts", "", "hosts to verify besides those that the files name, joined by commas");
 
+    /** How to print answers. */
+    static final Setting OUTPUT = Setting.text("output", "text", "prints answers as text or json");
+
+    /** The configuration in force, with which another one is compared. */
+    static final Setting AGAINST = Setting.text("against", "", "file with the configuration in force (config check)");
+
     private ControlSettings() {}
 
     static List<Setting> all() {
-        return List.of(ENTRIES, TOKEN, JSON, WAIT, HOSTS);
+        return List.of(ENTRIES, TOKEN, JSON, WAIT, HOSTS, OUTPUT, AGAINST);
     }
 }
--- a/ctl/src/test/java/org/arbutusstack/ctl/ArbutusControlTests.java
+++ b/ctl/src/test/java/org/arbutusstack/ctl/ArbutusControlTests.java
@@ -89,6 +89,28 @@
         assertTrue(text().contains(expected), text());
     }
 
+    /** Guards against scripts that write a configuration to the store although its check found an error. */
+    @Test
+    public void shouldReportFindingsWhenConfigurationIsChecked() throws IOException {
+        String config = "{\"version\":2,\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"path-prefix\":\"/\","
+                + "\"kind\":\"safe\",\"timeout-ms\":9,\"service\":\"s\"}],\"services\":[{\"name\":\"s\"}]}";
+        String file = Files.writeString(directory.resolve("new.json"), config).toString();
+        String old = Files.writeString(directory.resolve("old.json"), config.replace(":2,", ":1,"))
+                .toString();
+        String wrong = Files.writeString(directory.resolve("wrong.json"), config.replace("safe", "save"))
+                .toString();
+        assertEquals(run(entry.address(), "config", "check", file, "--against", old), ExitCode.DONE);
+        assertTrue(text().contains("nothing found"), text());
+        assertEquals(run(entry.address(), "config", "check", wrong), ExitCode.REFUSED);
+        assertTrue(text().contains("error: routes[0] \"r\": "), text());
+        printed.reset();
+        assertEquals(run(entry.address(), "config", "check", wrong, "--output", "json"), ExitCode.REFUSED);
+        assertTrue(text().startsWith("[") && text().contains("\"severity\" : \"ERROR\""), text());
+        assertEquals(run(entry.address(), "config", "check", file, "--against", wrong), ExitCode.REFUSED);
+        assertEquals(run(entry.address(), "config", "check", file + "x"), ExitCode.USAGE);
+        assertEquals(run(entry.address(), "config", "check", file, "--output", "xml"), ExitCode.USAGE);
+    }
+
     @Test
     public void shouldTryNextEntryWhenFirstIsDown() {
         entry.answer("/tickets/7", 200, TICKET);
