Let shares move at entries with few requests

Cause: a step of at most 250 ms of time lets the share of a pool with fewer than four requests a second fall between two requests as fast as it rises.

Change: a decision accounts for up to a second, and raises a share by at most a tenth.

--- a/routing/src/main/java/org/arbutusstack/routing/ZoneShares.java
+++ b/routing/src/main/java/org/arbutusstack/routing/ZoneShares.java
@@ -26,8 +26,14 @@
     /** Time constant with which the unloaded time of the home zone rises, so that it forgets another kind of work. */
     private static final double UNLOADED_MILLIS = 20_000;
 
-    /** Longest step of time for which one decision moves a share; a longer pause only lets it fall. */
-    private static final double MAX_STEP_MILLIS = 250;
+    /**
+     * Longest step of time for which one decision moves a share, so that it also moves at an entry with a request a
+     * second; a longer pause only lets it fall.
+     */
+    private static final double MAX_STEP_MILLIS = 1_000;
+
+    /** Largest rise by one decision, which follows from a single look at the runners. */
+    private static final double MAX_RISE = 0.1;
 
     /** Part of the time left from which on requests at home come late, as single ones need several times the mean. */
     private static final double NEED_RATIO = 0.25;
@@ -165,7 +171,7 @@
         if (best != null && need >= NEED_RATIO) {
             double urgency = Math.min(MAX_URGENCY, need / NEED_RATIO);
             double room = Math.min(1, best.slots() / (double) home.slots());
-            double rise = RISE_PER_SECOND * urgency * room * stepMillis / MILLIS_PER_SECOND;
+            double rise = Math.min(MAX_RISE, RISE_PER_SECOND * urgency * room * stepMillis / MILLIS_PER_SECOND);
             move(best.zone(), Math.min(rise, 1 - totalShare()), ZoneShareChange.Cause.HOME_SLOWER, changes);
         }
     }
--- a/routing/src/test/java/org/arbutusstack/routing/ZoneOverflowReplayTests.java
+++ b/routing/src/test/java/org/arbutusstack/routing/ZoneOverflowReplayTests.java
@@ -51,7 +51,22 @@
     /** Guards against a zone that keeps its requests after it has lost servers, and against a flooded neighbour. */
     @Test
     public void shouldServeInTimeWhenHalfOfServersOfZoneAreGone() {
+        assertHalfGone("half-gone", 4);
+    }
+
+    /** Guards against shares that hardly move at entries with few requests, or swing when many entries move them. */
+    @Test
+    public void shouldServeInTimeWhenManyEntriesHaveFewRequestsEach() {
+        assertHalfGone("half-gone-150-entries", 150);
+    }
+
+    private static void assertHalfGone(String name, int entriesPerZone) {
         Load load = new Load() {
+            @Override
+            public int entriesPerZone() {
+                return entriesPerZone;
+            }
+
             @Override
             public double perSecond(String zone, double atMillis) {
                 return 0.7 * ZoneReplay.CAPACITY;
@@ -62,7 +77,7 @@
                 return !zone.equals("a") || server % 2 == 0 || atMillis < 5_000;
             }
         };
-        Result now = replay("half-gone", load, 5_000, 20_000).get(Rule.OVERFLOW);
+        Result now = replay(name, load, 5_000, 20_000).get(Rule.OVERFLOW);
         assertInTime(now);
         double excess = 1 - 0.5 / 0.7;
         assertTrue(now.shareLeft("a") < 1.5 * excess, now.shareLeft("a") + " left, " + excess + " had to");
--- a/routing/src/test/java/org/arbutusstack/routing/ZoneReplay.java
+++ b/routing/src/test/java/org/arbutusstack/routing/ZoneReplay.java
@@ -30,8 +30,6 @@
 
     private static final int SLOTS = 48;
 
-    private static final int ENTRIES_PER_ZONE = 4;
-
     private static final double STATUS_MILLIS = 200;
 
     private static final double FRESH_MILLIS = 60;
@@ -49,6 +47,10 @@
 
         double perSecond(String zone, double atMillis);
 
+        default int entriesPerZone() {
+            return 4;
+        }
+
         default boolean isUp(String zone, int server, double atMillis) {
             return true;
         }
@@ -227,7 +229,7 @@
                 servers.add(new Server(zone, number));
             }
         }
-        for (int number = 0; number < ENTRIES_PER_ZONE; number++) {
+        for (int number = 0; number < load.entriesPerZone(); number++) {
             ZONES.forEach(zone -> entries.add(new Entry(zone, servers)));
         }
     }
@@ -245,7 +247,8 @@
             for (String zone : ZONES) {
                 double expected = load.perSecond(zone, nowMillis) / TimeUnit.SECONDS.toMillis(1);
                 for (double rest = expected; random.nextDouble() < rest; rest--) {
-                    Entry entry = entries.get(ZONES.size() * random.nextInt(ENTRIES_PER_ZONE) + ZONES.indexOf(zone));
+                    int number = random.nextInt(load.entriesPerZone());
+                    Entry entry = entries.get(ZONES.size() * number + ZONES.indexOf(zone));
                     int[] counts = nowMillis < fromMillis ? new int[3] : result.counts[ZONES.indexOf(zone)];
                     send(entry, nowMillis, counts);
                 }
