Send nothing to zones that need their capacity for their own requests

Change: a share rises, and a request that is late at home leaves, only towards a zone with room: one that begins within its unloaded time and a quarter of the time left beyond that.

--- a/routing/src/main/java/org/arbutusstack/routing/ZoneOverflow.java
+++ b/routing/src/main/java/org/arbutusstack/routing/ZoneOverflow.java
@@ -32,12 +32,6 @@
     /** Part of the time left below which a request gains nothing by leaving, even as part of the share. */
     private static final double IN_TIME_RATIO = 0.1;
 
-    /**
-     * Part of the time left within which another zone has to begin a request that would be late at home, so that it
-     * still serves its own requests in time.
-     */
-    private static final double ROOM_RATIO = 0.5;
-
     private final String homeZone;
 
     private final long penaltyMillis;
@@ -89,14 +83,11 @@
         if (home.fastestMillis() > Math.max(0, demand.timeLeftMillis())) {
             return zones.values().stream()
                     .filter(zone ->
-                            !zone.full() && zone.totalMillis(unloadedMillis) <= demand.timeLeftMillis() * ROOM_RATIO)
+                            !zone.full() && shares.hasRoom(zone.totalMillis(unloadedMillis), demand.timeLeftMillis()))
                     .min((one, other) ->
                             Double.compare(one.totalMillis(unloadedMillis), other.totalMillis(unloadedMillis)))
                     .map(zone -> new ZoneDecision(Set.of(zone.zone()), ZoneReason.LATE_AT_HOME))
-                    .orElseGet(() -> stay(
-                            zones.values().stream().allMatch(ZoneOutlook::full)
-                                    ? ZoneReason.OTHERS_FULL
-                                    : ZoneReason.LATE_ANYWHERE));
+                    .orElseGet(() -> stay(ZoneReason.OTHERS_FULL));
         }
         // A request of twice the usual size leaves with the square of the share's probability, and always at a share
         // of one.
@@ -118,6 +109,9 @@
         if (zoneMillis > demand.timeLeftMillis()) {
             return stay(ZoneReason.LATE_ANYWHERE);
         }
+        if (shares.isOverloaded(zoneMillis, demand.timeLeftMillis())) {
+            return stay(ZoneReason.OTHERS_FULL);
+        }
         return new ZoneDecision(Set.of(chosen), ZoneReason.SHARE);
     }
 
--- a/routing/src/main/java/org/arbutusstack/routing/ZoneReason.java
+++ b/routing/src/main/java/org/arbutusstack/routing/ZoneReason.java
@@ -17,7 +17,7 @@
     /** The request stays: its zone of overflow has become slower than the home zone. */
     NO_GAIN(false),
 
-    /** The request stays: its zone of overflow has no free slot. */
+    /** The request stays: the other zones have no free slot or need what they have for their own requests. */
     OTHERS_FULL(false),
 
     /** The request stays: it would be late in its zone of overflow as well. */
--- a/routing/src/main/java/org/arbutusstack/routing/ZoneShareChange.java
+++ b/routing/src/main/java/org/arbutusstack/routing/ZoneShareChange.java
@@ -31,7 +31,7 @@
         /** The zone no longer gains half of the penalty. */
         NO_GAIN,
 
-        /** The zone has no free slot. */
+        /** The zone has no free slot, or needs what it has for its own requests. */
         FULL,
 
         /** The zone has no runner that can serve the pool and whose state is known. */
--- a/routing/src/main/java/org/arbutusstack/routing/ZoneShares.java
+++ b/routing/src/main/java/org/arbutusstack/routing/ZoneShares.java
@@ -23,8 +23,8 @@
     /** Time constant for a zone that becomes slower, so that it is left sooner than it is entered. */
     private static final double WORSENING_MILLIS = 100;
 
-    /** Time constant with which the unloaded time of the home zone rises, so that it forgets another kind of work. */
-    private static final double UNLOADED_MILLIS = 20_000;
+    /** Time constant with which the unloaded time rises, so that it forgets another kind of work. */
+    private static final double UNLOADED_MILLIS = 60_000;
 
     /**
      * Longest step of time for which one decision moves a share, so that it also moves at an entry with a request a
@@ -41,6 +41,12 @@
     /** Part of the time left below which the home zone needs no help; lower than the above, for hysteresis. */
     private static final double RELIEF_RATIO = 0.15;
 
+    /** Part of the time left beyond the unloaded time up to which a zone has room: from there on it needs help itself. */
+    private static final double ROOM_RATIO = 0.25;
+
+    /** Factor on the room at which a zone counts as full; above one, for hysteresis. */
+    private static final double FULL_FACTOR = 1.5;
+
     /** Rise per second: half the requests of a zone leave after 2.5 s, or after less if they are late. */
     private static final double RISE_PER_SECOND = 0.2;
 
@@ -107,11 +113,31 @@
         return homeMillis;
     }
 
-    /** Return the expected time in a zone of which nothing is known: that of the home zone without load. */
+    /** Return the expected time in a zone without load, also assumed for one of which nothing is known. */
     double unloadedMillis() {
         return unloadedMillis;
     }
 
+    /**
+     * Return whether a zone can take further requests and still begin its own ones in time.
+     *
+     * @param totalMillis the expected first event in the zone, including the delay
+     * @param timeLeftMillis the time left until the target of a request
+     */
+    boolean hasRoom(double totalMillis, long timeLeftMillis) {
+        return totalMillis <= roomMillis(timeLeftMillis);
+    }
+
+    /** Return whether a zone needs what it has for its own requests. */
+    boolean isOverloaded(double totalMillis, long timeLeftMillis) {
+        return totalMillis > FULL_FACTOR * roomMillis(timeLeftMillis);
+    }
+
+    private double roomMillis(long timeLeftMillis) {
+        double baseMillis = Math.min(unloadedMillis, timeLeftMillis / 2.0);
+        return baseMillis + ROOM_RATIO * (timeLeftMillis - baseMillis);
+    }
+
     /** Return the size of a request in relation to the usual one, at most twice and at least half of it. */
     double relativeSize(long sizeBytes) {
         return Math.max(0.5, Math.min(2, (sizeBytes + 1) / (meanBytes + 1)));
@@ -159,12 +185,14 @@
             double gainMillis = homeMillis - overflow.totalMillis();
             boolean isBetter = best == null
                     || overflow.totalMillis() < overflows.get(best.zone()).totalMillis();
-            if (gainMillis > penaltyMillis && !other.full() && isBetter) {
+            boolean isOpen = !other.full() && hasRoom(overflow.totalMillis(), demand.timeLeftMillis());
+            if (gainMillis > penaltyMillis && isOpen && isBetter) {
                 best = other;
             }
-            ZoneShareChange.Cause cause = fallCause(other, gainMillis, penaltyMillis, relieved);
+            boolean full = other.full() || isOverloaded(overflow.totalMillis(), demand.timeLeftMillis());
+            ZoneShareChange.Cause cause = fallCause(full, gainMillis, penaltyMillis, relieved);
             if (cause != null) {
-                double perSecond = gainMillis < 0 || other.full() ? FAST_FALL_PER_SECOND : FALL_PER_SECOND;
+                double perSecond = gainMillis < 0 || full ? FAST_FALL_PER_SECOND : FALL_PER_SECOND;
                 move(other.zone(), -perSecond * stepMillis / MILLIS_PER_SECOND, cause, changes);
             }
         }
@@ -177,8 +205,8 @@
     }
 
     private static ZoneShareChange.Cause fallCause(
-            ZoneOutlook other, double gainMillis, double penaltyMillis, boolean relieved) {
-        if (other.full()) {
+            boolean full, double gainMillis, double penaltyMillis, boolean relieved) {
+        if (full) {
             return ZoneShareChange.Cause.FULL;
         }
         if (gainMillis < penaltyMillis / 2) {
@@ -193,7 +221,7 @@
             double stepMillis,
             double pauseMillis,
             Consumer<ZoneShareChange> changes) {
-        smoothHome(home, pauseMillis);
+        smoothHome(home, others, pauseMillis);
         double idleFall = FALL_PER_SECOND * (pauseMillis - stepMillis) / MILLIS_PER_SECOND;
         for (ZoneOutlook other : others) {
             double nowMillis = other.totalMillis(unloadedMillis) - other.delayMillis();
@@ -219,16 +247,22 @@
     }
 
     /** Update the figures of the home zone; they remain as they are while nothing is known of it. */
-    private void smoothHome(ZoneOutlook home, double pauseMillis) {
+    private void smoothHome(ZoneOutlook home, Collection<ZoneOutlook> others, double pauseMillis) {
         if (Double.isNaN(home.firstEventMillis())) {
             return;
         }
         double nowMillis = home.totalMillis(0);
         boolean isFirst = Double.isNaN(homeMillis);
         homeMillis = isFirst ? nowMillis : approach(homeMillis, nowMillis, pauseMillis, SMOOTHING_MILLIS);
+        double leastMillis = Math.min(
+                nowMillis,
+                others.stream()
+                        .mapToDouble(other -> other.totalMillis(nowMillis))
+                        .min()
+                        .orElse(nowMillis));
         unloadedMillis = isFirst
-                ? nowMillis
-                : Math.min(nowMillis, approach(unloadedMillis, nowMillis, pauseMillis, UNLOADED_MILLIS));
+                ? leastMillis
+                : Math.min(leastMillis, approach(unloadedMillis, leastMillis, pauseMillis, UNLOADED_MILLIS));
     }
 
     private static double approach(double from, double to, double pauseMillis, double constantMillis) {
--- a/routing/src/test/java/org/arbutusstack/routing/ZoneOverflowReplayTests.java
+++ b/routing/src/test/java/org/arbutusstack/routing/ZoneOverflowReplayTests.java
@@ -119,6 +119,16 @@
         assertTrue(now.inTime() >= 0.95 * results.get(Rule.NEVER_LEAVE).inTime());
     }
 
+    /** Guards against neighbours that are late themselves since they help. */
+    @Test
+    public void shouldNotOverloadNeighboursThatAreNearlyFull() {
+        Load load = (zone, atMillis) -> (zone.equals("a") ? 1.3 : 0.9) * ZoneReplay.CAPACITY;
+        Map<Rule, Result> results = replay("neighbours-nearly-full", load, 5_000, 20_000);
+        Result now = results.get(Rule.OVERFLOW);
+        assertTrue(now.shareInTime("a") > results.get(Rule.NEVER_LEAVE).shareInTime("a"), "no help");
+        assertTrue(Math.min(now.shareInTime("b"), now.shareInTime("c")) >= MIN_IN_TIME, "the neighbours are late");
+    }
+
     /** Guards against servers that are slow for moments and drive requests out of a zone with enough others. */
     @Test
     public void shouldStayWhenServersAreSlowInTurn() {
