--- a/routing/src/test/java/org/arbutusstack/routing/ZoneOverflowReplayTests.java
+++ b/routing/src/test/java/org/arbutusstack/routing/ZoneOverflowReplayTests.java
@@ -51,7 +51,22 @@
     /** Guards against a zone that keeps its requests after it has lost servers, and against a flooded neighbour. */
     @Test
     public void shouldServeInTimeWhenHalfOfServersOfZoneAreGone() {
+        assertHalfGone("half-gone", 4);
+    }
+
+    /** Guards against shares that hardly move at entries with few requests, or swing when many entries move them. */
+    @Test
+    public void shouldServeInTimeWhenManyEntriesHaveFewRequestsEach() {
+        assertHalfGone("half-gone-150-entries", 150);
+    }
+
+    private static void assertHalfGone(String name, int entriesPerZone) {
         Load load = new Load() {
+            @Override
+            public int entriesPerZone() {
+                return entriesPerZone;
+            }
+
             @Override
             public double perSecond(String zone, double atMillis) {
                 return 0.7 * ZoneReplay.CAPACITY;
@@ -62,7 +77,7 @@
                 return !zone.equals("a") || server % 2 == 0 || atMillis < 5_000;
             }
         };
-        Result now = replay("half-gone", load, 5_000, 20_000).get(Rule.OVERFLOW);
+        Result now = replay(name, load, 5_000, 20_000).get(Rule.OVERFLOW);
         assertInTime(now);
         double excess = 1 - 0.5 / 0.7;
         assertTrue(now.shareLeft("a") < 1.5 * excess, now.shareLeft("a") + " left, " + excess + " had to");
@@ -104,6 +119,16 @@
         assertTrue(now.inTime() >= 0.95 * results.get(Rule.NEVER_LEAVE).inTime());
     }
 
+    /** Guards against neighbours that are late themselves since they help. */
+    @Test
+    public void shouldNotOverloadNeighboursThatAreNearlyFull() {
+        Load load = (zone, atMillis) -> (zone.equals("a") ? 1.3 : 0.9) * ZoneReplay.CAPACITY;
+        Map<Rule, Result> results = replay("neighbours-nearly-full", load, 5_000, 20_000);
+        Result now = results.get(Rule.OVERFLOW);
+        assertTrue(now.shareInTime("a") > results.get(Rule.NEVER_LEAVE).shareInTime("a"), "no help");
+        assertTrue(Math.min(now.shareInTime("b"), now.shareInTime("c")) >= MIN_IN_TIME, "the neighbours are late");
+    }
+
     /** Guards against servers that are slow for moments and drive requests out of a zone with enough others. */
     @Test
     public void shouldStayWhenServersAreSlowInTurn() {
