--- a/gateway/src/main/java/org/arbutusstack/gateway/pressure/Backpressure.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/pressure/Backpressure.java
@@ -15,8 +15,8 @@
  * Backpressure of an entry: keeps the {@link MemoryAccount} up to date, ends what the decisions name, and reports each
  * end in the log and the metrics.
  *
- * <p>The account's bound protects every entry. The shares of slow callers and the wait for slow runners apply only where
- * the deployment asks for them. Confined to the entry's event loop.
+ * <p>The account's bound protects every entry. The shares of slow callers and the wait for slow runners apply only
+ * where the deployment asks for them. Confined to the entry's event loop.
  */
 public final class Backpressure {
 
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/LateAdmission.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/LateAdmission.java
@@ -9,10 +9,11 @@
 /**
  * Decision whether a request that no runner can begin within its target waits for a gap or is refused at once.
  *
- * <p>The load is a burst of some seconds that exceeds what the runners of a model can serve. Callers retry once, so that
- * those who are refused twice get nothing, although a late answer still helps them. A request waits as long as the gaps
- * seen lately reach it before its caller leaves; gaps are what runners have left when they would begin one more request
- * at once, so that no request that can be in time is displaced. Does no I/O; confined to the entry's event loop.
+ * <p>The load is a burst of some seconds that exceeds what the runners of a model can serve. Callers retry once, so
+ * that those who are refused twice get nothing, although a late answer still helps them. A request waits as long as
+ * the gaps seen lately reach it before its caller leaves; gaps are what runners have left when they would begin one
+ * more request at once, so that no request that can be in time is displaced. Does no I/O; confined to the entry's
+ * event loop.
  */
 final class LateAdmission {
 
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/ModelDemand.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/ModelDemand.java
@@ -34,7 +34,10 @@
         forecast.config(next);
     }
 
-    /** Return the expected time of a load that ends after the caller has left, in milliseconds; empty if it is earlier. */
+    /**
+     * Return the expected time of a load that ends after the caller has left, in milliseconds; empty if it is
+     * earlier.
+     */
     OptionalLong loadBeyondPatienceMillis(InboundRequest request) {
         long loadMillis = chooser.loadMillis(request, forecast);
         long callerEndNanos = request.arrivedNanos() + request.route().callerTimeoutMillis() * Clock.NANOS_PER_MILLI;
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/PromptAdmission.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/PromptAdmission.java
@@ -12,12 +12,12 @@
 import org.arbutusstack.routing.PrefillBudget;
 
 /**
- * Decision whether a request is sent to the runner chosen for it, to the other candidate, or held until the prompts sent
- * before it have been read.
+ * Decision whether a request is sent to the runner chosen for it, to the other candidate, or held until the prompts
+ * sent before it have been read.
  *
- * <p>The load is a burst of prompts at runners whose streams have a target gap: sent at once, they make all streams late
- * that run there. Applies to services with deferrable routes, whose operators have said by their targets which work can
- * wait. Does no I/O; confined to the entry's event loop.
+ * <p>The load is a burst of prompts at runners whose streams have a target gap: sent at once, they make all streams
+ * late that run there. Applies to services with deferrable routes, whose operators have said by their targets which
+ * work can wait. Does no I/O; confined to the entry's event loop.
  *
  * @see PrefillBudget
  */
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/TeamUsage.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/TeamUsage.java
@@ -12,8 +12,8 @@
  * What each team has recently sent through this entry, relative to its allotment, so that a team at several times its
  * usual load does not displace others of equal urgency.
  *
- * <p>The load is one hot team among many while room is short: requests of all teams wait, and those of the team that has
- * had less of its share go first. Does no I/O; confined to the entry's event loop.
+ * <p>The load is one hot team among many while room is short: requests of all teams wait, and those of the team that
+ * has had less of its share go first. Does no I/O; confined to the entry's event loop.
  */
 final class TeamUsage {
 
--- a/routing/src/main/java/org/arbutusstack/routing/PrefillBudget.java
+++ b/routing/src/main/java/org/arbutusstack/routing/PrefillBudget.java
@@ -6,8 +6,8 @@
  *
  * <p>An engine reads waiting prompts in pieces between the tokens of its streams, and an event of a stream holds
  * several tokens. While more prompt tokens wait than the engine reads within the target gap, every event takes longer
- * than the gap, so that all streams of the runner are late although their first events were in time. The load is a burst of
- * prompts from many entries at one runner. Stateless and thread-safe.
+ * than the gap, so that all streams of the runner are late although their first events were in time. The load is a
+ * burst of prompts from many entries at one runner. Stateless and thread-safe.
  *
  * @see PromptWindow
  */
--- a/routing/src/test/java/org/arbutusstack/routing/PrefillSpeedTests.java
+++ b/routing/src/test/java/org/arbutusstack/routing/PrefillSpeedTests.java
@@ -36,7 +36,7 @@
         assertEquals(speed.tokensPerMilli(), 20, 0.001);
     }
 
-    /** Guards against prompts that were read before they were reported as waiting, which made every engine look fast. */
+    /** Guards against prompts that were read before they counted as waiting, which made every engine look fast. */
     @Test
     public void shouldIgnorePromptsBehindOthers() {
         PrefillSpeed speed = new PrefillSpeed();
