--- a/gateway/src/main/java/org/arbutusstack/gateway/request/DecisionLog.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/DecisionLog.java
@@ -55,7 +55,7 @@
         boolean late = active.request().route().kind().isStreaming()
                 && active.progress().isLate();
         if (late) {
-            metrics.countLateStream(active.request(), active.progress().isFirstEventLate());
+            metrics.room().countLateStream(active.request(), active.progress().isFirstEventLate());
         }
         if (late && throttle.tryAcquire()) {
             KnownRunner runner =
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/GatewayMetrics.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/GatewayMetrics.java
@@ -42,9 +42,7 @@
 
     private final Gauge heldAnswerBytes;
 
-    private final Counter lateStreams;
-
-    private final Counter heldForRoom;
+    private final RoomMetrics room;
 
     private final Counter teamOutcomes;
 
@@ -107,16 +105,7 @@
                 .name("arbutus_gateway_requests_waiting")
                 .help("requests that wait for a model or an adapter")
                 .register(registry);
-        lateStreams = Counter.builder()
-                .name("arbutus_gateway_late_streams_total")
-                .help("complete streams that exceeded a target, by service and whether first_event or gap did")
-                .labelNames(SERVICE, "cause")
-                .register(registry);
-        heldForRoom = Counter.builder()
-                .name("arbutus_gateway_held_for_room_total")
-                .help("requests that were held since their prompts would have delayed running streams, by service")
-                .labelNames(SERVICE)
-                .register(registry);
+        room = new RoomMetrics(registry);
         heldAnswerBytes = Gauge.builder()
                 .name("arbutus_gateway_held_answer_bytes")
                 .help("size of the long answers that are held until they can be relayed")
@@ -167,14 +156,8 @@
         }
     }
 
-    void countLateStream(InboundRequest request, boolean isFirstEventLate) {
-        lateStreams
-                .labelValues(request.service(), isFirstEventLate ? "first_event" : "gap")
-                .inc();
-    }
-
-    void countHeldForRoom(InboundRequest request) {
-        heldForRoom.labelValues(request.service()).inc();
+    RoomMetrics room() {
+        return room;
     }
 
     void countLostContentSent(InboundRequest request) {
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatcher.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatcher.java
@@ -196,7 +196,7 @@
 
     private void hold(ActiveRequest active, boolean held) {
         if (active.heldForRoom(held)) {
-            metrics.countHeldForRoom(active.request());
+            metrics.room().countHeldForRoom(active.request());
         }
     }
 
