--- a/routing/src/main/java/org/arbutusstack/routing/ZoneShares.java
+++ b/routing/src/main/java/org/arbutusstack/routing/ZoneShares.java
@@ -41,7 +41,7 @@
     /** Part of the time left below which the home zone needs no help; lower than the above, for hysteresis. */
     private static final double RELIEF_RATIO = 0.15;
 
-    /** Part of the time left beyond the unloaded time up to which a zone has room: from there on it needs help itself. */
+    /** Part of the time left beyond the unloaded time up to which a zone has room; beyond it needs help itself. */
     private static final double ROOM_RATIO = 0.25;
 
     /** Factor on the room at which a zone counts as full; above one, for hysteresis. */
