--- a/gateway/src/main/java/org/arbutusstack/gateway/pressure/Backpressure.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/pressure/Backpressure.java
@@ -15,8 +15,8 @@
  * Backpressure of an entry: keeps the {@link MemoryAccount} up to date, ends what the decisions name, and reports each
  * end in the log and the metrics.
  *
- * <p>The account's bound protects every entry. The shares of slow callers and the wait for slow runners apply only where
- * the deployment asks for them. Confined to the entry's event loop.
+ * <p>The account's bound protects every entry. The shares of slow callers and the wait for slow runners apply only
+ * where the deployment asks for them. Confined to the entry's event loop.
  */
 public final class Backpressure {
 
@@ -67,7 +67,9 @@
     public boolean admitBody(long bytes) {
         unread.refresh();
         while (!account.admitsBody(bytes)) {
-            Optional<MemoryAccount.Holding> stalled = account.stalledUpload();
+            // No upload ends for a body that would not fit even into an empty account.
+            boolean mayFit = bytes <= account.maxBodyBytes();
+            Optional<MemoryAccount.Holding> stalled = mayFit ? account.stalledUpload() : Optional.empty();
             if (stalled.isEmpty()) {
                 metrics.countDecision("body-refused");
                 return false;
--- a/gateway/src/main/java/org/arbutusstack/gateway/pressure/HoldingKind.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/pressure/HoldingKind.java
@@ -6,7 +6,7 @@
 public enum HoldingKind {
     /** The body of a request that is being read; the request has not run, so its end is a refusal. */
     UPLOAD(true),
-    /** The bodies of requests that were read; a runner may be running them, so that ending them could lose their work. */
+    /** The bodies of requests that were read; a runner may be running them, so ending them could lose their work. */
     BODY(false),
     /** An answer that is held until it can be relayed. */
     ANSWER(true),
--- a/gateway/src/main/java/org/arbutusstack/gateway/pressure/MemoryAccount.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/pressure/MemoryAccount.java
@@ -104,6 +104,11 @@
         }
     }
 
+    /** Return the share of the bound that bodies may take together. */
+    long maxBodyBytes() {
+        return maxBytes / THIRDS * BODY_THIRDS;
+    }
+
     /**
      * Return whether more bytes of a body may be held.
      *
@@ -112,7 +117,7 @@
      */
     public boolean admitsBody(long bytes) {
         long bodyBytes = bytesOf(HoldingKind.UPLOAD) + bytesOf(HoldingKind.BODY) + bytes;
-        return bodyBytes <= maxBytes / THIRDS * BODY_THIRDS && totalBytes + bytes <= maxBytes;
+        return bodyBytes <= maxBodyBytes() && totalBytes + bytes <= maxBytes;
     }
 
     /**
--- a/gateway/src/test/java/org/arbutusstack/gateway/pressure/SlowPeerTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/pressure/SlowPeerTests.java
@@ -115,6 +115,19 @@
         assertTrue(sink.disconnected);
     }
 
+    /** Guards against ending uploads for a body that cannot be held, and against keeping them for one that can. */
+    @Test
+    public void shouldEndStalledUploadOnlyForBodyThatFits() {
+        AtomicInteger endedUploads = new AtomicInteger();
+        backpressure.openUpload("q", endedUploads::incrementAndGet).hold(20_000_000);
+        assertFalse(backpressure.admitBody(4_000_000));
+        clock.advanceMillis(3_000);
+        assertFalse(backpressure.admitBody(30_000_000));
+        assertEquals(endedUploads.get(), 0);
+        assertTrue(backpressure.admitBody(4_000_000));
+        assertEquals(endedUploads.get(), 1);
+    }
+
     private AtomicLong send(long bodyBytes) {
         AtomicLong unsentBytes = new AtomicLong(bodyBytes);
         backpressure.sending(
