--- a/gateway/src/main/java/org/arbutusstack/gateway/pressure/Backpressure.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/pressure/Backpressure.java
@@ -67,7 +67,9 @@
     public boolean admitBody(long bytes) {
         unread.refresh();
         while (!account.admitsBody(bytes)) {
-            Optional<MemoryAccount.Holding> stalled = account.stalledUpload();
+            // No upload ends for a body that would not fit even into an empty account.
+            boolean mayFit = bytes <= account.maxBodyBytes();
+            Optional<MemoryAccount.Holding> stalled = mayFit ? account.stalledUpload() : Optional.empty();
             if (stalled.isEmpty()) {
                 metrics.countDecision("body-refused");
                 return false;
