Hold prompts only where a setting says so; decide held requests of teams at the next tick

It stays off until it is shown to help. Also, found by review: tokens given back admitted held requests in the same call, as deep as the queue; a periodic task of the I/O loop ended for good after an Error. Change: ARBUTUS_PROMPT_HOLD_MS, unset: prompts are sent at once. AllotmentGate.giveBack leaves the decision to the next tick (20 ms); IoLoop schedules the next run in any case. Result: tests of admission, allotments and settings pass.

--- a/daemon/src/test/java/org/arbutusstack/daemon/SettingsPageTests.java
+++ b/daemon/src/test/java/org/arbutusstack/daemon/SettingsPageTests.java
@@ -31,7 +31,9 @@
             page.append(" | ").append(defaultOf(setting)).append(" | ").append(setting.description());
             page.append(" |\n");
         }
-        return page.append(zoneSection(PlatformSettings.ZONE_PENALTY)).toString();
+        return page.append(zoneSection(PlatformSettings.ZONE_PENALTY))
+                .append(holdSection(PlatformSettings.PROMPT_HOLD))
+                .toString();
     }
 
     private static String zoneSection(Setting penalty) {
@@ -49,6 +51,18 @@
                 "");
     }
 
+    private static String holdSection(Setting hold) {
+        return String.join(
+                "\n",
+                "",
+                "`" + hold.variable() + "` (" + permitted(hold) + ", default " + defaultOf(hold)
+                        + ", variable only) is the longest time in ms",
+                "that an entry (`platform-entry`) holds a prompt, up to half of its target, while the prompts sent",
+                "to its runners would make the streams there late. Applies to services with deferrable routes (a",
+                "target of 5 s or more). 0 or unset: prompts are sent at once. See docs/design/room.md.",
+                "");
+    }
+
     private static String permitted(Setting setting) {
         return switch (setting.kind()) {
             case NUMBER -> setting.minimum() + " to " + setting.maximum();
--- a/gateway/src/main/java/org/arbutusstack/gateway/allotment/AllotmentGate.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/allotment/AllotmentGate.java
@@ -163,8 +163,9 @@
     public void giveBack(AllotmentReceipt receipt) {
         AllotmentAccount account = accounts.get(receipt.team());
         if (account != null && receipt.tokens() > 0) {
+            // Held requests are decided at the next tick: one that is admitted here and refused at once would give its
+            // tokens back in turn, as deep as the queue is long.
             account.giveBack(receipt);
-            decideHeld(account);
         }
     }
 
--- a/gateway/src/main/java/org/arbutusstack/gateway/entry/EntryDependencies.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/entry/EntryDependencies.java
@@ -29,6 +29,8 @@
  * @param probe finds out whether backend servers still run
  * @param callers writes answers and refusals to callers
  * @param retries the limits on retries
+ * @param promptHoldMillis the longest time that a prompt is held so that streams keep their target gap, in
+ * milliseconds;     zero for never
  * @param revokeMillis the time after which a withdrawn key of a team may no longer be accepted, in milliseconds; empty
  *     for no limit
  * @param backpressure the bounds on what is held for slow callers and slow runners
@@ -49,6 +51,7 @@
         LivenessProbe probe,
         CallerPort callers,
         RetryLimits retries,
+        long promptHoldMillis,
         OptionalLong revokeMillis,
         Backpressure backpressure,
         Clock clock,
--- a/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
@@ -137,7 +137,12 @@
                 dependencies.callers(),
                 zones,
                 clock,
-                AttemptLimits.ofProcess(dependencies.retries(), permits, allotments, dependencies.backpressure()),
+                AttemptLimits.ofProcess(
+                        dependencies.retries(),
+                        permits,
+                        allotments,
+                        dependencies.backpressure(),
+                        dependencies.promptHoldMillis()),
                 metrics,
                 quarantine,
                 crashMonitor);
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/AttemptLimits.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/AttemptLimits.java
@@ -13,13 +13,15 @@
  * @param allotments the gate for the requests of teams
  * @param maxHeldAnswerBytes the maximum size of all answers that are held until they can be relayed, in bytes
  * @param backpressure the bounds on what is held for slow callers and slow runners
+ * @param maxPromptHoldMillis the longest time that a prompt is held for room, in milliseconds; zero for never
  */
 public record AttemptLimits(
         RetryLimits retries,
         PermitClient permits,
         AllotmentGate allotments,
         long maxHeldAnswerBytes,
-        Backpressure backpressure) {
+        Backpressure backpressure,
+        long maxPromptHoldMillis) {
 
     /** Check the components. */
     public AttemptLimits {
@@ -27,6 +29,7 @@
         Assert.notNull(permits, "permits");
         Assert.notNull(allotments, "allotments");
         Assert.atLeast(maxHeldAnswerBytes, 1, "maxHeldAnswerBytes");
+        Assert.atLeast(maxPromptHoldMillis, 0, "maxPromptHoldMillis");
         Assert.notNull(backpressure, "backpressure");
     }
 
@@ -37,10 +40,16 @@
      * @param permits the permits of runners that limit their requests
      * @param allotments the gate for the requests of teams
      * @param backpressure the bounds on what is held for slow callers and slow runners
+     * @param maxPromptHoldMillis the longest time that a prompt is held for room, in milliseconds; zero for never
      * @return the limits
      */
     public static AttemptLimits ofProcess(
-            RetryLimits retries, PermitClient permits, AllotmentGate allotments, Backpressure backpressure) {
-        return new AttemptLimits(retries, permits, allotments, AnswerMemory.maxBytesOfHeap(), backpressure);
+            RetryLimits retries,
+            PermitClient permits,
+            AllotmentGate allotments,
+            Backpressure backpressure,
+            long maxPromptHoldMillis) {
+        return new AttemptLimits(
+                retries, permits, allotments, AnswerMemory.maxBytesOfHeap(), backpressure, maxPromptHoldMillis);
     }
 }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/PromptAdmission.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/PromptAdmission.java
@@ -23,20 +23,21 @@
  */
 final class PromptAdmission {
 
-    /** Longest hold of a request whose caller watches; several times the time in which a full budget is read. */
-    private static final long MAX_HOLD_MILLIS = 500;
-
     /** Share of its target that a request may be held for, so that time for its first event is left. */
     private static final long TARGET_DIVISOR = 2;
 
     /** Share of the target gap from which on a runner without events is not sent further prompts. */
     private static final long PAUSE_DIVISOR = 2;
 
+    private final long maxHoldMillis;
+
     private final Clock clock;
 
     private Set<String> managedServices = Set.of();
 
-    PromptAdmission(Clock clock) {
+    /** Create a decision that holds requests whose callers watch for a time, and none if it is zero. */
+    PromptAdmission(long maxHoldMillis, Clock clock) {
+        this.maxHoldMillis = Assert.atLeast(maxHoldMillis, 0, "maxHoldMillis");
         this.clock = Assert.notNull(clock, "clock");
     }
 
@@ -80,11 +81,11 @@
     /** Return whether a request may still be held. */
     boolean mayHold(InboundRequest request) {
         Route route = request.route();
-        if (route.targetGapMillis() == 0) {
+        if (route.targetGapMillis() == 0 || maxHoldMillis == 0) {
             return false;
         }
         long limitMillis = route.targetMillis() / TARGET_DIVISOR;
-        long holdMillis = route.isDeferrable() ? limitMillis : Math.min(MAX_HOLD_MILLIS, limitMillis);
+        long holdMillis = route.isDeferrable() ? limitMillis : Math.min(maxHoldMillis, limitMillis);
         return clock.millisSince(request.arrivedNanos()) < holdMillis;
     }
 }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatchers.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatchers.java
@@ -35,7 +35,7 @@
             GatewayMetrics metrics,
             ContentQuarantine quarantine,
             CrashMonitor crashMonitor) {
-        PromptAdmission admission = new PromptAdmission(clock);
+        PromptAdmission admission = new PromptAdmission(limits.maxPromptHoldMillis(), clock);
         TwoChoiceSelector selector = new TwoChoiceSelector(zones.homeZone());
         RunnerChooser chooser = new RunnerChooser(runners, selector, zones.homeZone(), zones, admission, clock);
         return new RequestDispatcher(
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/DispatcherHarness.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/DispatcherHarness.java
@@ -38,6 +38,8 @@
 
     private static final long MAX_HELD_ANSWER_BYTES = 16_000_000;
 
+    private static final long MAX_PROMPT_HOLD_MILLIS = 500;
+
     private static final long MAX_HELD_BYTES = 48_000_000;
 
     final ManualClock clock = new ManualClock(1_000_000_000L);
@@ -104,7 +106,8 @@
                 FakeCaller.PORT,
                 zones,
                 clock,
-                new AttemptLimits(limits, permits, allotments, maxHeldAnswerBytes, backpressure),
+                new AttemptLimits(
+                        limits, permits, allotments, maxHeldAnswerBytes, backpressure, MAX_PROMPT_HOLD_MILLIS),
                 new GatewayMetrics(registry),
                 quarantine,
                 new CrashMonitor(probe, server -> "/health", quarantine::strikeReceived, clock, registry));
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/WaitingRequestsTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/WaitingRequestsTests.java
@@ -82,7 +82,7 @@
     @Test
     public void shouldOrderRequestsOfOneTeamByDeadline() {
         Clock clock = new RunningClock();
-        WaitingRequests waiting = new WaitingRequests(new PromptAdmission(clock), clock);
+        WaitingRequests waiting = new WaitingRequests(new PromptAdmission(500, clock), clock);
         waiting.config(new ServingConfig(1, List.of(ROUTE), List.of(), 1_000));
         waiting.recordSent(request(1));
         List<ActiveRequest> expected = new ArrayList<>();
--- a/http/src/main/java/org/arbutusstack/http/loop/IoLoop.java
+++ b/http/src/main/java/org/arbutusstack/http/loop/IoLoop.java
@@ -124,8 +124,11 @@
         Assert.atLeast(periodMillis, 1, "periodMillis");
         thread.executeAfter(
                 () -> {
-                    runSafely(task);
-                    every(periodMillis, task);
+                    try {
+                        runSafely(task);
+                    } finally {
+                        every(periodMillis, task);
+                    }
                 },
                 periodMillis,
                 TimeUnit.MILLISECONDS);
