--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/HostLiveness.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/HostLiveness.java
@@ -61,7 +61,7 @@
      * @param nextWithinMillis the longest time until the next status if the host is alive, in milliseconds
      */
     void recordStatus(Link from, long nextWithinMillis) {
-        if (statusRequested) {
+        if (statusRequested && linkOpen) {
             replies.add(pendingMillis());
         }
         link = from;
@@ -86,12 +86,15 @@
 
     /** Record that the side has closed its link while its host is still running. */
     void sideClosed() {
+        // The time without a link is no time of an answer.
+        statusRequested = false;
         linkOpen = false;
         timedOut = false;
     }
 
     /** Record that the link was closed since the side stopped responding. */
     void sideTimedOut() {
+        statusRequested = false;
         linkOpen = false;
         timedOut = true;
     }
--- a/gateway/src/main/java/org/arbutusstack/gateway/team/TeamGate.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/team/TeamGate.java
@@ -6,7 +6,6 @@
 import org.arbutusstack.gateway.config.Route;
 import org.arbutusstack.gateway.config.ServingConfig;
 import org.arbutusstack.gateway.config.Team;
-import org.arbutusstack.kernel.Assert;
 import org.arbutusstack.kernel.digest.Digest;
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.kernel.time.ClockReading;
@@ -58,8 +57,8 @@
      * @param next the configuration
      */
     public void config(ServingConfig next) {
-        config = Assert.notNull(next, "next");
         ranking = new UrgencyRanking(next);
+        config = next;
     }
 
     /**
--- a/http/src/main/java/org/arbutusstack/http/server/ConnectionMonitor.java
+++ b/http/src/main/java/org/arbutusstack/http/server/ConnectionMonitor.java
@@ -99,8 +99,11 @@
 
     private static void notifyClosed(ResponseStream stream) {
         if (stream != null) {
-            stream.notifyClosed();
-            stream.finished();
+            try {
+                stream.notifyClosed();
+            } finally {
+                stream.finished();
+            }
         }
     }
 }
