--- a/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
@@ -242,9 +242,6 @@
      */
     public void applyConfig(ServingConfig next) {
         if (config != null && next.version() <= config.version()) {
-            if (next.version() < config.version()) {
-                logger.warn("event=config-ignored version={} in_force={}", next.version(), config.version());
-            }
             return;
         }
         config = next;
