--- a/review/src-2/stage/DeadlyRequest.java
+++ b/review/src-2/stage/DeadlyRequest.java
@@ -13,8 +13,8 @@
 /**
  * One request crashes each runner of a plain service that begins to run it, and comes again at any entry. In the mode
  * "sides-lost" all side machines are lost before, in the mode "same-id" the runners start again under the id that they
- * had, and in the mode "caller-leaves" the runners are busy and the callers of the request leave while it waits there for
- * a slot. The rule is broken if the request reaches runners more than three times later than stable-window-ms after it
+ * had, and in the mode "caller-leaves" a runner crashes after 80 ms of work on the request, when its caller has left. The
+ * rule is broken if the request reaches runners more than three times later than stable-window-ms after it
  * has crashed the third.
  */
 public final class DeadlyRequest {
@@ -25,7 +25,9 @@
     private static final String DEADLY = "/order/deadly";
     private static final int SLOTS = 6;
     private static final int QUEUE = 24;
-    /** Half the objective of the route. */
+    /** Within the longest work of this kind of request, 110 ms. */
+    private static final int WORK_BEFORE_CRASH_MILLIS = 80;
+    /** Less than half the objective of the route. */
     private static final int LEAVES_MILLIS = 50;
     /** A runner is back after some seconds. */
     private static final long BACK_MILLIS = 1_500;
@@ -44,14 +46,14 @@
     private volatile boolean over;
     private final boolean losesSides;
     private final boolean keepsIds;
-    private final boolean isBusy;
+    private final boolean crashesLater;
     private final boolean leaves;
 
     private DeadlyRequest(Stage stage, String mode) throws IOException {
         this.losesSides = stage.trouble && mode.equals("sides-lost");
         this.keepsIds = stage.trouble && mode.equals("same-id");
-        this.isBusy = mode.equals("caller-leaves");
-        this.leaves = stage.trouble && isBusy;
+        this.crashesLater = mode.equals("caller-leaves");
+        this.leaves = stage.trouble && crashesLater;
         this.stage = stage;
         this.record = stage.record;
         this.store = new Store("127.0.1.1", 0);
@@ -113,10 +115,11 @@
                 }
                 ranAt.put(requestId, id);
                 if (request.target().equals(DEADLY)) {
+                    Stage.sleep(crashesLater ? WORK_BEFORE_CRASH_MILLIS : 0);
                     crash(requestId);
                     return false;
                 }
-                Stage.sleep(isBusy ? 200 : 60);
+                Stage.sleep(60);
             } finally {
                 slots.release();
                 held.decrementAndGet();
@@ -210,17 +213,17 @@
                 String id = String.format("%016x", 0x1000 + number);
                 String ip = "127.0.2." + (1 + number % ENTRIES);
                 Http.daemon(() -> send(ip, ports[0], id, "/order/" + id, "book " + id, 2_500));
-                Stage.sleep(isBusy ? 11 : 50);
+                Stage.sleep(50);
             }
         });
         load.start();
-        for (int number = 0; number < (isBusy ? 15 : 24); number++) {
+        for (int number = 0; number < (crashesLater ? 15 : 24); number++) {
             String id = String.format("%016x", 0xdead000 + number);
             String ip = "127.0.2." + (1 + number % ENTRIES);
             record.line("the deadly request comes to %s as %s", ip, id);
             Http.daemon(() -> send(ip, ports[0], id, DEADLY, "one fatal order", leaves ? LEAVES_MILLIS : 2_500));
             // Callers leave in spells of 5.5 s at most, with a pause between them.
-            Stage.sleep(isBusy && number % 3 == 2 ? 5_000 : 2_500);
+            Stage.sleep(crashesLater && number % 3 == 2 ? 5_000 : 2_500);
         }
         over = true;
         load.join();
--- a/review/src-2/stage/HupStart.java
+++ b/review/src-2/stage/HupStart.java
@@ -4,7 +4,7 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Two entries start, and the platform says by SIGHUP that their settings file has changed before they are ready.
+ * Two of four entries start, and the platform says by SIGHUP that their settings file has changed before they are ready.
  * The rule is broken if both of them end by themselves three times.
  */
 public final class HupStart {
@@ -44,6 +44,16 @@
             settings[index] = Stage.settings(
                     "edge-" + (index + 1), "entry", ip, ports[index], "", store.address(), Stage.CONTRACTS);
         }
+        // Two more entries get no SIGHUP, so that those that do are half of the machines.
+        for (int index = 2; index < 4; index++) {
+            String ip = "127.0.2." + (index + 1);
+            int[] own = Stage.freePorts(ip, 3);
+            String name = "edge-" + (index + 1);
+            stage.start("entry", name, Stage.settings(name, "entry", ip, own, "", store.address(), Stage.CONTRACTS));
+            if (!stage.awaitReady(ip, own[1], 20_000)) {
+                return Stage.FAILED;
+            }
+        }
         for (int round = 0; round < ROUNDS; round++) {
             for (int index = 0; index < 2; index++) {
                 String name = "edge-" + (index + 1);
