Tell incarnations of a server apart by when they started

Cause: the probe that follows a loss compared identifiers alone. A server that had restarted under its identifier counted as the one that had crashed, which retracted the crash and withdrew its strikes at all entries. Evidence: in the log of the untouched code each runner-crashed is followed by crash-retracted for the same incarnation, 0.1 to 0.5 s after the server is back. An entry of the directory with a later start turns open losses into strikes, and losses at a later incarnation no longer discard those of the one before.

--- a/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
@@ -306,6 +306,7 @@
      */
     public void runnersListed(Collection<RunnerEntry> entries) {
         runners.replaceAll(entries);
+        entries.forEach(crashMonitor::registered);
         dispatcher.runnersChanged();
     }
 
@@ -316,6 +317,7 @@
      */
     public void runnerRegistered(RunnerEntry entry) {
         runners.put(entry);
+        crashMonitor.registered(entry);
         dispatcher.runnersChanged();
     }
 
--- a/gateway/src/main/java/org/arbutusstack/gateway/quarantine/CrashMonitor.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/quarantine/CrashMonitor.java
@@ -20,8 +20,9 @@
  * their side is away: probes a server at which this entry lost requests, and strikes the content of these requests if
  * the server has crashed.
  *
- * <p>Each entry that lost requests probes for itself; all entries name a crash alike, so that it counts once. Confined
- * to the entry's event loop.
+ * <p>Each entry that lost requests probes for itself; all entries name a crash alike, so that it counts once. A server
+ * may restart under its identifier: what tells its incarnations apart is when they started, as the server states in its
+ * answer to the probe or registers in the directory. Confined to the entry's event loop.
  *
  * @see RunnerCrashes
  */
@@ -87,6 +88,7 @@
      * @param keys the keys of its content
      */
     public void lost(RunnerEntry server, long sentAgoMillis, List<String> keys) {
+        registered(server);
         Watch watch = watchesById.remove(server.id());
         if (watch == null || !watch.server.isSameIncarnation(server)) {
             watch = new Watch(server);
@@ -98,6 +100,18 @@
         watch.lost(sentAgoMillis, keys);
     }
 
+    /**
+     * Record that a server is registered in the directory, which shows the restart of one with the same identifier.
+     *
+     * @param server the entry of the directory
+     */
+    public void registered(RunnerEntry server) {
+        Watch watch = watchesById.get(server.id());
+        if (watch != null && server.startedAtMillis() > watch.server.startedAtMillis()) {
+            watch.replaced();
+        }
+    }
+
     /** Probe the servers for which a probe is due, and give up those whose losses are old. */
     public void tick() {
         watchesById.values().removeIf(watch -> clock.isPast(watch.endsAtNanos));
@@ -117,9 +131,12 @@
 
         private boolean probing;
 
-        /** Whether a probe has shown that this incarnation runs, or that it has ended. */
+        /** Whether it is known that this incarnation runs, or that it has ended, or no further probe can show it. */
         private boolean decided;
 
+        /** Whether a probe has failed since the last loss, so that the server may have restarted meanwhile. */
+        private boolean wasAway;
+
         Watch(RunnerEntry server) {
             this.server = server;
             this.crashes = new RunnerCrashes(server.address().toString(), clock);
@@ -130,11 +147,17 @@
             publish(crashes.lost(new LostRequestFrame(server.startedAtMillis(), sentAgoMillis, keys)));
             if (crashes.hasUnexplainedLoss()) {
                 decided = false;
+                wasAway = false;
                 probeDueAtNanos = clock.nowNanos();
                 probeIfDue();
             }
         }
 
+        private void replaced() {
+            publish(crashes.replaced());
+            decided = true;
+        }
+
         private void probeIfDue() {
             if (decided || probing || !clock.isPast(probeDueAtNanos)) {
                 return;
@@ -153,19 +176,30 @@
             probes.labelValues(result.name().toLowerCase(Locale.ROOT)).inc();
             switch (result) {
                 case SAME_INCARNATION -> publish(crashes.pollAnswered(server.startedAtMillis(), startedAtNanos));
-                case OTHER_INCARNATION -> publish(crashes.replaced());
+                case SAME_IDENTIFIER -> handleSameIdentifier(startedAtNanos);
+                case OTHER_INCARNATION -> replaced();
                 case REFUSED -> publish(crashes.pollFailed());
                 default -> {
                     // Nothing is known, so the next probe decides.
                 }
             }
             boolean isOpen = crashes.hasUnexplainedLoss();
-            boolean answered =
-                    result == LivenessProbe.Result.SAME_INCARNATION || result == LivenessProbe.Result.OTHER_INCARNATION;
-            decided = answered && !isOpen;
+            wasAway |= !result.isAnswer();
+            decided = result.isAnswer() && (!isOpen || wasAway);
             probeDueAtNanos = clock.deadlineNanos(isOpen ? PROBE_INTERVAL_MILLIS : CONFIRM_INTERVAL_MILLIS);
         }
 
+        /**
+         * Dismiss losses only if the server had no time to restart since. Otherwise this may be another incarnation, as
+         * the directory will tell: strikes are kept, and losses wait for it.
+         */
+        private void handleSameIdentifier(long startedAtNanos) {
+            boolean isKnownCrash = !crashes.hasUnexplainedLoss();
+            if (!wasAway && !isKnownCrash) {
+                publish(crashes.pollAnswered(server.startedAtMillis(), startedAtNanos));
+            }
+        }
+
         private void publish(List<StrikeFrame> frames) {
             frames.forEach(strikes);
         }
--- a/gateway/src/main/java/org/arbutusstack/gateway/quarantine/LivenessProbe.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/quarantine/LivenessProbe.java
@@ -24,11 +24,21 @@
     enum Result {
         /** The same incarnation answers, whatever its answer is. */
         SAME_INCARNATION,
+        /**
+         * A server with the same identifier answers without stating when it started, so that it may be the same
+         * incarnation or a later one.
+         */
+        SAME_IDENTIFIER,
         /** Another incarnation answers. */
         OTHER_INCARNATION,
         /** Connections are refused. */
         REFUSED,
         /** Nothing was heard, which a crash, a busy server or a broken link may explain. */
-        NO_ANSWER
+        NO_ANSWER;
+
+        /** Return whether a server answered. */
+        boolean isAnswer() {
+            return this == SAME_INCARNATION || this == SAME_IDENTIFIER || this == OTHER_INCARNATION;
+        }
     }
 }
--- a/gateway/src/test/java/org/arbutusstack/gateway/quarantine/CrashMonitorTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/quarantine/CrashMonitorTests.java
@@ -23,6 +23,10 @@
     private static final RunnerEntry SERVER =
             new RunnerEntry("i-1", "orderdesk", new HttpTarget("10.0.0.1", 80), "z1", 7, 8, false, Map.of());
 
+    /** The next incarnation of the server, under the same identifier. */
+    private static final RunnerEntry LATER =
+            new RunnerEntry("i-1", "orderdesk", SERVER.address(), "z1", 9, 8, false, Map.of());
+
     private ManualClock clock;
 
     private List<StrikeFrame> strikes;
@@ -114,4 +118,54 @@
         assertFalse(strikes.get(1).valid());
         assertEquals(strikes.get(1).incident(), strikes.get(0).incident());
     }
+
+    /** Guards against forgetting a crash since the server answers under its identifier after its restart. */
+    @Test
+    public void shouldKeepStrikesWhenServerThatRefusedConnectionsAnswersWithoutStatingItsStart() {
+        monitor.lost(SERVER, 20, List.of("request:a"));
+        answer(Result.REFUSED);
+        advance(60);
+        answer(Result.REFUSED);
+        advance(600);
+        answer(Result.SAME_IDENTIFIER);
+        assertEquals(strikes.size(), 1);
+        assertTrue(strikes.get(0).valid());
+        advance(5_000);
+        assertTrue(probes.isEmpty(), "further probes show nothing");
+    }
+
+    @Test
+    public void shouldBlameNothingWhenServerAnswersUnderItsIdentifierWithoutHavingBeenAway() {
+        monitor.lost(SERVER, 20, List.of("request:a"));
+        answer(Result.SAME_IDENTIFIER);
+        advance(60);
+        answer(Result.SAME_IDENTIFIER);
+        monitor.registered(LATER);
+        assertTrue(strikes.isEmpty());
+    }
+
+    /** Guards against dismissing the losses of a crash that showed only as silence. */
+    @Test
+    public void shouldStrikeWhenServerThatWasSilentIsRegisteredWithALaterStart() {
+        monitor.lost(SERVER, 20, List.of("request:a"));
+        answer(Result.NO_ANSWER);
+        advance(60);
+        answer(Result.SAME_IDENTIFIER);
+        assertTrue(strikes.isEmpty());
+        monitor.registered(SERVER);
+        assertTrue(strikes.isEmpty());
+        monitor.registered(LATER);
+        assertEquals(strikes.size(), 1);
+        assertEquals(strikes.get(0).incident(), "10.0.0.1:80@7");
+    }
+
+    /** Guards against dropping the losses of a crash when the next incarnation loses requests too. */
+    @Test
+    public void shouldStrikeForEachIncarnationWhenLaterOneUnderTheSameIdentifierLosesRequests() {
+        monitor.lost(SERVER, 20, List.of("request:a"));
+        answer(Result.NO_ANSWER);
+        monitor.lost(LATER, 20, List.of("request:a"));
+        answer(Result.OTHER_INCARNATION);
+        assertEquals(strikes.stream().map(StrikeFrame::incident).toList(), List.of("10.0.0.1:80@7", "10.0.0.1:80@9"));
+    }
 }
--- a/testkit/src/main/java/org/arbutusstack/testkit/platform/PlatformRunnerStandIn.java
+++ b/testkit/src/main/java/org/arbutusstack/testkit/platform/PlatformRunnerStandIn.java
@@ -81,6 +81,8 @@
 
     private volatile Runnable crashListener = () -> {};
 
+    private volatile boolean startInHealthChecks;
+
     /**
      * Create a runner.
      *
@@ -142,6 +144,11 @@
         harmfulPath = path;
     }
 
+    /** State the start of this incarnation in the answers to health checks from now on. */
+    public void stateStartInHealthChecks() {
+        startInHealthChecks = true;
+    }
+
     /**
      * Delay all answers from now on.
      *
@@ -235,10 +242,13 @@
         }
     }
 
-    /** Answer for whichever incarnation runs, as runners do: only the header tells which one it is. */
+    /** Answer for whichever incarnation runs: the header has its identifier, and the body may state its start. */
     private void handleHealthCheck(HttpServerExchange exchange) {
         exchange.getResponseHeaders().put(INSTANCE_ID, id);
-        Responses.text(exchange, OK, "");
+        Responses.text(
+                exchange,
+                OK,
+                startInHealthChecks ? Json.object().put("born", startedAtMillis).toString() : "");
     }
 
     private String report() {
