Take a cut watch for an outage of the store only if the next call fails too

Cause: PrefixFollower reported each failed call as an outage. After an outage entries that are missing are kept for 2.2 s, and each further one starts that time anew, so that a runner that was gone was never dropped. Evidence: in the log of the untouched code store-lost follows each cut and store-regained one second later, at the revision of the removal; runner-gone cause=not-returned comes only after the last cut. Change: a failed call is an outage if the store left it unanswered for its whole wait, or if the next call fails too; that one does not wait for changes. A cut call is logged as store-call-cut.

--- a/store/src/main/java/org/arbutusstack/store/PrefixFollower.java
+++ b/store/src/main/java/org/arbutusstack/store/PrefixFollower.java
@@ -11,7 +11,9 @@
 /**
  * Keeps a listener up to date on the keys with a prefix, across outages, lost history and unresponsive connections.
  *
- * <p>What the listener has received remains valid while the service is unavailable. Runs on its own thread.
+ * <p>What the listener has received remains valid while the service is unavailable. The service may cut a call that
+ * waits; it counts as unavailable only if it leaves a call unanswered for as long as the call was to wait, or if the next
+ * call fails too. Runs on its own thread.
  *
  * @see PrefixReader
  */
@@ -50,6 +52,9 @@
 
     private boolean storeLost;
 
+    /** Whether the last call failed, so that the next one has to show at once whether the service is available. */
+    private boolean lastCallFailed;
+
     private long revision;
 
     private boolean current;
@@ -122,6 +127,7 @@
             current = false;
         }
         boolean succeeded = current ? readChanges() : readSnapshot();
+        lastCallFailed = !succeeded;
         if (!succeeded) {
             reader.reconnect();
             clock.pause(retryMillis);
@@ -133,7 +139,7 @@
         ClockReading sentAt = ClockReading.of(clock);
         StoreResult<PrefixSnapshot> read = reader.snapshot(prefix, clock.deadlineNanos(READ_TIMEOUT_MILLIS));
         if (!(read instanceof StoreResult.Done<PrefixSnapshot> done)) {
-            recordFailure(read);
+            recordFailure(read, sentAt.firstNanos() + READ_TIMEOUT_MILLIS * Clock.NANOS_PER_MILLI);
             return false;
         }
         recordSuccess();
@@ -147,15 +153,13 @@
     }
 
     private boolean readChanges() {
-        boolean early = storeLost && listener.needsEarlyConfirmation();
+        boolean early = storeLost ? listener.needsEarlyConfirmation() : lastCallFailed;
+        long callWaitMillis = early ? MIN_WAIT_MILLIS : waitMillis;
         ClockReading sentAt = ClockReading.of(clock);
         StoreResult<PrefixChanges> result = reader.changesAfter(
-                prefix,
-                revision,
-                early ? MIN_WAIT_MILLIS : waitMillis,
-                clock.deadlineNanos(waitMillis + DEADLINE_SLACK_MILLIS));
+                prefix, revision, callWaitMillis, clock.deadlineNanos(waitMillis + DEADLINE_SLACK_MILLIS));
         if (!(result instanceof StoreResult.Done<PrefixChanges> done)) {
-            recordFailure(result);
+            recordFailure(result, sentAt.firstNanos() + callWaitMillis * Clock.NANOS_PER_MILLI);
             return false;
         }
         recordSuccess();
@@ -182,12 +186,18 @@
         return true;
     }
 
-    private void recordFailure(StoreResult<?> result) {
-        if (!storeLost) {
-            storeLost = true;
-            logger.warn("event=store-lost prefix={} revision={} result={}", prefix, revision, result);
-            listener.onStoreLost();
+    /** Record a failed call, which is an outage if the answer was overdue or the call before failed too. */
+    private void recordFailure(StoreResult<?> result, long answerDueNanos) {
+        if (storeLost) {
+            return;
+        }
+        if (!lastCallFailed && !clock.isPast(answerDueNanos)) {
+            logger.info("event=store-call-cut prefix={} revision={} result={}", prefix, revision, result);
+            return;
         }
+        storeLost = true;
+        logger.warn("event=store-lost prefix={} revision={} result={}", prefix, revision, result);
+        listener.onStoreLost();
     }
 
     private void recordSuccess() {
