Share crashes of servers without a side by way of the planner's entry too

Cause: entries sent such strikes to two sides only, which pass them on. Without a link to any side they stayed at the entry that saw the crash. Evidence: in the logs of the untouched code each entry's quarantined names three crashes, all of them its own. Change: StrikeExchange sends strikes and retractions to the entry that plans as well, over the link that each entry has to it; that entry passes on what is new. What was sent is remembered for the next planner and for entries that connect later. The memory that sides have for this is now StrikeRelay. Tests, red before: StrikeExchangeTests 6 of 6 without the planner's links, CrashingRequestTests with all sides lost 8 late arrivals (3 are allowed); green after.

--- a/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
@@ -16,6 +16,7 @@
 import org.arbutusstack.gateway.plan.PlannerLink;
 import org.arbutusstack.gateway.quarantine.ContentQuarantine;
 import org.arbutusstack.gateway.quarantine.CrashMonitor;
+import org.arbutusstack.gateway.quarantine.StrikeExchange;
 import org.arbutusstack.gateway.quarantine.TrialSchedule;
 import org.arbutusstack.gateway.request.AttemptLimits;
 import org.arbutusstack.gateway.request.GatewayMetrics;
@@ -75,6 +76,8 @@
 
     private final ContentQuarantine quarantine;
 
+    private final StrikeExchange strikes;
+
     private final CrashMonitor crashMonitor;
 
     private final PermitClient permits;
@@ -116,9 +119,7 @@
         this.teamGate = new TeamGate(dependencies.revokeMillis(), clock);
         TrialSchedule trials = new TrialSchedule(dependencies.name(), this::entryCount, clock);
         this.quarantine =
-                new ContentQuarantine(this::sendToSide, this::isPlanning, trials, clock, dependencies.metrics());
-        this.crashMonitor =
-                new CrashMonitor(dependencies.probe(), this::healthPathOf, this::struck, clock, dependencies.metrics());
+                new ContentQuarantine(this::retracted, this::isPlanning, trials, clock, dependencies.metrics());
         this.sides = new SideLinks(
                 dependencies.transport(),
                 dependencies.sidePort(),
@@ -127,6 +128,10 @@
                 clock,
                 runner -> dispatcher().runnerChanged(runner),
                 this::frameReceived);
+        this.strikes = new StrikeExchange(
+                sides::send, frame -> sides.sendToRelays(frame.key(), frame), quarantine::strikeReceived, clock);
+        this.crashMonitor = new CrashMonitor(
+                dependencies.probe(), this::healthPathOf, strikes::found, clock, dependencies.metrics());
         this.permits = new PermitClient(dependencies.name(), runners, sides::sendToAccountant, this::entryCount);
         this.zones = new ZoneCandidates(dependencies.zone(), dependencies.zonePenaltyMillis(), clock);
         AllotmentShare share = new AllotmentShare(sides.typicalEntryCount()::entries, sides::linkedPart, clock);
@@ -156,7 +161,7 @@
                 election,
                 new FleetPlanner(REQUESTS_PER_COPY, IDLE_MILLIS),
                 clock);
-        this.plannerLink = new PlannerLink(dependencies.transport(), planner, dependencies.loop(), clock);
+        this.plannerLink = new PlannerLink(dependencies.transport(), planner, strikes, dependencies.loop(), clock);
     }
 
     @Override
@@ -195,16 +200,8 @@
         }
     }
 
-    private void sendToSide(String host, StrikeFrame frame) {
-        if (!sides.send(host, frame)) {
-            sides.sendToRelays(frame.key(), frame);
-        }
-    }
-
-    /** Apply a strike that this entry found out by itself, and tell the other entries. */
-    private void struck(StrikeFrame strike) {
-        quarantine.strikeReceived(strike);
-        sides.sendToRelays(strike.key(), strike);
+    private void retracted(String host, StrikeFrame frame) {
+        strikes.retract(host, frame);
     }
 
     private String healthPathOf(RunnerEntry server) {
--- a/gateway/src/main/java/org/arbutusstack/gateway/quarantine/ContentQuarantine.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/quarantine/ContentQuarantine.java
@@ -262,32 +262,39 @@
     }
 
     /**
-     * Apply a strike, or the retraction of strikes, that a side reports.
+     * Apply a strike, or the retraction of strikes, that another process reports.
      *
      * @param frame the report
+     * @return whether it changed anything
      */
-    public void strikeReceived(StrikeFrame frame) {
+    public boolean strikeReceived(StrikeFrame frame) {
+        boolean changed;
         if (frame.valid()) {
-            add(Strike.of(frame, clock));
+            changed = add(Strike.of(frame, clock));
         } else if (frame.incident().isEmpty()) {
             // The answer began before now, but not necessarily after a strike that is yet to arrive.
             begunAtNanos(frame.key()).putIfAbsent(frame.key(), clock.deadlineNanos(-RunnerCrashes.RETENTION_MILLIS));
-            strikes.clear(frame.key());
-            narrowPersistedRules(frame.key());
+            changed = !strikes.clear(frame.key()).isEmpty();
+            changed |= narrowPersistedRules(frame.key());
         } else {
-            strikes.withdraw(frame.key(), frame.incident());
+            changed = strikes.withdraw(frame.key(), frame.incident());
         }
         rulesChanged();
+        return changed;
     }
 
-    private void add(Strike strike) {
+    private boolean add(Strike strike) {
         Long begunNanos = begunAtNanos(strike.key()).get(strike.key());
         if (begunNanos != null && begunNanos - strike.struckAtNanos() > 0) {
             clearedCounter.inc();
             sides.accept(RunnerCrashes.hostOf(strike.incident()), StrikeFrame.retraction(strike.key(), ""));
-        } else if (strikes.add(strike)) {
+            return false;
+        }
+        boolean added = strikes.add(strike);
+        if (added) {
             strikeCounter.inc();
         }
+        return added;
     }
 
     /**
--- a/gateway/src/main/java/org/arbutusstack/gateway/quarantine/RunnerCrashes.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/quarantine/RunnerCrashes.java
@@ -7,8 +7,6 @@
 import org.arbutusstack.kernel.Assert;
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.routing.Strike;
-import org.arbutusstack.routing.StrikePolicy;
-import org.arbutusstack.routing.StrikeRegistry;
 import org.arbutusstack.wire.frame.LostRequestFrame;
 import org.arbutusstack.wire.frame.StrikeFrame;
 import org.slf4j.Logger;
@@ -28,8 +26,6 @@
 
     private static final Logger logger = LoggerFactory.getLogger(RunnerCrashes.class);
 
-    private static final int MAX_KEYS = 1_000;
-
     /** Limit on the keys of one crash; several times those of the requests that an engine holds. */
     private static final int MAX_KEYS_PER_CRASH = 512;
 
@@ -42,7 +38,7 @@
 
     private final Clock clock;
 
-    private final StrikeRegistry strikes = new StrikeRegistry(MAX_KEYS, StrikePolicy.SHARED_CONTENT);
+    private final StrikeRelay strikes;
 
     /** When the lost requests were sent, by the keys of their content; of several requests, the last. */
     private final Map<String, Long> lostSentAtNanos = new HashMap<>();
@@ -70,6 +66,7 @@
     public RunnerCrashes(String host, Clock clock) {
         this.host = Assert.hasText(host, "host");
         this.clock = Assert.notNull(clock, "clock");
+        this.strikes = new StrikeRelay(clock);
     }
 
     /**
@@ -188,15 +185,11 @@
 
     private List<StrikeFrame> retractCrash() {
         logger.warn("event=crash-retracted incident={}", incident());
-        List<StrikeFrame> frames = new ArrayList<>();
-        for (Strike strike : strikes.all(clock.nowNanos())) {
-            if (strike.incident().equals(incident())) {
-                strikes.withdraw(strike.key(), strike.incident());
-                frames.add(StrikeFrame.retraction(strike.key(), strike.incident()));
-            }
-        }
+        String incident = incident();
         crashedIncarnation = 0;
-        return frames;
+        return strikes.withdrawAll(incident).stream()
+                .map(key -> StrikeFrame.retraction(key, incident))
+                .toList();
     }
 
     /**
@@ -207,15 +200,7 @@
      * @return the frames to send to all entries; none if the report changes nothing
      */
     public synchronized List<StrikeFrame> received(StrikeFrame frame) {
-        boolean changed;
-        if (frame.valid()) {
-            changed = strikes.add(Strike.of(frame, clock).expiringBy(clock.deadlineNanos(RETENTION_MILLIS)));
-        } else if (frame.incident().isEmpty()) {
-            changed = clear(frame.key());
-        } else {
-            changed = strikes.withdraw(frame.key(), frame.incident());
-        }
-        return changed ? List.of(frame) : List.of();
+        return strikes.received(frame) ? List.of(frame) : List.of();
     }
 
     /**
@@ -225,7 +210,7 @@
      * @return whether there were any, so that the other entries have to be told
      */
     public synchronized boolean clear(String key) {
-        return !strikes.clear(key).isEmpty();
+        return strikes.clear(key);
     }
 
     /**
@@ -234,9 +219,7 @@
      * @return all strikes that have not expired
      */
     public synchronized List<StrikeFrame> remembered() {
-        return strikes.all(clock.nowNanos()).stream()
-                .map(strike -> strike.toFrame(clock))
-                .toList();
+        return strikes.remembered();
     }
 
     /** Return the host of an incident, whose side holds its strikes. */
