--- a/gateway/src/test/java/org/arbutusstack/gateway/quarantine/StrikeExchangeTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/quarantine/StrikeExchangeTests.java
@@ -93,7 +93,7 @@
         assertEquals(keysSentOver(finder), List.of("request:b"));
     }
 
-    /** Guards against a strike that is heard by way of a side first and then not passed on to entries without a side. */
+    /** Guards against a strike that a side has delivered first not being passed on to entries without a side. */
     @Test
     public void shouldPassOnStrikeThatASideHasDeliveredAlready() {
         RecordingLink other = new RecordingLink();
--- a/store/src/main/java/org/arbutusstack/store/PrefixFollower.java
+++ b/store/src/main/java/org/arbutusstack/store/PrefixFollower.java
@@ -12,8 +12,8 @@
  * Keeps a listener up to date on the keys with a prefix, across outages, lost history and unresponsive connections.
  *
  * <p>What the listener has received remains valid while the service is unavailable. The service may cut a call that
- * waits; it counts as unavailable only if it leaves a call unanswered for as long as the call was to wait, or if the next
- * call fails too. Runs on its own thread.
+ * waits; it counts as unavailable only if it leaves a call unanswered for as long as the call was to wait, or if the
+ * next call fails too. Runs on its own thread.
  *
  * @see PrefixReader
  */
