Report the loss of a request whose caller has left

Cause: a request that may run only once runs on when its caller leaves, but its attempt was marked as cancelled, so that the end of its connection was ignored and left no strike. Evidence: in the logs of the untouched code caller-gone follows each of the 15 requests, runner-crashed never has their key, and nothing is retracted. Change: a detached attempt is a state of its own. The loss of its connection before the deadline is reported to the quarantine, and an answer clears the request. Tests, red before: 2 of the 3 new ones of QuarantinedRequestTests; green after.

--- a/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
@@ -237,7 +237,7 @@
     }
 
     private void handleAttested(ActiveRequest active, CurrentAttempt attempt) {
-        if (!attempt.head().framed() && attempt.head().isSuccess() && !attempt.isBegun()) {
+        if (endedAfterHead(attempt)) {
             attemptFailed(active, attempt, true, "the connection ended after the head of the answer");
             return;
         }
@@ -264,6 +264,11 @@
         }
     }
 
+    /** Return whether the connection, whose end also ends the answer, ended before any part of the body. */
+    private static boolean endedAfterHead(CurrentAttempt attempt) {
+        return !attempt.head().framed() && attempt.head().isSuccess() && !attempt.isBegun();
+    }
+
     private void endStream(ActiveRequest active, CurrentAttempt attempt) {
         boolean isWithinEvent = attempt.events().isWithinEvent();
         if (isWithinEvent && attempt.head().framed()) {
@@ -308,6 +313,32 @@
         dispatcher.retryOrRefuse(active, Refusal.notRun(reason, detail));
     }
 
+    /** Record the complete answer to a request whose caller has left. */
+    void detachedCompleted(ActiveRequest active, CurrentAttempt attempt) {
+        AnswerHead head = attempt.head();
+        if (head.answerKind() != AnswerKind.ATTESTED || !head.isSuccess()) {
+            return;
+        }
+        if (endedAfterHead(attempt)) {
+            detachedLost(active, attempt);
+            return;
+        }
+        quarantine.answerBegun(active);
+        quarantine.answerCompleted(active);
+    }
+
+    /**
+     * Record that the connection of a request whose caller has left broke; past the deadline, it is this entry that
+     * closes it.
+     */
+    void detachedLost(ActiveRequest active, CurrentAttempt attempt) {
+        if (clock.isPast(active.request().deadlineNanos())) {
+            return;
+        }
+        log.lost(active, attempt);
+        quarantine.attemptLost(active, attempt);
+    }
+
     /** Handle the end of an attempt without a complete answer. */
     void attemptFailed(ActiveRequest active, CurrentAttempt attempt, boolean maybeSent, String detail) {
         if (maybeSent) {
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/CurrentAttempt.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/CurrentAttempt.java
@@ -42,6 +42,11 @@
 
     private boolean cancelled;
 
+    /** Whether the request runs on although its caller has left. */
+    private boolean detached;
+
+    private boolean bodyBegun;
+
     private final RunnerSpeed.QueueEstimate queueEstimate;
 
     private long firstEventAtNanos;
@@ -75,7 +80,7 @@
 
     /** Return whether an event of the answer was received, or for an answer that is not a stream, a part of it. */
     boolean isBegun() {
-        return eventRelayed || body.size() > 0;
+        return eventRelayed || bodyBegun;
     }
 
     /** Record that an event of the answer was relayed. */
@@ -131,9 +136,9 @@
         }
     }
 
-    /** Let the attempt run to completion and ignore further events. */
+    /** Let the attempt run to completion without a caller; its end still tells whether the request crashes runners. */
     void detach() {
-        cancelled = true;
+        detached = true;
     }
 
     /** Release what the attempt uses. */
@@ -159,11 +164,18 @@
             runner.recordLiveness();
             head = answered;
             relay.headReceived(owner, this);
+        } else if (detached) {
+            runner.recordLiveness();
+            head = answered;
         }
     }
 
     @Override
     public void onBytes(byte[] bytes) {
+        if (detached) {
+            runner.recordLiveness();
+            bodyBegun = true;
+        }
         if (!isCurrent()) {
             return;
         }
@@ -173,6 +185,7 @@
         } else if (body.size() + bytes.length > MAX_ANSWER_BYTES) {
             relay.answerTooLarge(owner, this);
         } else {
+            bodyBegun = true;
             body.writeBytes(bytes);
         }
         if (isCurrent()) {
@@ -189,6 +202,8 @@
     public void onEnd() {
         if (isCurrent()) {
             relay.answerCompleted(owner, this);
+        } else if (detached) {
+            relay.detachedCompleted(owner, this);
         }
     }
 
@@ -196,6 +211,8 @@
     public void onFailed(boolean maybeSent, String detail) {
         if (isCurrent()) {
             relay.attemptFailed(owner, this, maybeSent, detail);
+        } else if (detached && maybeSent) {
+            relay.detachedLost(owner, this);
         }
     }
 }
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/QuarantinedRequestTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/QuarantinedRequestTests.java
@@ -114,6 +114,51 @@
         assertEquals(harness.runners.sent.size(), sends);
     }
 
+    /** Guards against forgetting the crashes of a request that runs to its end although its caller has left. */
+    @Test
+    public void shouldRefusePlainRequestThatCrashedThreeServersAfterItsCallersHadLeft() {
+        for (int server = 0; server < 4; server++) {
+            harness.runner("p" + server, DispatcherHarness.PLAIN);
+        }
+        for (int crash = 0; crash < 3; crash++) {
+            harness.clock.advanceMillis(1_000);
+            harness.send(RouteKind.UNSAFE, false).disconnect();
+            assertFalse(harness.runners.last().cancelled);
+            harness.clock.advanceMillis(30);
+            harness.runners.last().fail(true);
+            harness.clock.advanceMillis(10);
+            harness.probe.answer(LivenessProbe.Result.OTHER_INCARNATION);
+            harness.table.remove(harness.runners.last().runner.id());
+        }
+        int sends = harness.runners.sent.size();
+        assertEquals(harness.send(RouteKind.UNSAFE, false).refusal.reason(), RefusalReason.QUARANTINED);
+        assertEquals(harness.runners.sent.size(), sends);
+    }
+
+    /** Guards against refusing a request that is answered whenever its caller does not wait for the answer. */
+    @Test
+    public void shouldClearRequestThatIsAnsweredAfterItsCallerHasLeft() {
+        harness.runner("p", DispatcherHarness.PLAIN);
+        harness.send(RouteKind.UNSAFE, false).disconnect();
+        FakeRunners.Sent attempt = harness.runners.last();
+        String key =
+                ContentKeys.ofRequest(List.of(), "POST /p/x\n/", new byte[0]).get(0);
+        strike(3, key);
+        assertEquals(harness.send(RouteKind.UNSAFE, false).refusal.reason(), RefusalReason.QUARANTINED);
+        attempt.answer(200, AnswerKind.ATTESTED, "ok");
+        assertFalse(harness.send(RouteKind.UNSAFE, false).isAnswered());
+    }
+
+    /** Guards against blaming a request whose connection is closed since its time is over. */
+    @Test
+    public void shouldBlameNothingWhenRequestOfCallerThatLeftReachesItsDeadline() {
+        harness.runner("p", DispatcherHarness.PLAIN);
+        harness.send(RouteKind.UNSAFE, false).disconnect();
+        harness.clock.advanceMillis(2_000);
+        harness.runners.last().fail(true);
+        assertTrue(harness.probe.probed.isEmpty());
+    }
+
     /** Guards against refusing a request because connections to servers that still run broke. */
     @Test
     public void shouldSendPlainRequestAgainWhenServersThatLostItStillRun() {
