Heed what runners answer to requests whose callers have left

A runner that said that it leaves, or that failed, went on getting work if the callers of these requests had left. Change: DetachedAttemptHandler draws the same conclusions about the runner as from other attempts; RunnerNoticeHandler holds what both share. Past the deadline of the request it concludes nothing, as the entry closes the connection itself.

--- a/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
@@ -3,8 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.arbutusstack.gateway.pressure.Backpressure;
-import org.arbutusstack.gateway.runner.KnownRunner;
-import org.arbutusstack.gateway.runner.RunnerNotice;
 import org.arbutusstack.http.event.EventStreamParser;
 import org.arbutusstack.http.event.ServerSentEvent;
 import org.arbutusstack.kernel.Assert;
@@ -25,8 +23,6 @@
 
     private final RequestDispatcher dispatcher;
 
-    private final RunnerPort runnerPort;
-
     private final CallerPort callers;
 
     private final Clock clock;
@@ -37,6 +33,10 @@
 
     private final RequestQuarantine quarantine;
 
+    private final RunnerNoticeHandler notices;
+
+    private final DetachedAttemptHandler detachedAttempts;
+
     private final AnswerMemory<CurrentAttempt> memory;
 
     private final Backpressure backpressure;
@@ -51,43 +51,32 @@
             DecisionLog log,
             RequestQuarantine quarantine) {
         this.dispatcher = Assert.notNull(dispatcher, "dispatcher");
-        this.runnerPort = Assert.notNull(runnerPort, "runnerPort");
         this.callers = Assert.notNull(callers, "callers");
         this.clock = Assert.notNull(clock, "clock");
         this.metrics = Assert.notNull(metrics, "metrics");
         this.log = Assert.notNull(log, "log");
         this.quarantine = Assert.notNull(quarantine, "quarantine");
+        this.notices = new RunnerNoticeHandler(runnerPort, log);
+        this.detachedAttempts = new DetachedAttemptHandler(clock, metrics, log, quarantine, notices);
         this.memory = new AnswerMemory<>(limits.maxHeldAnswerBytes());
         this.backpressure = limits.backpressure();
     }
 
+    /** Return the handler for attempts of requests whose callers have left. */
+    DetachedAttemptHandler detachedAttempts() {
+        return detachedAttempts;
+    }
+
     /** Fail the attempt at once if the head shows that the answer is not the runner's, without waiting for the body. */
     void headReceived(ActiveRequest active, CurrentAttempt attempt) {
         AnswerHead head = attempt.head();
-        if (head.answerKind().isOfRunner()) {
-            noticeReceived(attempt);
-        }
+        notices.headReceived(attempt);
         if (head.answerKind() == AnswerKind.UNATTESTED) {
             String detail = "an answer with status " + head.status() + " that is not the runner's to this request";
             rejectAnswer(active, attempt, RefusalReason.BACKEND_ERROR, detail);
         }
     }
 
-    /** Apply what the runner says about itself. */
-    private void noticeReceived(CurrentAttempt attempt) {
-        KnownRunner runner = attempt.runner();
-        RunnerNotice notice = attempt.head().notice();
-        runner.limit().record(notice.requestsPerSecond(), attempt.sentAtNanos());
-        if (notice.retryAfterMillis() > 0) {
-            runner.limit().pause(notice.retryAfterMillis());
-        }
-        if (notice.leaving() && runner.takesWork()) {
-            log.leaving(runner);
-            runner.retire();
-            runnerPort.closeIdleConnections(runner.entry());
-        }
-    }
-
     /** Relay the events that the received bytes complete, up to one that does not continue the stream. */
     void bytesReceived(ActiveRequest active, CurrentAttempt attempt, byte[] bytes) {
         EventStreamParser.Result parsed = attempt.events().parse(bytes);
@@ -228,8 +217,7 @@
             case NOT_RUN -> handleNotRun(active, attempt, RefusalReason.QUEUE_FULL);
             case NOT_HELD -> handleNotRun(active, attempt, RefusalReason.NO_RUNNER);
             case OTHER_INCARNATION -> {
-                attempt.runner().retire();
-                runnerPort.closeIdleConnections(attempt.runner().entry());
+                notices.retire(attempt.runner());
                 handleNotRun(active, attempt, RefusalReason.LEAVING);
             }
             default -> throw new IllegalStateException("an unattested answer must be rejected at its head");
@@ -237,7 +225,7 @@
     }
 
     private void handleAttested(ActiveRequest active, CurrentAttempt attempt) {
-        if (endedAfterHead(attempt)) {
+        if (attempt.endedAfterHead()) {
             attemptFailed(active, attempt, true, "the connection ended after the head of the answer");
             return;
         }
@@ -264,11 +252,6 @@
         }
     }
 
-    /** Return whether the connection, whose end also ends the answer, ended before any part of the body. */
-    private static boolean endedAfterHead(CurrentAttempt attempt) {
-        return !attempt.head().framed() && attempt.head().isSuccess() && !attempt.isBegun();
-    }
-
     private void endStream(ActiveRequest active, CurrentAttempt attempt) {
         boolean isWithinEvent = attempt.events().isWithinEvent();
         if (isWithinEvent && attempt.head().framed()) {
@@ -313,32 +296,6 @@
         dispatcher.retryOrRefuse(active, Refusal.notRun(reason, detail));
     }
 
-    /** Record the complete answer to a request whose caller has left. */
-    void detachedCompleted(ActiveRequest active, CurrentAttempt attempt) {
-        AnswerHead head = attempt.head();
-        if (head.answerKind() != AnswerKind.ATTESTED || !head.isSuccess()) {
-            return;
-        }
-        if (endedAfterHead(attempt)) {
-            detachedLost(active, attempt);
-            return;
-        }
-        quarantine.answerBegun(active);
-        quarantine.answerCompleted(active);
-    }
-
-    /**
-     * Record that the connection of a request whose caller has left broke; past the deadline, it is this entry that
-     * closes it.
-     */
-    void detachedLost(ActiveRequest active, CurrentAttempt attempt) {
-        if (clock.isPast(active.request().deadlineNanos())) {
-            return;
-        }
-        log.lost(active, attempt);
-        quarantine.attemptLost(active, attempt);
-    }
-
     /** Handle the end of an attempt without a complete answer. */
     void attemptFailed(ActiveRequest active, CurrentAttempt attempt, boolean maybeSent, String detail) {
         if (maybeSent) {
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/CurrentAttempt.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/CurrentAttempt.java
@@ -83,6 +83,11 @@
         return eventRelayed || bodyBegun;
     }
 
+    /** Return whether the connection, whose end also ends the answer, ended before any part of the body. */
+    boolean endedAfterHead() {
+        return !head.framed() && head.isSuccess() && !isBegun();
+    }
+
     /** Record that an event of the answer was relayed. */
     void recordEvent() {
         eventRelayed = true;
@@ -136,7 +141,7 @@
         }
     }
 
-    /** Let the attempt run to completion without a caller; its end still tells whether the request crashes runners. */
+    /** Let the attempt run to completion without a caller; what it shows of the runner and the content still counts. */
     void detach() {
         detached = true;
     }
@@ -167,6 +172,7 @@
         } else if (detached) {
             runner.recordLiveness();
             head = answered;
+            relay.detachedAttempts().headReceived(this);
         }
     }
 
@@ -203,7 +209,7 @@
         if (isCurrent()) {
             relay.answerCompleted(owner, this);
         } else if (detached) {
-            relay.detachedCompleted(owner, this);
+            relay.detachedAttempts().completed(owner, this);
         }
     }
 
@@ -211,8 +217,8 @@
     public void onFailed(boolean maybeSent, String detail) {
         if (isCurrent()) {
             relay.attemptFailed(owner, this, maybeSent, detail);
-        } else if (detached && maybeSent) {
-            relay.detachedLost(owner, this);
+        } else if (detached) {
+            relay.detachedAttempts().failed(owner, this, maybeSent);
         }
     }
 }
