Watch each incarnation of a server that lost requests by itself

Cause: CrashMonitor kept one watch for an identifier. The loss of a request sent to an earlier incarnation, reported late, replaced the watch of the later one and with it the losses that were open there. Change: watches are kept by incarnation; an entry of the directory with a later start decides all earlier ones. Test, red before: CrashMonitorTests.shouldKeepLossesWhenOneOfAnEarlierIncarnationIsReportedLate; green after.

--- a/gateway/src/main/java/org/arbutusstack/gateway/quarantine/CrashMonitor.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/quarantine/CrashMonitor.java
@@ -28,8 +28,8 @@
  */
 public final class CrashMonitor {
 
-    /** Limit on the servers watched at a time; those with the oldest losses are given up first. */
-    private static final int MAX_SERVERS = 256;
+    /** Limit on the incarnations watched at a time; those with the oldest losses are given up first. */
+    private static final int MAX_WATCHES = 256;
 
     /** Interval between probes while it is open whether a server crashed; about the time of one probe. */
     private static final long PROBE_INTERVAL_MILLIS = 50;
@@ -52,7 +52,7 @@
 
     private final Counter probes;
 
-    private final Map<String, Watch> watchesById = new LinkedHashMap<>();
+    private final Map<String, Watch> watchesByIncarnation = new LinkedHashMap<>();
 
     /**
      * Create a monitor that watches no server.
@@ -89,13 +89,13 @@
      */
     public void lost(RunnerEntry server, long sentAgoMillis, List<String> keys) {
         registered(server);
-        Watch watch = watchesById.remove(server.id());
-        if (watch == null || !watch.server.isSameIncarnation(server)) {
+        Watch watch = watchesByIncarnation.remove(server.incarnation());
+        if (watch == null) {
             watch = new Watch(server);
         }
-        watchesById.put(server.id(), watch);
-        if (watchesById.size() > MAX_SERVERS) {
-            watchesById.remove(watchesById.keySet().iterator().next());
+        watchesByIncarnation.put(server.incarnation(), watch);
+        if (watchesByIncarnation.size() > MAX_WATCHES) {
+            watchesByIncarnation.remove(watchesByIncarnation.keySet().iterator().next());
         }
         watch.lost(sentAgoMillis, keys);
     }
@@ -106,16 +106,18 @@
      * @param server the entry of the directory
      */
     public void registered(RunnerEntry server) {
-        Watch watch = watchesById.get(server.id());
-        if (watch != null && server.startedAtMillis() > watch.server.startedAtMillis()) {
-            watch.replaced();
+        for (Watch watch : watchesByIncarnation.values()) {
+            boolean isSameServer = watch.server.id().equals(server.id());
+            if (isSameServer && server.startedAtMillis() > watch.server.startedAtMillis()) {
+                watch.replaced();
+            }
         }
     }
 
     /** Probe the servers for which a probe is due, and give up those whose losses are old. */
     public void tick() {
-        watchesById.values().removeIf(watch -> clock.isPast(watch.endsAtNanos));
-        new ArrayList<>(watchesById.values()).forEach(Watch::probeIfDue);
+        watchesByIncarnation.values().removeIf(watch -> clock.isPast(watch.endsAtNanos));
+        new ArrayList<>(watchesByIncarnation.values()).forEach(Watch::probeIfDue);
     }
 
     /** Server at which requests were lost. */
--- a/gateway/src/test/java/org/arbutusstack/gateway/quarantine/CrashMonitorTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/quarantine/CrashMonitorTests.java
@@ -168,4 +168,20 @@
         answer(Result.OTHER_INCARNATION);
         assertEquals(strikes.stream().map(StrikeFrame::incident).toList(), List.of("10.0.0.1:80@7", "10.0.0.1:80@9"));
     }
+
+    /** Guards against dropping the losses of an incarnation when one is reported late of the incarnation before. */
+    @Test
+    public void shouldKeepLossesWhenOneOfAnEarlierIncarnationIsReportedLate() {
+        monitor.lost(LATER, 20, List.of("request:a"));
+        answer(Result.NO_ANSWER);
+        monitor.lost(SERVER, 2_000, List.of("request:b"));
+        answer(Result.OTHER_INCARNATION);
+        advance(60);
+        answer(Result.OTHER_INCARNATION);
+        assertEquals(
+                strikes.stream()
+                        .map(strike -> strike.key() + ' ' + strike.incident())
+                        .toList(),
+                List.of("request:b 10.0.0.1:80@7", "request:a 10.0.0.1:80@9"));
+    }
 }
