Send retractions of a lost side's strikes by way of the planner's entry

Content that was answered after a crash stays refused at other entries if the side that had reported the crash is away. Cause: a retraction was handed to the link of that side although it was closed, and counted as sent. Change: without an open link to the side, the retraction goes to the relays and to the planner's entry, which passes it on to entries that know the strike. Test: StrikeExchangeTests.shouldPassOnRetractionOfStrikeThatOnlySidesHadReported and shouldRetractEverywhereUnlessTheSideOfTheHostDoes cover the exchange; that the link is closed is decided in one line of GatewayEntry, without a test of its own.

--- a/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
@@ -129,7 +129,10 @@
                 runner -> dispatcher().runnerChanged(runner),
                 this::frameReceived);
         this.strikes = new StrikeExchange(
-                sides::send, frame -> sides.sendToRelays(frame.key(), frame), quarantine::strikeReceived, clock);
+                (host, frame) -> sides.isOpen(host) && sides.send(host, frame),
+                frame -> sides.sendToRelays(frame.key(), frame),
+                quarantine::strikeReceived,
+                clock);
         this.crashMonitor = new CrashMonitor(
                 dependencies.probe(), this::healthPathOf, strikes::found, clock, dependencies.metrics());
         this.permits = new PermitClient(dependencies.name(), runners, sides::sendToAccountant, this::entryCount);
--- a/gateway/src/main/java/org/arbutusstack/gateway/quarantine/StrikeExchange.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/quarantine/StrikeExchange.java
@@ -39,7 +39,7 @@
     /**
      * Create an exchange without links to other entries.
      *
-     * @param sides sends a frame to the side on a host, and returns whether that host has a side
+     * @param sides sends a frame to the side on a host, and returns whether there is an open link to it
      * @param relays sends a frame to the sides that pass it on to all entries
      * @param quarantine applies a frame at this entry, and returns whether that changed anything
      * @param clock the clock of the process
@@ -66,8 +66,8 @@
     }
 
     /**
-     * Tell the other entries of a retraction, by way of the side that holds the strikes or, if there is none, in the
-     * way in which strikes without a side are sent.
+     * Tell the other entries of a retraction, by way of the side that holds the strikes or, if that is away or there is
+     * none, in the way in which strikes without a side are sent.
      *
      * @param host the host of the server whose crash was blamed
      * @param retraction the frame
