Suspect plain requests that callers abandoned shortly before their server restarted

A safe request that crashes servers was never refused if its callers left before the crash and the servers, which some do, go on with a request whose connection closes. Cause: a safe request is cancelled when its caller leaves. The connection is closed by the entry, so that the crash shows there by nothing. Change: CrashMonitor remembers what was abandoned at a server, without probing it. If the directory lists a later incarnation at that place within five seconds, or lost requests show a crash, the abandoned content is struck too, under the same name of the crash. A server that leaves as planned is excepted. Weighed: a probe after each abandoned request, which costs a connection each and comes too early or too late. Tests, red before: CrashMonitorTests 3 rows, QuarantinedRequestTests.shouldRefusePlainRequestAfterWhoseCancellationThreeServersRestarted; green after.

--- a/gateway/src/main/java/org/arbutusstack/gateway/quarantine/CrashMonitor.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/quarantine/CrashMonitor.java
@@ -88,6 +88,11 @@
      * @param keys the keys of its content
      */
     public void lost(RunnerEntry server, long sentAgoMillis, List<String> keys) {
+        watch(server).lost(sentAgoMillis, keys);
+    }
+
+    /** Return the watch of a server, which it starts if there is none. */
+    private Watch watch(RunnerEntry server) {
         registered(server);
         Watch watch = watchesByIncarnation.remove(server.incarnation());
         if (watch == null) {
@@ -97,19 +102,36 @@
         if (watchesByIncarnation.size() > MAX_WATCHES) {
             watchesByIncarnation.remove(watchesByIncarnation.keySet().iterator().next());
         }
-        watch.lost(sentAgoMillis, keys);
+        watch.endsAtNanos = clock.deadlineNanos(WATCH_MILLIS);
+        return watch;
+    }
+
+    /**
+     * Record a request that was cancelled at a server since its caller left. Its connection is closed, so that only
+     * other signs of a crash, such as the registration of the next incarnation, tell whether it crashed the server.
+     *
+     * @param server the server
+     * @param sentAgoMillis how long ago the request was sent, in milliseconds
+     * @param keys the keys of its content
+     */
+    public void abandoned(RunnerEntry server, long sentAgoMillis, List<String> keys) {
+        watch(server).abandoned(sentAgoMillis, keys);
     }
 
     /**
-     * Record that a server is registered in the directory, which shows the restart of one with the same identifier.
+     * Record that a server is registered in the directory, which shows that an earlier one with the same identifier or
+     * at the same address has ended, or that it leaves as planned.
      *
      * @param server the entry of the directory
      */
     public void registered(RunnerEntry server) {
         for (Watch watch : watchesByIncarnation.values()) {
-            boolean isSameServer = watch.server.id().equals(server.id());
-            if (isSameServer && server.startedAtMillis() > watch.server.startedAtMillis()) {
+            boolean isSamePlace = watch.server.id().equals(server.id())
+                    || watch.server.address().equals(server.address());
+            if (isSamePlace && server.startedAtMillis() > watch.server.startedAtMillis()) {
                 watch.replaced();
+            } else if (watch.server.isSameIncarnation(server) && server.leaving()) {
+                watch.crashes.leaving();
             }
         }
     }
@@ -134,7 +156,7 @@
         private boolean probing;
 
         /** Whether it is known that this incarnation runs, or that it has ended, or no further probe can show it. */
-        private boolean decided;
+        private boolean decided = true;
 
         /** Whether a probe has failed since the last loss, so that the server may have restarted meanwhile. */
         private boolean wasAway;
@@ -145,7 +167,6 @@
         }
 
         private void lost(long sentAgoMillis, List<String> keys) {
-            endsAtNanos = clock.deadlineNanos(WATCH_MILLIS);
             publish(crashes.lost(new LostRequestFrame(server.startedAtMillis(), sentAgoMillis, keys)));
             if (crashes.hasUnexplainedLoss()) {
                 decided = false;
@@ -155,6 +176,10 @@
             }
         }
 
+        private void abandoned(long sentAgoMillis, List<String> keys) {
+            publish(crashes.abandoned(new LostRequestFrame(server.startedAtMillis(), sentAgoMillis, keys)));
+        }
+
         private void replaced() {
             publish(crashes.replaced());
             decided = true;
--- a/gateway/src/main/java/org/arbutusstack/gateway/quarantine/RunnerCrashes.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/quarantine/RunnerCrashes.java
@@ -32,6 +32,12 @@
     /** Failed polls in a row after which a runner with losses counts as crashed, though none has shown a restart. */
     private static final int FAILED_POLLS_OF_CRASH = 2;
 
+    /**
+     * How long before a crash is noticed a request that its caller abandoned may have caused it, in milliseconds. The
+     * crash of an idle server shows only by its restart, which takes some seconds.
+     */
+    private static final long ABANDONED_RETENTION_MILLIS = 5_000;
+
     private static final char INCIDENT_SEPARATOR = '@';
 
     private final String host;
@@ -43,6 +49,9 @@
     /** When the lost requests were sent, by the keys of their content; of several requests, the last. */
     private final Map<String, Long> lostSentAtNanos = new HashMap<>();
 
+    /** Requests that were cancelled since their callers left, by the keys of their content; of several, the last. */
+    private final Map<String, Abandoned> abandonedByKey = new HashMap<>();
+
     /** Start time of the incarnation that the losses are of; that of the one that answered last if there are none. */
     private long observedIncarnation;
 
@@ -99,6 +108,31 @@
         return List.of();
     }
 
+    /**
+     * Record a request that was cancelled since its caller left. It says nothing by itself, but the runner may run it
+     * on and crash.
+     *
+     * @param frame the report of the entry
+     * @return the strikes to send to all entries, if the crash of that incarnation is known already
+     */
+    public synchronized List<StrikeFrame> abandoned(LostRequestFrame frame) {
+        long sentAtNanos = clock.deadlineNanos(-frame.sentAgoMillis());
+        if (frame.startedAtMillis() == crashedIncarnation) {
+            return strike(toMap(frame.keys(), sentAtNanos));
+        }
+        if (observedIncarnation == 0) {
+            observedIncarnation = frame.startedAtMillis();
+        }
+        Abandoned abandoned = new Abandoned(sentAtNanos, clock.deadlineNanos(ABANDONED_RETENTION_MILLIS));
+        abandonedByKey.values().removeIf(earlier -> clock.isPast(earlier.suspectUntilNanos()));
+        for (String key : frame.keys()) {
+            if (abandonedByKey.size() < MAX_KEYS_PER_CRASH) {
+                abandonedByKey.put(key, abandoned);
+            }
+        }
+        return List.of();
+    }
+
     private static Map<String, Long> toMap(List<String> keys, long sentAtNanos) {
         Map<String, Long> sent = new HashMap<>();
         keys.forEach(key -> sent.put(key, sentAtNanos));
@@ -150,19 +184,30 @@
     }
 
     /**
-     * Record that another incarnation answers at the address of the runner.
+     * Record that another incarnation runs at the address of the runner.
      *
-     * @return the strikes to send to all entries, if requests were lost
+     * @return the strikes to send to all entries, if requests were lost or abandoned
      */
     public synchronized List<StrikeFrame> replaced() {
-        return hasUnexplainedLoss() ? crashed() : List.of();
+        return hasUnexplainedLoss() || !abandonedByKey.isEmpty() ? crashed() : List.of();
+    }
+
+    /** Record that the runner leaves as planned, so that its end will be no crash by what callers abandoned. */
+    public synchronized void leaving() {
+        abandonedByKey.clear();
     }
 
     private List<StrikeFrame> crashed() {
         crashedIncarnation = observedIncarnation;
         crashedAtNanos = hasUnexplainedLoss() ? firstLossAtNanos : clock.nowNanos();
-        Map<String, Long> sent = Map.copyOf(lostSentAtNanos);
+        Map<String, Long> sent = new HashMap<>(lostSentAtNanos);
+        abandonedByKey.forEach((key, abandoned) -> {
+            if (!clock.isPast(abandoned.suspectUntilNanos())) {
+                sent.merge(key, abandoned.sentAtNanos(), Math::max);
+            }
+        });
         lostSentAtNanos.clear();
+        abandonedByKey.clear();
         logger.warn("event=runner-crashed incident={} keys={}", incident(), String.join(",", sent.keySet()));
         return strike(sent);
     }
@@ -222,6 +267,14 @@
         return strikes.remembered();
     }
 
+    /**
+     * Request that was cancelled since its caller left.
+     *
+     * @param sentAtNanos when it was sent, in nanoseconds of the clock of this process
+     * @param suspectUntilNanos until when a crash that is noticed may be its fault, in nanoseconds of that clock
+     */
+    private record Abandoned(long sentAtNanos, long suspectUntilNanos) {}
+
     /** Return the host of an incident, whose side holds its strikes. */
     static String hostOf(String incident) {
         int separator = incident.indexOf(INCIDENT_SEPARATOR);
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatcher.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatcher.java
@@ -295,6 +295,7 @@
         if (attempt != null && mustFinish) {
             attempt.detach();
         } else if (attempt != null) {
+            quarantine.attemptAbandoned(active, attempt);
             attempt.cancel();
         }
         log.callerDisconnected(active);
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestQuarantine.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestQuarantine.java
@@ -73,6 +73,17 @@
         }
     }
 
+    /**
+     * Record an attempt that is cancelled since its caller has left. Prompts are left out: what they share is in many
+     * other requests that the engine holds, so that it is struck anyway.
+     */
+    void attemptAbandoned(ActiveRequest active, CurrentAttempt attempt) {
+        if (active.request().needsModel() || attempt.isBegun()) {
+            return;
+        }
+        crashMonitor.abandoned(attempt.runner().entry(), clock.millisSince(attempt.sentAtNanos()), active.allKeys());
+    }
+
     /** Record that an attempt is sent to a runner. */
     void attemptSent(ActiveRequest active, KnownRunner runner) {
         losses.recordSent(active, runner, () -> quarantine.describeSuspects(active.allKeys()));
--- a/gateway/src/test/java/org/arbutusstack/gateway/quarantine/CrashMonitorTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/quarantine/CrashMonitorTests.java
@@ -15,6 +15,7 @@
 import org.arbutusstack.kernel.time.ManualClock;
 import org.arbutusstack.wire.frame.StrikeFrame;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests how an entry finds out whether a backend server without a side crashed, and what it blames. */
@@ -184,4 +185,42 @@
                         .toList(),
                 List.of("request:b 10.0.0.1:80@7", "request:a 10.0.0.1:80@9"));
     }
+
+    @DataProvider
+    public Object[][] successors() {
+        RunnerEntry atTheAddress = new RunnerEntry("i-2", "orderdesk", SERVER.address(), "z1", 9, 8, false, Map.of());
+        return new Object[][] {{LATER}, {atTheAddress}};
+    }
+
+    /** Guards against a request that is never blamed since its callers leave before it crashes the server. */
+    @Test(dataProvider = "successors")
+    public void shouldStrikeAbandonedContentWhenServerRestartsSoonAfterwards(RunnerEntry successor) {
+        monitor.abandoned(SERVER, 50, List.of("request:a"));
+        advance(2_000);
+        assertTrue(probes.isEmpty(), "callers that leave cause no probes");
+        monitor.registered(successor);
+        assertEquals(strikes.stream().map(StrikeFrame::key).toList(), List.of("request:a"));
+        assertEquals(strikes.get(0).incident(), "10.0.0.1:80@7");
+    }
+
+    @Test
+    public void shouldStrikeAbandonedContentTogetherWithLostContent() {
+        monitor.abandoned(SERVER, 50, List.of("request:a"));
+        monitor.lost(SERVER, 20, List.of("request:b"));
+        answer(Result.OTHER_INCARNATION);
+        assertEquals(strikes.stream().map(StrikeFrame::key).sorted().toList(), List.of("request:a", "request:b"));
+    }
+
+    /** Guards against blaming what callers had abandoned at a server that leaves as planned, or long before a crash. */
+    @Test
+    public void shouldBlameNothingThatWasAbandonedWhenServerLeavesOrRestartsLater() {
+        monitor.abandoned(SERVER, 50, List.of("request:a"));
+        monitor.registered(new RunnerEntry("i-1", "orderdesk", SERVER.address(), "z1", 7, 8, true, Map.of()));
+        advance(2_000);
+        monitor.registered(new RunnerEntry("i-2", "other", SERVER.address(), "z1", 8, 8, false, Map.of()));
+        monitor.abandoned(LATER, 50, List.of("request:b"));
+        advance(6_000);
+        monitor.registered(new RunnerEntry("i-1", "orderdesk", SERVER.address(), "z1", 12, 8, false, Map.of()));
+        assertTrue(strikes.isEmpty());
+    }
 }
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/DispatcherHarness.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/DispatcherHarness.java
@@ -52,6 +52,8 @@
 
     final ContentQuarantine quarantine;
 
+    final CrashMonitor crashMonitor;
+
     final Backpressure backpressure;
 
     /** Gate of the only entry, without a keeper. */
@@ -99,6 +101,7 @@
         allotments = new AllotmentGate("edge-1", new NoKeepers(), share, clock, registry);
         quarantine = new ContentQuarantine(
                 (host, frame) -> {}, () -> false, new TrialSchedule("edge-1", () -> 1, clock), clock, registry);
+        crashMonitor = new CrashMonitor(probe, server -> "/health", quarantine::strikeReceived, clock, registry);
         zones = new ZoneCandidates("regina", zonePenaltyMillis, clock);
         dispatcher = RequestDispatchers.create(
                 table,
@@ -110,7 +113,7 @@
                         limits, permits, allotments, maxHeldAnswerBytes, backpressure, MAX_PROMPT_HOLD_MILLIS),
                 new GatewayMetrics(registry),
                 quarantine,
-                new CrashMonitor(probe, server -> "/health", quarantine::strikeReceived, clock, registry));
+                crashMonitor);
     }
 
     RunnerEntry runner(String id, String service, String... models) {
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/QuarantinedRequestTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/QuarantinedRequestTests.java
@@ -9,6 +9,7 @@
 import org.arbutusstack.gateway.RecordingLink;
 import org.arbutusstack.gateway.config.RouteKind;
 import org.arbutusstack.gateway.quarantine.LivenessProbe;
+import org.arbutusstack.gateway.runner.RunnerEntry;
 import org.arbutusstack.model.request.RefusalKind;
 import org.arbutusstack.model.request.RefusalReason;
 import org.arbutusstack.routing.ContentKeys;
@@ -135,6 +136,27 @@
         assertEquals(harness.runners.sent.size(), sends);
     }
 
+    /** Guards against forgetting a request that is cancelled when its caller leaves and crashes its server anyway. */
+    @Test
+    public void shouldRefusePlainRequestAfterWhoseCancellationThreeServersRestarted() {
+        for (int server = 0; server < 4; server++) {
+            harness.runner("p" + server, DispatcherHarness.PLAIN);
+        }
+        for (int crash = 0; crash < 3; crash++) {
+            harness.clock.advanceMillis(1_000);
+            harness.send(RouteKind.SAFE, false).disconnect();
+            RunnerEntry server = harness.runners.last().runner;
+            assertTrue(harness.runners.last().cancelled);
+            harness.clock.advanceMillis(1_500);
+            harness.table.remove(server.id());
+            harness.crashMonitor.registered(new RunnerEntry(
+                    "next" + crash, server.service(), server.address(), server.zone(), 2, 8, false, Map.of()));
+        }
+        int sends = harness.runners.sent.size();
+        assertEquals(harness.send(RouteKind.SAFE, false).refusal.reason(), RefusalReason.QUARANTINED);
+        assertEquals(harness.runners.sent.size(), sends);
+    }
+
     /** Guards against refusing a request that is answered whenever its caller does not wait for the answer. */
     @Test
     public void shouldClearRequestThatIsAnsweredAfterItsCallerHasLeft() {
