Count a crash after a restart that the directory does not list yet by itself

Where servers restart under their identifiers and the directory lists that up to a second late, a frequent harmful request crashed them again within that time, and both crashes had one name and counted once. Cause: a request is reported for the incarnation that the directory listed when it was sent. Change: a request that was sent a second or more after the crash of the listed incarnation was run by a later one, since restarts take some seconds; it opens a crash of its own, named by when that incarnation was noticed. Tests: CrashMonitorTests.shouldCountNextCrashOfServerWhoseRestartIsNotListedYet, red before.

--- a/gateway/src/main/java/org/arbutusstack/gateway/quarantine/CrashMonitor.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/quarantine/CrashMonitor.java
@@ -42,6 +42,9 @@
     /** How long a server is watched after its last loss; several times a restart. */
     private static final long WATCH_MILLIS = 10_000;
 
+    /** The least time after a crash in which a server is back; restarts take some seconds. */
+    private static final long MIN_RESTART_MILLIS = 1_000;
+
     private final LivenessProbe probe;
 
     private final Function<RunnerEntry, String> healthPaths;
@@ -147,7 +150,10 @@
 
         private final RunnerEntry server;
 
-        private final RunnerCrashes crashes;
+        private RunnerCrashes crashes;
+
+        /** Start of the incarnation that runs at the server; of one that is not listed yet, when it was noticed. */
+        private long startedAtMillis;
 
         private long endsAtNanos;
 
@@ -163,11 +169,22 @@
 
         Watch(RunnerEntry server) {
             this.server = server;
+            this.startedAtMillis = server.startedAtMillis();
             this.crashes = new RunnerCrashes(server.address().toString(), clock);
         }
 
+        /** Report a request, which a later incarnation ran if it was sent after the crash of the one that is listed. */
+        private LostRequestFrame report(long sentAgoMillis, List<String> keys) {
+            if (crashes.isSentAfterRestart(sentAgoMillis, MIN_RESTART_MILLIS)) {
+                startedAtMillis = clock.wallMillis();
+                crashes = new RunnerCrashes(server.address().toString(), clock);
+            }
+            return new LostRequestFrame(startedAtMillis, sentAgoMillis, keys);
+        }
+
         private void lost(long sentAgoMillis, List<String> keys) {
-            publish(crashes.lost(new LostRequestFrame(server.startedAtMillis(), sentAgoMillis, keys)));
+            LostRequestFrame report = report(sentAgoMillis, keys);
+            publish(crashes.lost(report));
             if (crashes.hasUnexplainedLoss()) {
                 decided = false;
                 wasAway = false;
@@ -177,7 +194,8 @@
         }
 
         private void abandoned(long sentAgoMillis, List<String> keys) {
-            publish(crashes.abandoned(new LostRequestFrame(server.startedAtMillis(), sentAgoMillis, keys)));
+            LostRequestFrame report = report(sentAgoMillis, keys);
+            publish(crashes.abandoned(report));
         }
 
         private void replaced() {
@@ -202,7 +220,7 @@
             probing = false;
             probes.labelValues(result.name().toLowerCase(Locale.ROOT)).inc();
             switch (result) {
-                case SAME_INCARNATION -> publish(crashes.pollAnswered(server.startedAtMillis(), startedAtNanos));
+                case SAME_INCARNATION -> publish(crashes.pollAnswered(startedAtMillis, startedAtNanos));
                 case SAME_IDENTIFIER -> handleSameIdentifier(startedAtNanos);
                 case OTHER_INCARNATION -> replaced();
                 case REFUSED -> publish(crashes.pollFailed());
@@ -223,7 +241,7 @@
         private void handleSameIdentifier(long startedAtNanos) {
             boolean isKnownCrash = !crashes.hasUnexplainedLoss();
             if (!wasAway && !isKnownCrash) {
-                publish(crashes.pollAnswered(server.startedAtMillis(), startedAtNanos));
+                publish(crashes.pollAnswered(startedAtMillis, startedAtNanos));
             }
         }
 
--- a/gateway/src/main/java/org/arbutusstack/gateway/quarantine/RunnerCrashes.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/quarantine/RunnerCrashes.java
@@ -144,6 +144,22 @@
         return !lostSentAtNanos.isEmpty();
     }
 
+    /**
+     * Return whether a request was sent so long after a known crash that another incarnation must have run it.
+     *
+     * @param sentAgoMillis how long ago the request was sent, in milliseconds
+     * @param restartMillis the least time that a restart takes, in milliseconds
+     */
+    public synchronized boolean isSentAfterRestart(long sentAgoMillis, long restartMillis) {
+        return crashedIncarnation != 0 && clock.millisSince(crashedAtNanos) - sentAgoMillis >= restartMillis;
+    }
+
+    /** Return whether requests were abandoned so recently that they may have crashed the runner. */
+    public synchronized boolean hasAbandoned() {
+        abandonedByKey.values().removeIf(abandoned -> clock.isPast(abandoned.suspectUntilNanos()));
+        return !abandonedByKey.isEmpty();
+    }
+
     /**
      * Record that a poll of the runner failed.
      *
@@ -189,7 +205,7 @@
      * @return the strikes to send to all entries, if requests were lost or abandoned
      */
     public synchronized List<StrikeFrame> replaced() {
-        return hasUnexplainedLoss() || !abandonedByKey.isEmpty() ? crashed() : List.of();
+        return hasUnexplainedLoss() || hasAbandoned() ? crashed() : List.of();
     }
 
     /** Record that the runner leaves as planned, so that its end will be no crash by what callers abandoned. */
@@ -201,11 +217,9 @@
         crashedIncarnation = observedIncarnation;
         crashedAtNanos = hasUnexplainedLoss() ? firstLossAtNanos : clock.nowNanos();
         Map<String, Long> sent = new HashMap<>(lostSentAtNanos);
-        abandonedByKey.forEach((key, abandoned) -> {
-            if (!clock.isPast(abandoned.suspectUntilNanos())) {
-                sent.merge(key, abandoned.sentAtNanos(), Math::max);
-            }
-        });
+        if (hasAbandoned()) {
+            abandonedByKey.forEach((key, abandoned) -> sent.merge(key, abandoned.sentAtNanos(), Math::max));
+        }
         lostSentAtNanos.clear();
         abandonedByKey.clear();
         logger.warn("event=runner-crashed incident={} keys={}", incident(), String.join(",", sent.keySet()));
--- a/gateway/src/test/java/org/arbutusstack/gateway/quarantine/CrashMonitorTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/quarantine/CrashMonitorTests.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertTrue;
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
@@ -223,4 +224,22 @@
         monitor.registered(new RunnerEntry("i-1", "orderdesk", SERVER.address(), "z1", 12, 8, false, Map.of()));
         assertTrue(strikes.isEmpty());
     }
+
+    /** Guards against crashes that count once since the directory does not list the restarts between them yet. */
+    @Test
+    public void shouldCountNextCrashOfServerWhoseRestartIsNotListedYet() {
+        crashByRefusal(20);
+        advance(2_000);
+        answer(Result.SAME_IDENTIFIER);
+        crashByRefusal(20);
+        assertEquals(strikes.size(), 2);
+        assertNotEquals(strikes.get(1).incident(), strikes.get(0).incident());
+    }
+
+    private void crashByRefusal(long sentAgoMillis) {
+        monitor.lost(SERVER, sentAgoMillis, List.of("request:a"));
+        answer(Result.REFUSED);
+        advance(60);
+        answer(Result.REFUSED);
+    }
 }
--- a/gateway/src/test/java/org/arbutusstack/gateway/quarantine/CrashingRequestReplayTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/quarantine/CrashingRequestReplayTests.java
@@ -28,27 +28,29 @@
 
     @DataProvider
     public Object[][] loads() {
-        PlainServiceReplay.Load load = new PlainServiceReplay.Load(5, 3, 20, 10, 4, 1, 0, 0);
+        PlainServiceLoad load = new PlainServiceLoad(5, 3, 20, 10, 4, 1, 0, 0);
+        PlainServiceLoad frequent = new PlainServiceLoad(5, 3, 4, 10, 8, 1, 0, 0);
         return new Object[][] {
-            {"padana-badge", new PlainServiceReplay.Load(5, 3, 4, 10, 2, 1, 0, 0)},
-            {"harmful requests are frequent", new PlainServiceReplay.Load(5, 3, 4, 10, 8, 1, 0, 0)},
-            {"most sound requests are repeated", new PlainServiceReplay.Load(5, 3, 20, 2, 2, 1, 0, 0)},
-            {"three harmful requests", new PlainServiceReplay.Load(5, 3, 4, 10, 4, 3, 0, 0)},
-            {"grown", new PlainServiceReplay.Load(27, 4, 26, 65, 6, 1, 0, 0)},
+            {"padana-badge", new PlainServiceLoad(5, 3, 4, 10, 2, 1, 0, 0)},
+            {"harmful requests are frequent", frequent},
+            {"most sound requests are repeated", new PlainServiceLoad(5, 3, 20, 2, 2, 1, 0, 0)},
+            {"three harmful requests", new PlainServiceLoad(5, 3, 4, 10, 4, 3, 0, 0)},
+            {"grown", new PlainServiceLoad(27, 4, 26, 65, 6, 1, 0, 0)},
             {"a popular request", load.withPopular(0.7)},
             {"servers also fail together", load.withFailures(0.2)},
             {
                 "a popular request, servers also fail together",
                 load.withPopular(0.7).withFailures(0.2)
             },
-            {"twelve servers", new PlainServiceReplay.Load(33, 12, 60, 150, 10, 2, 0, 0)}
+            {"twelve servers", new PlainServiceLoad(33, 12, 60, 150, 10, 2, 0, 0)},
+            {"restarts are listed late", frequent.with(PlainServiceLoad.Trouble.LISTED_LATE)},
+            {"sides are lost", frequent.with(PlainServiceLoad.Trouble.SIDES_LOST)}
         };
     }
 
     /** Guards against sound requests that are lost on the same servers taking the blame of the harmful one. */
     @Test(dataProvider = "loads")
-    public void shouldKeepHarmfulRequestFromServersWhenSoundOnesAreLostBesideIt(
-            String name, PlainServiceReplay.Load load) {
+    public void shouldKeepHarmfulRequestFromServersWhenSoundOnesAreLostBesideIt(String name, PlainServiceLoad load) {
         List<PlainServiceReplay.Result> results = IntStream.range(0, SEEDS)
                 .mapToObj(seed -> new PlainServiceReplay(load, seed).run())
                 .toList();
@@ -62,17 +64,17 @@
 
     @DataProvider
     public Object[][] soundLoads() {
-        PlainServiceReplay.Load load = new PlainServiceReplay.Load(5, 3, 20, 10, 0, 0, 0, 0.3);
+        PlainServiceLoad load = new PlainServiceLoad(5, 3, 20, 10, 0, 0, 0, 0.3);
         return new Object[][] {
             {"servers fail together", load},
             {"a popular request, servers fail together", load.withPopular(0.7)},
-            {"large, servers fail together", new PlainServiceReplay.Load(33, 12, 60, 150, 0, 0, 0.5, 0.3)}
+            {"large, servers fail together", new PlainServiceLoad(33, 12, 60, 150, 0, 0, 0.5, 0.3)}
         };
     }
 
     /** Guards against what was in flight when all servers failed together being taken for the cause. */
     @Test(dataProvider = "soundLoads")
-    public void shouldRefuseNothingWhenServersFailTogether(String name, PlainServiceReplay.Load load) {
+    public void shouldRefuseNothingWhenServersFailTogether(String name, PlainServiceLoad load) {
         shouldKeepHarmfulRequestFromServersWhenSoundOnesAreLostBesideIt(name, load);
     }
 
--- a/gateway/src/test/java/org/arbutusstack/gateway/quarantine/PlainServiceReplay.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/quarantine/PlainServiceReplay.java
@@ -3,14 +3,17 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.arbutusstack.gateway.runner.RunnerEntry;
 import org.arbutusstack.http.client.HttpTarget;
 import org.arbutusstack.kernel.time.ManualClock;
 import org.arbutusstack.wire.frame.StrikeFrame;
+import org.arbutusstack.wire.link.Link;
 
 /**
  * Virtual-time run of the quarantines and crash monitors of several entries before the servers of a plain service, some
@@ -44,7 +47,14 @@
 
     private static final int FAILURE_SPREAD_MILLIS = 10;
 
-    private final Load load;
+    /** Time from a restart until the entries read it in the directory, at least and beyond that. */
+    private static final long MIN_LISTING_MILLIS = 50;
+
+    private static final int LISTING_SPREAD_MILLIS = 900;
+
+    private static final long PATIENCE_OF_LEAVING_CALLERS_MILLIS = 50;
+
+    private final PlainServiceLoad load;
 
     private final ReplayLoop loop;
 
@@ -73,7 +83,7 @@
 
     private long serverMillisUp;
 
-    PlainServiceReplay(Load load, long seed) {
+    PlainServiceReplay(PlainServiceLoad load, long seed) {
         this.load = load;
         this.loop = new ReplayLoop(seed);
         this.random = loop.random();
@@ -84,53 +94,6 @@
         this.lateArrivals = new int[load.harmfulRequests()];
     }
 
-    /**
-     * Load of a replay.
-     *
-     * @param entries the number of entries
-     * @param servers the number of servers
-     * @param safePerSecond the sound requests that an entry repeats
-     * @param unsafePerSecond the sound requests that an entry does not repeat
-     * @param harmfulPerSecond the requests that crash servers, which are safe ones
-     * @param harmfulRequests how many different ones there are
-     * @param popularShare the share of the safe sound requests that are one and the same
-     * @param failuresPerSecond the failures that end all servers at once
-     */
-    record Load(
-            int entries,
-            int servers,
-            double safePerSecond,
-            double unsafePerSecond,
-            double harmfulPerSecond,
-            int harmfulRequests,
-            double popularShare,
-            double failuresPerSecond) {
-
-        Load withPopular(double share) {
-            return new Load(
-                    entries,
-                    servers,
-                    safePerSecond,
-                    unsafePerSecond,
-                    harmfulPerSecond,
-                    harmfulRequests,
-                    share,
-                    failuresPerSecond);
-        }
-
-        Load withFailures(double perSecond) {
-            return new Load(
-                    entries,
-                    servers,
-                    safePerSecond,
-                    unsafePerSecond,
-                    harmfulPerSecond,
-                    harmfulRequests,
-                    popularShare,
-                    perSecond);
-        }
-    }
-
     /**
      * Outcome of a replay.
      *
@@ -145,24 +108,35 @@
     /** Request of a caller; {@code harmful} is the number of the harmful request, or negative. */
     private record Call(List<String> keys, int harmful, int entryAttempts, int callerAttempt) {}
 
-    private record Sent(Entry entry, Call call, int sends, long deadlineMillis, long sentAtNanos) {}
+    private record Sent(Entry entry, Call call, int sends, long deadlineMillis, long sentAtNanos, RunnerEntry server) {}
 
     private final class Entry {
 
         final ContentQuarantine quarantine;
 
+        final StrikeExchange exchange;
+
         final CrashMonitor monitor;
 
         Entry() {
             PrometheusRegistry registry = new PrometheusRegistry();
             TrialSchedule trials = new TrialSchedule("edge-" + entries.size(), load::entries, clock);
-            quarantine = new ContentQuarantine((host, frame) -> relay(frame), () -> false, trials, clock, registry);
-            monitor = new CrashMonitor(this::probe, server -> "/health", this::struck, clock, registry);
+            quarantine = new ContentQuarantine(this::retracted, () -> false, trials, clock, registry);
+            exchange = new StrikeExchange(
+                    (host, frame) -> false, PlainServiceReplay.this::relay, quarantine::strikeReceived, clock);
+            monitor = new CrashMonitor(this::probe, server -> "/health", exchange::found, clock, registry);
         }
 
-        private void struck(StrikeFrame strike) {
-            quarantine.strikeReceived(strike);
-            relay(strike);
+        private void retracted(String host, StrikeFrame frame) {
+            exchange.retract(host, frame);
+        }
+
+        /** Open a link to the entry that plans. */
+        void connectTo(Entry planner) {
+            Link toEntry = new ReplayLink(loop, LINK_MILLIS, exchange::receivedFromPlanner);
+            planner.exchange.entryConnected(toEntry);
+            exchange.plannerConnected(
+                    new ReplayLink(loop, LINK_MILLIS, frame -> planner.exchange.receivedFromEntry(toEntry, frame)));
         }
 
         private void probe(
@@ -190,7 +164,8 @@
                 return;
             }
             if (quarantine.maySend(call.keys())) {
-                up.get(random.nextInt(up.size())).run(new Sent(this, call, sends, deadlineMillis, clock.nowNanos()));
+                Server server = up.get(random.nextInt(up.size()));
+                server.run(new Sent(this, call, sends, deadlineMillis, clock.nowNanos(), server.listed));
             } else if (loop.nowMillis() < deadlineMillis) {
                 loop.after(TICK_MILLIS, () -> route(call, sends, deadlineMillis));
             } else {
@@ -198,9 +173,18 @@
             }
         }
 
-        void lost(Sent sent, RunnerEntry server) {
+        void abandoned(Sent sent) {
+            monitor.abandoned(
+                    sent.server(),
+                    clock.millisSince(sent.sentAtNanos()),
+                    sent.call().keys());
+        }
+
+        void lost(Sent sent) {
             monitor.lost(
-                    server, clock.millisSince(sent.sentAtNanos()), sent.call().keys());
+                    sent.server(),
+                    clock.millisSince(sent.sentAtNanos()),
+                    sent.call().keys());
             if (sent.sends() < sent.call().entryAttempts()) {
                 route(sent.call(), sent.sends() + 1, sent.deadlineMillis());
             } else if (sent.call().callerAttempt() < CALLER_ATTEMPTS) {
@@ -223,12 +207,18 @@
 
         final List<Sent> running = new ArrayList<>();
 
+        final Set<Sent> abandoned = new HashSet<>();
+
         long startedAtMillis = 1;
 
         boolean down;
 
+        /** The entry that the directory lists. */
+        RunnerEntry listed;
+
         Server(int number) {
             this.number = number;
+            this.listed = entry();
         }
 
         RunnerEntry entry() {
@@ -241,6 +231,9 @@
             if (down) {
                 return LivenessProbe.Result.REFUSED;
             }
+            if (load.trouble() == PlainServiceLoad.Trouble.LISTED_LATE) {
+                return LivenessProbe.Result.SAME_IDENTIFIER;
+            }
             return expected.startedAtMillis() == startedAtMillis
                     ? LivenessProbe.Result.SAME_INCARNATION
                     : LivenessProbe.Result.OTHER_INCARNATION;
@@ -252,6 +245,9 @@
                 lateArrivals[harmful]++;
             }
             running.add(sent);
+            if (harmful >= 0 && load.trouble() == PlainServiceLoad.Trouble.CALLERS_LEAVE) {
+                loop.after(PATIENCE_OF_LEAVING_CALLERS_MILLIS, () -> leave(sent));
+            }
             long incarnation = startedAtMillis;
             loop.after(MIN_WORK_MILLIS + random.nextInt(WORK_SPREAD_MILLIS), () -> {
                 if (!down && incarnation == startedAtMillis) {
@@ -260,6 +256,13 @@
             });
         }
 
+        private void leave(Sent sent) {
+            if (running.contains(sent)) {
+                abandoned.add(sent);
+                sent.entry().abandoned(sent);
+            }
+        }
+
         private void workEnded(Sent sent) {
             int harmful = sent.call().harmful();
             if (harmful >= 0) {
@@ -278,19 +281,34 @@
                 return;
             }
             down = true;
-            RunnerEntry ended = entry();
             for (Sent sent : running) {
-                loop.after(LINK_MILLIS, () -> sent.entry().lost(sent, ended));
+                if (!abandoned.contains(sent)) {
+                    loop.after(LINK_MILLIS, () -> sent.entry().lost(sent));
+                }
             }
             running.clear();
+            abandoned.clear();
             loop.after(RESTART_MILLIS + random.nextInt(CALLER_RETRY_SPREAD_MILLIS), () -> {
                 startedAtMillis++;
                 down = false;
+                if (load.trouble() == PlainServiceLoad.Trouble.NONE) {
+                    list();
+                } else {
+                    loop.after(MIN_LISTING_MILLIS + random.nextInt(LISTING_SPREAD_MILLIS), this::list);
+                }
             });
         }
+
+        private void list() {
+            listed = entry();
+            entries.forEach(entry -> entry.monitor.registered(listed));
+        }
     }
 
     private void relay(StrikeFrame frame) {
+        if (load.trouble() == PlainServiceLoad.Trouble.SIDES_LOST) {
+            return;
+        }
         loop.after(LINK_MILLIS, () -> relay.received(frame)
                 .forEach(passedOn -> entries.forEach(
                         entry -> loop.after(LINK_MILLIS, () -> entry.quarantine.strikeReceived(passedOn)))));
@@ -307,6 +325,9 @@
         for (int number = 0; number < load.entries(); number++) {
             entries.add(new Entry());
         }
+        if (load.trouble() == PlainServiceLoad.Trouble.SIDES_LOST) {
+            entries.stream().skip(1).forEach(entry -> entry.connectTo(entries.get(0)));
+        }
         Arrays.fill(thirdCrashMillis, DURATION_MILLIS);
         entries.forEach(Entry::tick);
         arriveSound(load.safePerSecond(), 2);
