Probe a server that cannot be reached after callers abandoned requests there

Change: a connection that cannot be opened to such a server starts the probes that a loss starts; connections refused twice make the crash. Without abandoned requests nothing changes. Tests, red before: CrashMonitorTests.shouldStrikeAbandonedContentWhenServerCannotBeReachedAfterwards and shouldBlameNothingThatWasAbandonedWhenServerIsReachedAgain; green after.

--- a/gateway/src/main/java/org/arbutusstack/gateway/quarantine/CrashMonitor.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/quarantine/CrashMonitor.java
@@ -121,6 +121,19 @@
         watch(server).abandoned(sentAgoMillis, keys);
     }
 
+    /**
+     * Record that a connection to a server could not be opened, so that it is probed if what was abandoned there may
+     * have crashed it.
+     *
+     * @param server the server
+     */
+    public void unreachable(RunnerEntry server) {
+        Watch watch = watchesByIncarnation.get(server.incarnation());
+        if (watch != null && watch.crashes.hasAbandoned()) {
+            watch.suspectAbandoned();
+        }
+    }
+
     /**
      * Record that a server is registered in the directory, which shows that an earlier one with the same identifier or
      * at the same address has ended, or that it leaves as planned.
@@ -167,6 +180,9 @@
         /** Whether a probe has failed since the last loss, so that the server may have restarted meanwhile. */
         private boolean wasAway;
 
+        /** Whether probes are to show if what was abandoned has crashed the server. */
+        private boolean abandonedSuspected;
+
         Watch(RunnerEntry server) {
             this.server = server;
             this.startedAtMillis = server.startedAtMillis();
@@ -198,6 +214,15 @@
             publish(crashes.abandoned(report));
         }
 
+        private void suspectAbandoned() {
+            abandonedSuspected = true;
+            if (decided) {
+                decided = false;
+                probeDueAtNanos = clock.nowNanos();
+                probeIfDue();
+            }
+        }
+
         private void replaced() {
             publish(crashes.replaced());
             decided = true;
@@ -228,7 +253,8 @@
                     // Nothing is known, so the next probe decides.
                 }
             }
-            boolean isOpen = crashes.hasUnexplainedLoss();
+            abandonedSuspected &= crashes.hasAbandoned() && !result.isAnswer();
+            boolean isOpen = crashes.hasUnexplainedLoss() || abandonedSuspected;
             wasAway |= !result.isAnswer();
             decided = result.isAnswer() && (!isOpen || wasAway);
             probeDueAtNanos = clock.deadlineNanos(isOpen ? PROBE_INTERVAL_MILLIS : CONFIRM_INTERVAL_MILLIS);
--- a/gateway/src/main/java/org/arbutusstack/gateway/quarantine/RunnerCrashes.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/quarantine/RunnerCrashes.java
@@ -167,7 +167,7 @@
      */
     public synchronized List<StrikeFrame> pollFailed() {
         failedPolls++;
-        boolean isCrash = hasUnexplainedLoss() && failedPolls >= FAILED_POLLS_OF_CRASH;
+        boolean isCrash = (hasUnexplainedLoss() || hasAbandoned()) && failedPolls >= FAILED_POLLS_OF_CRASH;
         return isCrash ? crashed() : List.of();
     }
 
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
@@ -307,6 +307,7 @@
             return;
         }
         attempt.runner().outcomes().unreachable();
+        quarantine.attemptUnreachable(attempt);
         active.undoSend();
         dispatcher.retryOrRefuse(active, Refusal.notRun(RefusalReason.BACKEND_LOST, detail));
     }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/DetachedAttemptHandler.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/DetachedAttemptHandler.java
@@ -75,6 +75,7 @@
         }
         if (!maybeSent) {
             attempt.runner().outcomes().unreachable();
+            quarantine.attemptUnreachable(attempt);
             return;
         }
         attempt.runner().outcomes().failed();
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestQuarantine.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestQuarantine.java
@@ -84,6 +84,11 @@
         crashMonitor.abandoned(attempt.runner().entry(), clock.millisSince(attempt.sentAtNanos()), active.allKeys());
     }
 
+    /** Record that a connection to a runner could not be opened. */
+    void attemptUnreachable(CurrentAttempt attempt) {
+        crashMonitor.unreachable(attempt.runner().entry());
+    }
+
     /** Record that an attempt is sent to a runner. */
     void attemptSent(ActiveRequest active, KnownRunner runner) {
         losses.recordSent(active, runner, () -> quarantine.describeSuspects(active.allKeys()));
--- a/gateway/src/test/java/org/arbutusstack/gateway/quarantine/CrashMonitorTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/quarantine/CrashMonitorTests.java
@@ -225,6 +225,32 @@
         assertTrue(strikes.isEmpty());
     }
 
+    /** Guards against waiting for the restart of a server that evidently refuses connections. */
+    @Test
+    public void shouldStrikeAbandonedContentWhenServerCannotBeReachedAfterwards() {
+        monitor.unreachable(SERVER);
+        assertTrue(probes.isEmpty(), "nothing is suspected there");
+        monitor.abandoned(SERVER, 50, List.of("request:a"));
+        monitor.unreachable(SERVER);
+        monitor.unreachable(SERVER);
+        answer(Result.REFUSED);
+        advance(60);
+        answer(Result.REFUSED);
+        assertEquals(strikes.stream().map(StrikeFrame::key).toList(), List.of("request:a"));
+    }
+
+    @Test
+    public void shouldBlameNothingThatWasAbandonedWhenServerIsReachedAgain() {
+        monitor.abandoned(SERVER, 50, List.of("request:a"));
+        monitor.unreachable(SERVER);
+        answer(Result.REFUSED);
+        advance(60);
+        answer(Result.SAME_IDENTIFIER);
+        advance(1_000);
+        assertTrue(probes.isEmpty());
+        assertTrue(strikes.isEmpty());
+    }
+
     /** Guards against crashes that count once since the directory does not list the restarts between them yet. */
     @Test
     public void shouldCountNextCrashOfServerWhoseRestartIsNotListedYet() {
--- a/gateway/src/test/java/org/arbutusstack/gateway/quarantine/CrashingRequestReplayTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/quarantine/CrashingRequestReplayTests.java
@@ -62,6 +62,22 @@
         }
     }
 
+    /** Guards against a request that is never blamed since its callers leave before it crashes the server. */
+    @Test
+    public void shouldKeepHarmfulRequestFromServersWhenItsCallersLeave() {
+        PlainServiceLoad load = new PlainServiceLoad(5, 3, 4, 10, 2, 1, 0, 0);
+        shouldKeepHarmfulRequestFromServersWhenSoundOnesAreLostBesideIt(
+                "callers leave", load.with(PlainServiceLoad.Trouble.CALLERS_LEAVE));
+    }
+
+    /** The same where copies of the request often crash servers within moments of each other. */
+    @Test
+    public void shouldKeepFrequentHarmfulRequestFromServersWhenItsCallersLeave() {
+        PlainServiceLoad load = new PlainServiceLoad(5, 3, 4, 10, 8, 1, 0, 0);
+        shouldKeepHarmfulRequestFromServersWhenSoundOnesAreLostBesideIt(
+                "harmful requests are frequent, callers leave", load.with(PlainServiceLoad.Trouble.CALLERS_LEAVE));
+    }
+
     @DataProvider
     public Object[][] soundLoads() {
         PlainServiceLoad load = new PlainServiceLoad(5, 3, 20, 10, 0, 0, 0, 0.3);
--- a/gateway/src/test/java/org/arbutusstack/gateway/quarantine/PlainServiceReplay.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/quarantine/PlainServiceReplay.java
@@ -159,6 +159,9 @@
                 soundRefused += call.harmful() < 0 ? 1 : 0;
                 return;
             }
+            if (load.trouble() == PlainServiceLoad.Trouble.CALLERS_LEAVE) {
+                findUnreachable();
+            }
             List<Server> up = servers.stream().filter(server -> !server.down).toList();
             if (up.isEmpty()) {
                 return;
@@ -173,6 +176,14 @@
             }
         }
 
+        /** Choose a server first that may be down, since this entry does not know that yet. */
+        private void findUnreachable() {
+            Server chosen = servers.get(random.nextInt(servers.size()));
+            if (chosen.down) {
+                monitor.unreachable(chosen.listed);
+            }
+        }
+
         void abandoned(Sent sent) {
             monitor.abandoned(
                     sent.server(),
