Blame nothing that was abandoned at a server that was leaving already

Found by reading the change. What callers abandon at a server is held against it if another one is listed at its address soon; a server that leaves as planned was excepted only if its leaving was listed after the request was abandoned. Test, red before: CrashMonitorTests.shouldBlameNothingThatWasAbandonedAtLeavingServer; green after.

--- a/gateway/src/main/java/org/arbutusstack/gateway/quarantine/CrashMonitor.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/quarantine/CrashMonitor.java
@@ -118,7 +118,9 @@
      * @param keys the keys of its content
      */
     public void abandoned(RunnerEntry server, long sentAgoMillis, List<String> keys) {
-        watch(server).abandoned(sentAgoMillis, keys);
+        if (!server.leaving()) {
+            watch(server).abandoned(sentAgoMillis, keys);
+        }
     }
 
     /**
--- a/gateway/src/test/java/org/arbutusstack/gateway/quarantine/CrashMonitorTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/quarantine/CrashMonitorTests.java
@@ -225,6 +225,15 @@
         assertTrue(strikes.isEmpty());
     }
 
+    /** Guards against blaming what was abandoned at a server that was leaving already. */
+    @Test
+    public void shouldBlameNothingThatWasAbandonedAtLeavingServer() {
+        RunnerEntry leaving = new RunnerEntry("i-1", "orderdesk", SERVER.address(), "z1", 7, 8, true, Map.of());
+        monitor.abandoned(leaving, 50, List.of("request:a"));
+        monitor.registered(LATER);
+        assertTrue(strikes.isEmpty());
+    }
+
     /** Guards against waiting for the restart of a server that evidently refuses connections. */
     @Test
     public void shouldStrikeAbandonedContentWhenServerCannotBeReachedAfterwards() {
