--- a/gateway/src/test/java/org/arbutusstack/gateway/request/QuarantinedRequestTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/QuarantinedRequestTests.java
@@ -99,61 +99,54 @@
     /** Guards against nobody judging the crashes of backend servers of plain services. */
     @Test
     public void shouldRefusePlainRequestThatCrashedThreeServersWithoutSide() {
-        for (int server = 0; server < 4; server++) {
-            harness.runner("p" + server, DispatcherHarness.PLAIN);
-        }
-        for (int crash = 0; crash < 3; crash++) {
-            harness.clock.advanceMillis(1_000);
+        assertRefusedAfterThreeCrashes(RouteKind.UNSAFE, () -> {
             harness.send(RouteKind.UNSAFE, false);
-            harness.runners.last().fail(true);
-            harness.clock.advanceMillis(10);
-            harness.probe.answer(LivenessProbe.Result.OTHER_INCARNATION);
-            harness.table.remove(harness.runners.last().runner.id());
-        }
-        int sends = harness.runners.sent.size();
-        assertEquals(harness.send(RouteKind.UNSAFE, false).refusal.reason(), RefusalReason.QUARANTINED);
-        assertEquals(harness.runners.sent.size(), sends);
+            loseLastAttempt();
+        });
     }
 
     /** Guards against forgetting the crashes of a request that runs to its end although its caller has left. */
     @Test
     public void shouldRefusePlainRequestThatCrashedThreeServersAfterItsCallersHadLeft() {
-        for (int server = 0; server < 4; server++) {
-            harness.runner("p" + server, DispatcherHarness.PLAIN);
-        }
-        for (int crash = 0; crash < 3; crash++) {
-            harness.clock.advanceMillis(1_000);
+        assertRefusedAfterThreeCrashes(RouteKind.UNSAFE, () -> {
             harness.send(RouteKind.UNSAFE, false).disconnect();
             assertFalse(harness.runners.last().cancelled);
             harness.clock.advanceMillis(30);
-            harness.runners.last().fail(true);
-            harness.clock.advanceMillis(10);
-            harness.probe.answer(LivenessProbe.Result.OTHER_INCARNATION);
-            harness.table.remove(harness.runners.last().runner.id());
-        }
-        int sends = harness.runners.sent.size();
-        assertEquals(harness.send(RouteKind.UNSAFE, false).refusal.reason(), RefusalReason.QUARANTINED);
-        assertEquals(harness.runners.sent.size(), sends);
+            loseLastAttempt();
+        });
     }
 
     /** Guards against forgetting a request that is cancelled when its caller leaves and crashes its server anyway. */
     @Test
     public void shouldRefusePlainRequestAfterWhoseCancellationThreeServersRestarted() {
-        for (int server = 0; server < 4; server++) {
-            harness.runner("p" + server, DispatcherHarness.PLAIN);
-        }
-        for (int crash = 0; crash < 3; crash++) {
-            harness.clock.advanceMillis(1_000);
+        assertRefusedAfterThreeCrashes(RouteKind.SAFE, () -> {
             harness.send(RouteKind.SAFE, false).disconnect();
-            RunnerEntry server = harness.runners.last().runner;
             assertTrue(harness.runners.last().cancelled);
             harness.clock.advanceMillis(1_500);
-            harness.table.remove(server.id());
+            RunnerEntry server = harness.runners.last().runner;
             harness.crashMonitor.registered(new RunnerEntry(
-                    "next" + crash, server.service(), server.address(), server.zone(), 2, 8, false, Map.of()));
+                    "after " + server.id(), server.service(), server.address(), server.zone(), 2, 8, false, Map.of()));
+        });
+    }
+
+    private void loseLastAttempt() {
+        harness.runners.last().fail(true);
+        harness.clock.advanceMillis(10);
+        harness.probe.answer(LivenessProbe.Result.OTHER_INCARNATION);
+    }
+
+    /** Let a request crash three of four plain servers, which are gone then, and assert that it is not sent again. */
+    private void assertRefusedAfterThreeCrashes(RouteKind kind, Runnable crash) {
+        for (int server = 0; server < 4; server++) {
+            harness.runner("p" + server, DispatcherHarness.PLAIN);
+        }
+        for (int crashes = 0; crashes < 3; crashes++) {
+            harness.clock.advanceMillis(1_000);
+            crash.run();
+            harness.table.remove(harness.runners.last().runner.id());
         }
         int sends = harness.runners.sent.size();
-        assertEquals(harness.send(RouteKind.SAFE, false).refusal.reason(), RefusalReason.QUARANTINED);
+        assertEquals(harness.send(kind, false).refusal.reason(), RefusalReason.QUARANTINED);
         assertEquals(harness.runners.sent.size(), sends);
     }
 
