Count a call to the store as unanswered only once its deadline has passed

Cause: a call that failed after its wait counted as unanswered, although its answer is due up to 250 ms later. A watch that was cut within that time was an outage again, after which entries are kept for 2.2 s. Change: a failed call is a cut one until its deadline, which has those 250 ms. Test, red before: PrefixFollowerTests.shouldReportNoOutageWhenCallIsCutShortlyAfterItsWait; green after. shouldReportOutageWhenOneCallIsNotAnsweredWithinItsWait is now ...ByItsDeadline: an answer within the deadline is in time.

--- a/store/src/main/java/org/arbutusstack/store/PrefixFollower.java
+++ b/store/src/main/java/org/arbutusstack/store/PrefixFollower.java
@@ -12,8 +12,8 @@
  * Keeps a listener up to date on the keys with a prefix, across outages, lost history and unresponsive connections.
  *
  * <p>What the listener has received remains valid while the service is unavailable. The service may cut a call that
- * waits; it counts as unavailable only if it leaves a call unanswered for as long as the call was to wait, or if the
- * next call fails too. Runs on its own thread.
+ * waits; it counts as unavailable only if it leaves a call unanswered until its deadline, or if the next call fails
+ * too. Runs on its own thread.
  *
  * @see PrefixReader
  */
@@ -137,9 +137,10 @@
 
     private boolean readSnapshot() {
         ClockReading sentAt = ClockReading.of(clock);
-        StoreResult<PrefixSnapshot> read = reader.snapshot(prefix, clock.deadlineNanos(READ_TIMEOUT_MILLIS));
+        long deadlineNanos = clock.deadlineNanos(READ_TIMEOUT_MILLIS);
+        StoreResult<PrefixSnapshot> read = reader.snapshot(prefix, deadlineNanos);
         if (!(read instanceof StoreResult.Done<PrefixSnapshot> done)) {
-            recordFailure(read, sentAt.firstNanos() + READ_TIMEOUT_MILLIS * Clock.NANOS_PER_MILLI);
+            recordFailure(read, deadlineNanos);
             return false;
         }
         recordSuccess();
@@ -154,12 +155,12 @@
 
     private boolean readChanges() {
         boolean early = storeLost ? listener.needsEarlyConfirmation() : lastCallFailed;
-        long callWaitMillis = early ? MIN_WAIT_MILLIS : waitMillis;
         ClockReading sentAt = ClockReading.of(clock);
-        StoreResult<PrefixChanges> result = reader.changesAfter(
-                prefix, revision, callWaitMillis, clock.deadlineNanos(waitMillis + DEADLINE_SLACK_MILLIS));
+        long deadlineNanos = clock.deadlineNanos(waitMillis + DEADLINE_SLACK_MILLIS);
+        StoreResult<PrefixChanges> result =
+                reader.changesAfter(prefix, revision, early ? MIN_WAIT_MILLIS : waitMillis, deadlineNanos);
         if (!(result instanceof StoreResult.Done<PrefixChanges> done)) {
-            recordFailure(result, sentAt.firstNanos() + callWaitMillis * Clock.NANOS_PER_MILLI);
+            recordFailure(result, deadlineNanos);
             return false;
         }
         recordSuccess();
@@ -186,12 +187,13 @@
         return true;
     }
 
-    /** Record a failed call, which is an outage if the answer was overdue or the call before failed too. */
-    private void recordFailure(StoreResult<?> result, long answerDueNanos) {
+    /** Record a failed call, which is an outage if it was left unanswered or the call before failed too. */
+    private void recordFailure(StoreResult<?> result, long deadlineNanos) {
         if (storeLost) {
             return;
         }
-        if (!lastCallFailed && !clock.isPast(answerDueNanos)) {
+        boolean isCut = clock.millisUntil(deadlineNanos) > 0;
+        if (isCut && !lastCallFailed) {
             logger.info("event=store-call-cut prefix={} revision={} result={}", prefix, revision, result);
             return;
         }
