Decide by the grammar of HTTP/1.1 what counts as a response

What callers saw: answers with status 000, with a length, a coding or the size of a chunk that is none, with two lengths, or with a line in the head that is no field, reached them as answers, some with a body that was not the runner's. After status 000 their connection was closed without an answer.

Cause: responses were read by Undertow's client, whose parser accepts much that is no response: any three digits as a status, a sign before a length, the first of two lengths, any transfer coding as "until the connection ends", anything after the digits of a chunk's size, any two bytes after a chunk, names with blanks in trailers, other major versions, folded lines and fields without a name. It shows neither the bytes nor the framing, so that nobody behind it could tell.

Change: ResponseParser reads responses by RFC 9110 and 9112 and rejects what does not conform; it does no I/O. UndertowExchange reads and writes over XNIO, Undertow's I/O layer, and gives all bytes to that parser, so that runners, store, health checks, reports, orders and the native way's backend servers are read by one rule. A call whose response does not conform fails with MalformedResponseException, may have run, and its connection is reset; the entry answers 502. Bytes after a response, as before, end its connection.

Why it works: the verdict is that of the grammar on the bytes themselves, not of a list of faults, and no second parser reads them afterwards. Where the RFCs leave a choice, it rejects: line feeds alone, folded lines, chunks together with a length, a status line without its second space. Lists of equal lengths, empty elements in the list of codings and interim responses other than 100, which recipients have to accept, were refused before and are accepted now.

ResponseParserTests compares verdicts with a second form of the grammar on 12,000 mutated responses, in whole and in parts.

ResponseHeadMonitor, a thread that cut off heads without end since the old parser had no limit, is not needed any more: the parser counts, and reads are limited per turn. Its test, which guarded the monitor's set of calls, goes with it; EndlessBodyTests and ResponseParserTests have rows for heads without end, with tighter bounds, and EndlessResponseTests stays as it was. FaultyRunnerTests shares its caller with the new tests.

Weighed, not tried: checks of the parsed head behind Undertow's client, which see neither sizes of chunks nor what the parser has dropped.

--- a/http/src/main/java/org/arbutusstack/http/client/IdleConnections.java
+++ b/http/src/main/java/org/arbutusstack/http/client/IdleConnections.java
@@ -1,9 +1,9 @@
 package org.arbutusstack.http.client;
 
-import io.undertow.client.ClientConnection;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import org.xnio.IoUtils;
+import org.xnio.StreamConnection;
 
 /** Pool of the idle connections of one target, which returns the most recently used one first. Thread-safe. */
 final class IdleConnections {
@@ -22,7 +22,7 @@
      * Remove and return the most recently used open connection, or return {@code null} if there is none. A call that is
      * not repeatable gets a connection only if it has been idle for a short time.
      */
-    synchronized ClientConnection take(boolean repeatable, long nowNanos) {
+    synchronized StreamConnection take(boolean repeatable, long nowNanos) {
         closeExpired(nowNanos);
         Idle last = idle.pollLast();
         while (last != null && !last.connection().isOpen()) {
@@ -63,7 +63,7 @@
      * Add an idle connection unless the pool is full. The keep-alive time of the server is negative if the server did
      * not announce one; otherwise the connection is used for three quarters of it.
      */
-    synchronized boolean add(ClientConnection connection, long keepAliveMillis, long nowNanos) {
+    synchronized boolean add(StreamConnection connection, long keepAliveMillis, long nowNanos) {
         if (idle.size() >= limits.maxIdleConnections()) {
             return false;
         }
@@ -80,5 +80,5 @@
     }
 
     /** Idle connection with the instants at which it became idle and until which it may be used. */
-    private record Idle(ClientConnection connection, long idleSinceNanos, long usableUntilNanos) {}
+    private record Idle(StreamConnection connection, long idleSinceNanos, long usableUntilNanos) {}
 }
--- a/http/src/main/java/org/arbutusstack/http/client/UndertowHttpClient.java
+++ b/http/src/main/java/org/arbutusstack/http/client/UndertowHttpClient.java
@@ -1,22 +1,27 @@
 package org.arbutusstack.http.client;
 
-import io.undertow.client.ClientConnection;
-import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
 import org.arbutusstack.kernel.Assert;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
+import org.xnio.StreamConnection;
 import org.xnio.Xnio;
 import org.xnio.XnioWorker;
+import org.xnio.conduits.ConduitStreamSourceChannel;
 
 /**
- * {@link HttpClient} based on Undertow's client, which sends one call at a time on a connection and keeps idle
- * connections for reuse.
+ * {@link HttpClient} based on XNIO, the I/O layer of Undertow, which sends one call at a time on a connection and keeps
+ * idle connections for reuse.
+ *
+ * <p>Undertow's own client is not used: its parser accepts bytes that are no response, and does not show them.
  *
  * <p>Thread-safe. Must be closed to release its threads and connections.
  *
@@ -24,6 +29,8 @@
  */
 public final class UndertowHttpClient implements HttpClient {
 
+    private static final Logger logger = LoggerFactory.getLogger(UndertowHttpClient.class);
+
     private static final int BUFFER_BYTES = 8_192;
 
     private final XnioWorker worker;
@@ -36,8 +43,6 @@
 
     private final boolean ownsWorker;
 
-    private final ResponseHeadMonitor headMonitor;
-
     /**
      * Create a client.
      *
@@ -46,7 +51,6 @@
      */
     public UndertowHttpClient(String name, int ioThreads) {
         Assert.hasText(name, "name");
-        this.headMonitor = new ResponseHeadMonitor(name);
         this.limits = IdleConnectionLimits.UNLIMITED_AGE;
         this.ownsWorker = true;
         OptionMap options = OptionMap.builder()
@@ -74,15 +78,14 @@
         this.worker = Assert.notNull(worker, "worker");
         this.limits = Assert.notNull(limits, "limits");
         this.ownsWorker = false;
-        this.headMonitor = new ResponseHeadMonitor("client");
     }
 
     @Override
     public Cancellable stream(HttpTarget target, HttpCall call, long deadlineNanos, HttpResponseListener listener) {
         UndertowExchange exchange = new UndertowExchange(this, target, call, deadlineNanos, listener);
-        ClientConnection idle = call.newConnection() ? null : poolOf(target).take(call.repeatable(), System.nanoTime());
+        StreamConnection idle = call.newConnection() ? null : poolOf(target).take(call.repeatable(), System.nanoTime());
         if (idle == null) {
-            exchange.connect(UndertowClient.getInstance(), worker, bufferPool);
+            exchange.connect(worker.getIoThread());
         } else if (idle.getIoThread() == Thread.currentThread()) {
             exchange.send(idle);
         } else {
@@ -95,16 +98,18 @@
         return poolsByTarget.computeIfAbsent(target, key -> new IdleConnections(limits));
     }
 
-    /** Return the monitor that limits the size of response heads. */
-    ResponseHeadMonitor headMonitor() {
-        return headMonitor;
+    /** Return the pool of the buffers that responses are read into. */
+    ByteBufferPool bufferPool() {
+        return bufferPool;
     }
 
     /**
-     * Return a connection to the pool of its target, if it is still open once its I/O thread has had the chance to read
-     * bytes that follow the last response.
+     * Return a connection to the pool of its target, if it is still open once it was read for bytes that follow the
+     * last response. Called on its I/O thread.
      */
-    void release(HttpTarget target, ClientConnection connection, long keepAliveMillis) {
+    void release(HttpTarget target, StreamConnection connection, long keepAliveMillis) {
+        connection.getSourceChannel().setReadListener(source -> closeOnInput(connection, source));
+        connection.getSourceChannel().wakeupReads();
         connection.getIoThread().execute(() -> {
             if (connection.isOpen() && !poolOf(target).add(connection, keepAliveMillis, System.nanoTime())) {
                 IoUtils.safeClose(connection);
@@ -112,6 +117,18 @@
         });
     }
 
+    /** Close an idle connection that its server has closed, or on which bytes arrive that no call asked for. */
+    private static void closeOnInput(StreamConnection connection, ConduitStreamSourceChannel source) {
+        try {
+            if (source.read(ByteBuffer.allocate(1)) != 0) {
+                IoUtils.safeClose(connection);
+            }
+        } catch (IOException broken) {
+            logger.debug("event=idle-connection-broken detail={}", broken.getMessage());
+            IoUtils.safeClose(connection);
+        }
+    }
+
     @Override
     public void closeIdleConnections(HttpTarget target) {
         IdleConnections idle = poolsByTarget.remove(target);
@@ -122,7 +139,6 @@
 
     @Override
     public void close() {
-        headMonitor.close();
         poolsByTarget.values().forEach(IdleConnections::closeAll);
         if (ownsWorker) {
             worker.shutdownNow();
--- a/http/src/test/java/org/arbutusstack/http/client/EndlessBodyTests.java
+++ b/http/src/test/java/org/arbutusstack/http/client/EndlessBodyTests.java
@@ -97,6 +97,10 @@
         String kilobyte = "x".repeat(1_024);
         String chunks = HEAD + "Transfer-Encoding: chunked\r\n\r\n";
         return new Object[][] {
+            {"a status line", "HTTP/1.1 200 ", kilobyte},
+            {"a head of many lines", HEAD, "X-Line: " + kilobyte + "\r\n"},
+            {"a head of one line", HEAD + "X-Line: ", kilobyte},
+            {"interim heads", "", "HTTP/1.1 103 Early Hints\r\n\r\n"},
             {"a trailer of many lines", chunks + "2\r\nok\r\n0\r\n", "X-Line: " + kilobyte + "\r\n"},
             {"a trailer of one line", chunks + "2\r\nok\r\n0\r\nX-Line: ", kilobyte},
             {"an extension of a chunk", chunks + "2;", kilobyte},
