Let one item that fails end alone, in each duty over many items

What callers saw: after one answer that could not be written, whose status was 000, the entry's deadlines ended for as long as the process lived.

Cause: an event loop logs the failure of a whole message. A duty that walks over many items in one message stops at the first that throws; the request whose answer could not be written stayed in the table and threw again at each tick, 24 times a second.

Change: IsolatedSteps (kernel) runs a step for each item and logs a failure. RequestSteps ends the request whose step failed: it is refused, and as "outcome unknown" once it has been sent; if an answer or a refusal had been begun, the caller's connection is closed and nothing else is written to it. A request counts as opened before its answer is written, so that a failed write is not followed by a second one.

Where else one item could stop a duty, found by reading each loop over requests, servers, links, keys and items, and isolated now: - entry: expiry, routing, drain and end of requests, events of attempts; the steps of the tick and of the planner; watched servers; links and catalogs; permits; teams' held requests; bytes held for others; slow sends; services in the model planner; records to persist - native way: expiry, routing and lost links of requests; the steps of the router's tick; plans; links to sides and peers; planned services; at the side, expired, stalled, orphaned and queued work, events that overflowed, claim buckets - store: items of a read or a watch, of which one without a key or revision stopped the follower; events of one watch message (etcd) Left as they are, since their steps neither call out nor decode: tables of runners and hosts, averages, budgets, gauges. The link transport and the turns of readers isolated their items before.

Work that a side cannot start is refused; before, nothing ended it.

Without a test of their own: claim buckets, services of the planners, links to sides and peers, records, permits, held bytes and slow sends; they share IsolatedSteps, which has one.

Why it works: what fails is caught where the item is known, so that the loop goes on and the item does not come back.

--- a/entry/src/main/java/org/arbutusstack/entry/plan/PlannerService.java
+++ b/entry/src/main/java/org/arbutusstack/entry/plan/PlannerService.java
@@ -6,6 +6,7 @@
 import org.arbutusstack.entry.EntryIdentity;
 import org.arbutusstack.kernel.Assert;
 import org.arbutusstack.kernel.ring.EventLoop;
+import org.arbutusstack.kernel.ring.IsolatedSteps;
 import org.arbutusstack.kernel.ring.Ticker;
 import org.arbutusstack.kernel.service.Service;
 import org.arbutusstack.kernel.time.Clock;
@@ -95,14 +96,14 @@
     /** Run one planning cycle over all services. */
     void run() {
         if (!lease.renew()) {
-            planners.values().forEach(ServicePlanner::stepDown);
+            IsolatedSteps.forEach(name(), planners.values(), ServicePlanner::stepDown);
         }
         DesiredState state = replica.state();
         state.services().values().stream()
                 .filter(service -> service.kind() == ServiceKind.ENGINE)
                 .filter(service -> candidates.isCandidate(context.identity().name(), service.name()))
-                .forEach(service -> planners.computeIfAbsent(service.name(), name -> new ServicePlanner(name, context))
-                        .run(state, lease));
+                .map(service -> planners.computeIfAbsent(service.name(), name -> new ServicePlanner(name, context)))
+                .forEach(planner -> IsolatedSteps.run(name(), () -> planner.run(state, lease)));
     }
 
     @Override
--- a/entry/src/main/java/org/arbutusstack/entry/router/RequestTable.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/RequestTable.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.arbutusstack.kernel.ring.IsolatedSteps;
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.model.request.Refusal;
 import org.arbutusstack.model.request.RefusalReason;
@@ -19,7 +20,6 @@
 import org.arbutusstack.wire.frame.CancelFrame;
 import org.arbutusstack.wire.frame.RefusalFrame;
 import org.arbutusstack.wire.frame.StrikeFrame;
-import org.arbutusstack.wire.frame.WorkFrame;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -39,9 +39,7 @@
 
     private static final long SAME_SIDE_RETRY_MILLIS = 1_500;
 
-    private static final long MAX_DEADLINE_MARGIN_MILLIS = 100;
-
-    private static final int DEADLINE_MARGIN_DIVISOR = 10;
+    private static final String DUTY = "requests";
 
     private static final int NOT_FOUND = 404;
 
@@ -65,6 +63,8 @@
 
     private final Quarantine quarantine;
 
+    private final WorkFrameFactory workFrames;
+
     private final Map<RequestId, PendingRequest> requests = new HashMap<>();
 
     private long bufferedBytes;
@@ -83,6 +83,7 @@
         this.outcomes = outcomes;
         this.retryBudget = new RetryBudget(limits.retryPercent(), limits.retryReserve());
         this.quarantine = new Quarantine(clock, sides::broadcast);
+        this.workFrames = new WorkFrameFactory(clock);
         this.attemptRouter = new AttemptRouter(sides, selector, quarantine, clock);
     }
 
@@ -150,7 +151,7 @@
         SideConnection side = sides.byName(chosen.get().name());
         quarantine.sendStrikes(side.link(), request);
         pending.beginAttempt(side, clock.deadlineNanos(limits.receiptTimeoutMillis()));
-        if (side.link().send(frameOf(pending))) {
+        if (side.link().send(workFrames.frameOf(pending))) {
             pending.attemptSent();
             logger.debug("event=sent request={} attempt={}", request.id(), pending.attempt());
         } else {
@@ -158,31 +159,6 @@
         }
     }
 
-    private WorkFrame frameOf(PendingRequest pending) {
-        CallerRequest request = pending.request();
-        return new WorkFrame(
-                request.id(),
-                pending.attempt(),
-                sideBudgetMillis(request),
-                request.priority(),
-                request.routing().service(),
-                request.model(),
-                request.adapter(),
-                request.idempotent(),
-                request.idempotencyKey(),
-                request.method(),
-                request.path(),
-                request.stream(),
-                request.stream() ? pending.delivered() : 0,
-                request.body());
-    }
-
-    /** Return less than the time left, so that the refusal of a request that never ran arrives in time. */
-    private long sideBudgetMillis(CallerRequest request) {
-        long leftMillis = clock.millisUntil(request.deadlineNanos());
-        return leftMillis - Math.min(MAX_DEADLINE_MARGIN_MILLIS, leftMillis / DEADLINE_MARGIN_DIVISOR);
-    }
-
     /** Return the request of an answer frame, or {@code null} if the frame belongs to an earlier attempt. */
     private PendingRequest currentAttempt(RequestId id, int attempt, SideConnection side) {
         PendingRequest pending = requests.get(id);
@@ -254,11 +230,13 @@
 
     private void finish(PendingRequest pending) {
         CallerRequest request = pending.request();
-        if (!pending.isEventStream()) {
-            CallerResponses.sendHead(request, pending.head());
-            request.response().write(pending.body().toByteArray());
-        }
-        request.response().end();
+        respond(request, () -> {
+            if (!pending.isEventStream()) {
+                CallerResponses.sendHead(request, pending.head());
+                request.response().write(pending.body().toByteArray());
+            }
+            request.response().end();
+        });
         outcomes.answered(pending);
         remove(pending, true);
     }
@@ -326,20 +304,29 @@
         remove(pending, false);
         outcomes.refused(pending, reported);
         logger.info("event=refused request={} kind={} reason={}", request.id(), reported.kind(), reported.reason());
-        if (pending.isStreamOpened()) {
-            CallerResponses.endWithError(request, reported);
-        } else {
-            CallerResponses.refuse(request.response(), request.id().toString(), reported);
+        respond(request, () -> {
+            if (pending.isStreamOpened()) {
+                CallerResponses.endWithError(request, reported);
+            } else {
+                CallerResponses.refuse(request.response(), request.id().toString(), reported);
+            }
+        });
+    }
+
+    /** Write the end of a response, or close the caller's connection if it cannot be written. */
+    private static void respond(CallerRequest request, Runnable writes) {
+        if (!IsolatedSteps.run(DUTY, writes)) {
+            request.response().abort();
         }
     }
 
     void sideDisconnected(SideConnection side) {
-        for (PendingRequest pending : new ArrayList<>(requests.values())) {
+        IsolatedSteps.forEach(DUTY, requests.values(), pending -> {
             if (pending.side() == side) {
                 String detail = "the link to the runner was lost";
                 attemptFailed(pending, Refusal.outcomeUnknown(RefusalReason.BACKEND_LOST, detail), true);
             }
-        }
+        });
     }
 
     void callerDisconnected(RequestId id) {
@@ -364,7 +351,7 @@
     void tick() {
         metrics.inFlight(requests.size());
         List<PendingRequest> waiting = new ArrayList<>();
-        for (PendingRequest pending : new ArrayList<>(requests.values())) {
+        IsolatedSteps.forEach(DUTY, requests.values(), pending -> {
             CallerRequest request = pending.request();
             if (request.response().isClosed()) {
                 callerDisconnected(request.id());
@@ -375,11 +362,11 @@
             } else if (pending.awaitsReceipt() && clock.isPast(pending.receiptDueNanos())) {
                 sides.giveUp(pending.side(), "no-receipt");
             }
-        }
+        });
         waiting.sort(Comparator.<PendingRequest>comparingInt(
                         pending -> pending.request().priority().urgency())
                 .thenComparingLong(pending -> pending.request().deadlineNanos() - clock.nowNanos()));
-        waiting.forEach(this::route);
+        IsolatedSteps.forEach(DUTY, waiting, this::route);
     }
 
     private void expire(PendingRequest pending) {
--- a/entry/src/main/java/org/arbutusstack/entry/router/RouterService.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/RouterService.java
@@ -14,6 +14,7 @@
 import org.arbutusstack.entry.plan.RunnerDirectory;
 import org.arbutusstack.kernel.Assert;
 import org.arbutusstack.kernel.ring.EventLoop;
+import org.arbutusstack.kernel.ring.IsolatedSteps;
 import org.arbutusstack.kernel.ring.Ticker;
 import org.arbutusstack.kernel.service.Service;
 import org.arbutusstack.kernel.time.Clock;
@@ -276,23 +277,41 @@
     }
 
     private void tick() {
-        applyHosts();
-        requests.tick();
-        sides.updateLoads();
-        sides.closeUnresponsive();
-        sides.closedWithoutEvent().forEach(side -> linkClosed(side.host(), side.link()));
-        sides.dropUnlisted();
-        sides.connectMissing();
-        exchange.setDraining(draining);
-        exchange.tick();
+        IsolatedSteps.runAll(
+                NAME,
+                this::applyHosts,
+                requests::tick,
+                sides::updateLoads,
+                sides::closeUnresponsive,
+                () -> IsolatedSteps.forEach(
+                        NAME, sides.closedWithoutEvent(), side -> linkClosed(side.host(), side.link())),
+                sides::dropUnlisted,
+                sides::connectMissing,
+                () -> exchange.setDraining(draining),
+                exchange::tick,
+                this::observeAcknowledgements,
+                this::resendPlans,
+                this::updateStatuses);
+    }
+
+    private void observeAcknowledgements() {
         acknowledgements.observe(
                 sides.all().stream().map(this::acknowledgementOf).toList(), clock.wallMillis());
-        if (clock.isPast(resendPlansAtNanos)) {
-            resendPlansAtNanos = clock.deadlineNanos(PLAN_RESEND_MILLIS);
-            sides.all().stream()
-                    .filter(side -> side.report() != null)
-                    .forEach(side -> sendPlanIfNewer(side, side.report()));
+    }
+
+    private void resendPlans() {
+        if (!clock.isPast(resendPlansAtNanos)) {
+            return;
         }
+        resendPlansAtNanos = clock.deadlineNanos(PLAN_RESEND_MILLIS);
+        IsolatedSteps.forEach(NAME, sides.all(), side -> {
+            if (side.report() != null) {
+                sendPlanIfNewer(side, side.report());
+            }
+        });
+    }
+
+    private void updateStatuses() {
         statuses = sides.all().stream()
                 .map(RunnerStatus::of)
                 .sorted(Comparator.comparing(RunnerStatus::name))
--- a/entry/src/main/java/org/arbutusstack/entry/router/SideDirectory.java
+++ b/entry/src/main/java/org/arbutusstack/entry/router/SideDirectory.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import org.arbutusstack.entry.EntryIdentity;
+import org.arbutusstack.kernel.ring.IsolatedSteps;
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.model.host.Host;
 import org.arbutusstack.model.host.HostList;
@@ -89,13 +90,13 @@
     }
 
     void connectMissing() {
-        for (SideConnection side : sides.values()) {
+        IsolatedSteps.forEach("side-links", sides.values(), side -> {
             if (side.link() == null && side.isListed() && clock.isPast(side.reconnectAtNanos())) {
                 Host host = side.host();
                 InetSocketAddress address = new InetSocketAddress(host.address(), host.linkPort());
                 side.connecting(transport.connect(address, new SideListener(host)));
             }
-        }
+        });
     }
 
     /** Update the load estimates of the runners for the time elapsed. */
--- a/entry/src/test/java/org/arbutusstack/entry/router/FakeSink.java
+++ b/entry/src/test/java/org/arbutusstack/entry/router/FakeSink.java
@@ -21,6 +21,8 @@
 
     private boolean closed;
 
+    private boolean unwritable;
+
     int status() {
         return status;
     }
@@ -46,8 +48,16 @@
         closed = true;
     }
 
+    /** Let all that is written fail from now on. */
+    void makeUnwritable() {
+        unwritable = true;
+    }
+
     @Override
     public void head(int answered, String contentType) {
+        if (unwritable) {
+            throw new IllegalStateException("the response cannot be written");
+        }
         heads++;
         status = answered;
     }
--- a/gateway/src/main/java/org/arbutusstack/gateway/allotment/AllotmentGate.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/allotment/AllotmentGate.java
@@ -11,6 +11,7 @@
 import org.arbutusstack.gateway.config.Team;
 import org.arbutusstack.kernel.Assert;
 import org.arbutusstack.kernel.log.LogThrottle;
+import org.arbutusstack.kernel.ring.IsolatedSteps;
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.wire.frame.AllotmentGrantFrame;
 import org.slf4j.Logger;
@@ -25,6 +26,8 @@
  */
 public final class AllotmentGate {
 
+    private static final String DUTY = "allotments";
+
     private static final Logger logger = LoggerFactory.getLogger(AllotmentGate.class);
 
     /** Interval between ticks, in milliseconds: a fraction of the longest wait for tokens. */
@@ -105,7 +108,7 @@
         accounts.remove(account.team().name());
         refusalLogs.remove(account.team().name());
         metrics.remove(account.team().name());
-        account.releaseAll().forEach(this::notifyListener);
+        IsolatedSteps.forEach(DUTY, account.releaseAll(), this::notifyListener);
     }
 
     /**
@@ -196,10 +199,10 @@
             return;
         }
         share.entries();
-        for (AllotmentAccount account : List.copyOf(accounts.values())) {
+        IsolatedSteps.forEach(DUTY, accounts.values(), account -> {
             decideHeld(account);
             send(account);
-        }
+        });
         Iterator<AllotmentAccount> each = accounts.values().iterator();
         while (each.hasNext()) {
             AllotmentAccount account = each.next();
@@ -229,7 +232,7 @@
     private void decideHeld(AllotmentAccount account) {
         for (AllotmentAccount.Decided decided : account.decideHeld(share.entries())) {
             record(account, decided.cost(), decided.admission());
-            notifyListener(decided);
+            IsolatedSteps.run(DUTY, () -> notifyListener(decided));
         }
     }
 
--- a/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
@@ -30,6 +30,7 @@
 import org.arbutusstack.gateway.runner.SideLinks;
 import org.arbutusstack.gateway.team.TeamGate;
 import org.arbutusstack.kernel.Assert;
+import org.arbutusstack.kernel.ring.IsolatedSteps;
 import org.arbutusstack.kernel.service.Service;
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.placement.FleetPlanner;
@@ -215,24 +216,23 @@
         boolean stalled = clock.isPast(tickedAtNanos + STALL_MILLIS * Clock.NANOS_PER_MILLI);
         tickedAtNanos = clock.nowNanos();
         if (stalled) {
-            // Messages received during the stall have not been read yet, so missing signals are not the fault of the
-            // runners.
+            // Messages received during the stall are still unread, so missing signals are not the fault of runners.
             runners.all().forEach(KnownRunner::recordLiveness);
         }
-        teamGate.tick();
-        metrics.updateConfigAge(teamGate.configAgeMillis());
-        runners.tick();
-        dispatcher.entries(sides.entryCount().entries());
-        dispatcher.tick();
-        crashMonitor.tick();
-        permits.tick();
-        dependencies.backpressure().tick();
+        IsolatedSteps.runAll(
+                name(),
+                teamGate::tick,
+                () -> metrics.updateConfigAge(teamGate.configAgeMillis()),
+                runners::tick,
+                () -> dispatcher.entries(sides.entryCount().entries()),
+                dispatcher::tick,
+                crashMonitor::tick,
+                permits::tick,
+                dependencies.backpressure()::tick);
     }
 
     private void plan() {
-        planner.tick();
-        plannerLink.tick();
-        quarantinePersistence.tick();
+        IsolatedSteps.runAll(name(), planner::tick, plannerLink::tick, quarantinePersistence::tick);
     }
 
     /**
@@ -306,7 +306,7 @@
      */
     public void runnersListed(Collection<RunnerEntry> entries) {
         runners.replaceAll(entries);
-        entries.forEach(crashMonitor::registered);
+        IsolatedSteps.forEach(name(), entries, crashMonitor::registered);
         dispatcher.runnersChanged();
     }
 
--- a/gateway/src/main/java/org/arbutusstack/gateway/plan/ModelPlanner.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/plan/ModelPlanner.java
@@ -14,6 +14,7 @@
 import org.arbutusstack.gateway.runner.KnownRunner;
 import org.arbutusstack.gateway.runner.RunnerTable;
 import org.arbutusstack.kernel.Assert;
+import org.arbutusstack.kernel.ring.IsolatedSteps;
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.placement.EngineFleet;
 import org.arbutusstack.placement.FleetPlanner;
@@ -176,9 +177,11 @@
         ownDemand().forEach(demand::receive);
         pendingMoves.values().removeIf(move -> clock.isPast(move.expiresAtNanos()));
         Map<String, Map<String, Double>> requests = new HashMap<>();
-        for (ServedService service : config.engineServices()) {
-            requests.put(service.name(), plan(service, service.engine().orElseThrow()));
-        }
+        IsolatedSteps.forEach(
+                "planner",
+                config.engineServices(),
+                service -> requests.put(
+                        service.name(), plan(service, service.engine().orElseThrow())));
         persist(requests);
     }
 
--- a/gateway/src/main/java/org/arbutusstack/gateway/plan/PlannerElection.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/plan/PlannerElection.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import org.arbutusstack.kernel.Assert;
+import org.arbutusstack.kernel.ring.IsolatedSteps;
 import org.arbutusstack.kernel.service.Service;
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.store.KeyValue;
@@ -183,7 +184,7 @@
             holding = false;
         }
         if (holding) {
-            pendingRecords.keySet().forEach(this::persistRecord);
+            IsolatedSteps.forEach("planner-election", pendingRecords.keySet(), this::persistRecord);
             return;
         }
         boolean free = holder.isEmpty();
--- a/gateway/src/main/java/org/arbutusstack/gateway/pressure/MemoryAccount.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/pressure/MemoryAccount.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.arbutusstack.kernel.Assert;
+import org.arbutusstack.kernel.ring.IsolatedSteps;
 import org.arbutusstack.kernel.time.Clock;
 
 /**
@@ -251,7 +252,7 @@
         /** Close the holding and end what the bytes were held for. */
         void end() {
             close();
-            end.run();
+            IsolatedSteps.run("held-bytes", end);
         }
 
         /** Return how many times the recent progress is held: larger for more bytes and for less progress. */
--- a/gateway/src/main/java/org/arbutusstack/gateway/pressure/SlowSends.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/pressure/SlowSends.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.function.LongSupplier;
 import org.arbutusstack.kernel.Assert;
+import org.arbutusstack.kernel.ring.IsolatedSteps;
 import org.arbutusstack.kernel.time.Clock;
 
 /**
@@ -131,7 +132,7 @@
 
         /** End the attempt. */
         void giveUp() {
-            giveUp.run();
+            IsolatedSteps.run("slow-sends", giveUp);
         }
 
         String describe() {
--- a/gateway/src/main/java/org/arbutusstack/gateway/quarantine/CrashMonitor.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/quarantine/CrashMonitor.java
@@ -2,7 +2,6 @@
 
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
@@ -11,6 +10,7 @@
 import java.util.function.Function;
 import org.arbutusstack.gateway.runner.RunnerEntry;
 import org.arbutusstack.kernel.Assert;
+import org.arbutusstack.kernel.ring.IsolatedSteps;
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.wire.frame.LostRequestFrame;
 import org.arbutusstack.wire.frame.StrikeFrame;
@@ -28,6 +28,8 @@
  */
 public final class CrashMonitor {
 
+    private static final String DUTY = "crash-monitor";
+
     /** Limit on the incarnations watched at a time; those with the oldest losses are given up first. */
     private static final int MAX_WATCHES = 256;
 
@@ -143,7 +145,7 @@
      * @param server the entry of the directory
      */
     public void registered(RunnerEntry server) {
-        for (Watch watch : watchesByIncarnation.values()) {
+        IsolatedSteps.forEach(DUTY, watchesByIncarnation.values(), watch -> {
             boolean isSamePlace = watch.server.id().equals(server.id())
                     || watch.server.address().equals(server.address());
             if (isSamePlace && server.startedAtMillis() > watch.server.startedAtMillis()) {
@@ -151,13 +153,13 @@
             } else if (watch.server.isSameIncarnation(server) && server.leaving()) {
                 watch.crashes.leaving();
             }
-        }
+        });
     }
 
     /** Probe the servers for which a probe is due, and give up those whose losses are old. */
     public void tick() {
         watchesByIncarnation.values().removeIf(watch -> clock.isPast(watch.endsAtNanos));
-        new ArrayList<>(watchesByIncarnation.values()).forEach(Watch::probeIfDue);
+        IsolatedSteps.forEach(DUTY, watchesByIncarnation.values(), Watch::probeIfDue);
     }
 
     /** Server at which requests were lost. */
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
@@ -23,6 +23,8 @@
 
     private final RequestDispatcher dispatcher;
 
+    private final RequestSteps steps;
+
     private final CallerPort callers;
 
     private final Clock clock;
@@ -43,6 +45,7 @@
 
     AnswerRelay(
             RequestDispatcher dispatcher,
+            RequestSteps steps,
             RunnerPort runnerPort,
             CallerPort callers,
             Clock clock,
@@ -51,6 +54,7 @@
             DecisionLog log,
             RequestQuarantine quarantine) {
         this.dispatcher = Assert.notNull(dispatcher, "dispatcher");
+        this.steps = Assert.notNull(steps, "steps");
         this.callers = Assert.notNull(callers, "callers");
         this.clock = Assert.notNull(clock, "clock");
         this.metrics = Assert.notNull(metrics, "metrics");
@@ -67,6 +71,11 @@
         return detachedAttempts;
     }
 
+    /** Run a step in which the answer to an attempt is handled. */
+    void handle(CurrentAttempt attempt, Runnable step) {
+        steps.run(attempt.owner(), step);
+    }
+
     /** Fail the attempt at once if the head shows that the answer is not the runner's, without waiting for the body. */
     void headReceived(ActiveRequest active, CurrentAttempt attempt) {
         AnswerHead head = attempt.head();
@@ -118,7 +127,7 @@
             CurrentAttempt longest = memory.largest();
             release(longest);
             String detail = "the answers in progress are too long to hold, this one the longest";
-            rejectAnswer(longest.owner(), longest, RefusalReason.ANSWER_TOO_LARGE, detail);
+            handle(longest, () -> rejectAnswer(longest.owner(), longest, RefusalReason.ANSWER_TOO_LARGE, detail));
         }
         metrics.updateHeldAnswers(memory.totalBytes());
         String id = attempt.owner().request().id();
@@ -269,8 +278,9 @@
         dispatcher.complete(active, "answered");
     }
 
-    /** Relay a complete answer. */
+    /** Relay a complete answer. A request whose answer cannot be written is not answered in another way. */
     void relayAnswer(ActiveRequest active, ActiveRequest.BufferedAnswer answer) {
+        active.opened();
         metrics.recordFirstByte(active.request(), clock.nowNanos());
         callers.open(active.response(), answer.head(), answer.body().length);
         if (answer.body().length > 0) {
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/CurrentAttempt.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/CurrentAttempt.java
@@ -168,7 +168,7 @@
         if (isCurrent()) {
             runner.recordLiveness();
             head = answered;
-            relay.headReceived(owner, this);
+            relay.handle(this, () -> relay.headReceived(owner, this));
         } else if (detached) {
             runner.recordLiveness();
             head = answered;
@@ -186,6 +186,10 @@
             return;
         }
         runner.recordLiveness();
+        relay.handle(this, () -> handleBytes(bytes));
+    }
+
+    private void handleBytes(byte[] bytes) {
         if (isStreamed()) {
             relay.bytesReceived(owner, this, bytes);
         } else if (body.size() + bytes.length > MAX_ANSWER_BYTES) {
@@ -207,7 +211,7 @@
     @Override
     public void onEnd() {
         if (isCurrent()) {
-            relay.answerCompleted(owner, this);
+            relay.handle(this, () -> relay.answerCompleted(owner, this));
         } else if (detached) {
             relay.detachedAttempts().completed(owner, this);
         }
@@ -216,7 +220,7 @@
     @Override
     public void onFailed(boolean maybeSent, String detail) {
         if (isCurrent()) {
-            relay.attemptFailed(owner, this, maybeSent, detail);
+            relay.handle(this, () -> relay.attemptFailed(owner, this, maybeSent, detail));
         } else if (detached) {
             relay.detachedAttempts().failed(owner, this, maybeSent);
         }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatcher.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatcher.java
@@ -1,6 +1,5 @@
 package org.arbutusstack.gateway.request;
 
-import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -59,6 +58,8 @@
 
     private final TeamAdmission admission;
 
+    private final RequestSteps steps;
+
     /**
      * Create a dispatcher: the chooser chooses the runner for each attempt, the ports send requests to runners and
      * write answers and refusals to callers, the clock is that of the process, the limits are those on what is sent to
@@ -87,7 +88,8 @@
         this.modelDemand = new ModelDemand(chooser, clock);
         this.drainState = new DrainState(clock);
         this.admission = new TeamAdmission(limits.allotments(), this::route, this::refuse);
-        this.relay = new AnswerRelay(this, runnerPort, callers, clock, limits, metrics, log, quarantine);
+        this.steps = new RequestSteps(this::refuse);
+        this.relay = new AnswerRelay(this, steps, runnerPort, callers, clock, limits, metrics, log, quarantine);
     }
 
     /**
@@ -115,7 +117,7 @@
             refuse(active, DrainState.refusal(), DrainState.RETRY_AFTER_MILLIS);
             return;
         }
-        admission.submit(active);
+        steps.run(active, () -> admission.submit(active));
     }
 
     /**
@@ -311,39 +313,39 @@
      */
     public void startDraining(long endNanos) {
         drainState.start(endNanos);
-        for (ActiveRequest active : new ArrayList<>(inFlight)) {
+        steps.forEach(inFlight, active -> {
             if (active.attempt() == null) {
                 refuse(active, DrainState.refusal(), DrainState.RETRY_AFTER_MILLIS);
             }
-        }
+        });
     }
 
     /** Cancel all attempts and refuse all requests in flight, so each caller is answered before the process ends. */
     public void endAll() {
-        for (ActiveRequest active : new ArrayList<>(inFlight)) {
+        steps.forEach(inFlight, active -> {
             if (active.attempt() != null) {
                 active.attempt().cancel();
                 String detail = "this entry had to end before the answer";
                 active.attemptFailed(Refusal.outcomeUnknown(RefusalReason.LEAVING, detail));
             }
             refuse(active, active.lastRefusal() == null ? DrainState.refusal() : active.lastRefusal(), 0);
-        }
+        });
     }
 
     /** End requests past their deadline and route waiting requests again. */
     public void tick() {
-        for (ActiveRequest active : new ArrayList<>(inFlight)) {
+        steps.forEach(inFlight, active -> {
             if (!active.isEnded() && clock.isPast(active.request().deadlineNanos())) {
                 expire(active);
             }
-        }
+        });
         runnersChanged();
         metrics.updateInFlight(inFlight.size(), waiting.size());
     }
 
     /** Route all waiting requests again after the set of known runners has changed. */
     public void runnersChanged() {
-        waiting.inOrder().forEach(this::route);
+        steps.forEach(waiting.inOrder(), this::route);
     }
 
     /**
@@ -352,12 +354,7 @@
      * @param runner the runner
      */
     public void runnerChanged(KnownRunner runner) {
-        for (ActiveRequest active : waiting.inOrder()) {
-            InboundRequest request = active.request();
-            if (request.service().equals(runner.entry().service()) && runner.holds(request.model())) {
-                route(active);
-            }
-        }
+        steps.forEach(waiting.servedBy(runner), this::route);
     }
 
     private void expire(ActiveRequest active) {
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/WaitingRequests.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/WaitingRequests.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Set;
 import org.arbutusstack.gateway.config.ServingConfig;
+import org.arbutusstack.gateway.runner.KnownRunner;
 import org.arbutusstack.kernel.Assert;
 import org.arbutusstack.kernel.time.Clock;
 
@@ -85,6 +86,15 @@
         return ordered;
     }
 
+    /** Return the requests that a runner serves and whose model it holds, in the order of {@link #inOrder()}. */
+    List<ActiveRequest> servedBy(KnownRunner runner) {
+        return inOrder().stream()
+                .filter(active ->
+                        active.request().service().equals(runner.entry().service())
+                                && runner.holds(active.request().model()))
+                .toList();
+    }
+
     /** Count the requests for the same model that wait for a gap and go before a request. */
     private int countAheadForGap(ActiveRequest active) {
         int ahead = 0;
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/PermitClient.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/PermitClient.java
@@ -6,6 +6,7 @@
 import java.util.function.BiPredicate;
 import java.util.function.IntSupplier;
 import org.arbutusstack.kernel.Assert;
+import org.arbutusstack.kernel.ring.IsolatedSteps;
 import org.arbutusstack.wire.frame.Frame;
 import org.arbutusstack.wire.frame.PermitFrame;
 import org.arbutusstack.wire.frame.PermitRequestFrame;
@@ -63,12 +64,12 @@
 
     /** Request permits for the runners that would have been sent requests, so that they are there for the next ones. */
     public void tick() {
-        for (KnownRunner runner : runners.all()) {
+        IsolatedSteps.forEach("permits", runners.all(), runner -> {
             runner.limit().logAccount();
             if (runner.limit().takeWanted()) {
                 request(runner);
             }
-        }
+        });
     }
 
     /**
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/SideLinks.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/SideLinks.java
@@ -19,6 +19,7 @@
 import org.arbutusstack.gateway.config.ServedService;
 import org.arbutusstack.gateway.config.ServingConfig;
 import org.arbutusstack.kernel.Assert;
+import org.arbutusstack.kernel.ring.IsolatedSteps;
 import org.arbutusstack.kernel.ring.Ring;
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.wire.frame.EngineCatalogFrame;
@@ -38,6 +39,8 @@
  */
 public final class SideLinks implements KeeperLinks {
 
+    private static final String DUTY = "links";
+
     private static final Logger logger = LoggerFactory.getLogger(SideLinks.class);
 
     private static final long RECONNECT_MILLIS = 300;
@@ -220,18 +223,20 @@
                 .entrySet()
                 .removeIf(side -> !requiredHosts.contains(side.getKey())
                         && side.getValue().close());
-        for (String host : requiredHosts) {
-            sidesByHost.computeIfAbsent(host, Side::new).tick();
-        }
+        IsolatedSteps.forEach(DUTY, requiredHosts, host -> sidesByHost
+                .computeIfAbsent(host, Side::new)
+                .tick());
         typicalEntryCount.report(AllotmentShare.typicalOf(sidesByHost.values().stream()
                 .filter(side -> side.open && side.reportedEntries > 0)
                 .mapToInt(side -> side.reportedEntries)
                 .toArray()));
-        for (KnownRunner runner : runners.all()) {
-            EngineSpec spec = specOf(runner);
-            if (spec != null) {
-                sidesByHost.get(runner.entry().address().address()).sendCatalog(runner, spec);
-            }
+        IsolatedSteps.forEach(DUTY, runners.all(), this::sendCatalog);
+    }
+
+    private void sendCatalog(KnownRunner runner) {
+        EngineSpec spec = specOf(runner);
+        if (spec != null) {
+            sidesByHost.get(runner.entry().address().address()).sendCatalog(runner, spec);
         }
     }
 
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/FakeCaller.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/FakeCaller.java
@@ -19,6 +19,9 @@
 
     boolean aborted;
 
+    /** Whether nothing can be written to the caller, neither an answer nor a refusal. */
+    boolean isUnwritable;
+
     /** Whether nothing that is written is read. */
     boolean readsNothing;
 
@@ -31,12 +34,14 @@
         @Override
         public void refuse(ResponseSink response, String requestId, Refusal refusal, long retryAfterMillis) {
             FakeCaller caller = (FakeCaller) response;
+            caller.requireWritable();
             caller.refusal = refusal;
             caller.retryAfterMillis = retryAfterMillis;
         }
 
         @Override
         public void open(ResponseSink response, AnswerHead head, long lengthBytes) {
+            ((FakeCaller) response).requireWritable();
             ((FakeCaller) response).status = head.status();
         }
     };
@@ -86,6 +91,12 @@
         closeTask.run();
     }
 
+    private void requireWritable() {
+        if (isUnwritable) {
+            throw new IllegalStateException("the response cannot be written");
+        }
+    }
+
     /** Return whether the request was refused, answered or aborted. */
     boolean isAnswered() {
         return refusal != null || ended || aborted;
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/FakeProbe.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/FakeProbe.java
@@ -11,11 +11,17 @@
 
     final List<String> probed = new ArrayList<>();
 
+    /** The identifier of the server whose probe fails; empty for none. */
+    String failingId = "";
+
     private final List<Consumer<Result>> pending = new ArrayList<>();
 
     @Override
     public void probe(RunnerEntry server, String path, long deadlineNanos, Consumer<Result> listener) {
         probed.add(server.id());
+        if (server.id().equals(failingId)) {
+            throw new IllegalStateException("the probe failed");
+        }
         pending.add(listener);
     }
 
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/FakeRunners.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/FakeRunners.java
@@ -14,6 +14,9 @@
 
     final List<String> closed = new ArrayList<>();
 
+    /** The identifier of the request that cannot be sent; empty for none. */
+    String unsendableId = "";
+
     @Override
     public Attempt send(
             RunnerEntry runner,
@@ -22,6 +25,9 @@
             long deadlineNanos,
             boolean newConnection,
             AnswerListener listener) {
+        if (request.id().equals(unsendableId)) {
+            throw new IllegalStateException("the request cannot be sent");
+        }
         Sent attempt = new Sent(runner, request, lastEventId, listener);
         sent.add(attempt);
         return new Attempt() {
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/TeamAdmissionTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/TeamAdmissionTests.java
@@ -4,10 +4,12 @@
 import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
+import org.arbutusstack.gateway.allotment.Admission;
 import org.arbutusstack.gateway.config.AllotmentUnit;
 import org.arbutusstack.gateway.config.RouteKind;
 import org.arbutusstack.gateway.config.ServingConfig;
@@ -136,4 +138,23 @@
         send();
         assertEquals(sent(), BURST + 2);
     }
+
+    /** Guards against teams whose requests are held until they are refused, since the decision on another failed. */
+    @Test
+    public void shouldDecideForOtherTeamsWhenDecisionOnOneFails() {
+        Team raven = harness.team.orElseThrow();
+        Team wren = new Team("wren", Set.of(), OptionalInt.empty(), AllotmentUnit.REQUEST, PER_SECOND, 1, 0);
+        configure(List.of(raven, wren));
+        List<Admission> decisions = new ArrayList<>();
+        for (Team team : List.of(raven, wren)) {
+            for (int count = 0; count <= BURST; count++) {
+                harness.allotments.admit(team, 1, decision -> {
+                    decisions.add(decision);
+                    throw new IllegalStateException("the decision on team " + team.name() + " failed");
+                });
+            }
+        }
+        pass(1_000);
+        assertEquals(decisions.size(), 2);
+    }
 }
--- a/ledger/src/main/java/org/arbutusstack/ledger/peer/PeerDirectory.java
+++ b/ledger/src/main/java/org/arbutusstack/ledger/peer/PeerDirectory.java
@@ -10,6 +10,7 @@
 import java.util.TreeSet;
 import java.util.function.Consumer;
 import org.arbutusstack.kernel.Assert;
+import org.arbutusstack.kernel.ring.IsolatedSteps;
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.ledger.LogReplica;
 import org.arbutusstack.model.JsonCodec;
@@ -292,9 +293,9 @@
 
     private void dial(Set<String> wanted) {
         long now = clock.nowNanos();
-        for (Host host : entries) {
+        IsolatedSteps.forEach("peer-links", entries, host -> {
             if (!wanted.contains(host.name())) {
-                continue;
+                return;
             }
             DialledPeer peer = dialled.computeIfAbsent(host.name(), name -> new DialledPeer(host, now));
             peer.updateHost(host);
@@ -303,7 +304,7 @@
                 InetSocketAddress address = new InetSocketAddress(host.address(), host.linkPort());
                 peer.markConnecting(transport.connect(address, new EventListener(host.name())), now);
             }
-        }
+        });
     }
 
     private void closeUnwanted() {
--- a/side/src/main/java/org/arbutusstack/side/EventPublisher.java
+++ b/side/src/main/java/org/arbutusstack/side/EventPublisher.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.function.Consumer;
 import org.arbutusstack.kernel.Assert;
+import org.arbutusstack.kernel.ring.IsolatedSteps;
 import org.arbutusstack.kernel.ring.Ring;
 import org.arbutusstack.model.request.Refusal;
 import org.arbutusstack.model.request.RefusalReason;
@@ -81,10 +82,9 @@
 
     /** Pass the deferred events to a handler. */
     void drainOverflow(Consumer<SideEvent> handler) {
-        SideEvent event = overflow.poll();
-        while (event != null) {
-            handler.accept(event);
-            event = overflow.poll();
+        for (SideEvent event = overflow.poll(); event != null; event = overflow.poll()) {
+            SideEvent next = event;
+            IsolatedSteps.run("side", () -> handler.accept(next));
         }
     }
 }
--- a/side/src/main/java/org/arbutusstack/side/WorkDispatcher.java
+++ b/side/src/main/java/org/arbutusstack/side/WorkDispatcher.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import org.arbutusstack.kernel.Assert;
+import org.arbutusstack.kernel.ring.IsolatedSteps;
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.model.request.Refusal;
 import org.arbutusstack.model.request.RefusalReason;
@@ -26,6 +27,8 @@
 
     private static final Logger logger = LoggerFactory.getLogger(WorkDispatcher.class);
 
+    private static final String DUTY = "work";
+
     private final Clock clock;
 
     private final BackendClient backend;
@@ -189,7 +192,7 @@
         }
         List<WorkItem> orphans = registry.all();
         orphans.removeIf(work -> !work.frame().id().incarnation().equals(previous) || mustRunToCompletion(work));
-        orphans.forEach(this::abort);
+        IsolatedSteps.forEach(DUTY, orphans, this::abort);
         logger.info("event=entry-restarted entry={} given_up={}", entry, orphans.size());
     }
 
@@ -207,7 +210,16 @@
             }
             queue.dequeue(next.get());
             higherPriorityDemand.recordStart(next.get().frame().priority());
-            runner.start(next.get());
+            start(next.get());
+        }
+    }
+
+    /** Start work that has left the queue; work that cannot be started is refused, since nothing else would end it. */
+    private void start(WorkItem work) {
+        if (!IsolatedSteps.run(DUTY, () -> runner.start(work)) && !work.isEnded()) {
+            registry.end(work);
+            String detail = "the side failed to start the work";
+            answers.refuse(work, Refusal.outcomeUnknown(RefusalReason.INTERNAL, detail));
         }
     }
 
@@ -260,7 +272,7 @@
     void linkClosed(Link link) {
         List<WorkItem> affected = registry.all();
         affected.removeIf(work -> work.link() != link || mustRunToCompletion(work));
-        affected.forEach(this::abort);
+        IsolatedSteps.forEach(DUTY, affected, this::abort);
     }
 
     /**
@@ -277,7 +289,7 @@
         });
         List<WorkItem> stalled = registry.all();
         stalled.removeIf(work -> !isStalled(work));
-        stalled.forEach(runner::abortStalled);
+        IsolatedSteps.forEach(DUTY, stalled, runner::abortStalled);
     }
 
     /**
--- a/side/src/main/java/org/arbutusstack/side/WorkQueue.java
+++ b/side/src/main/java/org/arbutusstack/side/WorkQueue.java
@@ -12,6 +12,7 @@
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.arbutusstack.kernel.Assert;
+import org.arbutusstack.kernel.ring.IsolatedSteps;
 import org.arbutusstack.model.request.Priority;
 
 /**
@@ -144,7 +145,7 @@
                 }
             }
         }
-        matching.forEach(work -> {
+        IsolatedSteps.forEach("work-queue", matching, work -> {
             remove(work);
             consumer.accept(work);
         });
--- a/side/src/main/java/org/arbutusstack/side/claim/ClaimCommitter.java
+++ b/side/src/main/java/org/arbutusstack/side/claim/ClaimCommitter.java
@@ -8,6 +8,7 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.arbutusstack.kernel.Assert;
+import org.arbutusstack.kernel.ring.IsolatedSteps;
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.model.request.ClaimKey;
 import org.arbutusstack.store.KeyValueStore;
@@ -133,17 +134,18 @@
      * claims are refused and nothing is committed until the retry interval has elapsed.
      */
     public void commitDue() {
+        IsolatedSteps.forEach("claims", queues.values(), this::commitIfDue);
+    }
+
+    private void commitIfDue(BucketQueue queue) {
         if (isStoreDown()) {
             return;
         }
-        for (BucketQueue queue : queues.values()) {
-            expire(queue);
-            if (!queue.pending.isEmpty() && clock.isPast(queue.nextCommitNanos) && !commit(queue)) {
-                storeDown = true;
-                nextAttemptNanos = clock.deadlineNanos(STORE_RETRY_MILLIS);
-                queues.values().forEach(this::failClaims);
-                return;
-            }
+        expire(queue);
+        if (!queue.pending.isEmpty() && clock.isPast(queue.nextCommitNanos) && !commit(queue)) {
+            storeDown = true;
+            nextAttemptNanos = clock.deadlineNanos(STORE_RETRY_MILLIS);
+            queues.values().forEach(this::failClaims);
         }
     }
 
--- a/side/src/test/java/org/arbutusstack/side/WorkDispatcherFixture.java
+++ b/side/src/test/java/org/arbutusstack/side/WorkDispatcherFixture.java
@@ -98,6 +98,9 @@
 
         final List<Frame> sent = new ArrayList<>();
 
+        /** Whether no frame can be encoded for the link. */
+        boolean isFailing;
+
         private boolean open = true;
 
         List<String> refusals() {
@@ -115,6 +118,9 @@
 
         @Override
         public boolean send(Frame frame) {
+            if (isFailing) {
+                throw new IllegalStateException("the frame cannot be encoded");
+            }
             return open && sent.add(frame);
         }
 
@@ -144,6 +150,9 @@
 
         final List<Exchange> exchanges = new ArrayList<>();
 
+        /** The identifier of the request that cannot be sent; empty for none. */
+        String unsendableId = "";
+
         List<String> running() {
             return exchanges.stream()
                     .filter(exchange ->
@@ -165,6 +174,9 @@
 
         @Override
         public Cancellable stream(HttpTarget target, HttpCall call, long deadlineNanos, HttpResponseListener listener) {
+            if (unsendableId.equals(call.headers().get("X-Request-Id"))) {
+                throw new IllegalStateException("the request cannot be sent");
+            }
             Exchange exchange = new Exchange(call, listener);
             exchanges.add(exchange);
             return () -> exchange.cancelled = true;
--- a/side/src/test/java/org/arbutusstack/side/WorkDispatcherTests.java
+++ b/side/src/test/java/org/arbutusstack/side/WorkDispatcherTests.java
@@ -348,4 +348,34 @@
         fixture.dispatcher.refuseWaitingEngineWork();
         assertEquals(own.refusals(), List.of("1 OUTCOME_UNKNOWN BACKEND_LOST", "2 NOT_RUN BACKEND_LOST"));
     }
+
+    /** Guards against work that is not refused although its deadline passes, since that of another entry failed. */
+    @Test
+    public void shouldRefuseOtherExpiredWorkWhenRefusalOfOneFails() {
+        WorkDispatcherFixture fixture = new WorkDispatcherFixture(WorkDispatcherFixture.limits(1));
+        FakeLink sound = new FakeLink();
+        FakeLink failing = new FakeLink();
+        fixture.receive(normal(1, 1), sound);
+        fixture.receive(WorkDispatcherFixture.frame(2, 1, 100, Priority.NORMAL), failing);
+        fixture.receive(WorkDispatcherFixture.frame(3, 1, 200, Priority.NORMAL), sound);
+        failing.isFailing = true;
+        fixture.clock.advanceMillis(300);
+        fixture.dispatcher.expire();
+        assertEquals(sound.refusals(), List.of("3 NOT_RUN DEADLINE_PASSED"));
+    }
+
+    /** Guards against work that nothing ends, and against work behind it that is not started. */
+    @Test
+    public void shouldRefuseWorkThatCannotBeStartedAndStartWorkBehindIt() {
+        WorkDispatcherFixture fixture = new WorkDispatcherFixture(WorkDispatcherFixture.limits(1));
+        FakeLink sound = new FakeLink();
+        fixture.receive(normal(1, 1), sound);
+        fixture.receive(normal(2, 1), sound);
+        fixture.receive(normal(3, 1), sound);
+        fixture.client.unsendableId = "entry-2";
+        fixture.client.last().finish();
+        fixture.handleEvents();
+        assertEquals(sound.refusals(), List.of("2 OUTCOME_UNKNOWN INTERNAL"));
+        assertEquals(fixture.client.started(), List.of("entry-1", "entry-3"));
+    }
 }
--- a/store/src/main/java/org/arbutusstack/store/etcd/EtcdWatch.java
+++ b/store/src/main/java/org/arbutusstack/store/etcd/EtcdWatch.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import org.arbutusstack.http.client.HttpException;
 import org.arbutusstack.http.client.HttpResponseListener;
+import org.arbutusstack.kernel.ring.IsolatedSteps;
 import org.arbutusstack.store.KeyValue;
 import org.arbutusstack.store.KeyValueStore.WatchListener;
 import org.arbutusstack.store.StoreException;
@@ -50,8 +51,11 @@
             return;
         }
         try {
-            EtcdMessages.read(json).path("result").path("events").forEach(this::dispatch);
-        } catch (StoreException | IllegalArgumentException malformed) {
+            EtcdMessages.read(json)
+                    .path("result")
+                    .path("events")
+                    .forEach(event -> IsolatedSteps.run("watch", () -> dispatch(event)));
+        } catch (StoreException malformed) {
             logger.warn("event=watch-malformed detail={}", malformed.getMessage());
         }
     }
