Take what is no answer for no sign of a crash

What callers would see: with a server in trouble that answers with bytes that are no response, its requests were reported as lost, like those of a crashed server. Its health check counted as unanswered, its reports as failed polls. Two such reports after a loss made the requests that it had lost suspects of a crash, and content that crashes servers is refused. At the native way each such answer was a strike. Found by reading what follows from a rejected response; not seen on a deployment.

Cause: a call that failed told only whether it may have been sent.

Change: MalformedResponseException tells the difference. Attempts end with "backend_error" (502, may have run, the server is suspected of failing) and report no loss. A health check that cannot be read shows that a server runs, and nothing of its incarnation. A report that cannot be read (no response, or no report in its body) is RunnerReport.Unreadable instead of a failed poll: losses stay open until a readable one comes. At the native way the request is refused and gets no strike. Reports with another status than 200 count as before.

Crashes themselves are noticed as before: a connection that ends or is reset within an answer is a loss.

--- a/gateway/src/main/java/org/arbutusstack/gateway/agent/ManagedRunner.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/agent/ManagedRunner.java
@@ -1,7 +1,5 @@
 package org.arbutusstack.gateway.agent;
 
-import java.util.Optional;
-
 /**
  * Strategy interface for communicating with the runner on the local host. Calls block for a bounded time; used by the
  * agent's thread only.
@@ -11,9 +9,9 @@
     /**
      * Read the current state of the runner.
      *
-     * @return the state, or empty if the runner did not answer
+     * @return the state, or what is known without it
      */
-    Optional<RunnerState> read();
+    RunnerReport read();
 
     /**
      * Issue an order to the runner.
--- a/gateway/src/main/java/org/arbutusstack/gateway/agent/RunnerAgent.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/agent/RunnerAgent.java
@@ -257,11 +257,9 @@
 
     private Optional<RunnerState> read() {
         long polledAtNanos = clock.nowNanos();
-        Optional<RunnerState> state = runner.read();
-        sendToEntries(
-                state.isPresent()
-                        ? crashes.pollAnswered(state.get().startedAtMillis(), polledAtNanos)
-                        : crashes.pollFailed());
+        RunnerReport report = runner.read();
+        sendToEntries(report.explainLosses(crashes, polledAtNanos));
+        Optional<RunnerState> state = report.state();
         if (state.isEmpty() != unresponsive) {
             unresponsive = state.isEmpty();
             logger.info(unresponsive ? "event=runner-silent" : "event=runner-answers");
--- a/gateway/src/main/java/org/arbutusstack/gateway/quarantine/LivenessProbe.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/quarantine/LivenessProbe.java
@@ -25,8 +25,8 @@
         /** The same incarnation answers, whatever its answer is. */
         SAME_INCARNATION,
         /**
-         * A server with the same identifier answers without stating when it started, so that it may be the same
-         * incarnation or a later one.
+         * A server with the same identifier answers without stating when it started, or in a way that cannot be read,
+         * so that it may be the same incarnation or a later one.
          */
         SAME_IDENTIFIER,
         /** Another incarnation answers. */
--- a/gateway/src/main/java/org/arbutusstack/gateway/quarantine/RunnerCrashes.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/quarantine/RunnerCrashes.java
@@ -171,6 +171,11 @@
         return isCrash ? crashed() : List.of();
     }
 
+    /** Record that a poll was answered, but not in a way that tells which incarnation answered. */
+    public synchronized void pollUnreadable() {
+        failedPolls = 0;
+    }
+
     /**
      * Record the answer to a poll of the runner.
      *
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerListener.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerListener.java
@@ -20,6 +20,14 @@
     /** Called when the answer is complete. */
     void onEnd();
 
+    /**
+     * Called when the attempt has ended since what the runner sent is no answer. It may have run the request; that it
+     * sent something is no sign of a crash.
+     *
+     * @param detail the cause, for logs and refusals
+     */
+    void onMalformed(String detail);
+
     /**
      * Called when the attempt has ended without a complete answer.
      *
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
@@ -118,6 +118,11 @@
         rejectAnswer(active, attempt, RefusalReason.ANSWER_TOO_LARGE, "an answer or event is too long to hold");
     }
 
+    /** Fail an attempt to which the runner has sent what is no answer. */
+    void answerMalformed(ActiveRequest active, CurrentAttempt attempt, String detail) {
+        rejectAnswer(active, attempt, RefusalReason.BACKEND_ERROR, detail);
+    }
+
     /** Account for the bytes that an attempt holds, and give up the longest answers while all are too long together. */
     void hold(CurrentAttempt attempt, long bytes) {
         if (!memory.update(attempt, bytes)) {
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/CurrentAttempt.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/CurrentAttempt.java
@@ -217,6 +217,15 @@
         }
     }
 
+    @Override
+    public void onMalformed(String detail) {
+        if (isCurrent()) {
+            relay.handle(this, () -> relay.answerMalformed(owner, this, detail));
+        } else if (detached) {
+            runner.outcomes().failed();
+        }
+    }
+
     @Override
     public void onFailed(boolean maybeSent, String detail) {
         if (isCurrent()) {
--- a/gateway/src/test/java/org/arbutusstack/gateway/quarantine/RunnerCrashesTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/quarantine/RunnerCrashesTests.java
@@ -57,6 +57,19 @@
         assertTrue(answer(9).isEmpty());
     }
 
+    /** Guards against a runner that cannot answer properly being taken for one that crashed. */
+    @Test
+    public void shouldNotStrikeWhenPollsAreAnsweredButCannotBeRead() {
+        lose(7, "part:a");
+        assertTrue(crashes.pollFailed().isEmpty());
+        crashes.pollUnreadable();
+        assertTrue(crashes.pollFailed().isEmpty());
+        crashes.pollUnreadable();
+        crashes.pollUnreadable();
+        assertTrue(crashes.hasUnexplainedLoss());
+        assertTrue(crashes.remembered().isEmpty());
+    }
+
     @Test
     public void shouldStrikeWhenTwoPollsFailAndRetractWhenSameIncarnationAnswersAfterAll() {
         lose(7, "part:a");
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/DepartedCallerTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/DepartedCallerTests.java
@@ -46,7 +46,8 @@
     public Object[][] failures() {
         Consumer<FakeRunners.Sent> error = failed -> failed.answer(500, AnswerKind.ATTESTED, "");
         Consumer<FakeRunners.Sent> loss = failed -> failed.fail(true);
-        return new Object[][] {{"an error", error}, {"a broken connection", loss}};
+        Consumer<FakeRunners.Sent> malformed = FakeRunners.Sent::sendMalformed;
+        return new Object[][] {{"an error", error}, {"a broken connection", loss}, {"no answer", malformed}};
     }
 
     /** Guards against a failing runner that looks sound since its callers leave before it fails. */
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/FakeRunners.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/FakeRunners.java
@@ -102,6 +102,10 @@
             end();
         }
 
+        void sendMalformed() {
+            listener.onMalformed("no status line");
+        }
+
         void fail(boolean maybeSent) {
             listener.onFailed(maybeSent, "reset");
         }
--- a/side/src/main/java/org/arbutusstack/side/WorkRunner.java
+++ b/side/src/main/java/org/arbutusstack/side/WorkRunner.java
@@ -5,6 +5,7 @@
 import java.util.Arrays;
 import java.util.List;
 import org.arbutusstack.http.client.HttpException;
+import org.arbutusstack.http.client.MalformedResponseException;
 import org.arbutusstack.http.event.EventStreamParser;
 import org.arbutusstack.http.event.ServerSentEvent;
 import org.arbutusstack.kernel.Assert;
@@ -257,6 +258,13 @@
             return;
         }
         registry.end(work);
+        if (failure instanceof MalformedResponseException) {
+            // The backend server answered, if wrongly, so that the request is not suspected of having crashed it.
+            logger.info(
+                    "event=answer-malformed request={} detail={}", work.frame().id(), failure.getMessage());
+            answers.refuse(work, Refusal.outcomeUnknown(RefusalReason.BACKEND_ERROR, failure.getMessage()));
+            return;
+        }
         boolean late = clock.isPast(work.deadlineNanos());
         RefusalReason reason = late ? RefusalReason.DEADLINE_PASSED : RefusalReason.BACKEND_LOST;
         logger.info("event=work-failed request={} detail={}", work.frame().id(), failure.getMessage());
--- a/side/src/test/java/org/arbutusstack/side/WorkDispatcherFixture.java
+++ b/side/src/test/java/org/arbutusstack/side/WorkDispatcherFixture.java
@@ -13,6 +13,7 @@
 import org.arbutusstack.http.client.HttpException;
 import org.arbutusstack.http.client.HttpResponseListener;
 import org.arbutusstack.http.client.HttpTarget;
+import org.arbutusstack.http.client.MalformedResponseException;
 import org.arbutusstack.kernel.time.ManualClock;
 import org.arbutusstack.model.request.Priority;
 import org.arbutusstack.model.request.RequestId;
@@ -219,6 +220,10 @@
             listener.onEnd();
         }
 
+        void sendMalformed() {
+            listener.onFailure(new MalformedResponseException("no status line", null));
+        }
+
         void fail() {
             listener.onFailure(new HttpException("lost", true, null));
         }
--- a/side/src/test/java/org/arbutusstack/side/WorkDispatcherTests.java
+++ b/side/src/test/java/org/arbutusstack/side/WorkDispatcherTests.java
@@ -1,6 +1,7 @@
 package org.arbutusstack.side;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -378,4 +379,17 @@
         assertEquals(sound.refusals(), List.of("2 OUTCOME_UNKNOWN INTERNAL"));
         assertEquals(fixture.client.started(), List.of("entry-1", "entry-3"));
     }
+
+    /** Guards against a request being suspected of a crash, since what the backend server sent cannot be read. */
+    @Test
+    public void shouldReportOutcomeUnknownAndStrikeNothingWhenAnswerIsMalformed() {
+        WorkDispatcherFixture fixture = new WorkDispatcherFixture(WorkDispatcherFixture.limits(1));
+        FakeLink sound = new FakeLink();
+        fixture.receive(normal(1, 1), sound);
+        fixture.client.last().sendMalformed();
+        fixture.handleEvents();
+        assertEquals(sound.refusals(), List.of("1 OUTCOME_UNKNOWN BACKEND_ERROR"));
+        assertEquals(fixture.suspects.size(), 0);
+        assertFalse(fixture.suspects.hasUnexplainedLoss());
+    }
 }
