Pass answers without content on that state no length

What callers saw: a sealed answer with status 204 and neither a length nor chunks, complete by the grammar with the end of its head, got 502, and the request was reported as lost, like that of a crashed server. The same for an answer to HEAD without a length.

Cause: whether the end of the connection marks the end of an answer was told from two fields only, beside the parser, which knows better. An answer that ends with its connection and has no body is taken for one that was cut off.

--- a/http/src/main/java/org/arbutusstack/http/response/ResponseHead.java
+++ b/http/src/main/java/org/arbutusstack/http/response/ResponseHead.java
@@ -15,8 +15,6 @@
 
     private static final int NO_CONTENT = 204;
 
-    private static final int NOT_MODIFIED = 304;
-
     private static final String CONTENT_LENGTH = "Content-Length";
 
     private static final String TRANSFER_ENCODING = "Transfer-Encoding";
@@ -112,8 +110,8 @@
     }
 
     /** Create the decoder of the body (RFC 9112, section 6.3). */
-    BodyDecoder bodyDecoder(boolean answersHead) {
-        if (answersHead || statusLine.status() == NO_CONTENT || statusLine.status() == NOT_MODIFIED) {
+    BodyDecoder bodyDecoder(String method) {
+        if (ResponseContent.isAbsent(method, statusLine.status())) {
             return new SizedBodyDecoder(0);
         }
         if (chunked) {
--- a/http/src/main/java/org/arbutusstack/http/response/ResponseParser.java
+++ b/http/src/main/java/org/arbutusstack/http/response/ResponseParser.java
@@ -20,7 +20,7 @@
     /** Maximum number of bytes between two parts of a body, or after the last one: sizes of chunks and trailers. */
     static final int MAX_FRAMING_BYTES = 256 * 1_024;
 
-    private final boolean answersHead;
+    private final String method;
 
     private final Handler handler;
 
@@ -61,11 +61,11 @@
     /**
      * Create a parser.
      *
-     * @param method the method of the request; a response to {@code HEAD} has no body
+     * @param method the method of the request; a response to {@code HEAD} has no content
      * @param handler receives the parts of the response
      */
     public ResponseParser(String method, Handler handler) {
-        this.answersHead = "HEAD".equals(Assert.hasText(method, "method"));
+        this.method = Assert.hasText(method, "method");
         this.handler = Assert.notNull(handler, "handler");
     }
 
@@ -126,7 +126,7 @@
             return;
         }
         head = complete;
-        body = complete.bodyDecoder(answersHead);
+        body = complete.bodyDecoder(method);
         handler.onHead(complete.status(), complete.fields());
     }
 
