Read heads of responses in linear time

What callers would see: a server that repeats one short field through a head, or sends a status line byte by byte, keeps the thread that serves all callers busy. Found by reading the new parser, not seen.

Cause: the values of a repeated field were joined again at each line, and the beginning of an incomplete line was copied whole at each read: both grow with the square of the head (at most 256 KiB).

Change: values are joined once, at the end of the head; of an incomplete line only its first characters are looked at.

Evidence: a row of ResponseParserTests with some 65,000 repeated fields passes; its time before and after was not compared. No other test changed.

--- a/http/src/main/java/org/arbutusstack/http/response/ChunkedBodyDecoder.java
+++ b/http/src/main/java/org/arbutusstack/http/response/ChunkedBodyDecoder.java
@@ -40,7 +40,7 @@
             State decode(ChunkedBodyDecoder body, ByteBuffer bytes, ByteArrayOutputStream content)
                     throws ResponseFormatException {
                 String line = body.lines.read(bytes);
-                String beyondSize = line == null ? body.lines.partial() : line;
+                String beyondSize = line == null ? body.lines.beginning(1) : line;
                 if (!beyondSize.isEmpty()) {
                     throw new ResponseFormatException(Syntax.excerpt(beyondSize) + " after a chunk of the stated size");
                 }
--- a/http/src/main/java/org/arbutusstack/http/response/FieldSection.java
+++ b/http/src/main/java/org/arbutusstack/http/response/FieldSection.java
@@ -2,12 +2,13 @@
 
 import java.util.Collections;
 import java.util.Map;
+import java.util.StringJoiner;
 import java.util.TreeMap;
 
 /** Fields of a head or of a trailer (RFC 9112, section 5), added line by line. */
 final class FieldSection {
 
-    private final Map<String, String> valuesByName = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+    private final Map<String, StringJoiner> valuesByName = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
 
     /**
      * Add a field.
@@ -19,12 +20,15 @@
         if (colon < 0 || !Syntax.isToken(line.substring(0, colon))) {
             throw new ResponseFormatException(Syntax.excerpt(line) + " in place of a field");
         }
-        valuesByName.merge(
-                line.substring(0, colon), Syntax.trim(line.substring(colon + 1)), (first, next) -> first + ", " + next);
+        valuesByName
+                .computeIfAbsent(line.substring(0, colon), name -> new StringJoiner(", "))
+                .add(Syntax.trim(line.substring(colon + 1)));
     }
 
     /** Return the fields by name without regard to case; the values of repeated fields are joined by commas. */
-    Map<String, String> valuesByName() {
-        return Collections.unmodifiableMap(valuesByName);
+    Map<String, String> toMap() {
+        Map<String, String> joined = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+        valuesByName.forEach((name, values) -> joined.put(name, values.toString()));
+        return Collections.unmodifiableMap(joined);
     }
 }
--- a/http/src/main/java/org/arbutusstack/http/response/LineReader.java
+++ b/http/src/main/java/org/arbutusstack/http/response/LineReader.java
@@ -51,7 +51,7 @@
         if (!permitted) {
             String place = carriageReturnRead ? " after a carriage return in " : " in ";
             throw new ResponseFormatException(
-                    String.format("the byte 0x%02x", next) + place + Syntax.excerpt(partial()));
+                    String.format("the byte 0x%02x", next) + place + Syntax.excerpt(beginning(length)));
         }
     }
 
@@ -64,14 +64,14 @@
     }
 
     private String takeLine() {
-        String complete = partial();
+        String complete = beginning(length);
         length = 0;
         carriageReturnRead = false;
         return complete;
     }
 
-    /** Return the part of an incomplete line that was read. */
-    String partial() {
-        return new String(line, 0, length, StandardCharsets.ISO_8859_1);
+    /** Return the first characters of an incomplete line, as many as were read but not more than given. */
+    String beginning(int maxCharacters) {
+        return new String(line, 0, Math.min(length, maxCharacters), StandardCharsets.ISO_8859_1);
     }
 }
--- a/http/src/main/java/org/arbutusstack/http/response/ResponseParser.java
+++ b/http/src/main/java/org/arbutusstack/http/response/ResponseParser.java
@@ -115,12 +115,12 @@
 
     private void requireStatusLine() throws ResponseFormatException {
         if (statusLine == null) {
-            StatusLine.requireBeginning(lines.partial());
+            StatusLine.requireBeginning(lines.beginning(StatusLine.MAX_FORM_CHARACTERS));
         }
     }
 
     private void endHead() throws ResponseFormatException {
-        ResponseHead complete = new ResponseHead(statusLine, fields.valuesByName());
+        ResponseHead complete = new ResponseHead(statusLine, fields.toMap());
         statusLine = null;
         if (complete.isInterim()) {
             return;
--- a/http/src/main/java/org/arbutusstack/http/response/StatusLine.java
+++ b/http/src/main/java/org/arbutusstack/http/response/StatusLine.java
@@ -11,6 +11,9 @@
     /** Form of the line up to its reason phrase: {@code d} stands for a digit, {@code c} for the class of a status. */
     private static final String FORM = "HTTP/1.d cdd ";
 
+    /** The number of characters at the beginning of a line that decide whether it is a status line. */
+    static final int MAX_FORM_CHARACTERS = FORM.length();
+
     private static final int MINOR_VERSION_INDEX = FORM.indexOf('d');
 
     private static final int STATUS_INDEX = FORM.indexOf('c');
--- a/http/src/test/java/org/arbutusstack/http/response/ResponseParserTests.java
+++ b/http/src/test/java/org/arbutusstack/http/response/ResponseParserTests.java
@@ -178,6 +178,7 @@
             {"HTTP/1.1 200 ", "x".repeat(1_000)},
             {"HTTP/1.1 200 OK\r\nX-Long: ", "x".repeat(1_000)},
             {"HTTP/1.1 200 OK\r\n", "X-Line: " + "x".repeat(1_000) + "\r\n"},
+            {"HTTP/1.1 200 OK\r\n", "X:\r\n"},
             {"", "HTTP/1.1 100 Continue\r\n\r\n"},
             {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n", "0".repeat(1_000)},
             {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n", "X-Line: x\r\n"}
