Settle each claim of a commit by itself

What callers would see (native way): calls that may not be repeated get no answer until their deadline, since the handling of another claim in the same commit failed, or since what their bucket holds could not be read. Found by a test of the loops that IsolatedSteps came into; not seen on a deployment.

Cause: a commit takes its changes from the queue and then walks over them; an exception in between dropped the rest, among them outcomes that nobody waits for.

Change: each result is handed over by itself, and the changes of a bucket that cannot be handled return to the queue, where claims expire as "unavailable" and outcomes are tried again.

Still without a test of their own: services of the planners, links of the platform's entry, peers, records, permits and slow sends.

--- a/entry/src/test/java/org/arbutusstack/entry/router/FailingRequestTests.java
+++ b/entry/src/test/java/org/arbutusstack/entry/router/FailingRequestTests.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.util.Set;
 import org.testng.annotations.Test;
 
 /** Tests that a request whose response cannot be written ends alone. */
@@ -41,4 +42,18 @@
         assertTrue(TableHarness.sink(request).isClosed());
         assertEquals(harness.table.size(), 0);
     }
+
+    /** Guards against sides that are never linked again, since the link to another could not be opened. */
+    @Test
+    public void shouldOpenOtherLinksWhenOneCannotBeOpened() {
+        TableHarness harness = new TableHarness("lm-1", "lm-2", "lm-3");
+        for (String name : new String[] {"lm-1", "lm-2", "lm-3"}) {
+            harness.lose(name);
+        }
+        harness.links.clear();
+        harness.failingPort = 2;
+        harness.passMillis(PAST_DEADLINE_MILLIS);
+        harness.sides.connectMissing();
+        assertEquals(harness.links.keySet(), Set.of("lm-1", "lm-3"));
+    }
 }
--- a/entry/src/test/java/org/arbutusstack/entry/router/TableHarness.java
+++ b/entry/src/test/java/org/arbutusstack/entry/router/TableHarness.java
@@ -50,6 +50,9 @@
 
     private final Map<Integer, String> namesByPort = new HashMap<>();
 
+    /** The port to which no link can be opened; zero for none. */
+    int failingPort;
+
     private long nextNumber = 1;
 
     TableHarness(String... names) {
@@ -182,6 +185,9 @@
 
         @Override
         public Link connect(InetSocketAddress address, LinkListener listener) {
+            if (address.getPort() == failingPort) {
+                throw new IllegalStateException("the address cannot be used");
+            }
             FakeLink link = new FakeLink();
             links.put(namesByPort.get(address.getPort()), link);
             return link;
--- a/gateway/src/test/java/org/arbutusstack/gateway/pressure/MemoryAccountTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/pressure/MemoryAccountTests.java
@@ -140,4 +140,19 @@
             assertFalse(ended.contains("read"), "seed " + seed + ": a stream that was read ended");
         }
     }
+
+    /** Guards against bytes that are held on, since the end of what others were held for failed. */
+    @Test
+    public void shouldEndOtherHoldingsWhenEndOfOneFails() {
+        account.open(HoldingKind.UNREAD, "failing", () -> {
+                    throw new IllegalStateException("it cannot be ended");
+                })
+                .hold(60 * MEGABYTE);
+        open(HoldingKind.UNREAD, "other", 50 * MEGABYTE);
+        for (Optional<MemoryAccount.Holding> excess = account.excess(); excess.isPresent(); excess = account.excess()) {
+            excess.get().end();
+        }
+        assertEquals(ended, List.of("other"));
+        assertEquals(account.totalBytes(), 0);
+    }
 }
--- a/side/src/main/java/org/arbutusstack/side/claim/ClaimCommitter.java
+++ b/side/src/main/java/org/arbutusstack/side/claim/ClaimCommitter.java
@@ -22,6 +22,8 @@
  */
 public final class ClaimCommitter {
 
+    private static final String DUTY = "claims";
+
     private static final Logger logger = LoggerFactory.getLogger(ClaimCommitter.class);
 
     private static final String CLAIM_PREFIX = "/arbutus/claims/";
@@ -134,7 +136,7 @@
      * claims are refused and nothing is committed until the retry interval has elapsed.
      */
     public void commitDue() {
-        IsolatedSteps.forEach("claims", queues.values(), this::commitIfDue);
+        IsolatedSteps.forEach(DUTY, queues.values(), this::commitIfDue);
     }
 
     private void commitIfDue(BucketQueue queue) {
@@ -155,7 +157,7 @@
             batch.add(queue.pending.pollFirst());
         }
         List<ClaimChange> changes = batch.stream().map(PendingChange::change).toList();
-        ClaimBucket.CommitResult commit = queue.bucket.commit(changes);
+        ClaimBucket.CommitResult commit = commit(queue, batch, changes);
         queue.nextCommitNanos = clock.deadlineNanos(limits.commitMillis());
         for (int index = 0; index < batch.size(); index++) {
             complete(queue, batch.get(index), commit, commit.results().get(index));
@@ -164,6 +166,19 @@
         return commit.durable();
     }
 
+    /** Commit changes; if the bucket cannot be handled they return to the queue, so that none is dropped silently. */
+    private static ClaimBucket.CommitResult commit(
+            BucketQueue queue, List<PendingChange> batch, List<ClaimChange> changes) {
+        try {
+            return queue.bucket.commit(changes);
+        } catch (RuntimeException failure) {
+            for (int index = batch.size() - 1; index >= 0; index--) {
+                queue.pending.addFirst(batch.get(index));
+            }
+            throw failure;
+        }
+    }
+
     private void complete(
             BucketQueue queue, PendingChange pendingChange, ClaimBucket.CommitResult commit, ClaimResult result) {
         if (pendingChange.settled != null) {
@@ -201,7 +216,7 @@
 
     private void settle(PendingChange pendingChange, ClaimResult result) {
         metrics.settled(result);
-        pendingChange.settled.accept(result);
+        IsolatedSteps.run(DUTY, () -> pendingChange.settled.accept(result));
     }
 
     /** Pending changes of one bucket. */
--- a/side/src/test/java/org/arbutusstack/side/claim/ClaimCommitterTests.java
+++ b/side/src/test/java/org/arbutusstack/side/claim/ClaimCommitterTests.java
@@ -259,4 +259,44 @@
         }
         return keys;
     }
+
+    /** Guards against calls that nobody answers, since the handling of another claim in the same commit failed. */
+    @Test
+    public void shouldSettleOtherClaimsWhenHandlingOfOneFails() {
+        store = new FaultyStore();
+        ClaimCommitter side = side("a");
+        List<ClaimResult> results = new ArrayList<>();
+        for (int number = 0; number < 8; number++) {
+            ClaimKey key = new ClaimKey("orderdesk", "order-" + number % 4);
+            ClaimChange.Claim claim = new ClaimChange.Claim(key.digest(), "same", "claim-" + number);
+            side.claim(key, claim, clock.deadlineNanos(10_000), result -> {
+                results.add(result);
+                throw new IllegalStateException("the result cannot be handled");
+            });
+        }
+        commit(side);
+        assertEquals(results.size(), 8);
+    }
+
+    /** Guards against claims of other buckets that wait forever, since what one bucket holds cannot be read. */
+    @Test
+    public void shouldCommitOtherBucketsWhenOneCannotBeHandled() {
+        store = new FaultyStore();
+        ClaimCommitter side = side("a");
+        ClaimKey broken = new ClaimKey("orderdesk", "order-1");
+        store.breakBucket(broken.bucket());
+        List<ClaimResult> results = new ArrayList<>();
+        for (int number = 0; number < 40; number++) {
+            ClaimKey key = new ClaimKey("orderdesk", "order-" + number);
+            ClaimChange.Claim claim = new ClaimChange.Claim(key.digest(), "same", "claim-" + number);
+            side.claim(key, claim, clock.deadlineNanos(10_000), results::add);
+        }
+        commit(side);
+        int settled = results.size();
+        assertTrue(settled > 0 && settled < 40, settled + " settled");
+        clock.advanceMillis(20_000);
+        side.commitDue();
+        assertEquals(results.size(), 40);
+        assertTrue(results.subList(settled, 40).stream().allMatch(ClaimResult.Unavailable.class::isInstance));
+    }
 }
--- a/side/src/test/java/org/arbutusstack/side/claim/FaultyStore.java
+++ b/side/src/test/java/org/arbutusstack/side/claim/FaultyStore.java
@@ -33,6 +33,14 @@
 
     private int maxValueBytes;
 
+    /** End of the keys of the bucket that cannot be read; empty for none. */
+    private String brokenBucket = "";
+
+    /** Let reads of a bucket fail in an unforeseen way. */
+    void breakBucket(Object bucket) {
+        brokenBucket = "/" + bucket;
+    }
+
     void fault(Fault next) {
         fault = next;
     }
@@ -64,6 +72,9 @@
 
     @Override
     public StoreResult<KeyValue> get(String key, long deadlineNanos) {
+        if (!brokenBucket.isEmpty() && (key.endsWith(brokenBucket) || key.contains(brokenBucket + "/"))) {
+            throw new IllegalStateException("the value of " + key + " cannot be read");
+        }
         boolean down = fault == Fault.REFUSED || fault == Fault.ANSWER_LOST_AND_DOWN && writes > 0;
         return down
                 ? new StoreResult.NotDone<>("refused")
