Show that a configuration is missed when the store comes back from an older copy

The stand-in of the store learns to go back to a copy: later writes and leases are gone, revisions and lease identifiers are given out again, a watch from a revision yet to come gets 410, and Store-Era rises in all answers.

--- a/http/src/main/java/org/arbutusstack/http/client/HttpClient.java
+++ b/http/src/main/java/org/arbutusstack/http/client/HttpClient.java
@@ -131,6 +131,8 @@
 
         private int responseStatus;
 
+        private Map<String, String> responseHeaders = Map.of();
+
         private boolean tooLong;
 
         private Cancellable call;
@@ -162,6 +164,7 @@
         @Override
         public void onHead(int status, Map<String, String> headers) {
             responseStatus = status;
+            responseHeaders = headers;
         }
 
         @Override
@@ -180,7 +183,7 @@
 
         @Override
         public void onEnd() {
-            future.complete(new HttpReply(responseStatus, body.toByteArray()));
+            future.complete(new HttpReply(responseStatus, responseHeaders, body.toByteArray()));
         }
 
         @Override
--- a/http/src/main/java/org/arbutusstack/http/client/HttpReply.java
+++ b/http/src/main/java/org/arbutusstack/http/client/HttpReply.java
@@ -1,14 +1,16 @@
 package org.arbutusstack.http.client;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
 
 /**
  * Complete HTTP response.
  *
  * @param status the HTTP status
+ * @param headers the headers, by name without regard to case; not copied
  * @param body the bytes of the body; not copied
  */
-public record HttpReply(int status, byte[] body) {
+public record HttpReply(int status, Map<String, String> headers, byte[] body) {
 
     private static final int OK = 200;
 
--- a/testkit/src/main/java/org/arbutusstack/testkit/platform/PlatformStoreStandIn.java
+++ b/testkit/src/main/java/org/arbutusstack/testkit/platform/PlatformStoreStandIn.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.ServerConnection;
+import io.undertow.util.HttpString;
 import io.undertow.util.SameThreadExecutor;
 import java.util.Deque;
 import java.util.Set;
@@ -27,6 +28,8 @@
 
     private static final int PAGE_SIZE = 3;
 
+    private static final HttpString ERA = new HttpString("Store-Era");
+
     private static final long POLL_MILLIS = 10;
 
     private static final long LEASE_MILLIS = 3_000;
@@ -35,6 +38,8 @@
 
     private volatile StoreFault fault = StoreFault.NONE;
 
+    private volatile boolean announcesEra = true;
+
     private final Set<ServerConnection> watching = ConcurrentHashMap.newKeySet();
 
     /**
@@ -79,6 +84,30 @@
         state.dropHistory();
     }
 
+    /** Keep a copy of the present state, to which {@link #restore()} goes back. */
+    public void backUp() {
+        state.backUp();
+    }
+
+    /** Come back from the last copy: later writes and leases are gone, and their revisions are given out again. */
+    public void restore() {
+        state.restore();
+    }
+
+    /** Stop telling in the answers how often the store has come back from a copy. */
+    public void hideEra() {
+        announcesEra = false;
+    }
+
+    /**
+     * Return the store's revision.
+     *
+     * @return the revision of the last change
+     */
+    public long revision() {
+        return state.revision();
+    }
+
     /** Cut the connections of the watches that are waiting. Other calls, and watches that begin later, are answered. */
     public void cutWaitingWatches() {
         Set.copyOf(watching).forEach(IoUtils::safeClose);
@@ -96,6 +125,7 @@
 
     @Override
     protected void handle(HttpServerExchange exchange, String path, byte[] body) {
+        announceEra(exchange);
         switch (fault) {
             case DOWN -> Responses.text(exchange, UNAVAILABLE, "down");
             case BUSY -> Responses.text(exchange, BUSY, "busy");
@@ -104,6 +134,13 @@
         }
     }
 
+    /** Set the era before the answer is determined: one determined in the next era would be taken for current. */
+    private void announceEra(HttpServerExchange exchange) {
+        if (announcesEra && !exchange.isResponseStarted()) {
+            exchange.getResponseHeaders().put(ERA, state.era());
+        }
+    }
+
     /** Leave the call unanswered. Its connection stays open. */
     private static void leaveUnanswered(HttpServerExchange exchange) {
         exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {});
@@ -155,6 +192,7 @@
                 || !exchange.getConnection().isOpen()) {
             return;
         }
+        announceEra(exchange);
         ObjectNode changes = state.changes(query(exchange, "path-prefix"), Long.parseLong(query(exchange, "after")));
         if (changes == null) {
             Responses.text(exchange, GONE, "history dropped");
--- a/testkit/src/main/java/org/arbutusstack/testkit/platform/StoreState.java
+++ b/testkit/src/main/java/org/arbutusstack/testkit/platform/StoreState.java
@@ -31,6 +31,36 @@
 
     private long lastLease;
 
+    private long era = 1;
+
+    private Copy copy = new Copy(Map.of(), Map.of(), revision, lastLease);
+
+    /** Return how often the store has come back from a copy, plus one. */
+    synchronized long era() {
+        return era;
+    }
+
+    /** Keep a copy of the items, the leases and their counters. */
+    synchronized void backUp() {
+        copy = new Copy(Map.copyOf(items), Map.copyOf(leaseEndsAtNanos), revision, lastLease);
+    }
+
+    /** Go back to the last copy. What it does not hold is gone, and its counters go on from where they were. */
+    synchronized void restore() {
+        items.clear();
+        items.putAll(copy.items);
+        leaseEndsAtNanos.clear();
+        leaseEndsAtNanos.putAll(copy.leaseEndsAtNanos);
+        revision = copy.revision;
+        lastLease = copy.lastLease;
+        dropHistory();
+        era++;
+    }
+
+    synchronized long revision() {
+        return revision;
+    }
+
     synchronized long put(String key, String value, long lease) {
         revision++;
         ObjectNode item = Json.object();
@@ -77,10 +107,10 @@
         return page.put("more-pages", more).put("current-rev", revision);
     }
 
-    /** Return the events after a revision, or {@code null} if that part of the history was dropped. */
+    /** Return the events after a revision, or {@code null} if that part of the history was dropped or is yet to come. */
     synchronized ObjectNode changes(String prefix, long after) {
         expireLeases();
-        if (after < droppedRevision) {
+        if (after < droppedRevision || after > revision) {
             return null;
         }
         ObjectNode answer = Json.object();
@@ -152,4 +182,8 @@
             }
         }
     }
+
+    /** State of the store at an earlier moment. */
+    private record Copy(
+            Map<String, ObjectNode> items, Map<Long, Long> leaseEndsAtNanos, long revision, long lastLease) {}
 }
