Read all keys again when the store has come back from an older copy

Cause: revisions were taken for positions in one history. PrefixFollower asks for the changes after the last revision that it knows. A store that comes back from an older copy gives revisions out again; while an entry pauses between two attempts, the store's revision passes the one that the entry knows - the entries' own writes see to that. The watch then goes on from a number that means another change, gets no 410, and what lies before it is never read.

Change: a position is an era and a revision (StorePosition). A store without the header is read as before.

Why it works: within one era revisions only grow, and the store tells a revision that it no longer has; across eras nothing is compared.

Weighed: reading all keys after each outage, without the header. It misses a copy that is restored between two calls, where only a watch is cut, and reads all keys after outages in which nothing was lost.

--- a/store/src/main/java/org/arbutusstack/store/KeyValueStore.java
+++ b/store/src/main/java/org/arbutusstack/store/KeyValueStore.java
@@ -14,6 +14,19 @@
     /** The lease identifier of a key without a lease, which exists until it is deleted. */
     long NO_LEASE = 0;
 
+    /** The era of a service that does not say when it comes back from an older copy. */
+    long UNKNOWN_ERA = 0;
+
+    /**
+     * Return the era of the service, which rises when it comes back from an older copy. Leases and revisions of an
+     * earlier era are void: the service may have given the same numbers out again.
+     *
+     * @return the latest era known to this process, or {@link #UNKNOWN_ERA}
+     */
+    default long era() {
+        return UNKNOWN_ERA;
+    }
+
     /**
      * Read a key.
      *
--- a/store/src/main/java/org/arbutusstack/store/MeteredKeyValueStore.java
+++ b/store/src/main/java/org/arbutusstack/store/MeteredKeyValueStore.java
@@ -60,6 +60,11 @@
         return result;
     }
 
+    @Override
+    public long era() {
+        return delegate.era();
+    }
+
     @Override
     public StoreResult<KeyValue> get(String key, long deadlineNanos) {
         return measure("get", () -> delegate.get(key, deadlineNanos));
--- a/store/src/main/java/org/arbutusstack/store/PrefixChanges.java
+++ b/store/src/main/java/org/arbutusstack/store/PrefixChanges.java
@@ -9,9 +9,9 @@
      * The changes are available.
      *
      * @param items the changed keys in the order of the changes; a deleted key is absent
-     * @param revision the revision after which further changes are to be requested
+     * @param position the position after which further changes are to be requested, of the same era as the requested one
      */
-    record Known(List<KeyValue> items, long revision) implements PrefixChanges {
+    record Known(List<KeyValue> items, StorePosition position) implements PrefixChanges {
 
         /** Make a defensive copy of the list. */
         public Known {
@@ -19,6 +19,9 @@
         }
     }
 
-    /** The service no longer retains the changes after this revision; the keys have to be read again. */
+    /**
+     * The service does not retain the changes after this position, or has come back from an older copy; the keys have
+     * to be read again.
+     */
     record HistoryLost() implements PrefixChanges {}
 }
--- a/store/src/main/java/org/arbutusstack/store/PrefixFollower.java
+++ b/store/src/main/java/org/arbutusstack/store/PrefixFollower.java
@@ -55,7 +55,7 @@
     /** Whether the last call failed, so that the next one has to show at once whether the service is available. */
     private boolean lastCallFailed;
 
-    private long revision;
+    private StorePosition position = new StorePosition(KeyValueStore.UNKNOWN_ERA, 0);
 
     private boolean current;
 
@@ -144,7 +144,7 @@
             return false;
         }
         recordSuccess();
-        revision = done.value().revision();
+        position = done.value().position();
         current = true;
         complete = false;
         listener.onSnapshot(done.value());
@@ -158,7 +158,7 @@
         ClockReading sentAt = ClockReading.of(clock);
         long deadlineNanos = clock.deadlineNanos(waitMillis + DEADLINE_SLACK_MILLIS);
         StoreResult<PrefixChanges> result =
-                reader.changesAfter(prefix, revision, early ? MIN_WAIT_MILLIS : waitMillis, deadlineNanos);
+                reader.changesAfter(prefix, position, early ? MIN_WAIT_MILLIS : waitMillis, deadlineNanos);
         if (!(result instanceof StoreResult.Done<PrefixChanges> done)) {
             recordFailure(result, deadlineNanos);
             return false;
@@ -166,8 +166,8 @@
         recordSuccess();
         if (done.value() instanceof PrefixChanges.Known known) {
             // A service that is behind the known revision does not know the latest changes.
-            boolean confirmed = known.revision() >= revision;
-            revision = Math.max(revision, known.revision());
+            boolean confirmed = known.position().revision() >= position.revision();
+            position = confirmed ? known.position() : position;
             if (!known.items().isEmpty()) {
                 boolean completeBefore = complete;
                 complete = false;
@@ -182,7 +182,8 @@
             }
             return true;
         }
-        logger.warn("event=store-history-lost prefix={} revision={}", prefix, revision);
+        logger.warn(
+                "event=store-history-lost prefix={} era={} revision={}", prefix, position.era(), position.revision());
         current = false;
         return true;
     }
@@ -194,18 +195,18 @@
         }
         boolean isCut = clock.millisUntil(deadlineNanos) > 0;
         if (isCut && !lastCallFailed) {
-            logger.info("event=store-call-cut prefix={} revision={} result={}", prefix, revision, result);
+            logger.info("event=store-call-cut prefix={} revision={} result={}", prefix, position.revision(), result);
             return;
         }
         storeLost = true;
-        logger.warn("event=store-lost prefix={} revision={} result={}", prefix, revision, result);
+        logger.warn("event=store-lost prefix={} revision={} result={}", prefix, position.revision(), result);
         listener.onStoreLost();
     }
 
     private void recordSuccess() {
         if (storeLost) {
             storeLost = false;
-            logger.info("event=store-regained prefix={} revision={}", prefix, revision);
+            logger.info("event=store-regained prefix={} revision={}", prefix, position.revision());
             listener.onStoreRegained();
         }
     }
--- a/store/src/main/java/org/arbutusstack/store/PrefixReader.java
+++ b/store/src/main/java/org/arbutusstack/store/PrefixReader.java
@@ -14,7 +14,7 @@
      *
      * @param prefix the prefix
      * @param deadlineNanos the deadline, an instant of {@link System#nanoTime()}
-     * @return the keys, and the revision after which changes are to be requested
+     * @return the keys, and the position after which changes are to be requested
      */
     StoreResult<PrefixSnapshot> snapshot(String prefix, long deadlineNanos);
 
@@ -22,12 +22,12 @@
      * Wait for changes of the keys with a prefix.
      *
      * @param prefix the prefix
-     * @param revision the revision after which changes are requested
+     * @param position the position after which changes are requested
      * @param waitMillis the time for which the service may wait for a change, in milliseconds
      * @param deadlineNanos the deadline, an instant of {@link System#nanoTime()}
      * @return the changes, none if nothing changed, or that the service no longer retains them
      */
-    StoreResult<PrefixChanges> changesAfter(String prefix, long revision, long waitMillis, long deadlineNanos);
+    StoreResult<PrefixChanges> changesAfter(String prefix, StorePosition position, long waitMillis, long deadlineNanos);
 
     /** Drop connections that may be broken, so that the next call opens a new one. */
     void reconnect();
--- a/store/src/test/java/org/arbutusstack/store/PrefixFollowerTests.java
+++ b/store/src/test/java/org/arbutusstack/store/PrefixFollowerTests.java
@@ -50,7 +50,7 @@
     }
 
     private static StoreResult<PrefixChanges> changes(long revision, KeyValue... items) {
-        return new StoreResult.Done<>(new PrefixChanges.Known(List.of(items), revision));
+        return new StoreResult.Done<>(new PrefixChanges.Known(List.of(items), new StorePosition(1, revision)));
     }
 
     /** Guards against a lease that counts from the answer: a change acknowledged during the call may be missing. */
@@ -175,12 +175,12 @@
         @Override
         public StoreResult<PrefixSnapshot> snapshot(String prefix, long deadlineNanos) {
             clock.advanceMillis(callMillis);
-            return new StoreResult.Done<>(new PrefixSnapshot(List.of(), 5));
+            return new StoreResult.Done<>(new PrefixSnapshot(List.of(), new StorePosition(1, 5)));
         }
 
         @Override
         public StoreResult<PrefixChanges> changesAfter(
-                String prefix, long revision, long waitMillis, long deadlineNanos) {
+                String prefix, StorePosition position, long waitMillis, long deadlineNanos) {
             waits.add(waitMillis);
             clock.advanceMillis(callMillis);
             return answers.remove();
--- a/testkit/src/main/java/org/arbutusstack/testkit/platform/PlatformStoreStandIn.java
+++ b/testkit/src/main/java/org/arbutusstack/testkit/platform/PlatformStoreStandIn.java
@@ -38,7 +38,8 @@
 
     private volatile StoreFault fault = StoreFault.NONE;
 
-    private volatile boolean announcesEra = true;
+    /** The era named in answers; empty to name none, and {@code null} to name the real one. */
+    private volatile String namedEra;
 
     private final Set<ServerConnection> watching = ConcurrentHashMap.newKeySet();
 
@@ -94,9 +95,13 @@
         state.restore();
     }
 
-    /** Stop telling in the answers how often the store has come back from a copy. */
-    public void hideEra() {
-        announcesEra = false;
+    /**
+     * Name another era in the answers than the real one.
+     *
+     * @param value the value of the header; empty to send none
+     */
+    public void nameEra(String value) {
+        namedEra = value;
     }
 
     /**
@@ -136,8 +141,9 @@
 
     /** Set the era before the answer is determined: one determined in the next era would be taken for current. */
     private void announceEra(HttpServerExchange exchange) {
-        if (announcesEra && !exchange.isResponseStarted()) {
-            exchange.getResponseHeaders().put(ERA, state.era());
+        String named = namedEra == null ? Long.toString(state.era()) : namedEra;
+        if (!named.isEmpty() && !exchange.isResponseStarted()) {
+            exchange.getResponseHeaders().put(ERA, named);
         }
     }
 
