Void leases and fencing tokens of an earlier history of the store

The fencing token of a planner is the revision of its key, so the next planner after an older copy ordered with a lower token than the sides knew. The lease of the planner before it may be gone, and its number given to another entry: a renewal then succeeds, and two entries plan.

Change: a lease remembers the era of its grant and is void once a later one is known; a planner yields at once (cause=store-restored), not at its next renewal. The token is era and revision in one number (StorePosition.fencingToken), which rises across eras; a store that names no era gives the tokens it gave before. A key found with this entry's own identity is written again with the lease in hand: the lease with which it was written may be another one, and end while this entry plans on.

Evidence: PlannerElectionTests, three tests red before ("3 after 11": the token of the next planner; a lease that still counted; the key under the lease before) and green now.

--- a/gateway/src/main/java/org/arbutusstack/gateway/plan/PlannerElection.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/plan/PlannerElection.java
@@ -10,6 +10,7 @@
 import org.arbutusstack.store.KeyValue;
 import org.arbutusstack.store.KeyValueStore;
 import org.arbutusstack.store.StoreLease;
+import org.arbutusstack.store.StorePosition;
 import org.arbutusstack.store.StoreResult;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -51,6 +52,9 @@
 
     private volatile long fence;
 
+    /** The era of the store in which this entry became the holder. */
+    private volatile long era;
+
     private volatile boolean holding;
 
     private volatile long clockDivergenceMillis;
@@ -139,10 +143,10 @@
      * Return whether this entry holds the planner's lease.
      *
      * @return whether the lease is certainly valid; false if the process was suspended since the lease was last
-     *     checked, since the monotonic clock does not count that time
+     *     checked, since the monotonic clock does not count that time, or if the store came back from an older copy
      */
     public boolean holdsLease() {
-        return holding && !wasSuspended();
+        return holding && !wasSuspended() && era == store.era();
     }
 
     private boolean wasSuspended() {
@@ -179,6 +183,10 @@
             return;
         }
         clockDivergenceMillis = clockDivergence();
+        if (holding && era != store.era()) {
+            logger.warn("event=planner-yielded fence={} cause=store-restored", fence);
+            holding = false;
+        }
         if (holding && !lease.renew()) {
             logger.warn("event=planner-yielded fence={} cause=lease-lapsed", fence);
             holding = false;
@@ -223,15 +231,13 @@
 
     /**
      * Read the holder of the key. It may be this process, by an earlier write whose response was lost, or an earlier
-     * run of this entry, whose key is replaced without waiting for its lease to expire.
+     * run of this entry. Such a key is replaced without waiting for the lease with which it was written to expire.
      */
     private void resolveHolder() {
         StoreResult<KeyValue> read = store.get(KEY, clock.deadlineNanos(CALL_TIMEOUT_MILLIS));
         if (read instanceof StoreResult.Done<KeyValue> done) {
             holder = done.value().text();
-            if (holder.equals(identity)) {
-                becomeHolder(done.value().revision());
-            } else if (isPredecessor(holder)) {
+            if (holder.equals(identity) || isPredecessor(holder)) {
                 writeKey(done.value().revision());
             }
         }
@@ -241,9 +247,10 @@
         if (!lease.isValid()) {
             return;
         }
-        fence = revision;
+        era = lease.era();
+        fence = new StorePosition(era, revision).fencingToken();
         holder = identity;
         holding = true;
-        logger.info("event=planner-lease fence={}", revision);
+        logger.info("event=planner-lease fence={} era={} revision={}", fence, era, revision);
     }
 }
--- a/gateway/src/test/java/org/arbutusstack/gateway/plan/PlannerElectionTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/plan/PlannerElectionTests.java
@@ -77,12 +77,12 @@
         planner.step();
         planner.persist(DemandRecord.KEY, new byte[] {1});
         planner.step();
-        assertEquals(store.record, new byte[] {1});
+        assertEquals(store.record.value(), new byte[] {1});
         PlannerElection other = election("10.0.0.2:7000 run");
         other.onHolderRead("10.0.0.1:7000 run");
         other.persist(DemandRecord.KEY, new byte[] {2});
         other.step();
-        assertEquals(store.record, new byte[] {1});
+        assertEquals(store.record.value(), new byte[] {1});
     }
 
     /** Guards against planning after a suspension: the lease may have expired while the monotonic clock stood still. */
@@ -98,6 +98,45 @@
         assertFalse(planner.holdsLease());
     }
 
+    /** Guards against two planners: a restored store may have given the number of this entry's lease to another. */
+    @Test
+    public void shouldNotHoldLeaseGrantedBeforeStoreWasRestored() {
+        PlannerElection planner = election("10.0.0.1:7000 run");
+        planner.step();
+        assertTrue(planner.holdsLease());
+        store.restore();
+        assertFalse(planner.holdsLease());
+        planner.step();
+        assertFalse(planner.holdsLease());
+    }
+
+    /** Guards against orders that all sides ignore until the revisions have passed the token that they know. */
+    @Test
+    public void shouldOrderWithHigherTokenWhenRevisionsOfRestoredStoreAreLower() {
+        PlannerElection former = election("10.0.0.1:7000 run");
+        former.step();
+        long token = former.fence();
+        store.restore();
+        PlannerElection next = election("10.0.0.2:7000 other");
+        next.step();
+        assertTrue(next.holdsLease());
+        assertTrue(next.fence() > token, next.fence() + " after " + token);
+    }
+
+    /** Guards against planning on without the key, which was written with a lease that may end at any time. */
+    @Test
+    public void shouldWriteKeyAgainWithItsLeaseWhenKeyIsItsOwn() {
+        PlannerElection planner = election("10.0.0.1:7000 run");
+        planner.step();
+        long token = planner.fence();
+        store.era++;
+        planner.onHolderRead("");
+        planner.step();
+        assertTrue(planner.holdsLease());
+        assertEquals(store.leaseOfItem, store.lastLease);
+        assertTrue(planner.fence() > token);
+    }
+
     /** Clock whose wall time advances while its monotonic time stands still. */
     private static final class SuspendableClock implements Clock {
 
@@ -121,37 +160,61 @@
         }
     }
 
-    /** Store with one key and leases that never expire. */
+    /** Store with one key, one record, and leases that never expire. */
     private static final class OneKeyStore implements KeyValueStore {
 
         private KeyValue item = KeyValue.absent(PlannerElection.KEY);
 
-        private byte[] record;
+        private KeyValue record = KeyValue.absent(DemandRecord.KEY);
 
         private long revision = 10;
 
+        private long era = 1;
+
+        private long lastLease;
+
+        private long leaseOfItem;
+
+        /** Come back from a copy that holds nothing. */
+        void restore() {
+            era++;
+            revision = 2;
+            lastLease = 0;
+            item = KeyValue.absent(PlannerElection.KEY);
+            record = KeyValue.absent(DemandRecord.KEY);
+        }
+
+        @Override
+        public long era() {
+            return era;
+        }
+
         @Override
         public StoreResult<KeyValue> get(String key, long deadlineNanos) {
-            return new StoreResult.Done<>(item);
+            return new StoreResult.Done<>(key.equals(DemandRecord.KEY) ? record : item);
         }
 
         @Override
         public StoreResult<Long> compareAndSwap(
                 String key, long expectedRevision, byte[] value, long leaseId, long deadlineNanos) {
             if (key.equals(DemandRecord.KEY)) {
-                record = value;
-                return new StoreResult.Done<>(++revision);
+                if (record.revision() != expectedRevision) {
+                    return new StoreResult.Conflict<>();
+                }
+                record = new KeyValue(key, value, ++revision);
+                return new StoreResult.Done<>(revision);
             }
             if (item.revision() != expectedRevision) {
                 return new StoreResult.Conflict<>();
             }
             item = new KeyValue(key, value, ++revision);
+            leaseOfItem = leaseId;
             return new StoreResult.Done<>(revision);
         }
 
         @Override
         public StoreResult<Long> grantLease(long timeToLiveSeconds, long deadlineNanos) {
-            return new StoreResult.Done<>(1L);
+            return new StoreResult.Done<>(++lastLease);
         }
 
         @Override
--- a/store/src/main/java/org/arbutusstack/store/StoreLease.java
+++ b/store/src/main/java/org/arbutusstack/store/StoreLease.java
@@ -27,6 +27,9 @@
 
     private long leaseId;
 
+    /** The era of the service in which the lease was granted. */
+    private long era;
+
     private long validUntilNanos;
 
     private long renewAtNanos;
@@ -53,14 +56,23 @@
         return leaseId;
     }
 
+    /**
+     * Return the era of the service in which the lease was granted.
+     *
+     * @return the era, as {@link KeyValueStore#era()}
+     */
+    public long era() {
+        return era;
+    }
+
     /**
      * Return whether the lease certainly exists: less than its time to live has passed since its grant or its last
-     * renewal was requested.
+     * renewal was requested, and the service has not come back from an older copy since.
      *
      * @return whether the lease is valid
      */
     public boolean isValid() {
-        return leaseId != KeyValueStore.NO_LEASE && !clock.isPast(validUntilNanos);
+        return leaseId != KeyValueStore.NO_LEASE && era == store.era() && !clock.isPast(validUntilNanos);
     }
 
     /**
@@ -96,9 +108,12 @@
             return true;
         }
         long requestedUntilNanos = clock.deadlineNanos(TIME_TO_LIVE_SECONDS * MILLIS_PER_SECOND);
+        long eraBefore = store.era();
         StoreResult<Long> granted = store.grantLease(TIME_TO_LIVE_SECONDS, clock.deadlineNanos(callTimeoutMillis));
         if (granted instanceof StoreResult.Done<Long> done) {
             leaseId = done.value();
+            // The first answer of all tells the era; otherwise a new era may have begun after the grant.
+            era = eraBefore == KeyValueStore.UNKNOWN_ERA ? store.era() : eraBefore;
             validUntilNanos = requestedUntilNanos;
             renewAtNanos = clock.deadlineNanos(RENEW_INTERVAL_MILLIS);
         }
