Persist records again that the restored store does not have

What callers saw: nothing by itself. After the store had come back from an older copy, demand and quarantine were no longer persisted, so the next planner and each restarted entry began without them.

Cause: PlannerElection writes a record if it has the revision that was read last. A record that the copy lacks is no change that a watch or a list of keys reports, so the revision stayed that of the lost history, and each write was a conflict.

Change: after a conflict the revision is read anew; whoever needs the record requests its persistence again, as before.

Evidence: PlannerElectionTests#shouldPersistRecordThatRestoredStoreDoesNotHave, red before (record empty), green now.

--- a/gateway/src/main/java/org/arbutusstack/gateway/plan/PlannerElection.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/plan/PlannerElection.java
@@ -214,8 +214,19 @@
                 clock.deadlineNanos(CALL_TIMEOUT_MILLIS));
         if (written instanceof StoreResult.Done<Long> done) {
             recordRevisions.put(key, done.value());
-        } else {
-            logger.info("event=record-not-persisted key={} result={}", key, written);
+            return;
+        }
+        logger.info("event=record-not-persisted key={} result={}", key, written);
+        if (written instanceof StoreResult.Conflict) {
+            readRecordRevision(key);
+        }
+    }
+
+    /** Read the revision of a record: one that the store has lost is not reported as a change. */
+    private void readRecordRevision(String key) {
+        StoreResult<KeyValue> read = store.get(key, clock.deadlineNanos(CALL_TIMEOUT_MILLIS));
+        if (read instanceof StoreResult.Done<KeyValue> done) {
+            recordRevisions.put(key, done.value().revision());
         }
     }
 
--- a/gateway/src/test/java/org/arbutusstack/gateway/plan/PlannerElectionTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/plan/PlannerElectionTests.java
@@ -137,6 +137,24 @@
         assertTrue(planner.fence() > token);
     }
 
+    /** Guards against a record that is never persisted again, since the restored store has an earlier one or none. */
+    @Test
+    public void shouldPersistRecordThatRestoredStoreDoesNotHave() {
+        PlannerElection planner = election("10.0.0.1:7000 run");
+        planner.step();
+        planner.persist(DemandRecord.KEY, new byte[] {1});
+        planner.step();
+        store.restore();
+        planner.onHolderRead("");
+        planner.step();
+        assertTrue(planner.holdsLease());
+        for (int request = 0; request < 2; request++) {
+            planner.persist(DemandRecord.KEY, new byte[] {2});
+            planner.step();
+        }
+        assertEquals(store.record.value(), new byte[] {2});
+    }
+
     /** Clock whose wall time advances while its monotonic time stands still. */
     private static final class SuspendableClock implements Clock {
 
