Resume a stream only at the software version that began it

What two versions write does not fit together, and runners do not check it.

Cause: runners of a service were taken for equal; the version in a runner's entry was not read.

Change: RunnerEntry has the version of the software. From its first event on, a request goes only to runners of the version that made it. If none of them takes work or holds the model, the stream is broken off at once.

Evidence: SoftwareVersionTests, three of four tests red before (resumed at another version; sent on instead of broken off, plain service and model), all green now; the fourth holds: without an event any version may serve.

--- a/gateway/src/main/java/org/arbutusstack/gateway/request/ActiveRequest.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/ActiveRequest.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.arbutusstack.gateway.allotment.AllotmentReceipt;
 import org.arbutusstack.gateway.runner.KnownRunner;
@@ -47,6 +48,9 @@
 
     private boolean opened;
 
+    /** The version of the software that made the events of the stream so far; {@code null} while it has none. */
+    private String streamVersion;
+
     private boolean ended;
 
     private boolean probe;
@@ -254,6 +258,15 @@
         mayHaveRun = true;
     }
 
+    /** Return the version of the software at which alone the stream may go on; empty while it may begin at any. */
+    Optional<String> streamVersion() {
+        return Optional.ofNullable(streamVersion);
+    }
+
+    void streamVersion(String version) {
+        streamVersion = version;
+    }
+
     /** Return whether the request is sent in spite of a rule of the quarantine. */
     boolean isProbe() {
         return probe;
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatcher.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatcher.java
@@ -184,9 +184,8 @@
             refuse(active, Refusal.notRun(RefusalReason.DEADLINE_UNREACHABLE, detail), retryAfterMillis);
         } else if (choice instanceof RunnerChooser.Choice.AwaitModel) {
             awaitModel(active);
-        } else if (choice instanceof RunnerChooser.Choice.NoRunner) {
-            String detail = "no runner of the service takes work";
-            refuse(active, Refusal.notRun(RefusalReason.NO_RUNNER, detail), limits.retryAfterMillis());
+        } else if (choice instanceof RunnerChooser.Choice.NoRunner none) {
+            refuse(active, Refusal.notRun(RefusalReason.NO_RUNNER, none.detail()), limits.retryAfterMillis());
         }
     }
 
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
@@ -31,6 +31,8 @@
     /** Number of status queries for a request after which only runners with a recent status are considered. */
     private static final int MAX_STATUS_QUERIES = 2;
 
+    private static final Choice NONE_TAKES_WORK = new Choice.NoRunner("no runner of the service takes work");
+
     private final RunnerTable runners;
 
     private final TwoChoiceSelector engineSelector;
@@ -88,8 +90,8 @@
         /** Wait for the model: no runner holds it. */
         record AwaitModel() implements Choice {}
 
-        /** Refuse the request: no runner of its service accepts requests. */
-        record NoRunner() implements Choice {}
+        /** Refuse the request: no runner of its service accepts requests, or none that can continue its stream. */
+        record NoRunner(String detail) implements Choice {}
     }
 
     Choice choose(ActiveRequest active) {
@@ -97,11 +99,24 @@
         List<KnownRunner> available = new ArrayList<>(runners.takingWork(request.service()));
         available.removeIf(runner -> runner.outcomes().isUnreachable());
         if (available.isEmpty()) {
-            return new Choice.NoRunner();
+            return NONE_TAKES_WORK;
+        }
+        if (active.streamVersion().isPresent()) {
+            String version = active.streamVersion().get();
+            available.removeIf(runner -> !canContinue(runner, version, request.model()));
+        }
+        if (available.isEmpty()) {
+            return new Choice.NoRunner("no runner of the version that began the stream can continue it");
         }
         return request.needsModel() ? chooseEngine(active, available) : choosePlain(active, available);
     }
 
+    /** Return whether a runner can continue a stream: versions read each other's streams wrongly without noticing. */
+    private static boolean canContinue(KnownRunner runner, String version, String model) {
+        boolean holdsModel = model.isEmpty() || runner.holds(model);
+        return holdsModel && runner.entry().softwareVersion().equals(version);
+    }
+
     private Choice choosePlain(ActiveRequest active, List<KnownRunner> available) {
         List<KnownRunner> permitted = withoutLimited(available);
         if (permitted.isEmpty()) {
@@ -114,7 +129,7 @@
                         .thenComparing(runner -> !runner.entry().zone().equals(zone))
                         .thenComparing(runner -> runner.entry().id()))
                 .<Choice>map(Choice.Send::new)
-                .orElseGet(Choice.NoRunner::new);
+                .orElse(NONE_TAKES_WORK);
     }
 
     private Choice chooseEngine(ActiveRequest active, List<KnownRunner> available) {
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/RunnerEntry.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/RunnerEntry.java
@@ -16,6 +16,7 @@
  * @param slots the number of requests that it runs concurrently; zero or less if it does not say
  * @param leaving whether it is draining and accepts no new requests
  * @param adaptersByModel the models that it holds, with the adapters of each
+ * @param softwareVersion the version of its software; empty if it does not say
  */
 public record RunnerEntry(
         String id,
@@ -25,16 +26,31 @@
         long startedAtMillis,
         int slots,
         boolean leaving,
-        Map<String, Set<String>> adaptersByModel) {
+        Map<String, Set<String>> adaptersByModel,
+        String softwareVersion) {
 
     /** Check the required fields and copy the map. */
     public RunnerEntry {
         Assert.hasText(id, "id");
         Assert.hasText(service, "service");
         Assert.notNull(address, "address");
+        Assert.notNull(softwareVersion, "softwareVersion");
         adaptersByModel = Map.copyOf(adaptersByModel);
     }
 
+    /** Create an entry that does not name the version of its software. */
+    public RunnerEntry(
+            String id,
+            String service,
+            HttpTarget address,
+            String zone,
+            long startedAtMillis,
+            int slots,
+            boolean leaving,
+            Map<String, Set<String>> adaptersByModel) {
+        this(id, service, address, zone, startedAtMillis, slots, leaving, adaptersByModel, "");
+    }
+
     /**
      * Return whether another entry describes the same incarnation.
      *
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/DispatcherHarness.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/DispatcherHarness.java
@@ -134,6 +134,14 @@
         return entry;
     }
 
+    RunnerEntry runnerOfVersion(String version, String id, String service, String... models) {
+        RunnerEntry entry = runner(id, service, models);
+        RunnerEntry versioned = new RunnerEntry(
+                id, service, entry.address(), entry.zone(), 1, entry.slots(), false, entry.adaptersByModel(), version);
+        table.put(versioned);
+        return versioned;
+    }
+
     static Route route(RouteKind kind, String service, int maxAttempts, boolean resumable) {
         return new Route(
                 "r",
--- /dev/null
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/SoftwareVersionTests.java
@@ -0,0 +1,127 @@
+package org.arbutusstack.gateway.request;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import org.arbutusstack.gateway.RecordingLink;
+import org.arbutusstack.gateway.config.RouteKind;
+import org.arbutusstack.wire.frame.RunnerStatusFrame;
+import org.testng.annotations.Test;
+
+/** Tests that the events of one stream come from runners of one version of the software. */
+public class SoftwareVersionTests {
+
+    private static final String BEGIN = "id: 1\ndata: a\n\n";
+
+    private static final String REST = "id: 2\ndata: b\n\n";
+
+    private static DispatcherHarness harness() {
+        DispatcherHarness harness = new DispatcherHarness();
+        harness.runner("retries", DispatcherHarness.PLAIN);
+        harness.earnRetries(20);
+        harness.table.remove("retries");
+        return harness;
+    }
+
+    private static FakeCaller send(DispatcherHarness harness) {
+        return harness.send(DispatcherHarness.route(RouteKind.STREAMING, DispatcherHarness.PLAIN, 5, true), "");
+    }
+
+    private static void begin(FakeRunners.Sent attempt) {
+        attempt.streamHead(true);
+        attempt.bytes(BEGIN);
+    }
+
+    /** Guards against an answer whose events come from two versions, since its runner has crashed. */
+    @Test
+    public void shouldResumeStreamAtVersionThatBeganIt() {
+        for (String version : new String[] {"v1", "v2"}) {
+            DispatcherHarness harness = harness();
+            harness.runnerOfVersion(version, "begins", DispatcherHarness.PLAIN);
+            FakeCaller caller = send(harness);
+            begin(harness.runners.last());
+            for (int index = 0; index < 5; index++) {
+                harness.runnerOfVersion("other" + index, "a" + index, DispatcherHarness.PLAIN);
+            }
+            harness.runnerOfVersion(version, "same", DispatcherHarness.PLAIN);
+            harness.runners.last().fail(true);
+            assertEquals(harness.runners.last().runner.id(), "same");
+            assertEquals(harness.runners.last().lastEventId, "1");
+            harness.runners.last().streamHead(true);
+            harness.runners.last().bytes(REST);
+            harness.runners.last().end();
+            assertEquals(caller.body.toString(), BEGIN + REST);
+            assertTrue(caller.ended);
+        }
+    }
+
+    /** Guards against waiting for a version that no runner has: the caller learns at once that the stream broke off. */
+    @Test
+    public void shouldAbortStreamAtOnceWhenNoRunnerOfItsVersionIsLeft() {
+        DispatcherHarness harness = harness();
+        harness.runnerOfVersion("v1", "begins", DispatcherHarness.PLAIN);
+        FakeCaller caller = send(harness);
+        begin(harness.runners.last());
+        harness.runnerOfVersion("v2", "newer", DispatcherHarness.PLAIN);
+        harness.table.remove("begins");
+        int sent = harness.runners.sent.size();
+        harness.runners.last().fail(true);
+        assertEquals(harness.runners.sent.size(), sent);
+        assertTrue(caller.aborted);
+        assertFalse(caller.ended);
+    }
+
+    /** Guards against binding a request to a version of which its caller has seen nothing. */
+    @Test
+    public void shouldUseAnyVersionUntilFirstEvent() {
+        DispatcherHarness harness = harness();
+        harness.runnerOfVersion("v1", "first", DispatcherHarness.PLAIN);
+        FakeCaller caller = send(harness);
+        harness.runners.last().streamHead(true);
+        harness.runnerOfVersion("v2", "newer", DispatcherHarness.PLAIN);
+        harness.table.remove("first");
+        harness.runners.last().fail(true);
+        assertEquals(harness.runners.last().runner.id(), "newer");
+        begin(harness.runners.last());
+        harness.runners.last().end();
+        assertEquals(caller.body.toString(), BEGIN);
+        assertTrue(caller.ended);
+    }
+
+    /** Guards against waiting for a load of the model that only runners of another version hold. */
+    @Test
+    public void shouldAbortStreamOfModelAtOnceWhenOnlyOtherVersionsHoldIt() {
+        DispatcherHarness harness = harness();
+        harness.runnerOfVersion("v1", "begins", DispatcherHarness.ENGINE, "m1");
+        report(harness, "begins", "m1");
+        for (int index = 0; index < 20; index++) {
+            harness.send(DispatcherHarness.route(RouteKind.SAFE, DispatcherHarness.ENGINE, 5, false), "m1");
+            harness.runners.last().answer(200, AnswerKind.ATTESTED, "ok");
+            report(harness, "begins", "m1");
+        }
+        FakeCaller caller =
+                harness.send(DispatcherHarness.route(RouteKind.STREAMING, DispatcherHarness.ENGINE, 5, true), "m1");
+        begin(harness.runners.last());
+        harness.runnerOfVersion("v1", "empty", DispatcherHarness.ENGINE);
+        report(harness, "empty");
+        harness.runnerOfVersion("v2", "newer", DispatcherHarness.ENGINE, "m1");
+        report(harness, "newer", "m1");
+        harness.table.remove("begins");
+        int sent = harness.runners.sent.size();
+        harness.runners.last().fail(true);
+        assertEquals(harness.runners.sent.size(), sent);
+        assertTrue(caller.aborted);
+    }
+
+    private static void report(DispatcherHarness harness, String id, String... models) {
+        List<RunnerStatusFrame.HeldModel> held = List.of(models).stream()
+                .map(model -> new RunnerStatusFrame.HeldModel(model, 1, List.of()))
+                .toList();
+        RunnerStatusFrame status =
+                new RunnerStatusFrame(1, 0, true, -1, 0, 0, 0, 1, held, List.of(), Map.of(), "", false, 1, 500, 0);
+        harness.table.byId(id).status(status, new RecordingLink());
+    }
+}
