--- a/store/src/main/java/org/arbutusstack/store/PrefixChanges.java
+++ b/store/src/main/java/org/arbutusstack/store/PrefixChanges.java
@@ -9,7 +9,7 @@
      * The changes are available.
      *
      * @param items the changed keys in the order of the changes; a deleted key is absent
-     * @param position the position after which further changes are to be requested, of the same era as the requested one
+     * @param position the position after which further changes are to be requested, of the same era
      */
     record Known(List<KeyValue> items, StorePosition position) implements PrefixChanges {
 
