Let a caller take a stream up only at the software version that began it

Cause: an entry did not know where a stream had begun that it had not relayed itself, and did not read Resumes. The version is known to the entry that relayed the first event, and lost with it.

Change: an entry tells two sides of each stream that may be resumed at which version it has begun (StreamOrigins, StreamOriginFrame), chosen by rendezvous hashing of the request's identifier as for allotments, and remembers it itself for 30 s. Where a stream is taken up, the entry asks the first three and sends the request only to runners of that version. If nobody knows the stream, it goes on only if all runners of the service have had one version for as long as a stream lasts and the entry has seen that (VersionHistory); otherwise it is refused with 503, truthfully: it has not run. The question is open for 500 ms at most, since links may still be opening.

Size: two frames of about 40 bytes for each stream of a resumable route, whatever the number of hosts; three questions for each stream that is taken up. An entry and a side keep at most 20,000 streams.

--- a/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
@@ -22,21 +22,23 @@
 import org.arbutusstack.gateway.request.GatewayMetrics;
 import org.arbutusstack.gateway.request.RequestDispatcher;
 import org.arbutusstack.gateway.request.RequestDispatchers;
+import org.arbutusstack.gateway.request.RoutingContext;
 import org.arbutusstack.gateway.request.ZoneCandidates;
 import org.arbutusstack.gateway.runner.KnownRunner;
 import org.arbutusstack.gateway.runner.PermitClient;
 import org.arbutusstack.gateway.runner.RunnerEntry;
 import org.arbutusstack.gateway.runner.RunnerTable;
 import org.arbutusstack.gateway.runner.SideLinks;
+import org.arbutusstack.gateway.stream.StreamOrigins;
 import org.arbutusstack.gateway.team.TeamGate;
 import org.arbutusstack.kernel.Assert;
 import org.arbutusstack.kernel.ring.IsolatedSteps;
 import org.arbutusstack.kernel.service.Service;
 import org.arbutusstack.kernel.time.Clock;
-import org.arbutusstack.placement.FleetPlanner;
 import org.arbutusstack.wire.frame.AllotmentGrantFrame;
 import org.arbutusstack.wire.frame.Frame;
 import org.arbutusstack.wire.frame.PermitFrame;
+import org.arbutusstack.wire.frame.StreamOriginFrame;
 import org.arbutusstack.wire.frame.StrikeFrame;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -61,12 +63,6 @@
     /** Delay of a tick from which on the loop counts as stalled. */
     private static final long STALL_MILLIS = 200;
 
-    /** Requests in flight that one copy of a model serves well: a third of an engine's batch. */
-    private static final double REQUESTS_PER_COPY = 12;
-
-    /** Idle time of a model at which its last copy is worth half as much as that of a model requested just now. */
-    private static final long IDLE_MILLIS = 4_000;
-
     private final EntryDependencies dependencies;
 
     private final Clock clock;
@@ -87,6 +83,8 @@
 
     private final AllotmentGate allotments;
 
+    private final StreamOrigins origins;
+
     private final RequestDispatcher dispatcher;
 
     private final SideLinks sides;
@@ -140,11 +138,11 @@
         this.zones = new ZoneCandidates(dependencies.zone(), dependencies.zonePenaltyMillis(), clock);
         AllotmentShare share = new AllotmentShare(sides.typicalEntryCount()::entries, sides::linkedPart, clock);
         this.allotments = new AllotmentGate(dependencies.name(), sides, share, clock, dependencies.metrics());
+        this.origins = new StreamOrigins(sides, sides::linkedPart, runners, clock);
         this.dispatcher = RequestDispatchers.create(
-                runners,
+                new RoutingContext(runners, zones, origins),
                 dependencies.runners(),
                 dependencies.callers(),
-                zones,
                 clock,
                 AttemptLimits.ofProcess(
                         dependencies.retries(),
@@ -158,13 +156,7 @@
         this.identity = dependencies.address() + ":" + dependencies.entryPort() + " " + UUID.randomUUID();
         this.election = new PlannerElection(dependencies.store(), identity, clock);
         this.quarantinePersistence = new QuarantinePersistence(quarantine, election, clock);
-        this.planner = new ModelPlanner(
-                dependencies.name(),
-                runners,
-                dispatcher,
-                election,
-                new FleetPlanner(REQUESTS_PER_COPY, IDLE_MILLIS),
-                clock);
+        this.planner = new ModelPlanner(dependencies.name(), runners, dispatcher, election, clock);
         this.plannerLink = new PlannerLink(dependencies.transport(), planner, strikes, dependencies.loop(), clock);
     }
 
@@ -201,6 +193,8 @@
             dispatcher.runnersChanged();
         } else if (frame instanceof AllotmentGrantFrame grant) {
             allotments.received(host, grant);
+        } else if (frame instanceof StreamOriginFrame origin) {
+            origins.received(host, origin);
         }
     }
 
@@ -224,6 +218,7 @@
                 teamGate::tick,
                 () -> metrics.updateConfigAge(teamGate.configAgeMillis()),
                 runners::tick,
+                origins::tick,
                 () -> dispatcher.entries(sides.entryCount().entries()),
                 dispatcher::tick,
                 crashMonitor::tick,
--- a/gateway/src/main/java/org/arbutusstack/gateway/plan/ModelPlanner.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/plan/ModelPlanner.java
@@ -54,6 +54,12 @@
      */
     private static final long PERSIST_INTERVAL_MILLIS = 5_000;
 
+    /** Requests in flight that one copy of a model serves well: a third of an engine's batch. */
+    private static final double REQUESTS_PER_COPY = 12;
+
+    /** Idle time of a model at which its last copy is worth half as much as that of a model requested just now. */
+    private static final long IDLE_MILLIS = 4_000;
+
     private final RunnerTable runners;
 
     private final RequestDispatcher dispatcher;
@@ -90,7 +96,6 @@
      * @param runners the runners known to the entry
      * @param dispatcher the source of the entry's requests in flight by model
      * @param election the election, which determines whether this entry plans
-     * @param planner the algorithm that decides on moves
      * @param clock the clock of the process
      */
     public ModelPlanner(
@@ -98,13 +103,12 @@
             RunnerTable runners,
             RequestDispatcher dispatcher,
             PlannerElection election,
-            FleetPlanner planner,
             Clock clock) {
         this.entryName = Assert.hasText(entryName, "entryName");
         this.runners = Assert.notNull(runners, "runners");
         this.dispatcher = Assert.notNull(dispatcher, "dispatcher");
         this.election = Assert.notNull(election, "election");
-        this.planner = Assert.notNull(planner, "planner");
+        this.planner = new FleetPlanner(REQUESTS_PER_COPY, IDLE_MILLIS);
         this.clock = Assert.notNull(clock, "clock");
         this.demand = new DemandAggregator(clock);
         this.loadLimiter = new LoadRateLimiter(clock);
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/AnswerRelay.java
@@ -216,7 +216,7 @@
     private void openStream(ActiveRequest active, CurrentAttempt attempt) {
         if (!active.isOpened()) {
             active.opened();
-            active.streamVersion(attempt.runner().entry().softwareVersion());
+            dispatcher.streamBegun(active, attempt.runner());
             attempt.runner().outcomes().succeeded();
             attempt.recordFirstEvent(clock.nowNanos());
             quarantine.answerBegun(active);
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/InboundRequest.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/InboundRequest.java
@@ -26,6 +26,7 @@
  * @param prefixHash the hash of the prompt prefix shared within a session; zero for none
  * @param sharedParts the identifiers of the prompt's parts in order, without the last, which no other request shares
  * @param resumedEventId the identifier of the last event that the caller has of a stream that it resumes; empty if none
+ * @param resumedRequestId the identifier of the request that brought the first event of that stream; empty if unnamed
  * @param arrivedNanos the time at which the request was read
  * @param deadlineNanos the earlier of the caller's deadline and the timeout of the route
  * @param urgency the urgency in an engine; zero is the most urgent
@@ -46,6 +47,7 @@
         long prefixHash,
         List<String> sharedParts,
         String resumedEventId,
+        String resumedRequestId,
         long arrivedNanos,
         long deadlineNanos,
         int urgency) {
@@ -57,7 +59,7 @@
         sharedParts = List.copyOf(sharedParts);
     }
 
-    /** Create a request with the urgency of its route. */
+    /** Create a request with the urgency of its route, which does not name the one that began the stream. */
     public InboundRequest(
             String id,
             String method,
@@ -92,6 +94,7 @@
                 prefixHash,
                 sharedParts,
                 resumedEventId,
+                "",
                 arrivedNanos,
                 deadlineNanos,
                 route.urgency());
@@ -126,6 +129,24 @@
                 .orElse(0.0);
     }
 
+    /**
+     * Return whether the caller takes up a stream that has broken off.
+     *
+     * @return whether the answer goes on after an event that the caller has
+     */
+    public boolean takesUpStream() {
+        return route.kind().isStreaming() && route.mayRepeat() && !resumedEventId.isEmpty();
+    }
+
+    /**
+     * Return the request that brought the first event of the stream, if this one brings any.
+     *
+     * @return the identifier of this request, or that of an earlier one of the caller; empty if it does not name it
+     */
+    public String streamOriginId() {
+        return takesUpStream() ? resumedRequestId : id;
+    }
+
     /**
      * Return whether the request is for a model.
      *
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatcher.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatcher.java
@@ -238,6 +238,11 @@
                 runnerPort.send(runner.entry(), request, lastEventId, request.deadlineNanos(), sentBefore, attempt));
     }
 
+    /** Bind the rest of a stream to the version of the runner that has sent its first event. */
+    void streamBegun(ActiveRequest active, KnownRunner runner) {
+        chooser.streamBegun(active, runner);
+    }
+
     /** End a request whose answer was relayed completely. */
     void complete(ActiveRequest active, String outcome) {
         log.answered(active, metrics);
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatchers.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatchers.java
@@ -2,9 +2,7 @@
 
 import org.arbutusstack.gateway.quarantine.ContentQuarantine;
 import org.arbutusstack.gateway.quarantine.CrashMonitor;
-import org.arbutusstack.gateway.runner.RunnerTable;
 import org.arbutusstack.kernel.time.Clock;
-import org.arbutusstack.routing.TwoChoiceSelector;
 
 /** Factory for request dispatchers. */
 public final class RequestDispatchers {
@@ -14,10 +12,9 @@
     /**
      * Create a dispatcher that chooses runners as entries do.
      *
-     * @param runners the known runners
+     * @param routing what the choice of a runner depends on
      * @param runnerPort sends requests to runners
      * @param callers writes answers and refusals to callers
-     * @param zones the choice of availability zones; its home zone is preferred among equal runners
      * @param clock the clock of the process
      * @param limits the limits on the attempts of requests
      * @param metrics the metrics of requests
@@ -26,18 +23,16 @@
      * @return the dispatcher
      */
     public static RequestDispatcher create(
-            RunnerTable runners,
+            RoutingContext routing,
             RunnerPort runnerPort,
             CallerPort callers,
-            ZoneCandidates zones,
             Clock clock,
             AttemptLimits limits,
             GatewayMetrics metrics,
             ContentQuarantine quarantine,
             CrashMonitor crashMonitor) {
         PromptAdmission admission = new PromptAdmission(limits.maxPromptHoldMillis(), clock);
-        TwoChoiceSelector selector = new TwoChoiceSelector(zones.homeZone());
-        RunnerChooser chooser = new RunnerChooser(runners, selector, zones.homeZone(), zones, admission, clock);
+        RunnerChooser chooser = new RunnerChooser(routing, admission, clock);
         return new RequestDispatcher(
                 chooser,
                 admission,
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
@@ -7,6 +7,8 @@
 import org.arbutusstack.gateway.runner.KnownRunner;
 import org.arbutusstack.gateway.runner.RunnerEntry;
 import org.arbutusstack.gateway.runner.RunnerTable;
+import org.arbutusstack.gateway.stream.StreamOrigin;
+import org.arbutusstack.gateway.stream.StreamOrigins;
 import org.arbutusstack.kernel.Assert;
 import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.routing.RoutingRequest;
@@ -45,18 +47,15 @@
 
     private final PromptAdmission admission;
 
-    RunnerChooser(
-            RunnerTable runners,
-            TwoChoiceSelector engineSelector,
-            String zone,
-            ZoneCandidates zones,
-            PromptAdmission admission,
-            Clock clock) {
+    private final StreamOrigins origins;
+
+    RunnerChooser(RoutingContext routing, PromptAdmission admission, Clock clock) {
+        this.runners = routing.runners();
+        this.zones = routing.zones();
+        this.zone = zones.homeZone();
+        this.engineSelector = new TwoChoiceSelector(zone);
+        this.origins = routing.origins();
         this.admission = Assert.notNull(admission, "admission");
-        this.runners = Assert.notNull(runners, "runners");
-        this.engineSelector = Assert.notNull(engineSelector, "engineSelector");
-        this.zone = Assert.notNull(zone, "zone");
-        this.zones = Assert.notNull(zones, "zones");
         this.clock = Assert.notNull(clock, "clock");
     }
 
@@ -90,10 +89,23 @@
         /** Wait for the model: no runner holds it. */
         record AwaitModel() implements Choice {}
 
+        /** Wait for the sides' answers to the question at which version the stream has begun. */
+        record AwaitOrigin() implements Choice {}
+
         /** Refuse the request: no runner of its service accepts requests, or none that can continue its stream. */
         record NoRunner(String detail) implements Choice {}
     }
 
+    /** Record that a runner has sent the first event of a stream, which binds the rest of it to the same version. */
+    void streamBegun(ActiveRequest active, KnownRunner runner) {
+        String version = runner.entry().softwareVersion();
+        active.streamVersion(version);
+        InboundRequest request = active.request();
+        if (request.route().mayRepeat() && !request.streamOriginId().isEmpty()) {
+            origins.begun(request.streamOriginId(), version);
+        }
+    }
+
     Choice choose(ActiveRequest active) {
         InboundRequest request = active.request();
         List<KnownRunner> available = new ArrayList<>(runners.takingWork(request.service()));
@@ -101,6 +113,10 @@
         if (available.isEmpty()) {
             return NONE_TAKES_WORK;
         }
+        Optional<Choice> withoutOrigin = findOrigin(active);
+        if (withoutOrigin.isPresent()) {
+            return withoutOrigin.get();
+        }
         if (active.streamVersion().isPresent()) {
             String version = active.streamVersion().get();
             available.removeIf(runner -> !canContinue(runner, version, request.model()));
@@ -111,6 +127,26 @@
         return request.needsModel() ? chooseEngine(active, available) : choosePlain(active, available);
     }
 
+    /** Find out where a stream that the caller takes up has begun; return what to do if that is not known. */
+    private Optional<Choice> findOrigin(ActiveRequest active) {
+        InboundRequest request = active.request();
+        if (!request.takesUpStream() || active.streamVersion().isPresent()) {
+            return Optional.empty();
+        }
+        StreamOrigin origin = origins.find(request.service(), request.streamOriginId());
+        if (origin instanceof StreamOrigin.Known known) {
+            active.streamVersion(known.version());
+            return Optional.empty();
+        }
+        if (origin instanceof StreamOrigin.Any) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                origin instanceof StreamOrigin.Pending
+                        ? new Choice.AwaitOrigin()
+                        : new Choice.NoRunner("nobody remembers which version began the stream"));
+    }
+
     /** Return whether a runner can continue a stream: versions read each other's streams wrongly without noticing. */
     private static boolean canContinue(KnownRunner runner, String version, String model) {
         boolean holdsModel = model.isEmpty() || runner.holds(model);
--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/RunnerTable.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/RunnerTable.java
@@ -52,6 +52,15 @@
         directoryLost = true;
     }
 
+    /**
+     * Return whether the directory cannot be read, so that runners may have come and gone unseen.
+     *
+     * @return whether the directory is lost
+     */
+    public boolean isDirectoryLost() {
+        return directoryLost;
+    }
+
     /** Record that the directory can be read again, and restart the time to register again. */
     public void directoryRegained() {
         directoryLost = false;
--- /dev/null
+++ b/gateway/src/main/java/org/arbutusstack/gateway/stream/VersionHistory.java
@@ -0,0 +1,66 @@
+package org.arbutusstack.gateway.stream;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.arbutusstack.gateway.runner.KnownRunner;
+import org.arbutusstack.gateway.runner.RunnerTable;
+import org.arbutusstack.kernel.Assert;
+import org.arbutusstack.kernel.time.Clock;
+
+/**
+ * The versions of the software that the runners of each service have had lately. Does no I/O; confined to the entry's
+ * event loop.
+ */
+public final class VersionHistory {
+
+    private final RunnerTable runners;
+
+    private final Clock clock;
+
+    private final Map<String, Map<String, Long>> seenAtNanosByService = new HashMap<>();
+
+    /** Since when this entry has seen each version that served. */
+    private long completeSinceNanos;
+
+    /**
+     * Create a history that begins now.
+     *
+     * @param runners the known runners
+     * @param clock the clock of the process
+     */
+    public VersionHistory(RunnerTable runners, Clock clock) {
+        this.runners = Assert.notNull(runners, "runners");
+        this.clock = Assert.notNull(clock, "clock");
+        this.completeSinceNanos = clock.nowNanos();
+    }
+
+    /** Record the versions of the runners known now; has to be called several times a second. */
+    public void observe() {
+        if (runners.isDirectoryLost() || runners.all().isEmpty()) {
+            completeSinceNanos = clock.nowNanos();
+        }
+        for (KnownRunner runner : runners.all()) {
+            seenAtNanosByService
+                    .computeIfAbsent(runner.entry().service(), service -> new HashMap<>())
+                    .put(runner.entry().softwareVersion(), clock.nowNanos());
+        }
+        seenAtNanosByService.values().forEach(seen -> seen.values().removeIf(this::isForgotten));
+        seenAtNanosByService.values().removeIf(Map::isEmpty);
+    }
+
+    private boolean isForgotten(long seenAtNanos) {
+        return clock.isPast(seenAtNanos + StreamOriginMemory.RETENTION_MILLIS * Clock.NANOS_PER_MILLI);
+    }
+
+    /**
+     * Return whether all streams of a service that may still go on have begun at the same version.
+     *
+     * @param service the name of the service
+     * @return {@code false} also if another version may have served without this entry having seen it
+     */
+    public boolean hasOneVersion(String service) {
+        observe();
+        return isForgotten(completeSinceNanos)
+                && seenAtNanosByService.getOrDefault(service, Map.of()).size() <= 1;
+    }
+}
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/DispatcherHarness.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/DispatcherHarness.java
@@ -20,6 +20,7 @@
 import org.arbutusstack.gateway.runner.PermitClient;
 import org.arbutusstack.gateway.runner.RunnerEntry;
 import org.arbutusstack.gateway.runner.RunnerTable;
+import org.arbutusstack.gateway.stream.StreamOrigins;
 import org.arbutusstack.http.client.HttpTarget;
 import org.arbutusstack.kernel.time.ManualClock;
 import org.arbutusstack.wire.frame.Frame;
@@ -69,6 +70,8 @@
 
     final ZoneCandidates zones;
 
+    final StreamOrigins origins;
+
     final RequestDispatcher dispatcher;
 
     /** The shared prompt parts of the requests that are sent. */
@@ -80,6 +83,12 @@
     /** The last event that the callers of the requests that are sent have. */
     String resumedEventId = "";
 
+    /** The request that brought the first event of the stream that the requests that are sent take up. */
+    String resumedRequestId = "";
+
+    /** Begins the identifiers of the requests that are sent. */
+    String idPrefix = "q";
+
     private int number;
 
     DispatcherHarness() {
@@ -95,6 +104,15 @@
     }
 
     DispatcherHarness(RetryLimits limits, long maxHeldAnswerBytes, long zonePenaltyMillis) {
+        this(limits, maxHeldAnswerBytes, zonePenaltyMillis, new FakeSides());
+    }
+
+    /** Create an entry that is linked to sides, which it may share with others. */
+    DispatcherHarness(FakeSides sides) {
+        this(RetryLimits.ofFleet(1, 160), MAX_HELD_ANSWER_BYTES, 0, sides);
+    }
+
+    private DispatcherHarness(RetryLimits limits, long maxHeldAnswerBytes, long zonePenaltyMillis, FakeSides sides) {
         PermitClient permits = new PermitClient("edge-1", table, (runner, frame) -> permitRequests.add(frame), () -> 4);
         backpressure = new Backpressure(MAX_HELD_BYTES, true, clock, registry);
         AllotmentShare share = new AllotmentShare(() -> 1, () -> 1, clock);
@@ -103,11 +121,11 @@
                 (host, frame) -> {}, () -> false, new TrialSchedule("edge-1", () -> 1, clock), clock, registry);
         crashMonitor = new CrashMonitor(probe, server -> "/health", quarantine::strikeReceived, clock, registry);
         zones = new ZoneCandidates("regina", zonePenaltyMillis, clock);
+        origins = new StreamOrigins(sides, () -> sides.linkedPart, table, clock);
         dispatcher = RequestDispatchers.create(
-                table,
+                new RoutingContext(table, zones, origins),
                 runners,
                 FakeCaller.PORT,
-                zones,
                 clock,
                 new AttemptLimits(
                         limits, permits, allotments, maxHeldAnswerBytes, backpressure, MAX_PROMPT_HOLD_MILLIS),
@@ -193,7 +211,7 @@
         FakeCaller caller = new FakeCaller();
         dispatcher.submit(
                 new InboundRequest(
-                        "q" + number,
+                        idPrefix + number,
                         "POST",
                         "/p/x",
                         Map.of(),
@@ -208,8 +226,10 @@
                         0,
                         sharedParts,
                         resumedEventId,
+                        resumedRequestId,
                         clock.nowNanos(),
-                        clock.deadlineNanos(route.timeoutMillis())),
+                        clock.deadlineNanos(route.timeoutMillis()),
+                        route.urgency()),
                 caller);
         return caller;
     }
--- a/testkit/src/main/java/org/arbutusstack/testkit/platform/PlatformRunnerStandIn.java
+++ b/testkit/src/main/java/org/arbutusstack/testkit/platform/PlatformRunnerStandIn.java
@@ -83,6 +83,8 @@
 
     private volatile boolean startInHealthChecks;
 
+    private volatile String softwareVersion = "v1";
+
     /**
      * Create a runner.
      *
@@ -149,6 +151,15 @@
         startInHealthChecks = true;
     }
 
+    /**
+     * Register with another version of the software from now on.
+     *
+     * @param version the version
+     */
+    public void softwareVersion(String version) {
+        softwareVersion = version;
+    }
+
     /**
      * Delay all answers from now on.
      *
@@ -215,7 +226,10 @@
     public String entry(String service, String state) {
         ObjectNode entry = Json.object();
         entry.put("service", service).put("address", address()).put("zone", "z1");
-        entry.put("version", "v1").put("slots", 8).put("state", state).put("born", startedAtMillis);
+        entry.put("version", softwareVersion)
+                .put("slots", 8)
+                .put("state", state)
+                .put("born", startedAtMillis);
         putModels(entry);
         return entry.toString();
     }
--- a/wire/src/main/java/org/arbutusstack/wire/frame/Frame.java
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/Frame.java
@@ -29,6 +29,8 @@
                 PlanFrame,
                 SideReportFrame,
                 LoadFrame,
+                StreamOriginFrame,
+                StreamOriginRequestFrame,
                 StrikeFrame,
                 RunnerStatusFrame,
                 EngineCatalogFrame,
--- a/wire/src/main/java/org/arbutusstack/wire/frame/FrameType.java
+++ b/wire/src/main/java/org/arbutusstack/wire/frame/FrameType.java
@@ -84,7 +84,13 @@
     ALLOTMENT_REQUEST(71, AllotmentRequestFrame::read),
 
     /** See {@link AllotmentGrantFrame}. */
-    ALLOTMENT_GRANT(72, AllotmentGrantFrame::read);
+    ALLOTMENT_GRANT(72, AllotmentGrantFrame::read),
+
+    /** See {@link StreamOriginFrame}. */
+    STREAM_ORIGIN(73, StreamOriginFrame::read),
+
+    /** See {@link StreamOriginRequestFrame}. */
+    STREAM_ORIGIN_REQUEST(74, StreamOriginRequestFrame::read);
 
     private final int code;
 
--- a/wire/src/test/java/org/arbutusstack/wire/frame/FrameCodecTests.java
+++ b/wire/src/test/java/org/arbutusstack/wire/frame/FrameCodecTests.java
@@ -7,6 +7,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.arbutusstack.kernel.digest.Digest;
 import org.arbutusstack.model.host.HostRole;
 import org.arbutusstack.model.request.Refusal;
@@ -40,6 +41,10 @@
             {new ProtocolErrorFrame("bad")},
             {new LostRequestFrame(1_700_000_000_000L, 250, List.of("part:a", "request:b"))},
             {new PermitRequestFrame("i-1@1700000000000", 1.5, 120)},
+            {new StreamOriginFrame("q1", Optional.of("v1"))},
+            {new StreamOriginFrame("q1", Optional.of(""))},
+            {new StreamOriginFrame("q1", Optional.empty())},
+            {new StreamOriginRequestFrame("q1")},
             {new PermitFrame("i-1@1700000000000", 420)},
             {new AllotmentRequestFrame("raven", "edge-1", 9, -7, 12_345, 3, 142_654, 142_654, 1 / 22.0, 3_000, 250, 150)
             },
