Keep a leaving runner out when an older copy lists it as ready

After the store has come back from an older copy, its entries may list a runner as ready that had announced to leave, or that has left.

Cause: RunnerTable took each entry of the same incarnation for newer than the one before.

Change: leaving is for good. An entry that lists the same incarnation as ready again is ignored while the runner leaves, and for a minute after it has left. A runner that does not state its start may be another one under the same identifier, and is taken as before.

Evidence: RunnerTableTests#shouldSendNothingMoreToLeavingRunnerWhenOlderEntryIsReadAgain, red before; the test beside it, for runners that do not state their start, holds before and after.

--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/RunnerTable.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/RunnerTable.java
@@ -26,6 +26,9 @@
     /** Time for live runners to register again; their entries return about two seconds after the end of an outage. */
     private static final long REREGISTRATION_MILLIS = 2_200;
 
+    /** How long a runner that has left is remembered; an older copy of the directory may still list it as ready. */
+    private static final long DEPARTED_MILLIS = 60_000;
+
     private final Clock clock;
 
     private final Map<String, KnownRunner> runners = new HashMap<>();
@@ -33,6 +36,9 @@
     /** Deadlines for runners whose entries have expired to register again, by identifier. */
     private final Map<String, Long> missingDeadlinesNanos = new HashMap<>();
 
+    /** Until when incarnations that have left are remembered. */
+    private final Map<String, Long> departedUntilNanos = new HashMap<>();
+
     private boolean directoryLost;
 
     private long reregistrationDeadlineNanos;
@@ -87,13 +93,17 @@
     }
 
     /**
-     * Add or update a runner; an entry of an earlier incarnation is ignored.
+     * Add or update a runner; an entry of an earlier incarnation is ignored, and so is one that lists a runner as ready
+     * again that leaves or has left.
      *
      * @param entry the new or changed entry
      */
     public void put(RunnerEntry entry) {
         missingDeadlinesNanos.remove(entry.id());
         KnownRunner known = runners.get(entry.id());
+        if (!entry.leaving() && isDeparting(entry, known)) {
+            return;
+        }
         if (known != null && known.entry().isSameIncarnation(entry)) {
             if (entry.leaving() && !known.entry().leaving()) {
                 logger.info("event=runner-leaving runner={} service={}", entry.id(), entry.service());
@@ -117,6 +127,20 @@
         supersedeAt(entry);
     }
 
+    /**
+     * Return whether an incarnation leaves or has left, which is for good. A runner that does not state its start may be
+     * another one under the same identifier.
+     */
+    private boolean isDeparting(RunnerEntry entry, KnownRunner known) {
+        if (entry.startedAtMillis() == 0) {
+            return false;
+        }
+        boolean isLeaving = known != null
+                && known.entry().isSameIncarnation(entry)
+                && known.entry().leaving();
+        return isLeaving || departedUntilNanos.containsKey(entry.incarnation());
+    }
+
     /** Stop sending to all but the latest runner at an address, since the others have ended. */
     private void supersedeAt(RunnerEntry entry) {
         List<KnownRunner> sameAddress = new ArrayList<>();
@@ -156,6 +180,9 @@
         missingDeadlinesNanos.remove(id);
         if (known != null) {
             known.markRemoved();
+            if (known.entry().leaving()) {
+                departedUntilNanos.put(known.entry().incarnation(), clock.deadlineNanos(DEPARTED_MILLIS));
+            }
             logger.info(
                     "event=runner-gone runner={} service={} cause={}",
                     id,
@@ -166,6 +193,7 @@
 
     /** Remove the runners that did not register again after an outage. */
     public void tick() {
+        departedUntilNanos.values().removeIf(clock::isPast);
         if (directoryLost || missingDeadlinesNanos.isEmpty()) {
             return;
         }
--- a/gateway/src/test/java/org/arbutusstack/gateway/runner/RunnerTableTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/runner/RunnerTableTests.java
@@ -72,6 +72,40 @@
         assertTrue(table.all().isEmpty());
     }
 
+    /** Guards against work for a runner that leaves, since an older copy of the directory still lists it as ready. */
+    @Test
+    public void shouldSendNothingMoreToLeavingRunnerWhenOlderEntryIsReadAgain() {
+        for (boolean isRemovedMeanwhile : new boolean[] {false, true}) {
+            RunnerTable table = settledTable();
+            table.put(entry("a", 1, true));
+            if (isRemovedMeanwhile) {
+                table.remove("a");
+            }
+            table.replaceAll(List.of(entry("a", 1, false)));
+            clock.advanceMillis(20_000);
+            table.tick();
+            table.put(entry("a", 1, false));
+            assertTrue(table.takingWork(SERVICE).isEmpty());
+            table.put(entry("a", 2, false));
+            assertEquals(table.takingWork(SERVICE).size(), 1);
+        }
+    }
+
+    /** Guards against excluding a runner that starts again under its identifier and does not state its start. */
+    @Test
+    public void shouldSendToReadyRunnerAgainWhenStartIsNotStated() {
+        for (boolean isRemovedMeanwhile : new boolean[] {false, true}) {
+            RunnerTable table = settledTable();
+            table.remove("a");
+            table.put(entry("a", 0, true));
+            if (isRemovedMeanwhile) {
+                table.remove("a");
+            }
+            table.put(entry("a", 0, false));
+            assertEquals(table.takingWork(SERVICE).size(), 1);
+        }
+    }
+
     @Test
     public void shouldReplaceRunnerWhenALaterIncarnationHasTheSameId() {
         RunnerTable table = settledTable();
