Ask for the origin of a stream even where only one version is known

What callers could see: a join of two versions (ORDER, "in touch or not") at an entry that has been frozen, or that reads the directory late, and therefore knows only the version that served before.

Change: the sides are asked for each stream that is taken up; only if none of them knows it does the history of versions decide.

--- a/gateway/src/main/java/org/arbutusstack/gateway/stream/StreamOrigins.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/stream/StreamOrigins.java
@@ -100,20 +100,25 @@
         if (version.isPresent()) {
             return new StreamOrigin.Known(version.get());
         }
+        if (!requestId.isEmpty() && isPending(requestId)) {
+            return new StreamOrigin.Pending();
+        }
         if (history.hasOneVersion(service)) {
             return new StreamOrigin.Any();
         }
-        if (requestId.isEmpty()) {
-            return new StreamOrigin.Unknown();
-        }
+        logger.info("event=stream-origin-unknown service={} request={}", service, requestId);
+        return new StreamOrigin.Unknown();
+    }
+
+    /** Ask the sides, and return whether one of them may still know the stream. */
+    private boolean isPending(String requestId) {
         Lookup lookup = lookups.computeIfAbsent(requestId, id -> new Lookup(id, clock.deadlineNanos(LOOKUP_MILLIS)));
         lookup.ask();
-        if (!lookup.hasFailed()) {
-            return new StreamOrigin.Pending();
+        if (lookup.hasFailed()) {
+            lookups.remove(requestId);
+            return false;
         }
-        lookups.remove(requestId);
-        logger.info("event=stream-origin-unknown service={} request={}", service, requestId);
-        return new StreamOrigin.Unknown();
+        return true;
     }
 
     /**
