--- a/gateway/src/main/java/org/arbutusstack/gateway/runner/RunnerTable.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/runner/RunnerTable.java
@@ -93,8 +93,8 @@
     }
 
     /**
-     * Add or update a runner; an entry of an earlier incarnation is ignored, and so is one that lists a runner as ready
-     * again that leaves or has left.
+     * Add or update a runner; an entry of an earlier incarnation is ignored, and so is one that lists as ready a runner
+     * that leaves or has left.
      *
      * @param entry the new or changed entry
      */
@@ -128,8 +128,8 @@
     }
 
     /**
-     * Return whether an incarnation leaves or has left, which is for good. A runner that does not state its start may be
-     * another one under the same identifier.
+     * Return whether an incarnation leaves or has left, which is for good. A runner that does not state its start may
+     * be another one under the same identifier.
      */
     private boolean isDeparting(RunnerEntry entry, KnownRunner known) {
         if (entry.startedAtMillis() == 0) {
