Let streams of services that name no software version go on anywhere

What callers could see: 503 for a stream taken up at an entry that has just started, on a deployment whose runners name no version.

Cause: a version that is not named counted as one of several.

Change: if no runner of a service names a version, versions do not matter there, as before this issue.

--- a/gateway/src/main/java/org/arbutusstack/gateway/stream/VersionHistory.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/stream/VersionHistory.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import org.arbutusstack.gateway.runner.KnownRunner;
 import org.arbutusstack.gateway.runner.RunnerTable;
 import org.arbutusstack.kernel.Assert;
@@ -16,6 +17,9 @@
     /** Several times the interval between observations; the process was held up if it is longer. */
     private static final long MAX_INTERVAL_MILLIS = 500;
 
+    /** The versions of a service whose runners do not name theirs. */
+    private static final Set<String> UNNAMED = Set.of("");
+
     private final RunnerTable runners;
 
     private final Clock clock;
@@ -61,14 +65,16 @@
     }
 
     /**
-     * Return whether all streams of a service that may still go on have begun at the same version.
+     * Return whether all streams of a service that may still go on have begun at the same version. That also holds if
+     * none of its runners names a version.
      *
      * @param service the name of the service
      * @return {@code false} also if another version may have served without this entry having seen it
      */
     public boolean hasOneVersion(String service) {
         observe();
-        return isForgotten(completeSinceNanos)
-                && seenAtNanosByService.getOrDefault(service, Map.of()).size() <= 1;
+        Set<String> versions =
+                seenAtNanosByService.getOrDefault(service, Map.of()).keySet();
+        return versions.equals(UNNAMED) || isForgotten(completeSinceNanos) && versions.size() <= 1;
     }
 }
