Load the model at the software version at which a stream has to go on

Cause: a stream bound to a version was broken off or refused as soon as no runner of that version held its model. The planner counts copies over all versions, so it saw no need for one there.

Change: such a request waits for the model like one whose model nobody holds, and is refused at once only if the forecast ends after its caller has left - counted from the last event that it got, not from its arrival. Entries report these requests by version, and the planner decides on the runners of that version with them as the only demand (EngineFleet.part): no other model gets a copy, and one in use keeps its own.

--- a/gateway/src/main/java/org/arbutusstack/gateway/plan/DemandAggregator.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/plan/DemandAggregator.java
@@ -99,6 +99,26 @@
         return demand;
     }
 
+    /**
+     * Return the requests that wait for a model at one version of the software only, by version and model.
+     *
+     * @param service the name of the service
+     * @return the number of requests
+     */
+    Map<String, Map<String, Integer>> waitingByVersion(String service) {
+        Map<String, Map<String, Integer>> sum = new HashMap<>();
+        for (Report report : reportsByEntry.values()) {
+            if (report.frame().service().equals(service) && !clock.isPast(report.untilNanos())) {
+                report.frame()
+                        .waitingByVersion()
+                        .forEach((version, models) ->
+                                models.forEach((model, count) -> sum.computeIfAbsent(version, key -> new HashMap<>())
+                                        .merge(model, count, Integer::sum)));
+            }
+        }
+        return sum;
+    }
+
     /** Last report of one entry for one service. */
     private record Report(ModelDemandFrame frame, long untilNanos) {}
 
--- a/gateway/src/main/java/org/arbutusstack/gateway/plan/ModelPlanner.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/plan/ModelPlanner.java
@@ -6,12 +6,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.arbutusstack.gateway.config.EngineModel;
 import org.arbutusstack.gateway.config.EngineSpec;
 import org.arbutusstack.gateway.config.ServedService;
 import org.arbutusstack.gateway.config.ServingConfig;
 import org.arbutusstack.gateway.request.RequestDispatcher;
 import org.arbutusstack.gateway.runner.KnownRunner;
+import org.arbutusstack.gateway.runner.RunnerEntry;
 import org.arbutusstack.gateway.runner.RunnerTable;
 import org.arbutusstack.kernel.Assert;
 import org.arbutusstack.kernel.ring.IsolatedSteps;
@@ -155,13 +157,17 @@
         for (ServedService service : config.engineServices()) {
             Map<String, Integer> inFlight = new HashMap<>();
             Map<String, Integer> waiting = new HashMap<>();
+            Map<String, Map<String, Integer>> waitingByVersion = new HashMap<>();
             dispatcher.requestsByModel(service.name()).forEach((model, use) -> {
                 inFlight.put(model, use.inFlight());
                 if (use.waiting() > 0) {
                     waiting.put(model, use.waiting());
                 }
+                use.waitingByVersion().forEach((version, count) -> waitingByVersion
+                        .computeIfAbsent(version, key -> new HashMap<>())
+                        .put(model, count));
             });
-            frames.add(new ModelDemandFrame(entryName, service.name(), inFlight, waiting));
+            frames.add(new ModelDemandFrame(entryName, service.name(), inFlight, waiting, waitingByVersion));
         }
         return frames;
     }
@@ -220,14 +226,33 @@
         }
         EngineFleet fleet =
                 new EngineFleet(spec.slots(), models, accepting, demand.demand(service.name(), models.keySet()));
-        for (ModelMove move : planner.decide(fleet, loadLimiter.available())) {
-            sendOrder(move, fleet.demand().get(move.load()));
-        }
+        Set<String> occupied = sendOrders(fleet);
+        demand.waitingByVersion(service.name())
+                .forEach((version, waiting) ->
+                        occupied.addAll(sendOrders(fleet.part(runnersOf(service.name(), version), occupied, waiting))));
         Map<String, Double> requests = new HashMap<>();
         fleet.demand().forEach((model, modelDemand) -> requests.put(model, modelDemand.requests()));
         return requests;
     }
 
+    /** Decide on the moves of a fleet or a part of it and send them as orders; return the runners concerned. */
+    private Set<String> sendOrders(EngineFleet fleet) {
+        Set<String> ordered = new HashSet<>();
+        for (ModelMove move : planner.decide(fleet, loadLimiter.available())) {
+            sendOrder(move, fleet.demand().get(move.load()));
+            ordered.add(move.runner());
+        }
+        return ordered;
+    }
+
+    private Set<String> runnersOf(String service, String version) {
+        return runners.takingWork(service).stream()
+                .map(KnownRunner::entry)
+                .filter(entry -> entry.softwareVersion().equals(version))
+                .map(RunnerEntry::id)
+                .collect(Collectors.toSet());
+    }
+
     private EngineFleet.Runner describe(KnownRunner runner, EngineSpec spec) {
         RunnerStatusFrame status = runner.status();
         Set<String> held = new HashSet<>();
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/ModelDemand.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/ModelDemand.java
@@ -38,9 +38,11 @@
      * Return the expected time of a load that ends after the caller has left, in milliseconds; empty if it is
      * earlier.
      */
-    OptionalLong loadBeyondPatienceMillis(InboundRequest request) {
-        long loadMillis = chooser.loadMillis(request, forecast);
-        long callerEndNanos = request.arrivedNanos() + request.route().callerTimeoutMillis() * Clock.NANOS_PER_MILLI;
+    OptionalLong loadBeyondPatienceMillis(ActiveRequest active) {
+        InboundRequest request = active.request();
+        long loadMillis = chooser.loadMillis(active, forecast);
+        long callerEndNanos =
+                active.progress().waitsSinceNanos() + request.route().callerTimeoutMillis() * Clock.NANOS_PER_MILLI;
         long remainingMillis = Math.min(clock.millisUntil(callerEndNanos), clock.millisUntil(request.deadlineNanos()));
         return loadMillis >= remainingMillis ? OptionalLong.of(loadMillis) : OptionalLong.empty();
     }
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatcher.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RequestDispatcher.java
@@ -203,7 +203,7 @@
 
     /** Await a load expected before the caller times out; else refuse, with the expected load time as Retry-After. */
     private void awaitModel(ActiveRequest active) {
-        modelDemand.loadBeyondPatienceMillis(active.request()).ifPresent(loadMillis -> {
+        modelDemand.loadBeyondPatienceMillis(active).ifPresent(loadMillis -> {
             modelDemand.addAwaitingModel(active.request(), loadMillis);
             String detail = "no runner holds the model, and a load ends after the caller has left";
             refuse(active, Refusal.notRun(RefusalReason.DEADLINE_UNREACHABLE, detail), loadMillis);
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
@@ -33,6 +33,9 @@
     /** Number of status queries for a request after which only runners with a recent status are considered. */
     private static final int MAX_STATUS_QUERIES = 2;
 
+    private static final Choice NONE_OF_VERSION =
+            new Choice.NoRunner("no runner of the version that began the stream takes work");
+
     private static final Choice NONE_TAKES_WORK = new Choice.NoRunner("no runner of the service takes work");
 
     private final RunnerTable runners;
@@ -108,25 +111,28 @@
 
     Choice choose(ActiveRequest active) {
         InboundRequest request = active.request();
-        List<KnownRunner> available = new ArrayList<>(runners.takingWork(request.service()));
-        available.removeIf(runner -> runner.outcomes().isUnreachable());
-        if (available.isEmpty()) {
-            return NONE_TAKES_WORK;
-        }
         Optional<Choice> withoutOrigin = findOrigin(active);
         if (withoutOrigin.isPresent()) {
             return withoutOrigin.get();
         }
-        if (active.streamVersion().isPresent()) {
-            String version = active.streamVersion().get();
-            available.removeIf(runner -> !canContinue(runner, version, request.model()));
-        }
+        List<KnownRunner> available = takingWork(active);
+        available.removeIf(runner -> runner.outcomes().isUnreachable());
         if (available.isEmpty()) {
-            return new Choice.NoRunner("no runner of the version that began the stream can continue it");
+            return active.streamVersion().isPresent() ? NONE_OF_VERSION : NONE_TAKES_WORK;
         }
         return request.needsModel() ? chooseEngine(active, available) : choosePlain(active, available);
     }
 
+    /** Return the runners that take work and may serve a request: versions misread each other's streams unnoticed. */
+    private List<KnownRunner> takingWork(ActiveRequest active) {
+        List<KnownRunner> accepting =
+                new ArrayList<>(runners.takingWork(active.request().service()));
+        active.streamVersion()
+                .ifPresent(version -> accepting.removeIf(
+                        runner -> !runner.entry().softwareVersion().equals(version)));
+        return accepting;
+    }
+
     /** Find out where a stream that the caller takes up has begun; return what to do if that is not known. */
     private Optional<Choice> findOrigin(ActiveRequest active) {
         InboundRequest request = active.request();
@@ -147,12 +153,6 @@
                         : new Choice.NoRunner("nobody remembers which version began the stream"));
     }
 
-    /** Return whether a runner can continue a stream: versions read each other's streams wrongly without noticing. */
-    private static boolean canContinue(KnownRunner runner, String version, String model) {
-        boolean holdsModel = model.isEmpty() || runner.holds(model);
-        return holdsModel && runner.entry().softwareVersion().equals(version);
-    }
-
     private Choice choosePlain(ActiveRequest active, List<KnownRunner> available) {
         List<KnownRunner> permitted = withoutLimited(available);
         if (permitted.isEmpty()) {
@@ -313,9 +313,10 @@
         return known.stream().map(KnownRunner::view).toList();
     }
 
-    /** Forecast the time until a runner holds the model of a request, in milliseconds. */
-    long loadMillis(InboundRequest request, LoadForecast forecast) {
-        return forecast.remainingMillis(request.service(), request.model(), runners.takingWork(request.service()));
+    /** Forecast the time until a runner that can serve a request holds its model, in milliseconds. */
+    long loadMillis(ActiveRequest active, LoadForecast forecast) {
+        InboundRequest request = active.request();
+        return forecast.remainingMillis(request.service(), request.model(), takingWork(active));
     }
 
     /** Exclude the runners that failed the request or are suspected, as long as others remain. */
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/StreamProgress.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/StreamProgress.java
@@ -32,6 +32,11 @@
         lastAtNanos = nowNanos;
     }
 
+    /** Return since when the caller has been waiting for the next event: the last one, or the arrival of the request. */
+    long waitsSinceNanos() {
+        return firstMillis < 0 ? request.arrivedNanos() : lastAtNanos;
+    }
+
     /** Return whether the first event or a gap between events exceeded its target. */
     boolean isLate() {
         return isFirstEventLate() || maxGapMillis > request.route().targetGapMillis();
--- a/wire/src/test/java/org/arbutusstack/wire/frame/FrameCodecTests.java
+++ b/wire/src/test/java/org/arbutusstack/wire/frame/FrameCodecTests.java
@@ -42,6 +42,7 @@
             {new LostRequestFrame(1_700_000_000_000L, 250, List.of("part:a", "request:b"))},
             {new PermitRequestFrame("i-1@1700000000000", 1.5, 120)},
             {new StreamOriginFrame("q1", Optional.of("v1"))},
+            {new ModelDemandFrame("e", "s", Map.of("m", 3), Map.of("m", 2), Map.of("v1", Map.of("m", 1)))},
             {new StreamOriginFrame("q1", Optional.of(""))},
             {new StreamOriginFrame("q1", Optional.empty())},
             {new StreamOriginRequestFrame("q1")},
