--- a/gateway/src/main/java/org/arbutusstack/gateway/request/StreamProgress.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/StreamProgress.java
@@ -32,7 +32,7 @@
         lastAtNanos = nowNanos;
     }
 
-    /** Return since when the caller has been waiting for the next event: the last one, or the arrival of the request. */
+    /** Return since when the caller has been waiting for an event: since the last one, or since it came. */
     long waitsSinceNanos() {
         return firstMillis < 0 ? request.arrivedNanos() : lastAtNanos;
     }
