Count copies over the whole fleet when a model is loaded for one version

Cause: the decision saw the runners of one version only, with the demand for other models cut to a figure at which none gets a copy.

Change: the loads for requests bound to a version are decided on the state of the whole fleet, after the other moves; only the runners that may take them, and the wish for a copy there, are of the version.

--- a/gateway/src/main/java/org/arbutusstack/gateway/plan/ModelPlanner.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/plan/ModelPlanner.java
@@ -226,25 +226,19 @@
         }
         EngineFleet fleet =
                 new EngineFleet(spec.slots(), models, accepting, demand.demand(service.name(), models.keySet()));
-        Set<String> occupied = sendOrders(fleet);
-        demand.waitingByVersion(service.name())
-                .forEach((version, waiting) ->
-                        occupied.addAll(sendOrders(fleet.part(runnersOf(service.name(), version), occupied, waiting))));
+        List<ModelMove> moves = new ArrayList<>(planner.decide(fleet, loadLimiter.available()));
+        moves.forEach(move -> sendOrder(move, fleet));
+        demand.waitingByVersion(service.name()).forEach((version, waiting) -> {
+            List<ModelMove> bound =
+                    planner.decide(fleet, moves, runnersOf(service.name(), version), waiting, loadLimiter.available());
+            bound.forEach(move -> sendOrder(move, fleet));
+            moves.addAll(bound);
+        });
         Map<String, Double> requests = new HashMap<>();
         fleet.demand().forEach((model, modelDemand) -> requests.put(model, modelDemand.requests()));
         return requests;
     }
 
-    /** Decide on the moves of a fleet or a part of it and send them as orders; return the runners concerned. */
-    private Set<String> sendOrders(EngineFleet fleet) {
-        Set<String> ordered = new HashSet<>();
-        for (ModelMove move : planner.decide(fleet, loadLimiter.available())) {
-            sendOrder(move, fleet.demand().get(move.load()));
-            ordered.add(move.runner());
-        }
-        return ordered;
-    }
-
     private Set<String> runnersOf(String service, String version) {
         return runners.takingWork(service).stream()
                 .map(KnownRunner::entry)
@@ -280,7 +274,8 @@
                 status.storedCopies());
     }
 
-    private void sendOrder(ModelMove move, EngineFleet.ModelDemand modelDemand) {
+    private void sendOrder(ModelMove move, EngineFleet fleet) {
+        EngineFleet.ModelDemand modelDemand = fleet.demand().get(move.load());
         KnownRunner runner = runners.byId(move.runner());
         sequence++;
         ModelOrderFrame order = new ModelOrderFrame(
--- a/placement/src/main/java/org/arbutusstack/placement/EngineFleet.java
+++ b/placement/src/main/java/org/arbutusstack/placement/EngineFleet.java
@@ -1,7 +1,5 @@
 package org.arbutusstack.placement;
 
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -17,9 +15,6 @@
  */
 public record EngineFleet(int slots, Map<String, Model> models, List<Runner> runners, Map<String, ModelDemand> demand) {
 
-    /** Requests in progress at which a model keeps the copies that it has and gets no other one. */
-    private static final double MAX_UNWANTED_REQUESTS = 0.9;
-
     /** Copy the collections defensively. */
     public EngineFleet {
         models = Map.copyOf(models);
@@ -27,29 +22,6 @@
         demand = Map.copyOf(demand);
     }
 
-    /**
-     * Return the part of the fleet that has to hold some models for requests that other runners cannot serve.
-     *
-     * @param names the names of the runners
-     * @param occupied the names of those runners that have been assigned an order since this snapshot
-     * @param waiting the number of requests that wait for each model; no other model gets a copy, and one in use keeps
-     *     its own
-     * @return the runners, and the demand for models there
-     */
-    public EngineFleet part(Set<String> names, Set<String> occupied, Map<String, Integer> waiting) {
-        List<Runner> part = new ArrayList<>();
-        for (Runner runner : runners) {
-            if (names.contains(runner.name())) {
-                part.add(occupied.contains(runner.name()) ? runner.occupied() : runner);
-            }
-        }
-        Map<String, ModelDemand> demandOfPart = new HashMap<>();
-        demand.forEach((model, use) -> demandOfPart.put(
-                model, new ModelDemand(Math.min(use.requests(), MAX_UNWANTED_REQUESTS), 0, use.idleMillis())));
-        waiting.forEach((model, count) -> demandOfPart.put(model, new ModelDemand(count, count, 0)));
-        return new EngineFleet(slots, models, part, demandOfPart);
-    }
-
     ModelDemand demandFor(String model) {
         return demand.getOrDefault(model, ModelDemand.NONE);
     }
@@ -90,11 +62,6 @@
             held = Set.copyOf(held);
             storedCopies = Map.copyOf(storedCopies);
         }
-
-        /** Return the same runner while it executes an order. */
-        Runner occupied() {
-            return new Runner(name, zone, memoryMb, adaptersMb, held, true, requests, storedCopies);
-        }
     }
 
     /**
--- a/placement/src/main/java/org/arbutusstack/placement/FleetPlanner.java
+++ b/placement/src/main/java/org/arbutusstack/placement/FleetPlanner.java
@@ -86,7 +86,8 @@
         Set<String> unplaced = new HashSet<>();
         Optional<String> next = mostUrgent(state, unplaced);
         while (next.isPresent()) {
-            Optional<ModelMove> move = place(state, next.get(), remainingFromStore > 0);
+            Optional<ModelMove> move =
+                    place(state, next.get(), gainOf(state, next.get()), fleet.runners(), remainingFromStore > 0);
             if (move.isPresent()) {
                 moves.add(move.get());
                 state.apply(move.get());
@@ -99,6 +100,49 @@
         return moves;
     }
 
+    /**
+     * Decide which models to load on some runners for requests that others cannot serve. A copy elsewhere does not
+     * spare these loads; otherwise the fleet counts as a whole, so that no model in use loses a copy that it needs.
+     *
+     * @param fleet the engines and the demand for their models
+     * @param decided the moves decided already
+     * @param names the names of the runners that can serve the requests
+     * @param waiting the number of the requests that wait for each model
+     * @param maxFromStore the number of loads from the weight store that may begin now
+     * @return the loads, at most one per runner, those for most requests first
+     */
+    public List<ModelMove> decide(
+            EngineFleet fleet,
+            List<ModelMove> decided,
+            Set<String> names,
+            Map<String, Integer> waiting,
+            int maxFromStore) {
+        FleetState state = new FleetState(fleet, maxRequestsPerCopy);
+        decided.forEach(state::apply);
+        List<EngineFleet.Runner> runners = fleet.runners().stream()
+                .filter(runner -> names.contains(runner.name()))
+                .toList();
+        List<String> models = fleet.models().keySet().stream()
+                .filter(waiting::containsKey)
+                .filter(model -> runners.stream()
+                        .noneMatch(runner -> state.heldBy(runner).contains(model)))
+                .sorted(Comparator.<String>comparingInt(waiting::get)
+                        .reversed()
+                        .thenComparing(Comparator.naturalOrder()))
+                .toList();
+        List<ModelMove> moves = new ArrayList<>();
+        int remainingFromStore = maxFromStore;
+        for (String model : models) {
+            Optional<ModelMove> move = place(state, model, Double.MAX_VALUE, runners, remainingFromStore > 0);
+            if (move.isPresent()) {
+                moves.add(move.get());
+                state.apply(move.get());
+                remainingFromStore -= move.get().fromStore() ? 1 : 0;
+            }
+        }
+        return moves;
+    }
+
     /** Return the model with the most urgent need of another copy, given the moves decided so far. */
     private Optional<String> mostUrgent(FleetState state, Set<String> unplaced) {
         return state.fleet.models().keySet().stream()
@@ -130,10 +174,14 @@
         return activeRequests(demand) - state.copiesOf(model) * state.requestsPerCopy;
     }
 
-    private Optional<ModelMove> place(FleetState state, String model, boolean storeAllowed) {
-        double gain = state.copiesOf(model) == 0 ? Double.MAX_VALUE : excess(state, model);
+    private double gainOf(FleetState state, String model) {
+        return state.copiesOf(model) == 0 ? Double.MAX_VALUE : excess(state, model);
+    }
+
+    private Optional<ModelMove> place(
+            FleetState state, String model, double gain, List<EngineFleet.Runner> runners, boolean storeAllowed) {
         Candidate best = null;
-        for (EngineFleet.Runner runner : state.fleet.runners()) {
+        for (EngineFleet.Runner runner : runners) {
             Candidate candidate = candidate(state, runner, model);
             boolean permitted = candidate != null
                     && candidate.cost() < gain
