Rank loads for requests bound to a version among all loads

Change: FleetPlanner decides on both together (BoundDemand). Requests bound to a version that does not hold their model are served by no copy, so they rank as those for a model without one. Of two equal needs the bound one goes first, as its copy serves the others too.

--- a/gateway/src/main/java/org/arbutusstack/gateway/plan/ModelPlanner.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/plan/ModelPlanner.java
@@ -18,6 +18,7 @@
 import org.arbutusstack.kernel.Assert;
 import org.arbutusstack.kernel.ring.IsolatedSteps;
 import org.arbutusstack.kernel.time.Clock;
+import org.arbutusstack.placement.BoundDemand;
 import org.arbutusstack.placement.EngineFleet;
 import org.arbutusstack.placement.FleetPlanner;
 import org.arbutusstack.placement.LoadRateLimiter;
@@ -226,19 +227,25 @@
         }
         EngineFleet fleet =
                 new EngineFleet(spec.slots(), models, accepting, demand.demand(service.name(), models.keySet()));
-        List<ModelMove> moves = new ArrayList<>(planner.decide(fleet, loadLimiter.available()));
-        moves.forEach(move -> sendOrder(move, fleet));
-        demand.waitingByVersion(service.name()).forEach((version, waiting) -> {
-            List<ModelMove> bound =
-                    planner.decide(fleet, moves, runnersOf(service.name(), version), waiting, loadLimiter.available());
-            bound.forEach(move -> sendOrder(move, fleet));
-            moves.addAll(bound);
-        });
+        for (ModelMove move : planner.decide(fleet, boundDemand(service.name()), loadLimiter.available())) {
+            sendOrder(move, fleet.demand().get(move.load()));
+        }
         Map<String, Double> requests = new HashMap<>();
         fleet.demand().forEach((model, modelDemand) -> requests.put(model, modelDemand.requests()));
         return requests;
     }
 
+    private List<BoundDemand> boundDemand(String service) {
+        List<BoundDemand> bound = new ArrayList<>();
+        demand.waitingByVersion(service).forEach((version, waiting) -> {
+            Set<String> names = runnersOf(service, version);
+            if (!names.isEmpty()) {
+                bound.add(new BoundDemand(names, waiting));
+            }
+        });
+        return bound;
+    }
+
     private Set<String> runnersOf(String service, String version) {
         return runners.takingWork(service).stream()
                 .map(KnownRunner::entry)
@@ -274,8 +281,7 @@
                 status.storedCopies());
     }
 
-    private void sendOrder(ModelMove move, EngineFleet fleet) {
-        EngineFleet.ModelDemand modelDemand = fleet.demand().get(move.load());
+    private void sendOrder(ModelMove move, EngineFleet.ModelDemand modelDemand) {
         KnownRunner runner = runners.byId(move.runner());
         sequence++;
         ModelOrderFrame order = new ModelOrderFrame(
--- a/placement/src/main/java/org/arbutusstack/placement/FleetPlanner.java
+++ b/placement/src/main/java/org/arbutusstack/placement/FleetPlanner.java
@@ -80,14 +80,26 @@
      * @return the loads, at most one per runner, the most urgent first
      */
     public List<ModelMove> decide(EngineFleet fleet, int maxFromStore) {
+        return decide(fleet, List.of(), maxFromStore);
+    }
+
+    /**
+     * Decide which models to load where some demand can be served by some runners only. No model in use loses a copy
+     * that it needs for that.
+     *
+     * @param fleet the engines and the demand for their models
+     * @param bound the demand that some runners only can serve
+     * @param maxFromStore the number of loads from the weight store that may begin now
+     * @return the loads, at most one per runner, the most urgent first
+     */
+    public List<ModelMove> decide(EngineFleet fleet, List<BoundDemand> bound, int maxFromStore) {
         FleetState state = new FleetState(fleet, maxRequestsPerCopy);
         List<ModelMove> moves = new ArrayList<>();
         int remainingFromStore = maxFromStore;
-        Set<String> unplaced = new HashSet<>();
-        Optional<String> next = mostUrgent(state, unplaced);
+        List<Need> unplaced = new ArrayList<>();
+        Optional<Need> next = mostUrgent(state, bound, unplaced);
         while (next.isPresent()) {
-            Optional<ModelMove> move =
-                    place(state, next.get(), gainOf(state, next.get()), fleet.runners(), remainingFromStore > 0);
+            Optional<ModelMove> move = place(state, next.get(), remainingFromStore > 0);
             if (move.isPresent()) {
                 moves.add(move.get());
                 state.apply(move.get());
@@ -95,60 +107,39 @@
             } else {
                 unplaced.add(next.get());
             }
-            next = mostUrgent(state, unplaced);
+            next = mostUrgent(state, bound, unplaced);
         }
         return moves;
     }
 
     /**
-     * Decide which models to load on some runners for requests that others cannot serve. A copy elsewhere does not
-     * spare these loads; otherwise the fleet counts as a whole, so that no model in use loses a copy that it needs.
-     *
-     * @param fleet the engines and the demand for their models
-     * @param decided the moves decided already
-     * @param names the names of the runners that can serve the requests
-     * @param waiting the number of the requests that wait for each model
-     * @param maxFromStore the number of loads from the weight store that may begin now
-     * @return the loads, at most one per runner, those for most requests first
+     * Return the most urgent need of another copy, given the moves decided so far; among equal ones that of bound
+     * demand, since its copy serves the others too.
      */
-    public List<ModelMove> decide(
-            EngineFleet fleet,
-            List<ModelMove> decided,
-            Set<String> names,
-            Map<String, Integer> waiting,
-            int maxFromStore) {
-        FleetState state = new FleetState(fleet, maxRequestsPerCopy);
-        decided.forEach(state::apply);
-        List<EngineFleet.Runner> runners = fleet.runners().stream()
-                .filter(runner -> names.contains(runner.name()))
-                .toList();
-        List<String> models = fleet.models().keySet().stream()
-                .filter(waiting::containsKey)
-                .filter(model -> runners.stream()
-                        .noneMatch(runner -> state.heldBy(runner).contains(model)))
-                .sorted(Comparator.<String>comparingInt(waiting::get)
-                        .reversed()
-                        .thenComparing(Comparator.naturalOrder()))
-                .toList();
-        List<ModelMove> moves = new ArrayList<>();
-        int remainingFromStore = maxFromStore;
-        for (String model : models) {
-            Optional<ModelMove> move = place(state, model, Double.MAX_VALUE, runners, remainingFromStore > 0);
-            if (move.isPresent()) {
-                moves.add(move.get());
-                state.apply(move.get());
-                remainingFromStore -= move.get().fromStore() ? 1 : 0;
+    private Optional<Need> mostUrgent(FleetState state, List<BoundDemand> bound, List<Need> unplaced) {
+        List<Need> needs = new ArrayList<>();
+        for (BoundDemand demand : bound) {
+            demand.waiting().forEach((model, waiting) -> {
+                if (state.fleet.models().containsKey(model) && !state.isHeldByAny(demand.runners(), model)) {
+                    needs.add(new Need(model, demand.runners(), boundUrgency(state, model, waiting)));
+                }
+            });
+        }
+        for (String model : state.fleet.models().keySet()) {
+            if (wantsCopy(state, model)) {
+                needs.add(new Need(model, Set.of(), urgency(state, model)));
             }
         }
-        return moves;
+        return needs.stream()
+                .filter(need -> unplaced.stream().noneMatch(need::isSameAs))
+                .min(Comparator.comparingDouble((Need need) -> -need.urgency())
+                        .thenComparing(need -> !need.isBound())
+                        .thenComparing(Need::model));
     }
 
-    /** Return the model with the most urgent need of another copy, given the moves decided so far. */
-    private Optional<String> mostUrgent(FleetState state, Set<String> unplaced) {
-        return state.fleet.models().keySet().stream()
-                .filter(model -> !unplaced.contains(model) && wantsCopy(state, model))
-                .min(Comparator.comparingDouble((String model) -> -urgency(state, model))
-                        .thenComparing(Comparator.naturalOrder()));
+    /** Rank bound demand like that for a model without a copy, since none of it is served either. */
+    private double boundUrgency(FleetState state, String model, int waiting) {
+        return state.copiesOf(model) == 0 ? urgency(state, model) : MISSING_WEIGHT + WAITING_WEIGHT * waiting;
     }
 
     private boolean wantsCopy(FleetState state, String model) {
@@ -174,14 +165,15 @@
         return activeRequests(demand) - state.copiesOf(model) * state.requestsPerCopy;
     }
 
-    private double gainOf(FleetState state, String model) {
-        return state.copiesOf(model) == 0 ? Double.MAX_VALUE : excess(state, model);
-    }
-
-    private Optional<ModelMove> place(
-            FleetState state, String model, double gain, List<EngineFleet.Runner> runners, boolean storeAllowed) {
+    private Optional<ModelMove> place(FleetState state, Need need, boolean storeAllowed) {
+        String model = need.model();
+        boolean isUnserved = need.isBound() || state.copiesOf(model) == 0;
+        double gain = isUnserved ? Double.MAX_VALUE : excess(state, model);
         Candidate best = null;
-        for (EngineFleet.Runner runner : runners) {
+        for (EngineFleet.Runner runner : state.fleet.runners()) {
+            if (need.isBound() && !need.runners().contains(runner.name())) {
+                continue;
+            }
             Candidate candidate = candidate(state, runner, model);
             boolean permitted = candidate != null
                     && candidate.cost() < gain
@@ -239,6 +231,18 @@
         return inUse ? Double.MAX_VALUE : LAST_COPY_COST * (1 + idleMillis / (1.0 + demand.idleMillis()));
     }
 
+    /** Need of another copy of a model, at any runner or, if bound, at some of them; and its urgency in requests. */
+    private record Need(String model, Set<String> runners, double urgency) {
+
+        boolean isBound() {
+            return !runners.isEmpty();
+        }
+
+        boolean isSameAs(Need other) {
+            return model.equals(other.model) && runners.equals(other.runners);
+        }
+    }
+
     /** Possible move and its cost in requests. */
     private record Candidate(ModelMove move, double cost) {}
 
@@ -273,6 +277,11 @@
             return heldByRunner.get(runner.name());
         }
 
+        boolean isHeldByAny(Set<String> names, String model) {
+            return names.stream()
+                    .anyMatch(name -> heldByRunner.getOrDefault(name, Set.of()).contains(model));
+        }
+
         boolean isAssigned(EngineFleet.Runner runner) {
             return assigned.contains(runner.name());
         }
