Continue a stream at a busy runner while its caller still waits

Cause: the time left to a running stream was counted from the arrival of its request, so after a few seconds only a runner that begins within 300 ms was good enough. That was rarely seen while any runner could go on. And a load for the rest of a stream ranked like one for a new request.

Change: a stream that may go on at one version only is given the time until its caller leaves, counted from the last event that it got (ActiveRequest.callerLeavesAtNanos, which the wait for a model uses too). Its request weighs twice one for a model without a copy: the caller has the beginning of the answer, and would lose it.

--- a/gateway/src/main/java/org/arbutusstack/gateway/request/ActiveRequest.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/ActiveRequest.java
@@ -8,6 +8,7 @@
 import org.arbutusstack.gateway.allotment.AllotmentReceipt;
 import org.arbutusstack.gateway.runner.KnownRunner;
 import org.arbutusstack.http.server.ResponseSink;
+import org.arbutusstack.kernel.time.Clock;
 import org.arbutusstack.model.request.Refusal;
 import org.arbutusstack.model.request.RefusalKind;
 import org.arbutusstack.routing.ContentKeys;
@@ -80,6 +81,13 @@
         return request;
     }
 
+    /** Return when the caller leaves unless it gets an event or an answer before. */
+    long callerLeavesAtNanos() {
+        long patienceNanos = request.route().callerTimeoutMillis() * Clock.NANOS_PER_MILLI;
+        long impatientAtNanos = progress.waitsSinceNanos() + patienceNanos;
+        return impatientAtNanos - request.deadlineNanos() < 0 ? impatientAtNanos : request.deadlineNanos();
+    }
+
     /** Return the keys of the request's content; computed once, since they include a digest of the body. */
     List<String> contentKeys() {
         if (contentKeys == null) {
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/ModelDemand.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/ModelDemand.java
@@ -39,11 +39,8 @@
      * earlier.
      */
     OptionalLong loadBeyondPatienceMillis(ActiveRequest active) {
-        InboundRequest request = active.request();
         long loadMillis = chooser.loadMillis(active, forecast);
-        long callerEndNanos =
-                active.progress().waitsSinceNanos() + request.route().callerTimeoutMillis() * Clock.NANOS_PER_MILLI;
-        long remainingMillis = Math.min(clock.millisUntil(callerEndNanos), clock.millisUntil(request.deadlineNanos()));
+        long remainingMillis = clock.millisUntil(active.callerLeavesAtNanos());
         return loadMillis >= remainingMillis ? OptionalLong.of(loadMillis) : OptionalLong.empty();
     }
 
--- a/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/request/RunnerChooser.java
@@ -288,7 +288,11 @@
 
     private long firstEventLimitMillis(ActiveRequest active) {
         long waitedMillis = (clock.nowNanos() - active.request().arrivedNanos()) / Clock.NANOS_PER_MILLI;
-        return Math.max(MIN_LIMIT_MILLIS, active.request().route().targetMillis() - waitedMillis);
+        long limitMillis = Math.max(MIN_LIMIT_MILLIS, active.request().route().targetMillis() - waitedMillis);
+        // Few runners can continue a stream, and its caller would lose the events that it has.
+        return active.streamVersion().isEmpty()
+                ? limitMillis
+                : Math.max(limitMillis, clock.millisUntil(active.callerLeavesAtNanos()));
     }
 
     private static long firstEventMillis(KnownRunner runner) {
--- a/gateway/src/test/java/org/arbutusstack/gateway/request/SoftwareVersionTests.java
+++ b/gateway/src/test/java/org/arbutusstack/gateway/request/SoftwareVersionTests.java
@@ -23,6 +23,9 @@
     /** Time for which a stream runs; longer than its caller waits for an event. */
     private static final long STREAM_MILLIS = 9_000;
 
+    /** Requests that wait at a runner; it begins the next one after more than the least limit, and within seconds. */
+    private static final int BUSY_QUEUED = 20;
+
     private static DispatcherHarness harness() {
         DispatcherHarness harness = new DispatcherHarness();
         harness.runner("retries", DispatcherHarness.PLAIN);
@@ -140,6 +143,30 @@
         assertEquals(harness.runners.last().lastEventId, "2");
     }
 
+    /** Guards against breaking a stream off since no event can come within its first target, long after it began. */
+    @Test
+    public void shouldResumeStreamAtBusyRunnerWhenCallerStillWaits() {
+        DispatcherHarness harness = harness();
+        harness.runnerOfVersion("v1", "begins", DispatcherHarness.ENGINE, "m1");
+        for (int index = 0; index < 20; index++) {
+            report(harness, "begins", "m1");
+            harness.send(engineRoute(20_000, 2_000), "m1");
+            begin(harness.runners.last());
+            harness.runners.last().end();
+        }
+        report(harness, "begins", "m1");
+        FakeCaller caller = harness.send(engineRoute(20_000, 2_000), "m1");
+        begin(harness.runners.last());
+        harness.clock.advanceMillis(STREAM_MILLIS);
+        harness.runners.last().bytes(REST);
+        harness.runnerOfVersion("v1", "busy", DispatcherHarness.ENGINE, "m1");
+        report(harness, "busy", BUSY_QUEUED, "m1");
+        harness.table.remove("begins");
+        harness.runners.last().fail(true);
+        assertFalse(caller.aborted);
+        assertEquals(harness.runners.last().runner.id(), "busy");
+    }
+
     private static Route engineRoute(long timeoutMillis, long targetMillis) {
         return new Route(
                 "r",
@@ -158,11 +185,15 @@
     }
 
     private static void report(DispatcherHarness harness, String id, String... models) {
+        report(harness, id, 0, models);
+    }
+
+    private static void report(DispatcherHarness harness, String id, int queued, String... models) {
         List<RunnerStatusFrame.HeldModel> held = List.of(models).stream()
                 .map(model -> new RunnerStatusFrame.HeldModel(model, 1, List.of()))
                 .toList();
         RunnerStatusFrame status =
-                new RunnerStatusFrame(1, 0, true, -1, 0, 0, 0, 1, held, List.of(), Map.of(), "", false, 1, 500, 0);
+                new RunnerStatusFrame(1, 0, true, -1, queued, 0, 0, 1, held, List.of(), Map.of(), "", false, 1, 500, 0);
         harness.table.byId(id).status(status, new RecordingLink());
     }
 }
--- a/placement/src/main/java/org/arbutusstack/placement/FleetPlanner.java
+++ b/placement/src/main/java/org/arbutusstack/placement/FleetPlanner.java
@@ -55,6 +55,12 @@
     /** Weight of each request for a model without a copy, since none of them is served. */
     private static final double WAITING_WEIGHT = 4;
 
+    /**
+     * Weight of each request that only some runners can serve, none of which holds the model: it is the rest of an
+     * answer whose beginning its caller has, and would lose.
+     */
+    private static final double BOUND_WEIGHT = 8;
+
     /** Cost of loading on a runner for each request that it has, in requests. */
     private static final double BUSY_REQUEST_COST = 0.15;
 
@@ -137,9 +143,10 @@
                         .thenComparing(Need::model));
     }
 
-    /** Rank bound demand like that for a model without a copy, since none of it is served either. */
+    /** Rank bound demand at least like that for a model without a copy, since none of it is served either. */
     private double boundUrgency(FleetState state, String model, int waiting) {
-        return state.copiesOf(model) == 0 ? urgency(state, model) : MISSING_WEIGHT + WAITING_WEIGHT * waiting;
+        double urgency = MISSING_WEIGHT + BOUND_WEIGHT * waiting;
+        return state.copiesOf(model) == 0 ? Math.max(urgency, urgency(state, model)) : urgency;
     }
 
     private boolean wantsCopy(FleetState state, String model) {
