Rank sides once for each keeper, and observe versions less often

Seen in the review of the change: sidesFor ranked all sides once more than it chose, and the versions of all runners were recorded 25 times a second. At 1,200 sides a ranking is some 1,200 hashes, so a stream takes two of them in place of three; versions are recorded each 100 ms, a fifth of the gap at which a history starts anew. No behaviour changes; TakenUpStreamTests, TakenUpStreamProcessTests green.

--- a/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/entry/GatewayEntry.java
@@ -172,6 +172,7 @@
         election.start();
         dependencies.loop().every(TICK_MILLIS, this::tick);
         dependencies.loop().every(LINK_CHECK_MILLIS, sides::tick);
+        dependencies.loop().every(LINK_CHECK_MILLIS, origins::tick);
         dependencies.loop().every(PLAN_MILLIS, this::plan);
         dependencies.loop().every(AllotmentGate.TICK_MILLIS, allotments::tick);
     }
@@ -218,7 +219,6 @@
                 teamGate::tick,
                 () -> metrics.updateConfigAge(teamGate.configAgeMillis()),
                 runners::tick,
-                origins::tick,
                 () -> dispatcher.entries(sides.entryCount().entries()),
                 dispatcher::tick,
                 crashMonitor::tick,
--- a/gateway/src/main/java/org/arbutusstack/gateway/stream/StreamOrigins.java
+++ b/gateway/src/main/java/org/arbutusstack/gateway/stream/StreamOrigins.java
@@ -79,10 +79,8 @@
     /** Return the hosts of the linked sides that come first in rank for a request. */
     private List<String> sidesFor(String requestId, int count) {
         List<String> hosts = new ArrayList<>();
-        Optional<String> next = links.firstInRank(requestId, host -> true);
-        while (next.isPresent() && hosts.size() < count) {
-            hosts.add(next.get());
-            next = links.firstInRank(requestId, host -> !hosts.contains(host));
+        for (int rank = 0; rank < count; rank++) {
+            links.firstInRank(requestId, host -> !hosts.contains(host)).ifPresent(hosts::add);
         }
         return hosts;
     }
