--- a/review/src-3/CaseDrill.java
+++ b/review/src-3/CaseDrill.java
@@ -69,7 +69,7 @@
         List<EngineRunner> runners = new ArrayList<>();
         for (int number = 1; number <= 4; number++) {
             EngineRunner runner = new EngineRunner(
-                    "i-" + number + "f3a91c2", "127.31.2." + number, rig.appPort, ZONES.get(number - 1), 86, 29, store, listener);
+                    "i-" + number + "f3a91c2", "127.31.2." + number, rig.appPort, ZONES.get(number - 1), "v1", 86, 29, store, listener);
             runner.register();
             runners.add(runner);
         }
--- a/review/src-3/EngineRunner.java
+++ b/review/src-3/EngineRunner.java
@@ -23,6 +23,7 @@
     private final String zone;
     private final Store store;
     private final Listener listener;
+    private final String version;
     private final int events;
     private final long gapMillis;
     private final long born = System.currentTimeMillis();
@@ -35,11 +36,20 @@
     volatile boolean exited;
 
     EngineRunner(
-            String id, String host, int port, String zone, int events, long gapMillis, Store store, Listener listener)
+            String id,
+            String host,
+            int port,
+            String zone,
+            String version,
+            int events,
+            long gapMillis,
+            Store store,
+            Listener listener)
             throws IOException {
         this.id = id;
         this.host = host;
         this.zone = zone;
+        this.version = version;
         this.events = events;
         this.gapMillis = gapMillis;
         this.store = store;
@@ -62,7 +72,7 @@
                     store.put(
                             "servers/" + id,
                             "{\"service\":\"stitch-lm\",\"address\":\"" + host + ":" + server.getLocalPort()
-                                    + "\",\"zone\":\"" + zone + "\",\"version\":\"v1\",\"slots\":64,\"state\":\"ready\","
+                                    + "\",\"zone\":\"" + zone + "\",\"version\":\"" + version + "\",\"slots\":64,\"state\":\"ready\","
                                     + "\"cold-remaining-ms\":0,\"seq\":" + sequence + ",\"born\":" + born
                                     + ",\"stage\":\"unified\",\"models\":" + MODELS + "}");
                 }
@@ -149,15 +159,16 @@
         }
         listener.arrived(this, requestId, request.header("X-Entry"));
         active.incrementAndGet();
-        int sent = 0;
+        String last = request.header("Last-Event-Id");
+        int sent = last.isEmpty() ? 0 : Integer.parseInt(last);
         try {
             Thread.sleep(50);
             head = "Request-Id: " + requestId + "\r\n" + notice();
             OutputStream out = socket.getOutputStream();
             out.write(Http.bytes("HTTP/1.1 200 x\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
                     + "Response-Seal: " + id + "." + requestId + "\r\n" + head + "\r\n"));
-            for (int number = 1; number <= events; number++) {
-                byte[] event = Http.bytes("id: " + number + "\ndata: token token\n\n");
+            for (int number = sent + 1; number <= events; number++) {
+                byte[] event = Http.bytes("id: " + number + "\ndata: token of " + version + "\n\n");
                 out.write(Store.concat(
                         Store.concat(Http.bytes(Integer.toHexString(event.length) + "\r\n"), event), Http.bytes("\r\n")));
                 sent = number;
