--- a/review/src-3/EngineRunner.java
+++ b/review/src-3/EngineRunner.java
@@ -35,6 +35,18 @@
     volatile boolean leaving;
     volatile boolean exited;
 
+    /** The part of a prompt at which this runner crashes; empty for none. */
+    volatile String harmfulPart = "";
+
+    /** How many events it has written when it crashes at that part. */
+    volatile int eventsBeforeCrash = 1;
+
+    /** Time from a request to the head of its answer and its first event. */
+    volatile long firstEventMillis = 50;
+
+    /** Told of the request at which this runner has crashed. */
+    volatile java.util.function.Consumer<String> crashListener = request -> {};
+
     EngineRunner(
             String id,
             String host,
@@ -162,7 +174,11 @@
         String last = request.header("Last-Event-Id");
         int sent = last.isEmpty() ? 0 : Integer.parseInt(last);
         try {
-            Thread.sleep(50);
+            Thread.sleep(firstEventMillis);
+            if (isHarmful(request) && eventsBeforeCrash == 0) {
+                crash(requestId);
+                return;
+            }
             head = "Request-Id: " + requestId + "\r\n" + notice();
             OutputStream out = socket.getOutputStream();
             out.write(Http.bytes("HTTP/1.1 200 x\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
@@ -173,6 +189,10 @@
                         Store.concat(Http.bytes(Integer.toHexString(event.length) + "\r\n"), event), Http.bytes("\r\n")));
                 sent = number;
                 Thread.sleep(gapMillis);
+                if (isHarmful(request) && number >= eventsBeforeCrash) {
+                    crash(requestId);
+                    return;
+                }
             }
             out.write(Http.bytes("0\r\n\r\n"));
         } finally {
@@ -181,6 +201,17 @@
         }
     }
 
+    private boolean isHarmful(Http.Message request) {
+        return !harmfulPart.isEmpty() && request.header("Prompt-Prefix").contains(harmfulPart + ":");
+    }
+
+    /** Crash: all channels are reset, nothing is said to the store. */
+    private void crash(String request) throws IOException {
+        registered = false;
+        exit();
+        crashListener.accept(request);
+    }
+
     private static void answer(Socket socket, int status, String headers, String body) throws IOException {
         byte[] bytes = Http.bytes(body);
         socket.getOutputStream()
